--- /dev/null
+++ b/api/callerapi/error.go
@@ -0,0 +1,142 @@
+// Package callerapi defines what callers see: headers, error types and the error body.
+package callerapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderToken carries a token issued by a side process; see package idempotency.
+	HeaderToken = "Lavendermoor-Token"
+	// HeaderDeadline carries the time that the caller still has, in milliseconds.
+	HeaderDeadline   = "Lavendermoor-Deadline-Ms"
+	HeaderRequestID  = "X-Request-Id"
+	HeaderRetryAfter = "Retry-After"
+)
+
+// ErrorType names a class of failure in the error body.
+type ErrorType string
+
+// The error types that callers can meet.
+const (
+	InvalidRequest   ErrorType = "invalid_request"
+	Unauthorized     ErrorType = "unauthorized"
+	UnknownModel     ErrorType = "unknown_model"
+	UnknownService   ErrorType = "unknown_service"
+	MethodNotAllowed ErrorType = "method_not_allowed"
+	RequestTimeout   ErrorType = "request_timeout"
+	KeyReused        ErrorType = "key_reused"
+	BodyTooLarge     ErrorType = "body_too_large"
+	HeaderTooLarge   ErrorType = "header_too_large"
+	QuotaExceeded    ErrorType = "quota_exceeded"
+	Overloaded       ErrorType = "overloaded"
+	NoReplica        ErrorType = "no_replica"
+	Draining         ErrorType = "draining"
+	DeadlineExceeded ErrorType = "deadline_exceeded"
+	InvalidToken     ErrorType = "invalid_token"
+	OutcomeUnknown   ErrorType = "outcome_unknown"
+	BackendFailed    ErrorType = "backend_failed"
+	// StreamBroken is sent only as an event inside a stream that has begun.
+	StreamBroken ErrorType = "stream_broken"
+)
+
+var statusOf = map[ErrorType]int{
+	InvalidRequest:   http.StatusBadRequest,
+	Unauthorized:     http.StatusUnauthorized,
+	UnknownModel:     http.StatusNotFound,
+	UnknownService:   http.StatusNotFound,
+	MethodNotAllowed: http.StatusMethodNotAllowed,
+	RequestTimeout:   http.StatusRequestTimeout,
+	KeyReused:        http.StatusUnprocessableEntity,
+	BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
+	QuotaExceeded:    http.StatusTooManyRequests,
+	Overloaded:       http.StatusServiceUnavailable,
+	NoReplica:        http.StatusServiceUnavailable,
+	Draining:         http.StatusServiceUnavailable,
+	DeadlineExceeded: http.StatusGatewayTimeout,
+	InvalidToken:     http.StatusBadRequest,
+	OutcomeUnknown:   http.StatusConflict,
+	BackendFailed:    http.StatusBadGateway,
+	StreamBroken:     http.StatusBadGateway,
+}
+
+// Status returns the HTTP status of an error type; 500 for a type that is not known.
+func (t ErrorType) Status() int {
+	if s, ok := statusOf[t]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Executed says whether the request that failed was run by a backend server.
+type Executed string
+
+const (
+	// ExecutedNo is used only where it is proved that the request did not run and will not run.
+	ExecutedNo Executed = "no"
+	// ExecutedUnknown is used where the request may have run or may still be running.
+	ExecutedUnknown Executed = "unknown"
+	// ExecutedYes is used where the request ran but its answer cannot be given.
+	ExecutedYes Executed = "yes"
+)
+
+// Error is a failure as the caller sees it. It is immutable once returned.
+type Error struct {
+	Type      ErrorType `json:"type"`
+	Message   string    `json:"message"`
+	Executed  Executed  `json:"executed"`
+	RequestID string    `json:"request_id,omitempty"`
+	// RetryAfter is the time after which a repeat may succeed; 0 when a repeat would fail again.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (executed: %s)", e.Type, e.Message, e.Executed)
+}
+
+// NotRun returns an error for a request that was provably not run.
+func NotRun(t ErrorType, format string, args ...any) *Error {
+	return &Error{Type: t, Message: fmt.Sprintf(format, args...), Executed: ExecutedNo}
+}
+
+// Unknown returns an error for a request that may or may not have run.
+func Unknown(t ErrorType, format string, args ...any) *Error {
+	return &Error{Type: t, Message: fmt.Sprintf(format, args...), Executed: ExecutedUnknown}
+}
+
+// WithRetryAfter returns a copy of the error that tells the caller when to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Body is the JSON body of an error answer.
+type Body struct {
+	Error *Error `json:"error"`
+}
+
+// Write sends the error as an HTTP answer. Headers must not have been sent yet. Retry-After is in whole
+// seconds, rounded up.
+func Write(w http.ResponseWriter, e *Error, requestID string) {
+	c := *e
+	c.RequestID = requestID
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequestID, requestID)
+	if c.RetryAfter > 0 {
+		h.Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(c.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(c.Type.Status())
+	// A failed write means that the caller has gone, which needs no further action.
+	_ = json.NewEncoder(w).Encode(Body{Error: &c})
+}
--- /dev/null
+++ b/config/cluster/state_test.go
@@ -0,0 +1,58 @@
+package cluster
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/operatorv1"
+)
+
+func customerWithKey(name, key string) *operatorv1.Object {
+	sum := sha256.Sum256([]byte(key))
+	return &operatorv1.Object{Kind: &operatorv1.Object_Customer{Customer: &operatorv1.Customer{
+		Name: name, Weight: 1, Keys: []*operatorv1.Key{{Id: "k", Sha256: hex.EncodeToString(sum[:])}},
+	}}}
+}
+
+// Guards against a key that is accepted for the wrong customer, or without being configured.
+func TestCustomerByKeyFindsOnlyTheOwner(t *testing.T) {
+	s, err := New(1, []*operatorv1.Object{customerWithKey("a", "key-a"), customerWithKey("b", "key-b")})
+	require.NoError(t, err)
+	c, ok := s.CustomerByKey("key-b")
+	require.True(t, ok)
+	require.Equal(t, "b", c.GetName())
+	_, ok = s.CustomerByKey("key-c")
+	require.False(t, ok)
+	_, ok = s.CustomerByKey("")
+	require.False(t, ok)
+}
+
+// Guards against a state that changes under its readers, and against a change applied out of order.
+func TestApplyLeavesTheReceiverAndRefusesGaps(t *testing.T) {
+	s, err := New(1, []*operatorv1.Object{customerWithKey("a", "key-a")})
+	require.NoError(t, err)
+	next, err := s.Apply(&operatorv1.Change{
+		Revision: 2, Deletes: []*operatorv1.ObjectRef{{Type: "customer", Name: "a"}},
+	})
+	require.NoError(t, err)
+	require.Nil(t, next.Customer("a"))
+	require.NotNil(t, s.Customer("a"))
+
+	var gap *RevisionGapError
+	_, err = s.Apply(&operatorv1.Change{Revision: 3})
+	require.ErrorAs(t, err, &gap)
+}
+
+// Guards against half a configuration: a reference to an object that does not exist refuses the whole change.
+func TestApplyRefusesDanglingReferences(t *testing.T) {
+	_, err := Empty().Apply(&operatorv1.Change{Revision: 1, Upserts: []*operatorv1.Object{
+		{Kind: &operatorv1.Object_Group{Group: &operatorv1.Group{Name: "g", Model: "m", Ranks: 1}}},
+	}})
+	var invalid *ValidationError
+	require.ErrorAs(t, err, &invalid)
+	require.Equal(t, Ref{TypeGroup, "g"}, invalid.Fields[0].Ref)
+	require.Equal(t, "model", invalid.Fields[0].Field)
+}
--- /dev/null
+++ b/config/settings/settings.go
@@ -0,0 +1,163 @@
+// Package settings reads the static settings of a process: JSON with comments, validated before any port
+// opens.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/tailscale/hujson"
+)
+
+// Error names the place of a problem in a settings file.
+type Error struct {
+	File string
+	// Line is 1 for the first line, 0 when the place is not known.
+	Line    int
+	Field   string
+	Problem string
+}
+
+func (e *Error) Error() string {
+	place := e.File
+	if e.Line > 0 {
+		place = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
+	if e.Field == "" {
+		return fmt.Sprintf("%s: %s", place, e.Problem)
+	}
+	return fmt.Sprintf("%s: %s: %s", place, e.Field, e.Problem)
+}
+
+// Duration is a time.Duration that is written as text, such as "250ms".
+type Duration time.Duration
+
+// D returns the value as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// DurationError says that a text is not a duration.
+type DurationError struct{ Text string }
+
+func (e *DurationError) Error() string {
+	return fmt.Sprintf("%q is not a duration such as \"250ms\" or \"10s\"", e.Text)
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler; it fails with a *DurationError.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return &DurationError{Text: string(text)}
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Load reads the file into dst, which holds the defaults, and validates the result by its "validate" tags.
+// Unknown fields are refused. Every failure is an *Error.
+func Load(file string, dst any) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return &Error{File: file, Problem: err.Error()}
+	}
+	return Parse(file, raw, dst)
+}
+
+// Parse is Load for text that has been read already; file is used in errors only.
+func Parse(file string, raw []byte, dst any) error {
+	std, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return &Error{File: file, Line: hujsonLine(err), Problem: err.Error()}
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(dst); err != nil {
+		return decodeError(file, std, dec.InputOffset(), err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return &Error{File: file, Line: lineAt(std, dec.InputOffset()), Problem: "text after the settings"}
+	}
+	return validateFields(file, std, dst)
+}
+
+func hujsonLine(err error) int {
+	var line, col int
+	text := err.Error()
+	if i := strings.Index(text, "line "); i >= 0 {
+		if _, scanErr := fmt.Sscanf(text[i:], "line %d, column %d", &line, &col); scanErr == nil {
+			return line
+		}
+	}
+	return 0
+}
+
+func lineAt(text []byte, offset int64) int {
+	if offset > int64(len(text)) {
+		offset = int64(len(text))
+	}
+	return 1 + bytes.Count(text[:offset], []byte("\n"))
+}
+
+func decodeError(file string, std []byte, offset int64, err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		problem := fmt.Sprintf("%s is not a %s", wrongType.Value, wrongType.Type)
+		return &Error{File: file, Line: lineAt(std, wrongType.Offset), Field: wrongType.Field, Problem: problem}
+	}
+	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		field = strings.Trim(field, `"`)
+		return &Error{File: file, Line: lineOfField(std, field), Field: field, Problem: "unknown field"}
+	}
+	var bad *DurationError
+	if errors.As(err, &bad) {
+		return &Error{File: file, Line: lineOfText(std, `"`+bad.Text+`"`), Problem: bad.Error()}
+	}
+	return &Error{File: file, Line: lineAt(std, offset), Problem: err.Error()}
+}
+
+func lineOfField(text []byte, field string) int { return lineOfText(text, `"`+field+`"`) }
+
+func lineOfText(text []byte, needle string) int {
+	i := bytes.Index(text, []byte(needle))
+	if i < 0 {
+		return 0
+	}
+	return lineAt(text, int64(i))
+}
+
+func validateFields(file string, std []byte, dst any) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	err := v.Struct(dst)
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		if err != nil {
+			return &Error{File: file, Problem: err.Error()}
+		}
+		return nil
+	}
+	f := fields[0]
+	_, path, _ := strings.Cut(f.Namespace(), ".")
+	rule := f.Tag()
+	if f.Param() != "" {
+		rule += "=" + f.Param()
+	}
+	problem := fmt.Sprintf("value %v does not satisfy %s", f.Value(), rule)
+	return &Error{File: file, Line: lineOfField(std, f.Field()), Field: path, Problem: problem}
+}
+
+// Print returns settings as indented JSON.
+func Print(v any) ([]byte, error) { return json.MarshalIndent(v, "", "  ") }
--- /dev/null
+++ b/standin/kvserver/kvserver.go
@@ -0,0 +1,373 @@
+// Package kvserver is a stand-in of the platform's key-value service. It speaks the JSON gateway format of
+// etcd v3, keeps everything in memory, and can be told to fail in the ways in which the real service does.
+package kvserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"lavendermoor.example/platform/kv"
+)
+
+// Faults are the failures that the stand-in brings about. The zero value has none.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// Delay is added to every call, in milliseconds.
+	DelayMs int64 `json:"delay_ms"`
+	// LoseAnswers is the number of writes to come whose answer is lost after they take effect.
+	LoseAnswers int `json:"lose_answers"`
+}
+
+// Counts counts calls since the start.
+type Counts struct {
+	Reads    int64 `json:"reads"`
+	Writes   int64 `json:"writes"`
+	Watches  int64 `json:"watches"`
+	Watching int64 `json:"watching"`
+}
+
+type record struct {
+	value []byte
+	mod   int64
+	lease int64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]bool
+}
+
+// Server is the stand-in. Use Handler to serve it.
+type Server struct {
+	mu       sync.Mutex
+	revision int64
+	records  map[string]record
+	history  []kv.WireEvent
+	changed  chan struct{}
+	leases   map[int64]*lease
+	nextID   int64
+	faults   Faults
+	counts   Counts
+	now      func() time.Time
+}
+
+// New returns an empty service.
+func New() *Server {
+	return &Server{
+		records: map[string]record{}, leases: map[int64]*lease{}, changed: make(chan struct{}), now: time.Now,
+	}
+}
+
+// Handler returns the routes: the gateway, and GET and PUT /standin/faults, GET /standin/counts.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(kv.PathRange, handle(s, s.rangeKeys)).Methods(http.MethodPost)
+	r.HandleFunc(kv.PathTxn, handle(s, s.txn)).Methods(http.MethodPost)
+	r.HandleFunc(kv.PathGrant, handle(s, s.grant)).Methods(http.MethodPost)
+	r.HandleFunc(kv.PathKeepAlive, handle(s, s.keepAlive)).Methods(http.MethodPost)
+	r.HandleFunc(kv.PathRevoke, handle(s, s.revoke)).Methods(http.MethodPost)
+	r.HandleFunc(kv.PathWatch, s.watch).Methods(http.MethodPost)
+	r.HandleFunc("/standin/faults", s.serveFaults).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/standin/counts", s.serveCounts).Methods(http.MethodGet)
+	return r
+}
+
+// SetFaults replaces the faults. Open watches are cut when the service goes down.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Counts returns the calls since the start.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		s.SetFaults(f)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.faults)
+}
+
+func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Counts())
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(kv.WireError{Code: 14, Message: message})
+}
+
+// admit applies outage and delay; it returns false when it has answered the call.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.DelayMs > 0 {
+		select {
+		case <-time.After(time.Duration(f.DelayMs) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}
+	if f.Down {
+		writeError(w, http.StatusServiceUnavailable, "stand-in is down")
+		return false
+	}
+	return true
+}
+
+// handle decodes a call, runs it under the lock and sends the answer, which fn returns with whether it wrote.
+func handle[In, Out any](s *Server, fn func(*In) (out Out, wrote bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.admit(w, r) {
+			return
+		}
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		s.mu.Lock()
+		s.expire()
+		out, wrote := fn(&in)
+		lost := wrote && s.faults.LoseAnswers > 0
+		if lost {
+			s.faults.LoseAnswers--
+		}
+		s.mu.Unlock()
+		if lost {
+			panic(http.ErrAbortHandler) // Cuts the connection without an answer.
+		}
+		_ = json.NewEncoder(w).Encode(out)
+	}
+}
+
+func (s *Server) rangeKeys(in *kv.WireRange) (kv.WireRangeResponse, bool) {
+	s.counts.Reads++
+	var out kv.WireRangeResponse
+	for _, k := range s.keysIn(string(in.Key), string(in.RangeEnd)) {
+		if in.Limit > 0 && int64(len(out.KVs)) == in.Limit {
+			break
+		}
+		r := s.records[k]
+		out.KVs = append(out.KVs, kv.WireKV{Key: []byte(k), Value: r.value, ModRevision: r.mod, Lease: r.lease})
+	}
+	return out, false
+}
+
+func (s *Server) keysIn(from, end string) []string {
+	if end == "" {
+		if _, ok := s.records[from]; ok {
+			return []string{from}
+		}
+		return nil
+	}
+	var keys []string
+	for k := range s.records {
+		if k >= from && (end == "\x00" || k < end) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (s *Server) txn(in *kv.WireTxn) (kv.WireTxnResponse, bool) {
+	s.counts.Writes++
+	for _, c := range in.Compare {
+		if s.records[string(c.Key)].mod != c.ModRevision {
+			return kv.WireTxnResponse{Header: kv.WireHeader{Revision: s.revision}}, true
+		}
+	}
+	s.revision++
+	for _, op := range in.Success {
+		if op.RequestPut != nil {
+			s.put(op.RequestPut)
+		}
+		if op.RequestDeleteRange != nil {
+			s.delete(string(op.RequestDeleteRange.Key))
+		}
+	}
+	s.wake()
+	return kv.WireTxnResponse{Header: kv.WireHeader{Revision: s.revision}, Succeeded: true}, true
+}
+
+func (s *Server) put(p *kv.WirePut) {
+	key := string(p.Key)
+	s.records[key] = record{value: p.Value, mod: s.revision, lease: p.Lease}
+	if l, ok := s.leases[p.Lease]; ok {
+		l.keys[key] = true
+	}
+	s.history = append(s.history, kv.WireEvent{KV: kv.WireKV{Key: p.Key, Value: p.Value, ModRevision: s.revision}})
+}
+
+func (s *Server) delete(key string) {
+	if _, ok := s.records[key]; !ok {
+		return
+	}
+	delete(s.records, key)
+	s.history = append(s.history, kv.WireEvent{
+		Type: "DELETE", KV: kv.WireKV{Key: []byte(key), ModRevision: s.revision},
+	})
+}
+
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends the leases whose time has passed and deletes their keys.
+func (s *Server) expire() {
+	now := s.now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Server) endLease(id int64) {
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	delete(s.leases, id)
+	s.revision++
+	for key := range l.keys {
+		if s.records[key].lease == id {
+			s.delete(key)
+		}
+	}
+	s.wake()
+}
+
+func (s *Server) grant(in *kv.WireLease) (kv.WireLease, bool) {
+	s.counts.Writes++
+	s.nextID++
+	ttl := time.Duration(in.TTL) * time.Second
+	s.leases[s.nextID] = &lease{ttl: ttl, expires: s.now().Add(ttl), keys: map[string]bool{}}
+	return kv.WireLease{ID: s.nextID, TTL: in.TTL}, true
+}
+
+func (s *Server) keepAlive(in *kv.WireLease) (kv.WireLeaseKeepAlive, bool) {
+	s.counts.Writes++
+	l, ok := s.leases[in.ID]
+	if !ok {
+		return kv.WireLeaseKeepAlive{Result: kv.WireLease{ID: in.ID}}, true
+	}
+	l.expires = s.now().Add(l.ttl)
+	return kv.WireLeaseKeepAlive{Result: kv.WireLease{ID: in.ID, TTL: int64(l.ttl / time.Second)}}, true
+}
+
+func (s *Server) revoke(in *kv.WireLease) (struct{}, bool) {
+	s.counts.Writes++
+	s.endLease(in.ID)
+	return struct{}{}, true
+}
+
+// leaseCheckInterval bounds how late a watch learns that a lease has ended.
+const leaseCheckInterval = 200 * time.Millisecond
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	var in kv.WireWatch
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	s.counts.Watches++
+	s.counts.Watching++
+	next := s.historyFrom(in.CreateRequest.StartRevision)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.counts.Watching--
+		s.mu.Unlock()
+	}()
+	s.stream(w, r, in.CreateRequest, next)
+}
+
+// historyFrom returns the index of the first event at or after a revision, the end of the history for 0.
+func (s *Server) historyFrom(revision int64) int {
+	if revision == 0 {
+		return len(s.history)
+	}
+	return sort.Search(len(s.history), func(i int) bool { return s.history[i].KV.ModRevision >= revision })
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, in kv.WireWatchCreate, next int) {
+	enc := json.NewEncoder(w)
+	out := http.NewResponseController(w)
+	line := kv.WireWatchLine{Result: &kv.WireWatchResult{Created: true}}
+	for {
+		if enc.Encode(line) != nil || out.Flush() != nil {
+			return
+		}
+		events, ok := s.nextEvents(r, in, &next)
+		if !ok {
+			return
+		}
+		line = kv.WireWatchLine{Result: &kv.WireWatchResult{Events: events}}
+	}
+}
+
+// nextEvents waits for events in the range; it returns false when the watch has to end.
+func (s *Server) nextEvents(r *http.Request, in kv.WireWatchCreate, next *int) ([]kv.WireEvent, bool) {
+	for {
+		s.mu.Lock()
+		s.expire()
+		events := inRange(s.history[*next:], in)
+		*next = len(s.history)
+		changed, down := s.changed, s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return nil, false
+		}
+		if len(events) > 0 {
+			return events, true
+		}
+		select {
+		case <-changed:
+		case <-time.After(leaseCheckInterval):
+		case <-r.Context().Done():
+			return nil, false
+		}
+	}
+}
+
+func inRange(events []kv.WireEvent, in kv.WireWatchCreate) []kv.WireEvent {
+	var out []kv.WireEvent
+	for _, e := range events {
+		key := string(e.KV.Key)
+		exact := len(in.RangeEnd) == 0 && key == string(in.Key)
+		ranged := len(in.RangeEnd) > 0 && strings.Compare(key, string(in.Key)) >= 0 && key < string(in.RangeEnd)
+		if exact || ranged {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/telemetry/admin.go
@@ -0,0 +1,86 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+)
+
+// Admin is the admin listener of a process: state dump, metrics, health, profiles and log level.
+type Admin struct {
+	// State returns the state dump; it is called from any goroutine and must not contain secrets.
+	State func() any
+	// Ready says whether the process takes new work.
+	Ready    func() bool
+	Registry *prometheus.Registry
+	Level    zap.AtomicLevel
+	Log      *zap.Logger
+}
+
+// Handler returns the routes of the admin listener.
+func (a *Admin) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/debug/state", a.state).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", a.ready)
+	r.Handle("/debug/loglevel", a.Level)
+	r.Handle("/metrics", promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	return r
+}
+
+func (a *Admin) state(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(a.State()); err != nil {
+		a.Log.Warn("state dump failed", zap.Error(err))
+	}
+}
+
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
+	if !a.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// headerTimeout bounds how long a peer or operator may take to send request headers.
+const headerTimeout = 5 * time.Second
+
+// Serve serves a handler on a listener until the context ends, then closes the listener and waits up to
+// grace for running requests. It returns the first error that is not the regular end.
+func Serve(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return ServeServer(ctx, l, srv, grace)
+}
+
+// ServeServer is Serve for a server with settings of its own.
+func ServeServer(ctx context.Context, l net.Listener, srv *http.Server, grace time.Duration) error {
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer cancel()
+	if err := srv.Shutdown(stop); err != nil {
+		return err
+	}
+	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/telemetry/invariant/invariant.go
@@ -0,0 +1,60 @@
+// Package invariant checks at run time the properties that must always hold. A violation is always logged and
+// counted; in tests it is fatal.
+package invariant
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+)
+
+// Property identifies a property of the design page.
+type Property string
+
+// The properties.
+const (
+	OneMap      Property = "P1 one-map"
+	WholeAnswer Property = "P2 whole-answer"
+	TrueRefusal Property = "P3 true-refusal"
+	AtMostOnce  Property = "P4 at-most-once"
+	Leaving     Property = "P5 leaving"
+	Graceful    Property = "P6 graceful"
+	Config      Property = "P7 config"
+)
+
+// ViolationError is a broken property.
+type ViolationError struct {
+	Property Property
+	Detail   string
+}
+
+func (v *ViolationError) Error() string { return fmt.Sprintf("%s violated: %s", v.Property, v.Detail) }
+
+var (
+	count   atomic.Int64
+	handler atomic.Pointer[func(*ViolationError)]
+	mu      sync.Mutex
+)
+
+// OnViolation sets the function that receives violations, called from the goroutine that found one, and
+// returns a function that restores the one before. The default does nothing.
+func OnViolation(fn func(*ViolationError)) (restore func()) {
+	mu.Lock()
+	defer mu.Unlock()
+	before := handler.Swap(&fn)
+	return func() { handler.Store(before) }
+}
+
+// Check reports a violation unless ok. The detail is formatted only then.
+func Check(ok bool, p Property, format string, args ...any) {
+	if ok {
+		return
+	}
+	count.Add(1)
+	if fn := handler.Load(); fn != nil {
+		(*fn)(&ViolationError{Property: p, Detail: fmt.Sprintf(format, args...)})
+	}
+}
+
+// Count returns the number of violations since the process started.
+func Count() int64 { return count.Load() }
