--- a/api/callerapi/error.go
+++ b/api/callerapi/error.go
@@ -28,6 +28,7 @@
 const (
 	InvalidRequest   ErrorType = "invalid_request"
 	Unauthorized     ErrorType = "unauthorized"
+	NotFound         ErrorType = "not_found"
 	UnknownModel     ErrorType = "unknown_model"
 	UnknownService   ErrorType = "unknown_service"
 	MethodNotAllowed ErrorType = "method_not_allowed"
@@ -50,6 +51,7 @@
 var statusOf = map[ErrorType]int{
 	InvalidRequest:   http.StatusBadRequest,
 	Unauthorized:     http.StatusUnauthorized,
+	NotFound:         http.StatusNotFound,
 	UnknownModel:     http.StatusNotFound,
 	UnknownService:   http.StatusNotFound,
 	MethodNotAllowed: http.StatusMethodNotAllowed,
--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -65,6 +65,8 @@
 	MaxTokens int `json:"max_tokens"`
 	// PromptBytes is the length of the prompt.
 	PromptBytes int `json:"prompt_bytes"`
+	// Prompt is the part of the body that a prefix cache can share; it is used by the entry only.
+	Prompt []byte `json:"-"`
 	// ResumeFrom is the sequence number of the first frame wanted; 0 starts the generation.
 	ResumeFrom int64 `json:"resume_from,omitempty"`
 }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/config/cluster"
+)
+
+// Configuration gives the configuration in force; nil before the first one.
+type Configuration interface {
+	State() *cluster.State
+}
+
+// Options are the parts of a Server.
+type Options struct {
+	Name          string
+	FailureDomain string
+	Configuration Configuration
+	Upstream      *Upstream
+	Log           *zap.Logger
+}
+
+// Server answers callers. Its methods may be called from any goroutine.
+type Server struct {
+	opts     Options
+	draining atomic.Bool
+	running  atomic.Int64
+	requests atomic.Int64
+	failed   atomic.Int64
+}
+
+// New returns a server that takes work at once.
+func New(opts Options) *Server { return &Server{opts: opts} }
+
+// Register adds the callers' routes to a router and makes it answer unknown paths and methods with typed
+// errors.
+func (s *Server) Register(r *mux.Router) {
+	r.HandleFunc("/v1/chat/completions", s.handle(s.generate)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", s.handle(s.generate)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", s.handle(s.models)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/services/{service}/-/token", s.handle(s.token)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/services/{service}{path:/.*}", s.handle(s.call))
+	r.NotFoundHandler = s.handle(func(*exchange) *callerapi.Error {
+		return callerapi.NotRun(callerapi.NotFound, "no such path")
+	})
+	r.MethodNotAllowedHandler = s.handle(func(x *exchange) *callerapi.Error {
+		return callerapi.NotRun(callerapi.MethodNotAllowed, "method %s is not supported here", x.r.Method)
+	})
+}
+
+// Drain refuses new requests from now on; running ones go on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Ready says whether the process takes new requests.
+func (s *Server) Ready() bool { return !s.draining.Load() && s.opts.Configuration.State() != nil }
+
+// Dump is the state dump of the server.
+type Dump struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+	Draining bool   `json:"draining"`
+	Running  int64  `json:"running"`
+	Requests int64  `json:"requests"`
+	Failed   int64  `json:"failed"`
+}
+
+// Dump returns the state dump.
+func (s *Server) Dump() Dump {
+	d := Dump{
+		Name: s.opts.Name, Draining: s.draining.Load(), Running: s.running.Load(),
+		Requests: s.requests.Load(), Failed: s.failed.Load(),
+	}
+	if st := s.opts.Configuration.State(); st != nil {
+		d.Revision = st.Revision
+	}
+	return d
+}
+
+// handle wraps a handler: it gives the request an ID, finds the customer, and sends the error, if any.
+func (s *Server) handle(fn func(*exchange) *callerapi.Error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		s.running.Add(1)
+		defer s.running.Add(-1)
+		x := &exchange{s: s, w: w, r: r, id: uuid.NewString()}
+		e := x.prepare()
+		if e == nil {
+			e = fn(x)
+		}
+		if e != nil {
+			s.failed.Add(1)
+			x.fail(e)
+		}
+		x.log(e)
+	}
+}
+
+func (x *exchange) log(e *callerapi.Error) {
+	fields := []zap.Field{
+		zap.String("request", x.id), zap.String("method", x.r.Method), zap.String("path", x.r.URL.Path),
+		zap.String("customer", x.customer.GetName()),
+	}
+	if e == nil {
+		x.s.opts.Log.Debug("request answered", fields...)
+		return
+	}
+	fields = append(fields,
+		zap.String("type", string(e.Type)), zap.String("executed", string(e.Executed)), zap.String("error", e.Message))
+	x.s.opts.Log.Info("request failed", fields...)
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+)
+
+// notReadyRetry is how long a caller should wait for an entry that starts or drains; the platform's balancer
+// sends the repeat to another one.
+const notReadyRetry = time.Second
+
+// defaultPriority is the priority of requests that no rule matches.
+const defaultPriority = 4
+
+// exchange is one request of a caller and its answer. It is used by the request's goroutine only.
+type exchange struct {
+	s  *Server
+	w  http.ResponseWriter
+	r  *http.Request
+	id string
+
+	state    *cluster.State
+	customer *operatorv1.Customer
+	// streaming is set when an event stream has begun, after which errors are sent as events.
+	streaming bool
+}
+
+// prepare checks what every request needs: a configuration, headers within the limit and a known customer.
+func (x *exchange) prepare() *callerapi.Error {
+	x.w.Header().Set(callerapi.HeaderRequestID, x.id)
+	x.state = x.s.opts.Configuration.State()
+	if x.state == nil {
+		return callerapi.NotRun(callerapi.NoReplica, "no configuration yet").WithRetryAfter(notReadyRetry)
+	}
+	if x.s.draining.Load() {
+		return callerapi.NotRun(callerapi.Draining, "this entry is draining").WithRetryAfter(notReadyRetry)
+	}
+	if limit := x.state.Limits().MaxHeaderBytes; headerBytes(x.r.Header) > limit {
+		return callerapi.NotRun(callerapi.HeaderTooLarge, "headers are larger than %d bytes", limit)
+	}
+	return x.authenticate()
+}
+
+func headerBytes(h http.Header) int64 {
+	var n int64
+	for name, values := range h {
+		for _, v := range values {
+			n += int64(len(name) + len(v))
+		}
+	}
+	return n
+}
+
+func (x *exchange) authenticate() *callerapi.Error {
+	key, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return callerapi.NotRun(callerapi.Unauthorized, "a bearer key is required")
+	}
+	customer, ok := x.state.CustomerByKey(key)
+	if !ok {
+		return callerapi.NotRun(callerapi.Unauthorized, "the key is not known")
+	}
+	x.customer = customer
+	return nil
+}
+
+// body reads the request body within the limits of size and time.
+func (x *exchange) body() ([]byte, *callerapi.Error) {
+	limits := x.state.Limits()
+	conn := http.NewResponseController(x.w)
+	// Not every connection supports deadlines; those that do not are bounded by the server's own timeout.
+	_ = conn.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.MaxBodyBytes))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func bodyError(err error) *callerapi.Error {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return callerapi.NotRun(callerapi.BodyTooLarge, "body is larger than %d bytes", large.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return callerapi.NotRun(callerapi.RequestTimeout, "the request was not sent in time")
+	}
+	return callerapi.NotRun(callerapi.InvalidRequest, "body could not be read: %v", err)
+}
+
+// work classifies the request by the routing rules.
+func (x *exchange) work(c cluster.Call) (peerapi.Work, *callerapi.Error) {
+	w := peerapi.Work{
+		ID: x.id, Customer: x.customer.GetName(), Weight: int(x.customer.GetWeight()), Priority: defaultPriority,
+		Value: 1, Idempotent: c.Model != "" || isRead(c.Method), Revision: x.state.Revision,
+	}
+	w.Kind = defaultKind(c)
+	limit := x.state.Limits().Deadline
+	if rule := x.state.Rule(c); rule != nil {
+		applyRule(&w, rule)
+		if rule.GetDeadlineMs() > 0 {
+			limit = time.Duration(rule.GetDeadlineMs()) * time.Millisecond
+		}
+	}
+	left, e := x.deadline(limit)
+	w.DeadlineMs = left.Milliseconds()
+	return w, e
+}
+
+func isRead(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+
+func defaultKind(c cluster.Call) string {
+	switch {
+	case c.Model != "":
+		return peerapi.KindShort
+	case isRead(c.Method):
+		return peerapi.KindStatus
+	}
+	return peerapi.KindCommand
+}
+
+func applyRule(w *peerapi.Work, rule *operatorv1.Rule) {
+	w.Kind = peerapi.KindOf(rule.GetKind())
+	w.Priority = int(rule.GetPriority())
+	w.Idempotent = rule.GetIdempotent()
+	if rule.GetValue() > 0 {
+		w.Value = rule.GetValue()
+	}
+}
+
+// deadline returns the time that the request has: the caller's, but no more than the limit.
+func (x *exchange) deadline(limit time.Duration) (time.Duration, *callerapi.Error) {
+	text := x.r.Header.Get(callerapi.HeaderDeadline)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, callerapi.NotRun(callerapi.InvalidRequest, "%s is not a number of milliseconds", callerapi.HeaderDeadline)
+	}
+	if ms <= 0 {
+		return 0, callerapi.NotRun(callerapi.DeadlineExceeded, "the deadline has passed")
+	}
+	return min(time.Duration(min(ms, limit.Milliseconds()))*time.Millisecond, limit), nil
+}
+
+// context returns the request's context, which ends at the deadline.
+func (x *exchange) context(w *peerapi.Work) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(x.r.Context(), time.Duration(w.DeadlineMs)*time.Millisecond)
+}
+
+// fail sends an error in the form that the answer so far allows.
+func (x *exchange) fail(e *callerapi.Error) {
+	if x.streaming {
+		x.errorEvent(e)
+		return
+	}
+	callerapi.Write(x.w, e, x.id)
+}
--- /dev/null
+++ b/entry/generate.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+)
+
+// generation holds the fields of a caller's body that the system reads.
+type generation struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+}
+
+// generate runs a generation and relays it, as a stream or whole.
+func (s *Server) generate(x *exchange) *callerapi.Error {
+	body, e := x.body()
+	if e != nil {
+		return e
+	}
+	req, stream, e := x.generation(body)
+	if e != nil {
+		return e
+	}
+	ctx, cancel := x.context(&req.Work)
+	defer cancel()
+	if stream {
+		e = s.opts.Upstream.Generate(ctx, x.state, req, x.event)
+		if e == nil {
+			e = x.done()
+		}
+		return e
+	}
+	var whole assembler
+	if e := s.opts.Upstream.Generate(ctx, x.state, req, whole.add); e != nil {
+		return e
+	}
+	x.json(whole.answer(x.id, req.Model, time.Now()))
+	return nil
+}
+
+// generation checks a caller's body and returns the request for a side process.
+func (x *exchange) generation(body []byte) (req *peerapi.GenerateRequest, stream bool, e *callerapi.Error) {
+	var in generation
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, false, callerapi.NotRun(callerapi.InvalidRequest, "body is not valid JSON for this call: %v", err)
+	}
+	model, adapter, _ := strings.Cut(in.Model, ":")
+	if e := x.checkModel(model, adapter); e != nil {
+		return nil, false, e
+	}
+	if in.MaxTokens < 0 {
+		return nil, false, callerapi.NotRun(callerapi.InvalidRequest, "max_tokens is negative")
+	}
+	work, e := x.work(cluster.Call{Model: model, Method: x.r.Method, Path: x.r.URL.Path})
+	if e != nil {
+		return nil, false, e
+	}
+	return &peerapi.GenerateRequest{
+		Work: work, Model: model, Adapter: adapter, Path: x.r.URL.Path, Body: body, MaxTokens: in.MaxTokens,
+		PromptBytes: len(in.Messages) + len(in.Prompt), Prompt: prompt(&in),
+	}, in.Stream, nil
+}
+
+// prompt returns the part of the body that a prefix cache can share between requests.
+func prompt(in *generation) []byte {
+	if len(in.Messages) > 0 {
+		return in.Messages
+	}
+	return in.Prompt
+}
+
+func (x *exchange) checkModel(model, adapter string) *callerapi.Error {
+	m := x.state.Model(model)
+	if m == nil {
+		return callerapi.NotRun(callerapi.UnknownModel, "model %q does not exist", model)
+	}
+	if adapter == "" {
+		return nil
+	}
+	for _, a := range m.GetAdapters() {
+		if a == adapter {
+			return nil
+		}
+	}
+	return callerapi.NotRun(callerapi.UnknownModel, "model %q has no adapter %q", model, adapter)
+}
+
+// Events of a stream, in the format of server-sent events.
+var (
+	eventStart = []byte("data: ")
+	eventEnd   = []byte("\n\n")
+	eventDone  = []byte("data: [DONE]\n\n")
+	eventError = []byte("event: error\ndata: ")
+)
+
+// event relays one event of a stream to the caller; an error means that the caller has gone.
+func (x *exchange) event(data json.RawMessage) error {
+	if !x.streaming {
+		x.streaming = true
+		x.w.Header().Set("Content-Type", "text/event-stream")
+		x.w.Header().Set("Cache-Control", "no-cache")
+		x.w.WriteHeader(http.StatusOK)
+	}
+	return x.send(eventStart, data, eventEnd)
+}
+
+func (x *exchange) send(parts ...[]byte) error {
+	for _, p := range parts {
+		if _, err := x.w.Write(p); err != nil {
+			return err
+		}
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
+// done ends a complete stream.
+func (x *exchange) done() *callerapi.Error {
+	if !x.streaming {
+		return callerapi.Unknown(callerapi.BackendFailed, "the answer has no events")
+	}
+	_ = x.send(eventDone) // A failed write means that the caller has gone.
+	return nil
+}
+
+// errorEvent ends a stream that is not complete; no [DONE] follows.
+func (x *exchange) errorEvent(e *callerapi.Error) {
+	c := *e
+	c.RequestID = x.id
+	body, err := json.Marshal(callerapi.Body{Error: &c})
+	if err == nil {
+		_ = x.send(eventError, body, eventEnd) // A failed write means that the caller has gone.
+	}
+}
+
+// json sends a whole answer.
+func (x *exchange) json(v any) {
+	x.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(x.w).Encode(v) // A failed write means that the caller has gone.
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+// models lists the models and their adapters.
+func (s *Server) models(x *exchange) *callerapi.Error {
+	out := modelList{Object: "list", Data: []modelEntry{}}
+	add := func(id string) {
+		out.Data = append(out.Data, modelEntry{ID: id, Object: "model", OwnedBy: "lavendermoor"})
+	}
+	for _, name := range x.state.ModelNames() {
+		add(name)
+		for _, a := range x.state.Model(name).GetAdapters() {
+			add(name + ":" + a)
+		}
+	}
+	x.json(out)
+	return nil
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,49 @@
+// Package entry is the process that callers reach: it authenticates the customer, chooses a replica and relays
+// the answer.
+package entry
+
+import (
+	"time"
+
+	"lavendermoor.example/config/settings"
+)
+
+// Settings are the static settings of an entry process.
+type Settings struct {
+	Name string `json:"name" validate:"required"`
+	// Listen is the address for callers and operators.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// PeerListen is the address for other processes of the system.
+	PeerListen string `json:"peer_listen" validate:"required,hostname_port"`
+	// Admin is the address of the admin listener.
+	Admin         string `json:"admin" validate:"required,hostname_port"`
+	FailureDomain string `json:"failure_domain" validate:"required"`
+	// KeyValue is the URL of the key-value service.
+	KeyValue string `json:"key_value" validate:"required,url"`
+	// Instances is the URL of the instance list.
+	Instances string `json:"instances" validate:"required,url"`
+	// TLS is the key pair of the caller listener; plain HTTP when it is absent.
+	TLS *TLS `json:"tls,omitempty"`
+	// BootstrapKeySHA256 is the SHA-256 of an operator key that is accepted while no operator is configured.
+	BootstrapKeySHA256 string `json:"bootstrap_key_sha256,omitempty" validate:"omitempty,len=64,hexadecimal"`
+	LogLevel           string `json:"log_level" validate:"oneof=debug info warn error"`
+	// DrainTimeout is how long running requests may take after a termination signal.
+	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
+}
+
+// TLS names the files of a key pair, which are read again when they change.
+type TLS struct {
+	CertFile string `json:"cert_file" validate:"required"`
+	KeyFile  string `json:"key_file" validate:"required"`
+}
+
+// Defaults returns the settings that a file need not set.
+func Defaults() Settings {
+	return Settings{
+		Listen:       "127.0.0.1:7100",
+		PeerListen:   "127.0.0.1:7101",
+		Admin:        "127.0.0.1:7102",
+		LogLevel:     "info",
+		DrainTimeout: settings.Duration(10 * time.Minute),
+	}
+}
--- /dev/null
+++ b/entry/tls.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+)
+
+// keyPairCheck is the time between two looks at the files of a key pair.
+const keyPairCheck = 10 * time.Second
+
+// keyPair is a certificate that is loaded again when its files change. A pair that does not load leaves the
+// one before in use.
+type keyPair struct {
+	files TLS
+
+	mu      sync.Mutex
+	cert    *tls.Certificate
+	modTime time.Time
+	checked time.Time
+}
+
+// ServerTLS returns a TLS configuration for the key pair, which must load now.
+func ServerTLS(files TLS) (*tls.Config, error) {
+	p := &keyPair{files: files}
+	if err := p.load(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return p.current(time.Now()), nil
+		},
+	}, nil
+}
+
+func (p *keyPair) current(now time.Time) *tls.Certificate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.checked) >= keyPairCheck {
+		p.checked = now
+		if p.modified().After(p.modTime) {
+			_ = p.load() // The old pair stays in use.
+		}
+	}
+	return p.cert
+}
+
+func (p *keyPair) modified() time.Time {
+	var last time.Time
+	for _, name := range []string{p.files.CertFile, p.files.KeyFile} {
+		info, err := os.Stat(name)
+		if err == nil && info.ModTime().After(last) {
+			last = info.ModTime()
+		}
+	}
+	return last
+}
+
+func (p *keyPair) load() error {
+	modTime := p.modified()
+	cert, err := tls.LoadX509KeyPair(p.files.CertFile, p.files.KeyFile)
+	if err != nil {
+		return err
+	}
+	p.cert, p.modTime = &cert, modTime
+	return nil
+}
--- /dev/null
+++ b/side/frames.go
@@ -0,0 +1,112 @@
+package side
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+)
+
+// KeepAlive is the longest time without a frame while a request runs. Entries give up a connection that has
+// been silent for four times as long.
+const KeepAlive = 250 * time.Millisecond
+
+// frameWriter sends the frames of one answer. Its methods may be called from any goroutine.
+type frameWriter struct {
+	id string
+
+	mu   sync.Mutex
+	enc  *json.Encoder
+	out  *http.ResponseController
+	next int64
+	// sent is true when a frame was sent since the last tick.
+	sent bool
+	stop chan struct{}
+}
+
+// newFrameWriter starts an answer. The load report goes out in the header, at once, so that the entry learns
+// of it before the work is done.
+func newFrameWriter(w http.ResponseWriter, id string, first int64, load peerapi.Load) *frameWriter {
+	report, err := json.Marshal(load)
+	if err == nil {
+		w.Header().Set(peerapi.HeaderLoad, string(report))
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	f := &frameWriter{
+		id: id, enc: json.NewEncoder(w), out: http.NewResponseController(w), next: first, stop: make(chan struct{}),
+	}
+	_ = f.write(peerapi.Frame{}) // The first keep-alive carries the headers.
+	go f.keepAlive()
+	return f
+}
+
+func (f *frameWriter) keepAlive() {
+	t := time.NewTicker(KeepAlive)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f.tick()
+		case <-f.stop:
+			return
+		}
+	}
+}
+
+func (f *frameWriter) tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.sent {
+		_ = f.writeLocked(peerapi.Frame{}) // A failed write shows in the next frame.
+	}
+	f.sent = false
+}
+
+func (f *frameWriter) write(frame peerapi.Frame) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writeLocked(frame)
+}
+
+func (f *frameWriter) writeLocked(frame peerapi.Frame) error {
+	frame.ID = f.id
+	frame.Seq = f.next
+	f.sent = true
+	if err := f.enc.Encode(frame); err != nil {
+		return err
+	}
+	if len(frame.Data) > 0 {
+		f.next++
+	}
+	return f.out.Flush()
+}
+
+// data sends one event of a generation.
+func (f *frameWriter) data(event json.RawMessage) error { return f.write(peerapi.Frame{Data: event}) }
+
+// end sends the last frame: the end of a complete answer, or the error.
+func (f *frameWriter) end(result *peerapi.CallResult, e *callerapi.Error) {
+	close(f.stop)
+	frame := peerapi.Frame{Result: result, End: e == nil}
+	if e != nil {
+		frame.Error = &peerapi.FrameError{
+			Type: e.Type, Message: e.Message, Executed: e.Executed, RetryAfterMs: e.RetryAfter.Milliseconds(),
+		}
+	}
+	// A failed write means that the entry has gone; it learns the outcome by asking for it.
+	_ = f.write(frame)
+}
+
+// asCallerError returns the *callerapi.Error in err, or def.
+func asCallerError(err error, def *callerapi.Error) *callerapi.Error {
+	var e *callerapi.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return def
+}
--- /dev/null
+++ b/side/settings.go
@@ -0,0 +1,39 @@
+// Package side is the process that runs beside one backend server: it admits, queues and runs the work that
+// entries send, and reports load.
+package side
+
+import (
+	"time"
+
+	"lavendermoor.example/config/settings"
+)
+
+// Settings are the static settings of a side process.
+type Settings struct {
+	// Name is the name of the backend server in the configuration.
+	Name string `json:"name" validate:"required"`
+	// Listen is the address for other processes of the system.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// Admin is the address of the admin listener.
+	Admin         string `json:"admin" validate:"required,hostname_port"`
+	FailureDomain string `json:"failure_domain" validate:"required"`
+	// Backend is the URL of the model engine or plain service.
+	Backend string `json:"backend" validate:"required,url"`
+	// KeyValue is the URL of the key-value service.
+	KeyValue string `json:"key_value" validate:"required,url"`
+	// Instances is the URL of the instance list.
+	Instances string `json:"instances" validate:"required,url"`
+	LogLevel  string `json:"log_level" validate:"oneof=debug info warn error"`
+	// DrainTimeout is how long running work may take after a termination signal.
+	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
+}
+
+// Defaults returns the settings that a file need not set.
+func Defaults() Settings {
+	return Settings{
+		Listen:       "127.0.0.1:7200",
+		Admin:        "127.0.0.1:7201",
+		LogLevel:     "info",
+		DrainTimeout: settings.Duration(10 * time.Minute),
+	}
+}
--- /dev/null
+++ b/side/side.go
@@ -0,0 +1,134 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/platform/engine"
+)
+
+// Configuration gives the configuration in force; nil before the first one.
+type Configuration interface {
+	State() *cluster.State
+}
+
+// Admission decides when a request may run.
+type Admission interface {
+	// Acquire waits for a slot. The error is a refusal before the run. The release function is called once, when
+	// the run has ended.
+	Acquire(ctx context.Context, w *peerapi.Work, maxTokens int) (release func(tokens int), err *callerapi.Error)
+	// Drain refuses all further requests.
+	Drain()
+	// Load fills in the queue's part of a load report.
+	Load(l *peerapi.Load)
+}
+
+// Calls runs calls of a plain service under the rules for calls that must not be repeated.
+type Calls interface {
+	// Call runs or replays a call. The run function executes it at the backend server.
+	Call(ctx context.Context, r *peerapi.CallRequest, run RunFunc) (*peerapi.CallResult, *callerapi.Error)
+}
+
+// RunFunc executes a call once at the backend server.
+type RunFunc func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error)
+
+// Options are the parts of a Server.
+type Options struct {
+	Name          string
+	Incarnation   int64
+	Configuration Configuration
+	Backend       *engine.Client
+	Admission     Admission
+	Calls         Calls
+	Log           *zap.Logger
+}
+
+// Server serves the entries' requests for one backend server. Its methods may be called from any goroutine.
+type Server struct {
+	opts     Options
+	draining atomic.Bool
+	// served counts requests that were admitted, and refused those that were not.
+	served, refused atomic.Int64
+}
+
+// New returns a server that takes work at once.
+func New(opts Options) *Server { return &Server{opts: opts} }
+
+// Register adds the server's routes to a router.
+func (s *Server) Register(r *mux.Router) {
+	r.HandleFunc(peerapi.PathGenerate, s.generate).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathCall, s.call).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathLoad, s.load).Methods(http.MethodPost, http.MethodGet)
+}
+
+// Drain refuses new work from now on; running and queued work goes on.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.opts.Admission.Drain()
+}
+
+// Draining says whether Drain was called or the operators drain the server.
+func (s *Server) Draining() bool {
+	if s.draining.Load() {
+		return true
+	}
+	st := s.opts.Configuration.State()
+	return st != nil && st.Server(s.opts.Name).GetDraining()
+}
+
+// Load returns the present load report.
+func (s *Server) Load() peerapi.Load {
+	l := peerapi.Load{Server: s.opts.Name, Incarnation: s.opts.Incarnation, Draining: s.Draining()}
+	if st := s.opts.Configuration.State(); st != nil {
+		l.Revision = st.Revision
+	}
+	s.opts.Admission.Load(&l)
+	return l
+}
+
+// Dump is the state dump of the server.
+type Dump struct {
+	Load    peerapi.Load `json:"load"`
+	Served  int64        `json:"served"`
+	Refused int64        `json:"refused"`
+}
+
+// Dump returns the state dump.
+func (s *Server) Dump() Dump {
+	return Dump{Load: s.Load(), Served: s.served.Load(), Refused: s.refused.Load()}
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the peer has gone, which needs no further action.
+	_ = json.NewEncoder(w).Encode(s.Load())
+}
+
+// drainRetry is how long a client should wait before it tries a draining server's service again.
+const drainRetry = time.Second
+
+// check refuses work that this server must not take.
+func (s *Server) check(w *peerapi.Work) *callerapi.Error {
+	if w.Server != s.opts.Name {
+		return callerapi.NotRun(callerapi.NoReplica, "request is for server %q, this is %q", w.Server, s.opts.Name)
+	}
+	if s.Draining() {
+		return callerapi.NotRun(callerapi.Draining, "server %q is draining", s.opts.Name).WithRetryAfter(drainRetry)
+	}
+	if s.opts.Configuration.State() == nil {
+		return callerapi.NotRun(callerapi.NoReplica, "server %q has no configuration", s.opts.Name).WithRetryAfter(drainRetry)
+	}
+	if w.DeadlineMs <= 0 {
+		return callerapi.NotRun(callerapi.DeadlineExceeded, "no time is left")
+	}
+	return nil
+}
--- /dev/null
+++ b/side/work.go
@@ -0,0 +1,122 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/platform/engine"
+)
+
+// maxPeerBody bounds a request of another process: a caller's body, which the entry has bounded, in base64.
+const maxPeerBody = 128 << 20
+
+// decode reads a request; it returns false when it has answered the peer.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBody)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	var in peerapi.GenerateRequest
+	if !decode(w, r, &in) {
+		return
+	}
+	f := newFrameWriter(w, in.ID, in.ResumeFrom, s.Load())
+	f.end(nil, s.runGeneration(r.Context(), &in, f))
+}
+
+func (s *Server) runGeneration(ctx context.Context, in *peerapi.GenerateRequest, f *frameWriter) *callerapi.Error {
+	ctx, release, refusal := s.admit(ctx, &in.Work, in.MaxTokens)
+	if refusal != nil {
+		return refusal
+	}
+	tokens := 0
+	defer func() { release(tokens) }()
+	err := s.opts.Backend.Generate(ctx, in, func(event json.RawMessage) error {
+		tokens++
+		return f.data(event)
+	})
+	if err != nil {
+		return s.failure(ctx, &in.Work, err)
+	}
+	return nil
+}
+
+// admit checks a request and waits for its slot. The context it returns ends at the deadline; release ends
+// the run.
+func (s *Server) admit(
+	ctx context.Context, w *peerapi.Work, maxTokens int,
+) (context.Context, func(tokens int), *callerapi.Error) {
+	if e := s.check(w); e != nil {
+		s.refused.Add(1)
+		return nil, nil, e
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.DeadlineMs)*time.Millisecond)
+	release, e := s.opts.Admission.Acquire(ctx, w, maxTokens)
+	if e != nil {
+		cancel()
+		s.refused.Add(1)
+		return nil, nil, e
+	}
+	s.served.Add(1)
+	return ctx, func(tokens int) { cancel(); release(tokens) }, nil
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	var in peerapi.CallRequest
+	if !decode(w, r, &in) {
+		return
+	}
+	f := newFrameWriter(w, in.ID, 0, s.Load())
+	// A call that may not be repeated goes on when the entry goes away: its outcome may be asked for.
+	ctx := r.Context()
+	if !in.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	result, e := s.opts.Calls.Call(ctx, &in, func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error) {
+		return s.runCall(ctx, &in)
+	})
+	f.end(result, e)
+}
+
+func (s *Server) runCall(ctx context.Context, in *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
+	ctx, release, refusal := s.admit(ctx, &in.Work, 0)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer release(0)
+	result, err := s.opts.Backend.Call(ctx, in)
+	if err != nil {
+		return nil, s.failure(ctx, &in.Work, err)
+	}
+	return result, nil
+}
+
+// failure turns an error of the backend server into what the caller sees.
+func (s *Server) failure(ctx context.Context, w *peerapi.Work, err error) *callerapi.Error {
+	var unreachable *engine.UnreachableError
+	var status *engine.StatusError
+	var body *engine.BodyError
+	s.opts.Log.Info("request failed", zap.String("request", w.ID), zap.Error(err))
+	switch {
+	case errors.As(err, &unreachable):
+		return callerapi.NotRun(callerapi.BackendFailed, "%v", err).WithRetryAfter(drainRetry)
+	case errors.As(err, &body):
+		return callerapi.NotRun(callerapi.InvalidRequest, "%v", err)
+	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
+		return callerapi.NotRun(callerapi.InvalidRequest, "%v", err)
+	case ctx.Err() != nil:
+		return callerapi.Unknown(callerapi.DeadlineExceeded, "deadline passed while the request ran")
+	}
+	return asCallerError(err, callerapi.Unknown(callerapi.BackendFailed, "%v", err))
+}
--- /dev/null
+++ b/standin/engineserver/engine.go
@@ -0,0 +1,267 @@
+// Package engineserver is a stand-in of a model engine: an OpenAI-style HTTP interface with continuous
+// batching in a fixed number of slots, streams that can be resumed, and answers that follow from the prompt,
+// so that a test can tell a right answer from a wrong, doubled or shortened one.
+package engineserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Options describe the engine. Times are per request at an idle engine.
+type Options struct {
+	Name string
+	// Slots is the number of requests that are batched at once; further ones wait in order.
+	Slots int
+	// PrefillPerKB is the time to read 1,024 bytes of prompt.
+	PrefillPerKB time.Duration
+	// TokenTime is the time between tokens.
+	TokenTime time.Duration
+	// DefaultTokens is the length of an answer without max_tokens.
+	DefaultTokens int
+}
+
+// Faults are the failures that the stand-in brings about. The zero value has none.
+type Faults struct {
+	// Slowdown multiplies all times; 0 and 1 have no effect.
+	Slowdown float64 `json:"slowdown"`
+	// BreakAfter cuts the connection of each stream after this number of tokens; 0 never.
+	BreakAfter int `json:"break_after"`
+	// Stall lets streams stop without closing.
+	Stall bool `json:"stall"`
+}
+
+// Counts counts what the engine has done.
+type Counts struct {
+	Started  int64 `json:"started"`
+	Finished int64 `json:"finished"`
+	// Cancelled counts requests whose client went away.
+	Cancelled int64 `json:"cancelled"`
+	Tokens    int64 `json:"tokens"`
+	Running   int64 `json:"running"`
+}
+
+// Server is the stand-in. Use Handler to serve it.
+type Server struct {
+	opts  Options
+	slots chan struct{}
+
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+}
+
+// New returns an idle engine.
+func New(opts Options) *Server {
+	return &Server{opts: opts, slots: make(chan struct{}, opts.Slots)}
+}
+
+// Handler returns the routes: the engine's interface, GET and PUT /standin/faults, GET /standin/counts.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", s.generate).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", s.generate).Methods(http.MethodPost)
+	r.HandleFunc("/standin/faults", s.serveFaults).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/standin/counts", s.serveCounts).Methods(http.MethodGet)
+	return r
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Counts returns what the engine has done since the start.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.faults)
+}
+
+func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Counts())
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type request struct {
+	Model      string    `json:"model"`
+	Messages   []message `json:"messages"`
+	Prompt     string    `json:"prompt"`
+	MaxTokens  int       `json:"max_tokens"`
+	ResumeFrom int       `json:"resume_from"`
+}
+
+func (r *request) text() string {
+	text := r.Prompt
+	for _, m := range r.Messages {
+		text += m.Role + ": " + m.Content + "\n"
+	}
+	return text
+}
+
+var words = []string{"water", "shed", "light", "bloom", "harvest", "porch", "letter", "haul", "permit", "note", "lake", "status"}
+
+// Token returns token i of the answer to a prompt.
+func Token(prompt string, i int) string {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s|%d", prompt, i)
+	return words[h.Sum64()%uint64(len(words))] + " "
+}
+
+// ChatPrompt returns the text for which Token gives the answer to a chat of one user message.
+func ChatPrompt(content string) string {
+	r := request{Messages: []message{{Role: "user", Content: content}}}
+	return r.text()
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	var in request
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if in.MaxTokens <= 0 {
+		in.MaxTokens = s.opts.DefaultTokens
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	s.count(func(c *Counts) { c.Started++; c.Running++ })
+	defer s.count(func(c *Counts) { c.Running-- })
+	if s.stream(w, r, &in) {
+		s.count(func(c *Counts) { c.Finished++ })
+	} else {
+		s.count(func(c *Counts) { c.Cancelled++ })
+	}
+}
+
+func (s *Server) count(fn func(*Counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn(&s.counts)
+}
+
+// wait sleeps for d as the faults have it; it returns false when the client has gone.
+func (s *Server) wait(r *http.Request, d time.Duration) bool {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.Slowdown > 0 {
+		d = time.Duration(float64(d) * f.Slowdown)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	var fired <-chan time.Time
+	if !f.Stall {
+		fired = timer.C
+	}
+	select {
+	case <-fired:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, in *request) bool {
+	text := in.text()
+	if !s.wait(r, time.Duration(len(text))*s.opts.PrefillPerKB/1024) {
+		return false
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	chat := r.URL.Path == "/v1/chat/completions"
+	for i := in.ResumeFrom; i < in.MaxTokens; i++ {
+		if !s.wait(r, s.opts.TokenTime) {
+			return false
+		}
+		s.breakStream(i - in.ResumeFrom)
+		last := i == in.MaxTokens-1
+		if !writeEvent(w, out, event(in.Model, chat, Token(text, i), last)) {
+			return false
+		}
+		s.count(func(c *Counts) { c.Tokens++ })
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	return true
+}
+
+func (s *Server) breakStream(sent int) {
+	s.mu.Lock()
+	n := s.faults.BreakAfter
+	s.mu.Unlock()
+	if n > 0 && sent >= n {
+		panic(http.ErrAbortHandler) // Cuts the connection.
+	}
+}
+
+func writeEvent(w http.ResponseWriter, out *http.ResponseController, v any) bool {
+	line, err := json.Marshal(v)
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", line); err != nil {
+		return false
+	}
+	return out.Flush() == nil
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+func event(model string, chat bool, token string, last bool) chunk {
+	c := choice{}
+	object := "text_completion"
+	if chat {
+		object = "chat.completion.chunk"
+		c.Delta = &message{Role: "assistant", Content: token}
+	} else {
+		c.Text = &token
+	}
+	if last {
+		reason := "stop"
+		c.FinishReason = &reason
+	}
+	return chunk{ID: "standin", Object: object, Created: time.Now().Unix(), Model: model, Choices: []choice{c}}
+}
--- /dev/null
+++ b/standin/instancelist/instancelist.go
@@ -0,0 +1,107 @@
+// Package instancelist is a stand-in of the platform's instance list, which shows changes with a lag.
+package instancelist
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Instance is one entry of the list.
+type Instance struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	// Program is "entry" or "side".
+	Program string `json:"program"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// List is the answer of GET /v1/instances.
+type List struct {
+	Version   int64      `json:"version"`
+	Instances []Instance `json:"instances"`
+}
+
+type change struct {
+	at       time.Time
+	instance Instance
+	deleted  bool
+}
+
+// Server is the stand-in.
+type Server struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	pending []change
+	shown   map[string]Instance
+	version int64
+}
+
+// New returns an empty list whose changes show after lag.
+func New(lag time.Duration) *Server { return &Server{lag: lag, shown: map[string]Instance{}} }
+
+// Handler returns the routes: GET /v1/instances, and PUT and DELETE /standin/instances/{name}.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/instances", s.list).Methods(http.MethodGet)
+	r.HandleFunc("/standin/instances/{name}", s.put).Methods(http.MethodPut)
+	r.HandleFunc("/standin/instances/{name}", s.remove).Methods(http.MethodDelete)
+	return r
+}
+
+// Put adds or changes an instance.
+func (s *Server) Put(i Instance) { s.change(i, false) }
+
+// Remove removes an instance.
+func (s *Server) Remove(name string) { s.change(Instance{Name: name}, true) }
+
+func (s *Server) change(i Instance, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, change{at: time.Now().Add(s.lag), instance: i, deleted: deleted})
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var i Instance
+	if err := json.NewDecoder(r.Body).Decode(&i); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	i.Name = mux.Vars(r)["name"]
+	s.Put(i)
+}
+
+func (s *Server) remove(_ http.ResponseWriter, r *http.Request) { s.Remove(mux.Vars(r)["name"]) }
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.settle(time.Now())
+	out := List{Version: s.version}
+	for _, i := range s.shown {
+		out.Instances = append(out.Instances, i)
+	}
+	s.mu.Unlock()
+	sort.Slice(out.Instances, func(a, b int) bool { return out.Instances[a].Name < out.Instances[b].Name })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// settle shows the changes whose lag has passed.
+func (s *Server) settle(now time.Time) {
+	for len(s.pending) > 0 && !s.pending[0].at.After(now) {
+		c := s.pending[0]
+		s.pending = s.pending[1:]
+		s.version++
+		if c.deleted {
+			delete(s.shown, c.instance.Name)
+		} else {
+			s.shown[c.instance.Name] = c.instance
+		}
+	}
+}
--- /dev/null
+++ b/standin/serviceserver/service.go
@@ -0,0 +1,165 @@
+// Package serviceserver is a stand-in of a plain service: bookings of sheds, and lights that take commands and
+// tell their status. Several servers may share one Store, as the replicas of a service share a database. The
+// Store records every run, so that a test can find one that ran twice.
+package serviceserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Booking is one booked slot.
+type Booking struct {
+	ID   string `json:"id"`
+	Shed string `json:"shed"`
+	Slot string `json:"slot"`
+	Crew string `json:"crew"`
+}
+
+// Light is the state of one light.
+type Light struct {
+	ID string `json:"id"`
+	On bool   `json:"on"`
+	// Toggles counts the commands that ran.
+	Toggles int `json:"toggles"`
+}
+
+// Run is one execution of a call that changes state.
+type Run struct {
+	Server string `json:"server"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// Store is the state that the replicas of a service share.
+type Store struct {
+	mu       sync.Mutex
+	bookings []Booking
+	lights   map[string]*Light
+	runs     []Run
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{lights: map[string]*Light{}} }
+
+// Runs returns all executions so far.
+func (s *Store) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Options describe one server.
+type Options struct {
+	Name string
+	// ReadTime and WriteTime are the service times of a call.
+	ReadTime  time.Duration
+	WriteTime time.Duration
+}
+
+// Server is one replica.
+type Server struct {
+	opts  Options
+	store *Store
+}
+
+// New returns a replica on a store.
+func New(opts Options, store *Store) *Server { return &Server{opts: opts, store: store} }
+
+// Handler returns the routes of the service and GET /standin/runs.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/bookings", s.book).Methods(http.MethodPost)
+	r.HandleFunc("/bookings", s.list).Methods(http.MethodGet)
+	r.HandleFunc("/bookings/{id}", s.lookUp).Methods(http.MethodGet)
+	r.HandleFunc("/lights/{id}/commands", s.command).Methods(http.MethodPost)
+	r.HandleFunc("/lights/{id}", s.status).Methods(http.MethodGet)
+	r.HandleFunc("/standin/runs", s.serveRuns).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.store.Runs())
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// record notes a run and returns its body. A run is noted before its service time, because it takes effect
+// also when the caller goes away in the meantime.
+func (s *Server) record(r *http.Request) []byte {
+	body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	s.store.mu.Lock()
+	s.store.runs = append(s.store.runs, Run{Server: s.opts.Name, Path: r.URL.Path, Body: string(body)})
+	s.store.mu.Unlock()
+	time.Sleep(s.opts.WriteTime)
+	return body
+}
+
+func (s *Server) book(w http.ResponseWriter, r *http.Request) {
+	var b Booking
+	if err := json.Unmarshal(s.record(r), &b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	b.ID = fmt.Sprintf("b%d", len(s.store.bookings)+1)
+	s.store.bookings = append(s.store.bookings, b)
+	reply(w, http.StatusCreated, b)
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	time.Sleep(s.opts.ReadTime)
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	reply(w, http.StatusOK, append([]Booking{}, s.store.bookings...))
+}
+
+func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.opts.ReadTime)
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	for _, b := range s.store.bookings {
+		if b.ID == mux.Vars(r)["id"] {
+			reply(w, http.StatusOK, b)
+			return
+		}
+	}
+	http.Error(w, "no such booking", http.StatusNotFound)
+}
+
+func (s *Server) command(w http.ResponseWriter, r *http.Request) {
+	s.record(r)
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	l := s.store.light(mux.Vars(r)["id"])
+	l.On = !l.On
+	l.Toggles++
+	reply(w, http.StatusOK, l)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.opts.ReadTime)
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	reply(w, http.StatusOK, s.store.light(mux.Vars(r)["id"]))
+}
+
+func (s *Store) light(id string) *Light {
+	l, ok := s.lights[id]
+	if !ok {
+		l = &Light{ID: id}
+		s.lights[id] = l
+	}
+	return l
+}
