--- /dev/null
+++ b/cmd/internal/daemon/common.go
@@ -0,0 +1,219 @@
+// Package daemon wires the parts of the daemons together, for their own binaries and for the demo, which runs
+// all of them in one process.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/configsync/feed"
+	"lavendermoor.example/configsync/store"
+	"lavendermoor.example/platform/instances"
+	"lavendermoor.example/platform/kv"
+	"lavendermoor.example/telemetry"
+	"lavendermoor.example/telemetry/invariant"
+)
+
+// Times of the control path.
+const (
+	keyValueTimeout  = 5 * time.Second
+	instancesTimeout = 2 * time.Second
+	// instancesInterval is the time between polls of the instance list. The list itself lags by more.
+	instancesInterval = time.Second
+	// lameDuck is how long a process that ends still answers new requests with refusals, so that those who have
+	// not noticed its end get a true answer in place of a refused connection.
+	lameDuck = time.Second
+	// stopGrace bounds the end of listeners whose work has ended.
+	stopGrace = 2 * time.Second
+)
+
+// identity is what the parts of a process need to know of it.
+type identity struct {
+	program, name, failureDomain string
+	// peerAddress is where other processes reach this one.
+	peerAddress           string
+	keyValue, instanceURL string
+	logLevel              string
+}
+
+// control holds the parts of the control path that every process has.
+type control struct {
+	id       identity
+	log      *zap.Logger
+	level    zap.AtomicLevel
+	meter    metric.Meter
+	registry *prometheus.Registry
+	kv       kv.Store
+	store    *store.Store
+	node     *feed.Node
+	list     *instances.Client
+	peers    atomic.Pointer[[]instances.Instance]
+	client   *http.Client
+}
+
+func newControl(id identity, logs io.Writer) (*control, error) {
+	c := &control{id: id, client: &http.Client{}}
+	var err error
+	if c.log, c.level, err = telemetry.NewLogger(logs, id.program, id.name, id.logLevel); err != nil {
+		return nil, err
+	}
+	invariant.OnViolation(func(v *invariant.ViolationError) {
+		c.log.Error("invariant violated", zap.String("property", string(v.Property)), zap.String("detail", v.Detail))
+	})
+	if c.meter, c.registry, err = telemetry.Meter(id.program); err != nil {
+		return nil, err
+	}
+	return c, c.connect()
+}
+
+func (c *control) connect() error {
+	kvURL, err := url.Parse(c.id.keyValue)
+	if err != nil {
+		return err
+	}
+	listURL, err := url.Parse(c.id.instanceURL)
+	if err != nil {
+		return err
+	}
+	observe, err := c.countCalls()
+	if err != nil {
+		return err
+	}
+	c.kv = kv.NewClient(kvURL, keyValueTimeout, observe)
+	c.store = store.New(c.kv)
+	c.list = instances.NewClient(listURL, instancesTimeout)
+	c.node = feed.NewNode(feed.Options{
+		Self: feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain},
+		Peers: c.feedPeers, Store: c.store, Client: c.client, Log: c.log,
+	})
+	return nil
+}
+
+// countCalls returns the function that counts calls of the key-value service.
+func (c *control) countCalls() (func(string, error), error) {
+	counter, err := c.meter.Int64Counter("lavendermoor.kv.calls",
+		metric.WithDescription("Calls of the key-value service, by call and result."))
+	if err != nil {
+		return nil, err
+	}
+	return func(call string, err error) {
+		counter.Add(context.Background(), 1, metric.WithAttributes(telemetry.CallAttributes(call, err)...))
+	}, nil
+}
+
+// instances returns the latest instance list.
+func (c *control) instances() []instances.Instance {
+	if p := c.peers.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// feedPeers returns the processes that serve the configuration.
+func (c *control) feedPeers() []feed.Peer {
+	list := c.instances()
+	out := make([]feed.Peer, 0, len(list))
+	for _, i := range list {
+		if i.State == instances.Live {
+			out = append(out, feed.Peer{Name: i.Name, Address: i.Address, FailureDomain: i.FailureDomain})
+		}
+	}
+	return out
+}
+
+// run keeps instance list and configuration up to date until the context ends.
+func (c *control) run(ctx context.Context, seen func(instances.List)) error {
+	go c.list.Run(ctx, instancesInterval, func(l instances.List) {
+		c.peers.Store(&l.Instances)
+		seen(l)
+	}, func(err error) { c.log.Warn("instance list not read", zap.Error(err)) })
+	err := c.node.Run(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// register adds the routes that every process serves to its peers.
+func (c *control) register(r *mux.Router, draining func() bool) {
+	r.Handle(peerapi.PathConfig, c.node.Handler()).Methods(http.MethodGet)
+	r.HandleFunc(peerapi.PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the peer has gone, which needs no further action.
+		_ = json.NewEncoder(w).Encode(c.status(draining()))
+	}).Methods(http.MethodGet)
+}
+
+func (c *control) status(draining bool) peerapi.Status {
+	s := peerapi.Status{Name: c.id.name, Program: c.id.program, Refused: c.node.Refused(), Draining: draining}
+	if st := c.node.State(); st != nil {
+		s.Revision = st.Revision
+	}
+	return s
+}
+
+func (c *control) admin(state func() any, ready func() bool) http.Handler {
+	a := &telemetry.Admin{State: state, Ready: ready, Registry: c.registry, Level: c.level, Log: c.log}
+	return a.Handler()
+}
+
+// Listeners are the open ports of a process.
+type Listeners struct {
+	// Callers is set for entries only.
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+// Listen opens the ports; callers may be empty.
+func Listen(ctx context.Context, callers, peers, admin string) (*Listeners, error) {
+	var l Listeners
+	var lc net.ListenConfig
+	for _, p := range []struct {
+		address string
+		to      *net.Listener
+	}{{callers, &l.Callers}, {peers, &l.Peers}, {admin, &l.Admin}} {
+		if p.address == "" {
+			continue
+		}
+		opened, err := lc.Listen(ctx, "tcp", p.address)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		*p.to = opened
+	}
+	return &l, nil
+}
+
+func (l *Listeners) close() {
+	for _, open := range []net.Listener{l.Callers, l.Peers, l.Admin} {
+		if open != nil {
+			open.Close()
+		}
+	}
+}
+
+// waitIdle waits until idle returns true, or for the timeout.
+func waitIdle(idle func() bool, timeout time.Duration) bool {
+	const interval = 20 * time.Millisecond
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(interval) {
+		if idle() {
+			return true
+		}
+	}
+	return idle()
+}
--- /dev/null
+++ b/cmd/internal/daemon/entry.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/entry"
+	"lavendermoor.example/entry/operator"
+	"lavendermoor.example/platform/instances"
+	"lavendermoor.example/telemetry"
+)
+
+// maxHeaderBytes bounds what the HTTP server reads of a request's headers. It lies above the largest limit that
+// operators can set, so that the limit in force is answered with a typed error.
+const maxHeaderBytes = 2 << 20
+
+// entryDump is the state dump of an entry process.
+type entryDump struct {
+	Entry     entry.Dump           `json:"entry"`
+	Refused   string               `json:"refused_configuration,omitempty"`
+	Instances []instances.Instance `json:"instances"`
+}
+
+// Entry runs an entry process until the context ends and its running requests are answered.
+func Entry(ctx context.Context, s entry.Settings, l *Listeners, logs io.Writer) error {
+	c, err := newControl(identity{
+		program: "entry", name: s.Name, failureDomain: s.FailureDomain, peerAddress: l.Peers.Addr().String(),
+		keyValue: s.KeyValue, instanceURL: s.Instances, logLevel: s.LogLevel,
+	}, logs)
+	if err != nil {
+		return err
+	}
+	srv := entry.New(entry.Options{
+		Name: s.Name, FailureDomain: s.FailureDomain, Configuration: c.node, Upstream: entry.NewUpstream(), Log: c.log,
+	})
+	callers, err := callerServer(s, c, srv)
+	if err != nil {
+		return err
+	}
+	peers := mux.NewRouter()
+	c.register(peers, func() bool { return !srv.Ready() })
+	dump := func() any {
+		return entryDump{Entry: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
+	}
+
+	// Listeners and control path outlive the termination signal until the running requests have ended.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return c.run(serving, func(instances.List) {}) })
+	group.Go(func() error { return telemetry.ServeServer(serving, l.Callers, callers, stopGrace) })
+	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
+	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
+	c.log.Info("entry started", zap.Stringer("listen", l.Callers.Addr()))
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return group.Wait()
+	}
+	srv.Drain()
+	c.log.Info("draining")
+	time.Sleep(lameDuck)
+	if !waitIdle(srv.Idle, s.DrainTimeout.D()) {
+		c.log.Warn("drain timeout passed with requests running")
+	}
+	stop()
+	return group.Wait()
+}
+
+func callerServer(s entry.Settings, c *control, srv *entry.Server) (*http.Server, error) {
+	r := mux.NewRouter().UseEncodedPath()
+	path, rpc := operator.New(operator.Options{
+		Store: c.store, Node: c.node, BootstrapKeySHA256: s.BootstrapKeySHA256, Processes: c.feedPeers,
+		Client: c.client, Log: c.log,
+	})
+	r.PathPrefix(path).Handler(rpc)
+	srv.Register(r)
+	callers := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if s.TLS != nil {
+		cfg, err := entry.ServerTLS(*s.TLS)
+		if err != nil {
+			return nil, err
+		}
+		callers.TLSConfig = cfg
+	}
+	return callers, nil
+}
+
+// headerTimeout bounds how long a caller may take to send the headers.
+const headerTimeout = 10 * time.Second
--- /dev/null
+++ b/cmd/internal/daemon/side.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/platform/engine"
+	"lavendermoor.example/platform/instances"
+	"lavendermoor.example/side"
+	"lavendermoor.example/telemetry"
+)
+
+// sideDump is the state dump of a side process.
+type sideDump struct {
+	Side      side.Dump            `json:"side"`
+	Refused   string               `json:"refused_configuration,omitempty"`
+	Instances []instances.Instance `json:"instances"`
+}
+
+// Side runs a side process until the context ends and its work is done.
+func Side(ctx context.Context, s side.Settings, l *Listeners, logs io.Writer) error {
+	c, err := newControl(identity{
+		program: "side", name: s.Name, failureDomain: s.FailureDomain, peerAddress: l.Peers.Addr().String(),
+		keyValue: s.KeyValue, instanceURL: s.Instances, logLevel: s.LogLevel,
+	}, logs)
+	if err != nil {
+		return err
+	}
+	backend, err := url.Parse(s.Backend)
+	if err != nil {
+		return err
+	}
+	srv := side.New(side.Options{
+		Name: s.Name, Configuration: c.node, Backend: engine.NewClient(backend), Admission: side.NewFIFO(s.Slots),
+		Calls: side.Once{}, Log: c.log,
+	})
+	peers := mux.NewRouter()
+	c.register(peers, srv.Draining)
+	srv.Register(peers)
+	dump := func() any {
+		return sideDump{Side: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
+	}
+
+	// Listeners and control path outlive the termination signal until the work is done.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return c.run(serving, func(instances.List) {}) })
+	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
+	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
+	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return group.Wait()
+	}
+	srv.Drain()
+	c.log.Info("draining")
+	time.Sleep(lameDuck)
+	if !waitIdle(srv.Idle, s.DrainTimeout.D()) {
+		c.log.Warn("drain timeout passed with work running")
+	}
+	stop()
+	return group.Wait()
+}
--- /dev/null
+++ b/cmd/internal/start/start.go
@@ -0,0 +1,88 @@
+// Package start holds what the daemons' main functions have in common: flags, settings, signals and exit
+// codes.
+package start
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"lavendermoor.example/config/settings"
+)
+
+// Version is set by the linker in releases.
+var Version = "development"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Main runs a daemon and returns its exit code. It reads settings over the defaults in s, which is a pointer,
+// and calls run with a context that ends at SIGTERM or SIGINT. Settings errors end with code 2 before run is
+// called.
+func Main(name string, args []string, s any, run func(context.Context) error) int {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	file := flags.String("config", "", "settings `FILE`, JSON with comments")
+	check := flags.Bool("check-config", false, "check the settings, then exit with 0 or 2")
+	printIt := flags.Bool("print-config", false, "print the settings with defaults, then exit")
+	version := flags.Bool("version", false, "print the version, then exit")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		return exitSettings
+	}
+	if *version {
+		fmt.Println(name, Version)
+		return exitOK
+	}
+	if code := load(os.Stderr, *file, *printIt, s); code != exitOK {
+		return code
+	}
+	switch {
+	case *printIt:
+		return printSettings(os.Stdout, s)
+	case *check:
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func load(w io.Writer, file string, printOnly bool, s any) int {
+	if file == "" {
+		if printOnly {
+			return exitOK
+		}
+		fmt.Fprintln(w, "the flag -config is required")
+		return exitSettings
+	}
+	if err := settings.Load(file, s); err != nil {
+		fmt.Fprintln(w, err)
+		return exitSettings
+	}
+	return exitOK
+}
+
+func printSettings(w io.Writer, s any) int {
+	text, err := settings.Print(s)
+	if err != nil {
+		fmt.Fprintln(w, err)
+		return exitFailed
+	}
+	fmt.Fprintln(w, string(text))
+	return exitOK
+}
--- /dev/null
+++ b/cmd/lavendermoor-demo/main.go
@@ -0,0 +1,53 @@
+// Command lavendermoor-demo runs the whole system in one process on loopback: stand-ins of the platform, two
+// entries and six side processes. It then makes the calls that a newcomer would make, and exits.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// demoTimeout bounds the whole demo.
+const demoTimeout = 50 * time.Second
+
+func main() {
+	keep := flag.Bool("keep", false, "keep running after the calls, until interrupted")
+	logs := flag.String("log", os.DevNull, "`FILE` for the logs of all parts")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, *logs, *keep); err != nil {
+		fmt.Fprintln(os.Stderr, "lavendermoor-demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, logFile string, keep bool) error {
+	logs, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer logs.Close()
+	running, end := context.WithCancel(ctx)
+	defer end()
+	sys, err := startSystem(running, logs)
+	if err != nil {
+		return err
+	}
+	calls, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	if err := tour(calls, sys); err != nil {
+		return err
+	}
+	if keep {
+		fmt.Printf("\nentries: %s (key %q); press Ctrl-C to end\n", sys.entries, callerKey)
+		<-ctx.Done()
+	}
+	end()
+	return sys.wait()
+}
--- /dev/null
+++ b/cmd/lavendermoor-entry/main.go
@@ -0,0 +1,22 @@
+// Command lavendermoor-entry accepts callers, chooses a replica for each request and relays the answer.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lavendermoor.example/cmd/internal/daemon"
+	"lavendermoor.example/cmd/internal/start"
+	"lavendermoor.example/entry"
+)
+
+func main() {
+	s := entry.Defaults()
+	os.Exit(start.Main("lavendermoor-entry", os.Args[1:], &s, func(ctx context.Context) error {
+		l, err := daemon.Listen(ctx, s.Listen, s.PeerListen, s.Admin)
+		if err != nil {
+			return err
+		}
+		return daemon.Entry(ctx, s, l, os.Stderr)
+	}))
+}
--- /dev/null
+++ b/cmd/lavendermoor-side/main.go
@@ -0,0 +1,22 @@
+// Command lavendermoor-side admits and runs the work of one backend server.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lavendermoor.example/cmd/internal/daemon"
+	"lavendermoor.example/cmd/internal/start"
+	"lavendermoor.example/side"
+)
+
+func main() {
+	s := side.Defaults()
+	os.Exit(start.Main("lavendermoor-side", os.Args[1:], &s, func(ctx context.Context) error {
+		l, err := daemon.Listen(ctx, "", s.Listen, s.Admin)
+		if err != nil {
+			return err
+		}
+		return daemon.Side(ctx, s, l, os.Stderr)
+	}))
+}
--- /dev/null
+++ b/cmd/lavendermoor-standin/main.go
@@ -0,0 +1,126 @@
+// Command lavendermoor-standin runs one stand-in of an outside system, for development and tests.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/standin/engineserver"
+	"lavendermoor.example/standin/instancelist"
+	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/standin/serviceserver"
+	"lavendermoor.example/telemetry"
+)
+
+// shutdownGrace is how long running requests may take when the stand-in ends.
+const shutdownGrace = time.Second
+
+type options struct {
+	role   string
+	listen string
+
+	lag time.Duration
+
+	slots        int
+	prefillPerKB time.Duration
+	tokenTime    time.Duration
+	tokens       int
+
+	readTime, writeTime time.Duration
+}
+
+// roleError says that a role does not exist.
+type roleError struct{ role string }
+
+func (e *roleError) Error() string {
+	return fmt.Sprintf("role %q does not exist (kv, instances, engine, service)", e.role)
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var o options
+	flags := flag.NewFlagSet("lavendermoor-standin", flag.ContinueOnError)
+	flags.StringVar(&o.role, "role", "", "what to stand in for: kv, instances, engine, service")
+	flags.StringVar(&o.listen, "listen", "127.0.0.1:0", "addresses, separated by commas; the replicas of a service share one state")
+	flags.DurationVar(&o.lag, "lag", time.Second, "instances: delay until a change shows")
+	flags.IntVar(&o.slots, "slots", 16, "engine: requests in a batch")
+	flags.DurationVar(&o.prefillPerKB, "prefill-per-kb", 2*time.Millisecond, "engine: time to read 1,024 bytes of prompt")
+	flags.DurationVar(&o.tokenTime, "token-time", 5*time.Millisecond, "engine: time between tokens")
+	flags.IntVar(&o.tokens, "tokens", 32, "engine: length of an answer without max_tokens")
+	flags.DurationVar(&o.readTime, "read-time", time.Millisecond, "service: time of a read")
+	flags.DurationVar(&o.writeTime, "write-time", 5*time.Millisecond, "service: time of a write")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := serve(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "lavendermoor-standin:", err)
+		return 1
+	}
+	return 0
+}
+
+// serve serves the role on each address until the context ends.
+func serve(ctx context.Context, o options) error {
+	next, err := handlers(o)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for i, address := range strings.Split(o.listen, ",") {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err != nil {
+			return err
+		}
+		fmt.Println("listening on", l.Addr())
+		group.Go(func() error { return telemetry.Serve(ctx, l, next(i), shutdownGrace) })
+	}
+	err = group.Wait()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil // Open watches and streams do not end by themselves.
+	}
+	return err
+}
+
+// handlers returns a function that makes the handler of the listener with the given index.
+func handlers(o options) (func(i int) http.Handler, error) {
+	switch o.role {
+	case "kv":
+		h := kvserver.New().Handler()
+		return func(int) http.Handler { return h }, nil
+	case "instances":
+		h := instancelist.New(o.lag).Handler()
+		return func(int) http.Handler { return h }, nil
+	case "engine":
+		return func(i int) http.Handler {
+			return engineserver.New(engineserver.Options{
+				Name: fmt.Sprintf("engine-%d", i), Slots: o.slots, PrefillPerKB: o.prefillPerKB,
+				TokenTime: o.tokenTime, DefaultTokens: o.tokens,
+			}).Handler()
+		}, nil
+	case "service":
+		store := serviceserver.NewStore()
+		return func(i int) http.Handler {
+			return serviceserver.New(serviceserver.Options{
+				Name: fmt.Sprintf("service-%d", i), ReadTime: o.readTime, WriteTime: o.writeTime,
+			}, store).Handler()
+		}, nil
+	}
+	return nil, &roleError{role: o.role}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,9 @@
 // Ready says whether the process takes new requests.
 func (s *Server) Ready() bool { return !s.draining.Load() && s.opts.Configuration.State() != nil }
 
+// Idle says whether no request is running.
+func (s *Server) Idle() bool { return s.running.Load() == 0 }
+
 // Dump is the state dump of the server.
 type Dump struct {
 	Name     string `json:"name"`
--- /dev/null
+++ b/loadgen/client.go
@@ -0,0 +1,212 @@
+package loadgen
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"lavendermoor.example/api/callerapi"
+)
+
+// Result is what became of one request.
+type Result struct {
+	Arrival *Arrival
+	// Total is the time from the scheduled arrival to the end of the answer, FirstToken to the first event.
+	Total, FirstToken time.Duration
+	// Gaps are the times between events of a stream.
+	Gaps []time.Duration
+	// Error is the error type, "transport" for a failed exchange, or empty.
+	Error string
+	// Executed is the field of that name in an error answer.
+	Executed callerapi.Executed
+	// RetryAfter says whether an error answer told when to come back.
+	RetryAfter bool
+	// Complete says that the whole answer arrived; Wrong that its content is not the one expected.
+	Complete, Wrong bool
+}
+
+// InTime says whether the request counts as goodput.
+func (r *Result) InTime() bool { return r.Complete && !r.Wrong && r.Total <= r.Arrival.Class.Deadline }
+
+// Verify returns the text expected for a generation, or false when it is not known.
+type Verify func(prompt string, tokens int) (string, bool)
+
+// Client sends the requests of a mix to entries in turn, as the platform's balancer does.
+type Client struct {
+	Entries []string
+	Mix     *Mix
+	Verify  Verify
+	// RunID makes idempotency keys unique between runs.
+	RunID string
+	HTTP  *http.Client
+}
+
+// transportError is Result.Error for an exchange that gave no answer.
+const transportError = "transport"
+
+func (c *Client) send(ctx context.Context, a *Arrival, scheduled time.Time) *Result {
+	res := &Result{Arrival: a}
+	resp, err := c.do(ctx, a)
+	if err == nil {
+		defer resp.Body.Close()
+		err = c.read(resp, res, scheduled)
+	}
+	if err != nil && res.Error == "" {
+		res.Error = transportError
+	}
+	res.Total = time.Since(scheduled)
+	return res
+}
+
+func (c *Client) do(ctx context.Context, a *Arrival) (*http.Response, error) {
+	base := c.Entries[a.Number%len(c.Entries)]
+	method, path, body := c.request(a)
+	req, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Customer)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(callerapi.HeaderDeadline, fmt.Sprint(a.Class.Deadline.Milliseconds()))
+	if a.Class.Keyed {
+		req.Header.Set(callerapi.HeaderIdempotencyKey, fmt.Sprintf("%s-%d", c.RunID, a.Number))
+	}
+	return c.HTTP.Do(req)
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+	Messages  []chatMessage `json:"messages"`
+}
+
+func (c *Client) request(a *Arrival) (method, path string, body []byte) {
+	if a.Class.Tokens == 0 {
+		path = "/v1/services/" + c.Mix.Service + numbered(a.Class.Path, a.Number)
+		return a.Class.Method, path, []byte(numbered(a.Class.Body, a.Number))
+	}
+	// A request of strings and integers always marshals.
+	body, _ = json.Marshal(chatRequest{
+		Model: c.Mix.Model, Stream: true, MaxTokens: a.Class.Tokens,
+		Messages: []chatMessage{{Role: "user", Content: prompt(a)}},
+	})
+	return http.MethodPost, "/v1/chat/completions", body
+}
+
+func numbered(text string, n int) string { return strings.ReplaceAll(text, "%d", fmt.Sprint(n)) }
+
+func (c *Client) read(resp *http.Response, res *Result, scheduled time.Time) error {
+	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(callerapi.HeaderRequestID) != "" {
+		if done, err := readError(resp, res); done {
+			return err
+		}
+	}
+	if res.Arrival.Class.Tokens > 0 {
+		return c.readStream(resp.Body, res, scheduled)
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	res.Complete = err == nil
+	return err
+}
+
+// readError reads an error answer; done is false for an answer of the service itself.
+func readError(resp *http.Response, res *Result) (done bool, err error) {
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return true, err
+	}
+	var body callerapi.Body
+	if json.Unmarshal(raw, &body) != nil || body.Error == nil {
+		res.Complete = true
+		return true, nil
+	}
+	res.Error, res.Executed = string(body.Error.Type), body.Error.Executed
+	res.RetryAfter = resp.Header.Get(callerapi.HeaderRetryAfter) != ""
+	return true, nil
+}
+
+type streamChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+func (c *Client) readStream(body io.Reader, res *Result, scheduled time.Time) error {
+	lines := bufio.NewScanner(body)
+	var text strings.Builder
+	var last time.Time
+	failed := false
+	for lines.Scan() {
+		line := lines.Text()
+		if line == "event: error" {
+			failed = true
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if failed {
+			return streamError(data, res)
+		}
+		if data == "[DONE]" {
+			res.Complete = true
+			c.verify(res, text.String())
+			return nil
+		}
+		last = res.arrived(scheduled, last)
+		var chunk streamChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return err
+		}
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+func streamError(data string, res *Result) error {
+	var body callerapi.Body
+	if err := json.Unmarshal([]byte(data), &body); err != nil {
+		return err
+	}
+	res.Error, res.Executed = string(body.Error.Type), body.Error.Executed
+	return nil
+}
+
+// arrived notes an event and returns its time.
+func (r *Result) arrived(scheduled, last time.Time) time.Time {
+	now := time.Now()
+	if last.IsZero() {
+		r.FirstToken = now.Sub(scheduled)
+	} else {
+		r.Gaps = append(r.Gaps, now.Sub(last))
+	}
+	return now
+}
+
+func (c *Client) verify(res *Result, text string) {
+	if c.Verify == nil {
+		return
+	}
+	want, known := c.Verify(prompt(res.Arrival), res.Arrival.Class.Tokens)
+	res.Wrong = known && text != want
+}
--- /dev/null
+++ b/loadgen/mix.go
@@ -0,0 +1,169 @@
+// Package loadgen sends open-loop load to entries and measures what callers see. Arrivals follow a seeded
+// schedule that does not wait for answers, so that a server which stalls does not slow its own load.
+package loadgen
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Class is one class of requests in a mix.
+type Class struct {
+	Name string
+	// Share of all requests, relative to the other classes.
+	Share float64
+	// Value of a request that is answered in time, for goodput.
+	Value float64
+	// Deadline within which an answer counts as in time. For a generation it is that of the whole answer.
+	Deadline time.Duration
+	// Tokens is the length of a generation; 0 makes the class a call of a plain service.
+	Tokens int
+	// PromptBytes is the length of a generation's prompt.
+	PromptBytes int
+	// Method, Path and Body describe a call of a plain service. In Path and Body, %d is the request's number.
+	Method, Path, Body string
+	// Keyed calls carry an idempotency key of their own.
+	Keyed bool
+}
+
+// Mix is the traffic of a deployment.
+type Mix struct {
+	Name    string
+	Model   string
+	Service string
+	Classes []Class
+	// Customers are bearer keys with their relative share of the requests.
+	Customers []Customer
+}
+
+// Customer sends a share of the requests.
+type Customer struct {
+	Key   string
+	Share float64
+}
+
+// longFactor is how much longer the few long requests run than the others of their kind.
+const longFactor = 50
+
+// Association returns the mix of the association: drafts, letters, a few very long summaries, bookings and
+// look-ups.
+func Association(customers []Customer) Mix {
+	return Mix{
+		Name: "association", Model: "drafter", Service: "booking", Customers: customers,
+		Classes: []Class{
+			{Name: "draft", Share: 55, Value: 1, Deadline: 5 * time.Second, Tokens: 16, PromptBytes: 600},
+			{Name: "summary", Share: 3, Value: 1, Deadline: 60 * time.Second, Tokens: 16 * longFactor, PromptBytes: 2000},
+			{
+				Name: "booking", Share: 12, Value: 3, Deadline: 2 * time.Second, Keyed: true,
+				Method: http.MethodPost, Path: "/bookings", Body: `{"shed":"s%d","slot":"09:00","crew":"c"}`,
+			},
+			{Name: "lookup", Share: 30, Value: 1, Deadline: time.Second, Method: http.MethodGet, Path: "/bookings/b1"},
+		},
+	}
+}
+
+// Cooperative returns the mix of the cooperative: questions, a few very long summaries, commands and status
+// reads.
+func Cooperative(customers []Customer) Mix {
+	return Mix{
+		Name: "cooperative", Model: "assistant", Service: "lights", Customers: customers,
+		Classes: []Class{
+			{Name: "question", Share: 35, Value: 1, Deadline: 5 * time.Second, Tokens: 16, PromptBytes: 400},
+			{Name: "summary", Share: 3, Value: 1, Deadline: 60 * time.Second, Tokens: 16 * longFactor, PromptBytes: 2000},
+			{
+				Name: "command", Share: 17, Value: 3, Deadline: 2 * time.Second, Keyed: true,
+				Method: http.MethodPost, Path: "/lights/l%d/commands", Body: `{}`,
+			},
+			{Name: "status", Share: 45, Value: 2, Deadline: time.Second, Method: http.MethodGet, Path: "/lights/l%d"},
+		},
+	}
+}
+
+// Phase is a part of a run with a constant mean rate.
+type Phase struct {
+	Name     string
+	Duration time.Duration
+	// Rate is in requests per second.
+	Rate float64
+}
+
+// Swing returns phases that go from a base rate to factor times as much for crest, and back.
+func Swing(base, factor float64, lead, crest, tail time.Duration) []Phase {
+	return []Phase{
+		{Name: "before", Duration: lead, Rate: base},
+		{Name: "crest", Duration: crest, Rate: base * factor},
+		{Name: "after", Duration: tail, Rate: base},
+	}
+}
+
+// Arrival is one request of a schedule.
+type Arrival struct {
+	// At is the time since the start of the run.
+	At       time.Duration
+	Number   int
+	Phase    string
+	Class    *Class
+	Customer string
+}
+
+// Schedule returns the arrivals of a Poisson process with the rates of the phases; equal seeds give equal
+// schedules.
+func Schedule(m *Mix, phases []Phase, seed uint64) []Arrival {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	var out []Arrival
+	var start time.Duration
+	for _, p := range phases {
+		for at := time.Duration(0); ; {
+			at += time.Duration(rng.ExpFloat64() / p.Rate * float64(time.Second))
+			if at >= p.Duration {
+				break
+			}
+			out = append(out, Arrival{
+				At: start + at, Number: len(out) + 1, Phase: p.Name,
+				Class: pickClass(m, rng), Customer: pickCustomer(m, rng),
+			})
+		}
+		start += p.Duration
+	}
+	return out
+}
+
+func pickClass(m *Mix, rng *rand.Rand) *Class {
+	var total float64
+	for i := range m.Classes {
+		total += m.Classes[i].Share
+	}
+	x := rng.Float64() * total
+	for i := range m.Classes {
+		if x -= m.Classes[i].Share; x < 0 {
+			return &m.Classes[i]
+		}
+	}
+	return &m.Classes[len(m.Classes)-1]
+}
+
+func pickCustomer(m *Mix, rng *rand.Rand) string {
+	var total float64
+	for _, c := range m.Customers {
+		total += c.Share
+	}
+	x := rng.Float64() * total
+	for _, c := range m.Customers {
+		if x -= c.Share; x < 0 {
+			return c.Key
+		}
+	}
+	return m.Customers[len(m.Customers)-1].Key
+}
+
+// prompts is the number of different beginnings of prompts, which prefix caches can share.
+const prompts = 32
+
+// prompt returns the prompt of a request: one of a few shared beginnings and a part of its own.
+func prompt(a *Arrival) string {
+	text := strings.Repeat(fmt.Sprintf("context %d. ", a.Number%prompts), a.Class.PromptBytes/12+1)
+	return fmt.Sprintf("%s request %d", text[:a.Class.PromptBytes], a.Number)
+}
--- /dev/null
+++ b/loadgen/run.go
@@ -0,0 +1,59 @@
+package loadgen
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds of the load tool's connections.
+const (
+	maxConnections = 4096
+	idleTimeout    = 10 * time.Second
+)
+
+// NewHTTPClient returns a client for many requests at once.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxConnections, IdleConnTimeout: idleTimeout,
+	}}
+}
+
+// Run sends each arrival at its time and returns the results in the order of arrival. It ends early when the
+// context does; arrivals not sent have a nil result.
+func Run(ctx context.Context, c *Client, arrivals []Arrival) []*Result {
+	results := make([]*Result, len(arrivals))
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range arrivals {
+		a := &arrivals[i]
+		scheduled := start.Add(a.At)
+		if !sleepUntil(ctx, scheduled) {
+			break
+		}
+		wg.Go(func() {
+			// Twice the deadline shows how late a late answer is, and bounds the run.
+			request, cancel := context.WithTimeout(ctx, 2*a.Class.Deadline)
+			defer cancel()
+			results[i] = c.send(request, a, scheduled)
+		})
+	}
+	wg.Wait()
+	return results
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/proctest/harness.go
@@ -0,0 +1,252 @@
+// Package proctest runs the real binaries as separate processes on loopback, with stand-ins of the platform,
+// and lets tests kill, pause and restart them.
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Programs are the binaries that the harness builds.
+var Programs = []string{"lavendermoor-entry", "lavendermoor-side", "lavendermoor-standin", "lavendermoorctl"}
+
+var (
+	buildOnce sync.Once
+	buildDir  string
+	buildErr  error
+	buildOut  []byte
+)
+
+// Binary returns the path of a program, built once in each test run.
+func Binary(t testing.TB, program string) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		buildDir, buildErr = os.MkdirTemp("", "lavendermoor-bin")
+		if buildErr != nil {
+			return
+		}
+		args := []string{"build", "-o", buildDir + "/"}
+		for _, p := range Programs {
+			args = append(args, "lavendermoor.example/cmd/"+p)
+		}
+		buildOut, buildErr = exec.CommandContext(context.Background(), "go", args...).CombinedOutput()
+	})
+	require.NoError(t, buildErr, "%s", buildOut)
+	return filepath.Join(buildDir, program)
+}
+
+// RemoveBinaries removes what Binary built; call it from TestMain.
+func RemoveBinaries() {
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
+	}
+}
+
+// FreeAddress returns a loopback address whose port was free a moment ago.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Proc is a running process. Its output is shown when the test fails.
+type Proc struct {
+	Name string
+	// Admin is the address of its admin listener, empty for stand-ins.
+	Admin string
+
+	t    testing.TB
+	cmd  *exec.Cmd
+	out  lockedBuffer
+	done chan struct{}
+	// err is the result of the process, valid after done is closed.
+	err error
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Start starts a program; the test's end kills it.
+func Start(t testing.TB, name, program string, args ...string) *Proc {
+	t.Helper()
+	p := &Proc{Name: name, t: t, done: make(chan struct{})}
+	p.cmd = exec.CommandContext(context.Background(), Binary(t, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
+	// The process ends with the test binary, also when that is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", name, tail(p.out.String()))
+		}
+	})
+	return p
+}
+
+// maxShown bounds the output of a process that a failed test shows, in bytes.
+const maxShown = 8 << 10
+
+func tail(text string) string {
+	if len(text) > maxShown {
+		return "..." + text[len(text)-maxShown:]
+	}
+	return text
+}
+
+// Output returns what the process has written so far.
+func (p *Proc) Output() string { return p.out.String() }
+
+// Kill ends the process at once, as kill -9 does, and waits for its end.
+func (p *Proc) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Terminate asks the process to end, as the platform does before it takes an instance away.
+func (p *Proc) Terminate() { require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM)) }
+
+// Pause stops the process in mid-work.
+func (p *Proc) Pause() { require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGSTOP)) }
+
+// Resume continues a paused process.
+func (p *Proc) Resume() { require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGCONT)) }
+
+// Wait waits for the end of the process and returns its result.
+func (p *Proc) Wait(timeout time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(timeout):
+		require.FailNow(p.t, "process did not end", "%s after %v", p.Name, timeout)
+		return nil
+	}
+}
+
+// State returns the state dump of the process, decoded into v.
+func (p *Proc) State(v any) error {
+	return getJSON("http://"+p.Admin+"/debug/state", v)
+}
+
+func getJSON(url string, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// patience bounds how long the harness waits for a state that must come about. It is far above the stated
+// targets, because the machine is shared, and is not a measurement.
+const patience = 30 * time.Second
+
+// Eventually waits until ok returns true.
+func Eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	require.FailNow(t, "state did not come about", what)
+}
+
+// Ready waits until the process answers readiness checks with success.
+func (p *Proc) Ready() {
+	p.t.Helper()
+	Eventually(p.t, p.Name+" is ready", func() bool { return status("http://"+p.Admin+"/readyz") == http.StatusOK })
+}
+
+func status(url string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// writeSettings writes a settings file and returns its name.
+func writeSettings(t testing.TB, name string, v any) string {
+	t.Helper()
+	raw, err := json.MarshalIndent(v, "", "  ")
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), name+".json")
+	require.NoError(t, os.WriteFile(file, raw, 0o600))
+	return file
+}
+
+// Ctl runs lavendermoorctl and returns its output and exit code.
+func Ctl(t testing.TB, args ...string) (out string, code int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, Binary(t, "lavendermoorctl"), args...)
+	raw, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		require.NoError(t, err)
+	}
+	return string(raw), cmd.ProcessState.ExitCode()
+}
+
+// HashKey returns the SHA-256 of a key as the configuration holds it.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func joinAddresses(list []string) string { return strings.Join(list, ",") }
+
+func serverName(kind string, i int) string { return fmt.Sprintf("%s-%d", kind, i+1) }
--- a/side/settings.go
+++ b/side/settings.go
@@ -23,7 +23,9 @@
 	KeyValue string `json:"key_value" validate:"required,url"`
 	// Instances is the URL of the instance list.
 	Instances string `json:"instances" validate:"required,url"`
-	LogLevel  string `json:"log_level" validate:"oneof=debug info warn error"`
+	// Slots is the number of requests that the backend server runs at once.
+	Slots    int    `json:"slots" validate:"min=1"`
+	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
 	// DrainTimeout is how long running work may take after a termination signal.
 	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
 }
@@ -33,6 +35,7 @@
 	return Settings{
 		Listen:       "127.0.0.1:7200",
 		Admin:        "127.0.0.1:7201",
+		Slots:        16,
 		LogLevel:     "info",
 		DrainTimeout: settings.Duration(10 * time.Minute),
 	}
--- a/side/side.go
+++ b/side/side.go
@@ -58,6 +58,8 @@
 	draining atomic.Bool
 	// served counts requests that were admitted, and refused those that were not.
 	served, refused atomic.Int64
+	// active counts requests that have no answer yet.
+	active atomic.Int64
 }
 
 // New returns a server that takes work at once.
@@ -85,6 +87,12 @@
 	return st != nil && st.Server(s.opts.Name).GetDraining()
 }
 
+// Ready says whether the server takes new work.
+func (s *Server) Ready() bool { return !s.Draining() && s.opts.Configuration.State() != nil }
+
+// Idle says whether no request is running or waiting.
+func (s *Server) Idle() bool { return s.active.Load() == 0 }
+
 // Load returns the present load report.
 func (s *Server) Load() peerapi.Load {
 	l := peerapi.Load{Server: s.opts.Name, Incarnation: s.opts.Incarnation, Draining: s.Draining()}
--- a/side/work.go
+++ b/side/work.go
@@ -31,6 +31,8 @@
 	if !decode(w, r, &in) {
 		return
 	}
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	f := newFrameWriter(w, in.ID, in.ResumeFrom, s.Load())
 	f.end(nil, s.runGeneration(r.Context(), &in, f))
 }
@@ -77,6 +79,8 @@
 	if !decode(w, r, &in) {
 		return
 	}
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	f := newFrameWriter(w, in.ID, 0, s.Load())
 	// A call that may not be repeated goes on when the entry goes away: its outcome may be asked for.
 	ctx := r.Context()
--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net"
@@ -65,8 +66,11 @@
 	return ServeServer(ctx, l, srv, grace)
 }
 
-// ServeServer is Serve for a server with settings of its own.
+// ServeServer is Serve for a server with settings of its own; with a TLS configuration it serves TLS.
 func ServeServer(ctx context.Context, l net.Listener, srv *http.Server, grace time.Duration) error {
+	if srv.TLSConfig != nil {
+		l = tls.NewListener(l, srv.TLSConfig)
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(l) }()
 	select {
