--- /dev/null
+++ b/cmd/lavendermoorctl/output.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/config/cluster/configfile"
+	"lavendermoor.example/config/settings"
+)
+
+// fileError is a refusal by the server of what a file says.
+type fileError struct {
+	file  *configfile.File
+	cause error
+}
+
+func (e *fileError) Error() string { return e.cause.Error() }
+
+func (e *fileError) Unwrap() error { return e.cause }
+
+// differsError makes diff exit with its own code.
+type differsError struct{}
+
+func (e *differsError) Error() string { return "the configuration differs" }
+
+var exitByCode = map[connect.Code]int{
+	connect.CodeInvalidArgument:    exitInvalid,
+	connect.CodeAborted:            exitConflict,
+	connect.CodeFailedPrecondition: exitConflict,
+	connect.CodeUnavailable:        exitUnavailable,
+	connect.CodeUnauthenticated:    exitDenied,
+	connect.CodePermissionDenied:   exitDenied,
+	connect.CodeNotFound:           exitNotFound,
+	connect.CodeUnknown:            exitUnknown,
+	connect.CodeDeadlineExceeded:   exitUnknown,
+	connect.CodeCanceled:           exitUnknown,
+}
+
+// report prints an error and returns the exit code.
+func (c *cli) report(name string, err error) int {
+	var usage *UsageError
+	var file *settings.Error
+	var differs *differsError
+	switch {
+	case errors.As(err, &usage):
+		fmt.Fprintf(c.stderr, "lavendermoorctl %s: %v; see lavendermoorctl help %s\n", name, err, name)
+		return exitUsage
+	case errors.As(err, &file):
+		fmt.Fprintln(c.stderr, err)
+		return exitUsage
+	case errors.As(err, &differs):
+		return exitDiffers
+	}
+	return c.reportRPC(name, err)
+}
+
+func (c *cli) reportRPC(name string, err error) int {
+	var rpc *connect.Error
+	if !errors.As(err, &rpc) {
+		fmt.Fprintf(c.stderr, "lavendermoorctl %s: %v\n", name, err)
+		return exitFailed
+	}
+	if c.reportDetails(err, rpc) {
+		return exitByCode[rpc.Code()]
+	}
+	fmt.Fprintf(c.stderr, "lavendermoorctl %s: %s: %s\n", name, rpc.Code(), rpc.Message())
+	code, ok := exitByCode[rpc.Code()]
+	if !ok {
+		return exitFailed
+	}
+	// An error made on this side says nothing of the outcome, unless the connection was refused.
+	if code == exitUnavailable && !connect.IsWireError(err) && !errors.Is(err, syscall.ECONNREFUSED) && c.operation != "" {
+		code = exitUnknown
+	}
+	if code == exitUnknown && c.operation != "" {
+		fmt.Fprintf(c.stderr, "repeat the command with -operation %s\n", c.operation)
+	}
+	return code
+}
+
+// reportDetails prints the typed details of an error; false when there are none.
+func (c *cli) reportDetails(err error, rpc *connect.Error) bool {
+	found := false
+	for _, d := range rpc.Details() {
+		v, valueErr := d.Value()
+		if valueErr != nil {
+			continue
+		}
+		switch m := v.(type) {
+		case *operatorv1.ConflictDetail:
+			fmt.Fprintf(c.stderr, "another change won: revision %d by %s, operation %s: %s\n",
+				m.GetRevision(), m.GetAuthor(), m.GetOperationId(), m.GetComment())
+			found = true
+		case *operatorv1.ValidationDetail:
+			for _, f := range m.GetErrors() {
+				fmt.Fprintln(c.stderr, c.place(err, f))
+			}
+			found = true
+		}
+	}
+	return found
+}
+
+// place returns the text of a refused field, with its place in the file where there is one.
+func (c *cli) place(err error, f *operatorv1.FieldError) string {
+	ref := cluster.RefFrom(f.GetRef())
+	var inFile *fileError
+	if errors.As(err, &inFile) {
+		if e, ok := inFile.file.Locate(ref, f.GetField(), f.GetProblem()); ok {
+			return e.Error()
+		}
+	}
+	return fmt.Sprintf("%s: %s: %s", ref, f.GetField(), f.GetProblem())
+}
+
+// json prints a message as JSON.
+func (c *cli) json(m proto.Message) error {
+	raw, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.stdout, "%s\n", raw)
+	return err
+}
+
+// table prints rows, or the message as JSON when the operator asked for it.
+func (c *cli) table(m proto.Message, rows func(w io.Writer)) error {
+	if c.output == "json" {
+		return c.json(m)
+	}
+	w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+	rows(w)
+	return w.Flush()
+}
+
+func (c *cli) showApplied(m *operatorv1.ApplyResponse) error {
+	return c.table(m, func(w io.Writer) {
+		switch {
+		case c.dryRun:
+			fmt.Fprintf(w, "valid at revision %d; nothing committed\n", m.GetRevision())
+		case m.GetRepeatedOperation():
+			fmt.Fprintf(w, "operation had been committed as revision %d\n", m.GetRevision())
+		default:
+			fmt.Fprintf(w, "committed as revision %d\n", m.GetRevision())
+		}
+		differenceRows(w, m.GetDifferences())
+	})
+}
+
+func (c *cli) showDiff(m *operatorv1.DiffResponse) error {
+	return c.table(m, func(w io.Writer) {
+		if len(m.GetDifferences()) == 0 {
+			fmt.Fprintf(w, "no differences to revision %d\n", m.GetRevision())
+		}
+		differenceRows(w, m.GetDifferences())
+	})
+}
+
+func differenceRows(w io.Writer, ds []*operatorv1.Difference) {
+	for _, d := range ds {
+		ref := cluster.RefFrom(d.GetRef())
+		switch {
+		case d.GetBefore() == nil:
+			fmt.Fprintf(w, "+ %s\t%s\n", ref, compact(d.GetAfter()))
+		case d.GetAfter() == nil:
+			fmt.Fprintf(w, "- %s\t%s\n", ref, compact(d.GetBefore()))
+		default:
+			fmt.Fprintf(w, "- %s\t%s\n", ref, compact(d.GetBefore()))
+			fmt.Fprintf(w, "+ %s\t%s\n", ref, compact(d.GetAfter()))
+		}
+	}
+}
+
+// compact returns an object as JSON in one line.
+func compact(o *operatorv1.Object) string {
+	raw, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(o)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+func (c *cli) showObject(m *operatorv1.GetResponse) error {
+	if c.output == "json" {
+		return c.json(m)
+	}
+	return c.json(m.GetObject())
+}
+
+func (c *cli) showList(m *operatorv1.ListResponse) error {
+	return c.table(m, func(w io.Writer) {
+		fmt.Fprintf(w, "OBJECT\tCONTENT (revision %d)\n", m.GetRevision())
+		for _, o := range m.GetObjects() {
+			fmt.Fprintf(w, "%s\t%s\n", cluster.RefOf(o), compact(o))
+		}
+	})
+}
+
+func timeText(unixMs int64) string { return time.UnixMilli(unixMs).UTC().Format(time.RFC3339) }
+
+func (c *cli) showHistory(m *operatorv1.HistoryResponse) error {
+	return c.table(m, func(w io.Writer) {
+		fmt.Fprintln(w, "REVISION\tTIME\tAUTHOR\tOBJECTS\tOPERATION\tCOMMENT")
+		for _, h := range m.GetChanges() {
+			changeRow(w, h)
+		}
+	})
+}
+
+func changeRow(w io.Writer, h *operatorv1.Change) {
+	fmt.Fprintf(w, "%d\t%s\t%s\t+%d -%d\t%s\t%s\n", h.GetRevision(), timeText(h.GetTimeUnixMs()), h.GetAuthor(),
+		len(h.GetUpserts()), len(h.GetDeletes()), h.GetOperationId(), h.GetComment())
+}
+
+func (c *cli) showChange(m *operatorv1.WatchResponse) error {
+	return c.table(m, func(w io.Writer) { changeRow(w, m.GetChange()) })
+}
+
+func (c *cli) showStatus(m *operatorv1.StatusResponse) error {
+	return c.table(m, func(w io.Writer) {
+		fmt.Fprintf(w, "latest revision known: %d\n", m.GetRevision())
+		fmt.Fprintln(w, "NAME\tPROGRAM\tADDRESS\tREVISION\tDRAINING\tPROBLEM")
+		for _, p := range m.GetProcesses() {
+			problem := p.GetError()
+			if problem == "" {
+				problem = p.GetRefused()
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\t%s\n", p.GetName(), p.GetProgram(), p.GetAddress(),
+				p.GetRevisionInForce(), p.GetDraining(), problem)
+		}
+	})
+}
--- /dev/null
+++ b/config/cluster/configfile/configfile.go
@@ -0,0 +1,237 @@
+// Package configfile reads files of configuration objects: JSON with comments, whose errors name file, line and
+// field.
+package configfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/config/settings"
+)
+
+// File is the content of one file.
+type File struct {
+	Name    string
+	Upserts []*operatorv1.Object
+	Deletes []*operatorv1.ObjectRef
+	lines   map[cluster.Ref]place
+}
+
+// place is where an object is in the file.
+type place struct {
+	line int
+	text []byte
+}
+
+// section is one member of the top level of a file.
+type section struct {
+	kind cluster.Type
+	list bool
+}
+
+// deletes is the member that names objects to delete.
+const deletes = "deletes"
+
+var sections = map[string]section{
+	"models":    {cluster.TypeModel, true},
+	"groups":    {cluster.TypeGroup, true},
+	"servers":   {cluster.TypeServer, true},
+	"services":  {cluster.TypeService, true},
+	"customers": {cluster.TypeCustomer, true},
+	"rules":     {cluster.TypeRule, true},
+	"operators": {cluster.TypeOperator, true},
+	"limits":    {cluster.TypeLimits, false},
+	deletes:     {"", true},
+}
+
+// Read reads a file; "-" is standard input. Every failure is a *settings.Error.
+func Read(name string) (*File, error) {
+	var raw []byte
+	var err error
+	if name == "-" {
+		raw, err = io.ReadAll(os.Stdin)
+	} else {
+		raw, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, &settings.Error{File: name, Problem: err.Error()}
+	}
+	return Parse(name, raw)
+}
+
+// Parse is Read for text that has been read already; name is used in errors.
+func Parse(name string, raw []byte) (*File, error) {
+	std, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return nil, &settings.Error{File: name, Line: lineIn(err.Error()), Problem: err.Error()}
+	}
+	p := &parser{
+		file: &File{Name: name, lines: map[cluster.Ref]place{}},
+		text: std, dec: json.NewDecoder(bytes.NewReader(std)),
+	}
+	if err := p.top(); err != nil {
+		return nil, err
+	}
+	return p.file, nil
+}
+
+// Locate returns the error of one field of an object as an error of its place in the file, and false when the
+// object is not in the file.
+func (f *File) Locate(ref cluster.Ref, field, problem string) (*settings.Error, bool) {
+	p, ok := f.lines[ref]
+	if !ok {
+		return nil, false
+	}
+	line := p.line
+	if i := bytes.Index(p.text, []byte(strconv.Quote(field))); i >= 0 {
+		line += bytes.Count(p.text[:i], []byte("\n"))
+	}
+	return &settings.Error{File: f.Name, Line: line, Field: ref.String() + "." + field, Problem: problem}, true
+}
+
+// parser walks the top level of a file and hands its elements to the decoder of their messages.
+type parser struct {
+	file *File
+	text []byte
+	dec  *json.Decoder
+}
+
+func (p *parser) line() int { return lineAt(p.text, p.dec.InputOffset()) }
+
+func lineAt(text []byte, offset int64) int { return 1 + bytes.Count(text[:offset], []byte("\n")) }
+
+func (p *parser) fail(line int, field, problem string) error {
+	return &settings.Error{File: p.file.Name, Line: line, Field: field, Problem: problem}
+}
+
+func (p *parser) expect(d json.Delim, field string) error {
+	t, err := p.dec.Token()
+	if err != nil {
+		return p.fail(p.line(), field, err.Error())
+	}
+	if t != d {
+		return p.fail(p.line(), field, fmt.Sprintf("expected %q, found %v", d, t))
+	}
+	return nil
+}
+
+func (p *parser) top() error {
+	if err := p.expect('{', ""); err != nil {
+		return err
+	}
+	for p.dec.More() {
+		if err := p.member(); err != nil {
+			return err
+		}
+	}
+	if err := p.expect('}', ""); err != nil {
+		return err
+	}
+	if _, err := p.dec.Token(); !errors.Is(err, io.EOF) {
+		return p.fail(p.line(), "", "text after the configuration")
+	}
+	return nil
+}
+
+func (p *parser) member() error {
+	t, err := p.dec.Token()
+	if err != nil {
+		return p.fail(p.line(), "", err.Error())
+	}
+	name, _ := t.(string)
+	s, ok := sections[name]
+	if !ok {
+		return p.fail(p.line(), name, "unknown field")
+	}
+	if !s.list {
+		return p.element(name, s)
+	}
+	if err := p.expect('[', name); err != nil {
+		return err
+	}
+	for i := 0; p.dec.More(); i++ {
+		if err := p.element(fmt.Sprintf("%s[%d]", name, i), s); err != nil {
+			return err
+		}
+	}
+	return p.expect(']', name)
+}
+
+func (p *parser) element(field string, s section) error {
+	var raw json.RawMessage
+	if err := p.dec.Decode(&raw); err != nil {
+		return p.fail(p.line(), field, err.Error())
+	}
+	line := lineAt(p.text, p.dec.InputOffset()-int64(len(raw)))
+	if s.kind == "" {
+		ref := &operatorv1.ObjectRef{}
+		if err := protojson.Unmarshal(raw, ref); err != nil {
+			return p.protoError(line, field, err)
+		}
+		p.file.Deletes = append(p.file.Deletes, ref)
+		return nil
+	}
+	o, err := object(s.kind, raw)
+	if err != nil {
+		return p.protoError(line, field, err)
+	}
+	ref := cluster.RefOf(o)
+	if first, ok := p.file.lines[ref]; ok {
+		return p.fail(line, field, fmt.Sprintf("%s is also in line %d", ref, first.line))
+	}
+	p.file.lines[ref] = place{line: line, text: raw}
+	p.file.Upserts = append(p.file.Upserts, o)
+	return nil
+}
+
+// object decodes one object by decoding a message whose only field is that of its type.
+func object(kind cluster.Type, raw []byte) (*operatorv1.Object, error) {
+	wrapped := append([]byte(`{"`+string(kind)+`":`), raw...)
+	wrapped = append(wrapped, '}')
+	o := &operatorv1.Object{}
+	err := protojson.Unmarshal(wrapped, o)
+	return o, err
+}
+
+var (
+	protoPlace = regexp.MustCompile(`\(line (\d+):\d+\):\s*`)
+	protoField = regexp.MustCompile(`field "?([\w.]+)"?`)
+)
+
+// protoError adds the line and the field that protojson names in the text of its errors.
+func (p *parser) protoError(line int, field string, err error) error {
+	text := strings.ReplaceAll(strings.TrimPrefix(err.Error(), "proto:"), "\u00a0", " ")
+	text = strings.TrimSpace(text)
+	if m := protoPlace.FindStringSubmatch(text); m != nil {
+		if n, convErr := strconv.Atoi(m[1]); convErr == nil {
+			line += n - 1
+		}
+		text = protoPlace.ReplaceAllString(text, "")
+	}
+	if m := protoField.FindStringSubmatch(text); m != nil {
+		field += "." + m[1]
+	}
+	return p.fail(line, field, text)
+}
+
+func lineIn(text string) int {
+	var line int
+	if i := strings.Index(text, "line "); i >= 0 {
+		if _, err := fmt.Sscanf(text[i:], "line %d", &line); err == nil {
+			return line
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/config/cluster/services.go
@@ -0,0 +1,134 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"lavendermoor.example/api/operatorv1"
+)
+
+// ServersChangingError says that a change of the servers of a service is still in progress, so that the next one
+// has to wait until the new servers have copied the records.
+type ServersChangingError struct {
+	Service string
+	// Epoch is the one in progress.
+	Epoch int64
+}
+
+func (e *ServersChangingError) Error() string {
+	return fmt.Sprintf("service %q: the change of its servers to epoch %d is still in progress", e.Service, e.Epoch)
+}
+
+// MaintainServices sets epoch, servers and previous of the services in a change, so that they follow from the
+// servers that the change adds and removes. Whatever the change itself says in these fields is replaced. It fails
+// with a *ServersChangingError; c is then partly changed and must not be used.
+func MaintainServices(base *State, c *operatorv1.Change) error {
+	after := servicesAfter(base, c)
+	names := make([]string, 0, len(after))
+	for name := range after {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if err := maintainService(base, c, name, after[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// servicesAfter returns the sorted names of the servers that each service has after a change.
+func servicesAfter(base *State, c *operatorv1.Change) map[string][]string {
+	servers := map[string]string{}
+	for name, s := range base.servers {
+		servers[name] = s.GetService()
+	}
+	services := map[string][]string{}
+	for name := range base.services {
+		services[name] = nil
+	}
+	for _, r := range c.GetDeletes() {
+		switch Type(r.GetType()) {
+		case TypeServer:
+			delete(servers, r.GetName())
+		case TypeService:
+			delete(services, r.GetName())
+		}
+	}
+	for _, o := range c.GetUpserts() {
+		if s := o.GetServer(); s != nil {
+			servers[s.GetName()] = s.GetService()
+		}
+		if s := o.GetService(); s != nil {
+			services[s.GetName()] = nil
+		}
+	}
+	for server, service := range servers {
+		if _, ok := services[service]; ok {
+			services[service] = append(services[service], server)
+		}
+	}
+	for _, list := range services {
+		sort.Strings(list)
+	}
+	return services
+}
+
+func maintainService(base *State, c *operatorv1.Change, name string, servers []string) error {
+	before := base.Service(name)
+	next := &operatorv1.Service{
+		Name: name, Epoch: before.GetEpoch(), Servers: before.GetServers(), Previous: before.GetPrevious(),
+	}
+	if !slices.Equal(servers, before.GetServers()) {
+		if len(before.GetPrevious()) > 0 {
+			return &ServersChangingError{Service: name, Epoch: before.GetEpoch()}
+		}
+		next.Epoch, next.Servers, next.Previous = before.GetEpoch()+1, servers, before.GetServers()
+	}
+	found := false
+	for _, o := range c.GetUpserts() {
+		if s := o.GetService(); s != nil && s.GetName() == name {
+			proto.Reset(s)
+			proto.Merge(s, next)
+			found = true
+		}
+	}
+	if !found && !proto.Equal(before, next) {
+		c.Upserts = append(c.Upserts, &operatorv1.Object{Kind: &operatorv1.Object_Service{Service: next}})
+	}
+	return nil
+}
+
+// Difference is the state of one object before and after a change; nil means absent.
+type Difference struct {
+	Ref           Ref
+	Before, After *operatorv1.Object
+}
+
+// Diff returns what differs between two configurations, sorted by type and name.
+func Diff(before, after *State) []Difference {
+	refs := map[Ref]bool{}
+	for r, o := range before.objects {
+		if a := after.objects[r]; a != o && !proto.Equal(o, a) {
+			refs[r] = true
+		}
+	}
+	for r := range after.objects {
+		if before.objects[r] == nil {
+			refs[r] = true
+		}
+	}
+	sorted := make([]Ref, 0, len(refs))
+	for r := range refs {
+		sorted = append(sorted, r)
+	}
+	SortRefs(sorted)
+	out := make([]Difference, len(sorted))
+	for i, r := range sorted {
+		out[i] = Difference{Ref: r, Before: before.objects[r], After: after.objects[r]}
+	}
+	return out
+}
--- /dev/null
+++ b/configsync/feed/errors.go
@@ -0,0 +1,34 @@
+package feed
+
+import "fmt"
+
+// MessageError says that a peer's message cannot be read.
+type MessageError struct{ Detail string }
+
+func (e *MessageError) Error() string { return "message of a peer cannot be read: " + e.Detail }
+
+// PeerError says that a peer could not be asked for the configuration.
+type PeerError struct {
+	Peer  string
+	Cause error
+}
+
+func (e *PeerError) Error() string { return fmt.Sprintf("peer %s: %v", e.Peer, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *PeerError) Unwrap() error { return e.Cause }
+
+// StatusError says that a peer answered with an error status.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("answered with status %d", e.Status) }
+
+// SilentError says that a connection showed no byte for too long.
+type SilentError struct{}
+
+func (e *SilentError) Error() string { return "connection is silent" }
+
+// NoPeerError says that no peer is known that could be asked.
+type NoPeerError struct{}
+
+func (e *NoPeerError) Error() string { return "no peer is known" }
--- /dev/null
+++ b/configsync/store/keys.go
@@ -0,0 +1,23 @@
+// Package store keeps the cluster configuration in the key-value service, as a log of changes with snapshots.
+package store
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Keys of the configuration in the key-value service.
+const (
+	prefixLog      = "config/log/"
+	prefixSnapshot = "config/snapshot/"
+	keyHead        = "config/head"
+)
+
+// logKey pads the revision so that the order of keys is the order of revisions.
+func logKey(revision int64) string { return fmt.Sprintf("%s%020d", prefixLog, revision) }
+
+// revisionOfLogKey returns the revision in a key below prefixLog.
+func revisionOfLogKey(key string) (int64, error) {
+	return strconv.ParseInt(strings.TrimPrefix(key, prefixLog), 10, 64)
+}
--- /dev/null
+++ b/entry/operator/auth.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/operatorv1/operatorv1connect"
+)
+
+// bootstrapName is the author of changes made with the bootstrap key.
+const bootstrapName = "bootstrap"
+
+// caller is the authenticated operator of a call.
+type caller struct {
+	name  string
+	admin bool
+}
+
+type callerKey struct{}
+
+func callerOf(ctx context.Context) caller {
+	c, _ := ctx.Value(callerKey{}).(caller)
+	return c
+}
+
+// changing are the calls that need the role admin.
+var changing = map[string]bool{
+	operatorv1connect.OperatorServiceApplyProcedure:    true,
+	operatorv1connect.OperatorServiceRollbackProcedure: true,
+	operatorv1connect.OperatorServiceDrainProcedure:    true,
+}
+
+// authenticator is the interceptor that admits calls by their bearer key.
+type authenticator struct{ service *Service }
+
+// WrapUnary implements connect.Interceptor.
+func (a *authenticator) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		ctx, err := a.admit(ctx, req.Header(), req.Spec().Procedure)
+		if err != nil {
+			return nil, err
+		}
+		return next(ctx, req)
+	}
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (a *authenticator) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return next
+}
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (a *authenticator) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return func(ctx context.Context, conn connect.StreamingHandlerConn) error {
+		ctx, err := a.admit(ctx, conn.RequestHeader(), conn.Spec().Procedure)
+		if err != nil {
+			return err
+		}
+		return next(ctx, conn)
+	}
+}
+
+func (a *authenticator) admit(ctx context.Context, h http.Header, procedure string) (context.Context, error) {
+	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return ctx, rpcError(&KeyError{})
+	}
+	c, ok, err := a.service.identify(ctx, key)
+	if err != nil {
+		return ctx, rpcError(err)
+	}
+	if !ok {
+		return ctx, rpcError(&KeyError{})
+	}
+	if changing[procedure] && !c.admin {
+		return ctx, rpcError(&RoleError{Operator: c.name})
+	}
+	return context.WithValue(ctx, callerKey{}, c), nil
+}
+
+// identify finds the operator of a key. The bootstrap key counts only when the key-value service confirms that no
+// operator is configured, because this process may not have the first configuration yet.
+func (s *Service) identify(ctx context.Context, key string) (caller, bool, error) {
+	st := s.state()
+	if o, ok := st.OperatorByKey(key); ok {
+		return caller{name: o.GetName(), admin: o.GetRole() == operatorv1.Role_ROLE_ADMIN}, true, nil
+	}
+	if st.HasOperators() || !s.isBootstrap(key) {
+		return caller{}, false, nil
+	}
+	latest, err := s.latest(ctx)
+	if err != nil {
+		return caller{}, false, err
+	}
+	return caller{name: bootstrapName, admin: true}, !latest.HasOperators(), nil
+}
+
+func (s *Service) isBootstrap(key string) bool {
+	a, b := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(s.opts.BootstrapKey))
+	return s.opts.BootstrapKey != "" && subtle.ConstantTimeCompare(a[:], b[:]) == 1
+}
--- /dev/null
+++ b/entry/operator/errors.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/configsync/store"
+	"lavendermoor.example/platform/kv"
+)
+
+// NoObjectError says that an object does not exist.
+type NoObjectError struct{ Ref cluster.Ref }
+
+func (e *NoObjectError) Error() string { return fmt.Sprintf("%s does not exist", e.Ref) }
+
+// UnknownTypeError says that a type of object does not exist.
+type UnknownTypeError struct{ Type cluster.Type }
+
+func (e *UnknownTypeError) Error() string { return fmt.Sprintf("%q is not a type of object", e.Type) }
+
+// FutureRevisionError says that a change expects a revision that does not exist yet.
+type FutureRevisionError struct{ Expected, Latest int64 }
+
+func (e *FutureRevisionError) Error() string {
+	return fmt.Sprintf("expected revision %d is above the latest revision %d", e.Expected, e.Latest)
+}
+
+// KeyError says that a call carries no key or one that is not known.
+type KeyError struct{}
+
+func (e *KeyError) Error() string { return "the call needs a known operator key as bearer token" }
+
+// RoleError says that an operator may not make a call.
+type RoleError struct{ Operator string }
+
+func (e *RoleError) Error() string {
+	return fmt.Sprintf("operator %s has the role reader and may not make changes", e.Operator)
+}
+
+// rpcError returns the connect error with the code and the detail of a failure.
+func rpcError(err error) error {
+	code, detail := classify(err)
+	out := connect.NewError(code, err)
+	if detail != nil {
+		if d, detailErr := connect.NewErrorDetail(detail); detailErr == nil {
+			out.AddDetail(d)
+		}
+	}
+	return out
+}
+
+func classify(err error) (connect.Code, proto.Message) {
+	if code, detail, ok := classifyChange(err); ok {
+		return code, detail
+	}
+	var (
+		role     *RoleError
+		key      *KeyError
+		noObject *NoObjectError
+		noType   *UnknownTypeError
+		trimmed  *store.TrimmedError
+		down     *kv.UnavailableError
+		lostRead *kv.UnknownOutcomeError
+	)
+	switch {
+	case errors.As(err, &role):
+		return connect.CodePermissionDenied, nil
+	case errors.As(err, &key):
+		return connect.CodeUnauthenticated, nil
+	case errors.As(err, &noObject), errors.As(err, &trimmed):
+		return connect.CodeNotFound, nil
+	case errors.As(err, &noType):
+		return connect.CodeInvalidArgument, nil
+	case errors.As(err, &down):
+		return connect.CodeUnavailable, nil
+	case errors.As(err, &lostRead):
+		// Commit reports lost writes as *store.UnknownOutcomeError, so this is a read, which has no effect.
+		return connect.CodeUnavailable, nil
+	}
+	return connect.CodeInternal, nil
+}
+
+// classifyChange covers the outcomes of a change.
+func classifyChange(err error) (connect.Code, proto.Message, bool) {
+	var (
+		conflict *store.ConflictError
+		invalid  *cluster.ValidationError
+		future   *FutureRevisionError
+		changing *cluster.ServersChangingError
+		unknown  *store.UnknownOutcomeError
+	)
+	switch {
+	case errors.As(err, &conflict):
+		w := conflict.Winner
+		return connect.CodeAborted, &operatorv1.ConflictDetail{
+			Revision: w.GetRevision(), Author: w.GetAuthor(), OperationId: w.GetOperationId(), Comment: w.GetComment(),
+		}, true
+	case errors.As(err, &invalid):
+		return connect.CodeInvalidArgument, validationDetail(invalid), true
+	case errors.As(err, &future):
+		return connect.CodeInvalidArgument, nil, true
+	case errors.As(err, &changing):
+		return connect.CodeFailedPrecondition, nil, true
+	case errors.As(err, &unknown):
+		return connect.CodeUnknown, nil, true
+	}
+	return 0, nil, false
+}
+
+func validationDetail(e *cluster.ValidationError) *operatorv1.ValidationDetail {
+	out := &operatorv1.ValidationDetail{}
+	for _, f := range e.Fields {
+		out.Errors = append(out.Errors, &operatorv1.FieldError{
+			Ref: f.Ref.Proto(), Field: f.Field, Problem: f.Problem,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/entry/operator/operator.go
@@ -0,0 +1,285 @@
+// Package operator serves the operator RPC of an entry: it reads and changes the cluster configuration.
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/operatorv1/operatorv1connect"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/configsync/feed"
+	"lavendermoor.example/configsync/store"
+)
+
+// Options are the parts of the operator RPC.
+type Options struct {
+	Store *store.Store
+	Node  *feed.Node
+	// BootstrapKey is accepted as the key of an admin while no operator is configured; empty for none.
+	BootstrapKey string
+	// Processes returns the processes that Status asks.
+	Processes func() []feed.Peer
+	// Client is used to ask processes for their status.
+	Client *http.Client
+	Log    *zap.Logger
+	// Now returns the time that is recorded with changes; nil for the system's clock.
+	Now func() time.Time
+}
+
+// Service implements operatorv1connect.OperatorServiceHandler.
+type Service struct{ opts Options }
+
+var _ operatorv1connect.OperatorServiceHandler = (*Service)(nil)
+
+// maxRequestBytes bounds a request; a change must fit in one value of the key-value service.
+const maxRequestBytes = 4 << 20
+
+// New returns the path and the handler of the operator RPC.
+func New(opts Options) (string, http.Handler) {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
+	s := &Service{opts: opts}
+	return operatorv1connect.NewOperatorServiceHandler(s,
+		connect.WithInterceptors(&authenticator{service: s}), connect.WithReadMaxBytes(maxRequestBytes))
+}
+
+// state returns the configuration in force here, the empty one before the first.
+func (s *Service) state() *cluster.State {
+	if st := s.opts.Node.State(); st != nil {
+		return st
+	}
+	return cluster.Empty()
+}
+
+// latest returns the latest committed configuration, read from the key-value service.
+func (s *Service) latest(ctx context.Context) (*cluster.State, error) {
+	if st := s.opts.Node.State(); st != nil {
+		return s.opts.Store.Refresh(ctx, st)
+	}
+	return s.opts.Store.Load(ctx)
+}
+
+// Apply implements the call of the same name.
+func (s *Service) Apply(
+	ctx context.Context, req *connect.Request[operatorv1.ApplyRequest],
+) (*connect.Response[operatorv1.ApplyResponse], error) {
+	m := req.Msg
+	resp, err := s.commit(ctx, &order{
+		operationID: m.GetOperationId(), expected: m.GetExpectedRevision(), comment: m.GetComment(), dryRun: m.GetDryRun(),
+		change: func(*cluster.State) (*operatorv1.Change, error) {
+			return &operatorv1.Change{Upserts: m.GetUpserts(), Deletes: m.GetDeletes()}, nil
+		},
+	})
+	return answer(resp, err)
+}
+
+func answer[T any](msg *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(msg), nil
+}
+
+// order is one change to commit. The change function is called again when the change has to be made on a newer
+// configuration.
+type order struct {
+	operationID string
+	expected    int64
+	comment     string
+	dryRun      bool
+	change      func(base *cluster.State) (*operatorv1.Change, error)
+}
+
+// rebases bounds how often a change without an expected revision is made again after a lost race. With changes a
+// few seconds apart more than two in a row are not met.
+const rebases = 8
+
+func (s *Service) commit(ctx context.Context, o *order) (*operatorv1.ApplyResponse, error) {
+	if o.operationID == "" {
+		o.operationID = uuid.NewString()
+	}
+	base, err := s.latest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for attempt := 0; ; attempt++ {
+		resp, err := s.commitOn(ctx, base, o)
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) || o.expected != 0 || attempt == rebases {
+			return resp, err
+		}
+		if base, err = s.opts.Store.Refresh(ctx, base); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *Service) commitOn(ctx context.Context, base *cluster.State, o *order) (*operatorv1.ApplyResponse, error) {
+	done, err := s.opts.Store.Committed(ctx, base.Revision, o.operationID)
+	if err != nil {
+		return nil, err
+	}
+	if done != nil {
+		return s.repeated(ctx, done)
+	}
+	if err := s.checkExpected(ctx, base, o.expected); err != nil {
+		return nil, err
+	}
+	c, err := s.prepare(ctx, base, o)
+	if err != nil {
+		return nil, err
+	}
+	preview, err := base.Apply(c)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkAdmin(preview); err != nil {
+		return nil, err
+	}
+	resp := &operatorv1.ApplyResponse{Revision: preview.Revision, Differences: differences(base, preview)}
+	if o.dryRun {
+		resp.Revision = base.Revision
+		return resp, nil
+	}
+	next, err := s.opts.Store.Commit(ctx, base, c)
+	var repeat *store.RepeatedOperationError
+	if errors.As(err, &repeat) {
+		return s.repeated(ctx, repeat.Change)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.opts.Node.Accept(next)
+	return resp, nil
+}
+
+// prepare returns the change to commit on base.
+func (s *Service) prepare(ctx context.Context, base *cluster.State, o *order) (*operatorv1.Change, error) {
+	c, err := o.change(base)
+	if err != nil {
+		return nil, err
+	}
+	c = proto.CloneOf(c)
+	c.Revision = base.Revision + 1
+	c.OperationId, c.Comment = o.operationID, o.comment
+	c.Author, c.TimeUnixMs = callerOf(ctx).name, s.opts.Now().UnixMilli()
+	if err := cluster.MaintainServices(base, c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// checkExpected fails with a *store.ConflictError that names the first change after the expected revision.
+func (s *Service) checkExpected(ctx context.Context, base *cluster.State, expected int64) error {
+	if expected == 0 || expected == base.Revision {
+		return nil
+	}
+	if expected > base.Revision {
+		return &FutureRevisionError{Expected: expected, Latest: base.Revision}
+	}
+	winner, err := s.opts.Store.Change(ctx, expected+1)
+	var trimmed *store.TrimmedError
+	if errors.As(err, &trimmed) {
+		winner, err = &operatorv1.Change{Revision: base.Revision}, nil
+	}
+	if err != nil {
+		return err
+	}
+	return &store.ConflictError{Winner: winner}
+}
+
+// repeated answers a call whose operation was committed before.
+func (s *Service) repeated(ctx context.Context, done *operatorv1.Change) (*operatorv1.ApplyResponse, error) {
+	if latest, err := s.latest(ctx); err == nil && latest.Revision > 0 {
+		s.opts.Node.Accept(latest)
+	}
+	return &operatorv1.ApplyResponse{Revision: done.GetRevision(), RepeatedOperation: true}, nil
+}
+
+// checkAdmin refuses a configuration that has operators but no admin, which nobody could change any more.
+func checkAdmin(s *cluster.State) error {
+	if !s.HasOperators() {
+		return nil
+	}
+	var first cluster.Ref
+	for _, o := range s.Objects() {
+		if op := o.GetOperator(); op != nil {
+			if op.GetRole() == operatorv1.Role_ROLE_ADMIN {
+				return nil
+			}
+			first = cluster.RefOf(o)
+		}
+	}
+	return &cluster.ValidationError{Fields: []cluster.FieldError{{
+		Ref: first, Field: "role", Problem: "at least one operator must be an admin, as nobody could change anything",
+	}}}
+}
+
+func differences(before, after *cluster.State) []*operatorv1.Difference {
+	var out []*operatorv1.Difference
+	for _, d := range cluster.Diff(before, after) {
+		out = append(out, &operatorv1.Difference{Ref: d.Ref.Proto(), Before: d.Before, After: d.After})
+	}
+	return out
+}
+
+// Rollback implements the call of the same name.
+func (s *Service) Rollback(
+	ctx context.Context, req *connect.Request[operatorv1.RollbackRequest],
+) (*connect.Response[operatorv1.ApplyResponse], error) {
+	target, err := s.opts.Store.At(ctx, req.Msg.GetToRevision())
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	resp, err := s.commit(ctx, &order{
+		operationID: req.Msg.GetOperationId(), comment: req.Msg.GetComment(),
+		change: func(base *cluster.State) (*operatorv1.Change, error) { return changeTo(base, target), nil },
+	})
+	return answer(resp, err)
+}
+
+// changeTo returns the change that leads from base to the objects of target.
+func changeTo(base, target *cluster.State) *operatorv1.Change {
+	c := &operatorv1.Change{}
+	for _, d := range cluster.Diff(base, target) {
+		if d.After == nil {
+			c.Deletes = append(c.Deletes, d.Ref.Proto())
+		} else {
+			c.Upserts = append(c.Upserts, d.After)
+		}
+	}
+	return c
+}
+
+// Drain implements the call of the same name.
+func (s *Service) Drain(
+	ctx context.Context, req *connect.Request[operatorv1.DrainRequest],
+) (*connect.Response[operatorv1.ApplyResponse], error) {
+	resp, err := s.commit(ctx, &order{
+		operationID: req.Msg.GetOperationId(),
+		change: func(base *cluster.State) (*operatorv1.Change, error) {
+			server := base.Server(req.Msg.GetServer())
+			if server == nil {
+				return nil, &NoObjectError{Ref: cluster.Ref{Type: cluster.TypeServer, Name: req.Msg.GetServer()}}
+			}
+			server = proto.CloneOf(server)
+			server.Draining = !req.Msg.GetUndo()
+			return &operatorv1.Change{Upserts: []*operatorv1.Object{
+				{Kind: &operatorv1.Object_Server{Server: server}},
+			}}, nil
+		},
+	})
+	return answer(resp, err)
+}
--- /dev/null
+++ b/entry/operator/read.go
@@ -0,0 +1,196 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/configsync/feed"
+)
+
+// Get implements the call of the same name.
+func (s *Service) Get(
+	_ context.Context, req *connect.Request[operatorv1.GetRequest],
+) (*connect.Response[operatorv1.GetResponse], error) {
+	st := s.state()
+	ref := cluster.RefFrom(req.Msg.GetRef())
+	o := st.Object(ref)
+	if o == nil {
+		return nil, rpcError(&NoObjectError{Ref: ref})
+	}
+	return connect.NewResponse(&operatorv1.GetResponse{Revision: st.Revision, Object: o}), nil
+}
+
+// List implements the call of the same name.
+func (s *Service) List(
+	_ context.Context, req *connect.Request[operatorv1.ListRequest],
+) (*connect.Response[operatorv1.ListResponse], error) {
+	st := s.state()
+	want := cluster.Type(req.Msg.GetType())
+	if want != "" && !slices.Contains(cluster.Types, want) {
+		return nil, rpcError(&UnknownTypeError{Type: want})
+	}
+	out := &operatorv1.ListResponse{Revision: st.Revision}
+	for _, o := range st.Objects() {
+		if want == "" || cluster.RefOf(o).Type == want {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Diff implements the call of the same name.
+func (s *Service) Diff(
+	ctx context.Context, req *connect.Request[operatorv1.DiffRequest],
+) (*connect.Response[operatorv1.DiffResponse], error) {
+	resp, err := s.commit(ctx, &order{
+		dryRun: true,
+		change: func(*cluster.State) (*operatorv1.Change, error) {
+			return &operatorv1.Change{Upserts: req.Msg.GetUpserts(), Deletes: req.Msg.GetDeletes()}, nil
+		},
+	})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(&operatorv1.DiffResponse{
+		Revision: resp.GetRevision(), Differences: resp.GetDifferences(),
+	}), nil
+}
+
+// Bounds of History.
+const (
+	defaultHistory = 50
+	maxHistory     = 1000
+)
+
+// History implements the call of the same name.
+func (s *Service) History(
+	ctx context.Context, req *connect.Request[operatorv1.HistoryRequest],
+) (*connect.Response[operatorv1.HistoryResponse], error) {
+	limit := int(req.Msg.GetLimit())
+	if limit <= 0 {
+		limit = defaultHistory
+	}
+	before := req.Msg.GetBeforeRevision()
+	if before <= 0 {
+		latest, err := s.latest(ctx)
+		if err != nil {
+			return nil, rpcError(err)
+		}
+		before = latest.Revision + 1
+	}
+	changes, err := s.opts.Store.History(ctx, before, min(limit, maxHistory))
+	return answer(&operatorv1.HistoryResponse{Changes: changes}, err)
+}
+
+// Watch implements the call of the same name.
+func (s *Service) Watch(
+	ctx context.Context, req *connect.Request[operatorv1.WatchRequest],
+	stream *connect.ServerStream[operatorv1.WatchResponse],
+) error {
+	at := req.Msg.GetAfterRevision()
+	if at <= 0 {
+		at = s.state().Revision
+	}
+	for {
+		changed := s.opts.Node.Changed()
+		changes, err := s.changesAfter(ctx, at)
+		if err != nil {
+			return rpcError(err)
+		}
+		for _, c := range changes {
+			if err := stream.Send(&operatorv1.WatchResponse{Change: c}); err != nil {
+				return err
+			}
+			at = c.GetRevision()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// changesAfter returns the changes after a revision that are in force here, from memory or the log.
+func (s *Service) changesAfter(ctx context.Context, at int64) ([]*operatorv1.Change, error) {
+	now := s.state().Revision
+	if now <= at {
+		return nil, nil
+	}
+	if changes, ok := s.opts.Node.ChangesAfter(at); ok {
+		return changes, nil
+	}
+	return s.opts.Store.Range(ctx, at, now)
+}
+
+// Bounds of Status.
+const (
+	statusParallel = 64
+	statusTimeout  = 2 * time.Second
+)
+
+// Status implements the call of the same name.
+func (s *Service) Status(
+	ctx context.Context, _ *connect.Request[operatorv1.StatusRequest],
+) (*connect.Response[operatorv1.StatusResponse], error) {
+	out := &operatorv1.StatusResponse{Revision: s.state().Revision}
+	if s.opts.Processes == nil {
+		return connect.NewResponse(out), nil
+	}
+	peers := s.opts.Processes()
+	out.Processes = make([]*operatorv1.ProcessStatus, len(peers))
+	var g errgroup.Group
+	g.SetLimit(statusParallel)
+	for i, p := range peers {
+		g.Go(func() error {
+			out.Processes[i] = s.ask(ctx, p)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return connect.NewResponse(out), nil
+}
+
+// ask returns what a process reports of itself, or why it could not be asked.
+func (s *Service) ask(ctx context.Context, p feed.Peer) *operatorv1.ProcessStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	out := &operatorv1.ProcessStatus{Name: p.Name, Address: p.Address}
+	report, err := s.fetch(ctx, p)
+	if err != nil {
+		out.Error = err.Error()
+		return out
+	}
+	out.Program, out.RevisionInForce = report.Program, report.Revision
+	out.Refused, out.Draining = report.Refused, report.Draining
+	return out
+}
+
+func (s *Service) fetch(ctx context.Context, p feed.Peer) (*peerapi.Status, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+peerapi.PathStatus, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := s.opts.Client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &feed.StatusError{Status: resp.StatusCode}
+	}
+	var report peerapi.Status
+	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+		return nil, err
+	}
+	return &report, nil
+}
