--- /dev/null
+++ b/membership/tracker.go
@@ -0,0 +1,207 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lavendermoor.example/platform/instances"
+)
+
+const (
+	// tickInterval bounds how late a rule that depends on time alone takes effect.
+	tickInterval = 100 * time.Millisecond
+	// ProbeTimeout bounds a probe.
+	ProbeTimeout = time.Second
+	// maxProbes bounds the probes in flight, so that a lost rack does not cause a burst of connections.
+	maxProbes   = 16
+	eventBuffer = 1024
+)
+
+// Prober asks a server for its report on a new connection. It must return when the context ends.
+type Prober func(ctx context.Context, server string) (Report, error)
+
+// Tracker owns a State in one goroutine and publishes its views. All methods but Run may be called from any
+// goroutine; they never wait for I/O.
+type Tracker struct {
+	state  *State
+	probe  Prober
+	notify func(*View)
+	view   atomic.Pointer[View]
+	events chan func(time.Time)
+	// okTimes holds the time of the last success for each failure domain, in nanoseconds. Traffic writes it
+	// directly, so that a success costs no message to the owner.
+	okTimes sync.Map
+	lost    atomic.Int64
+	done    chan struct{}
+}
+
+// NewTracker returns a tracker; notify, if not nil, is called from the goroutine of Run with every view whose
+// version has changed.
+func NewTracker(seed uint64, probe Prober, notify func(*View)) *Tracker {
+	now := time.Now()
+	t := &Tracker{
+		state: NewState(now, seed), probe: probe, notify: notify,
+		events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}),
+	}
+	t.view.Store(t.state.View(now))
+	return t
+}
+
+// View returns the latest view.
+func (t *Tracker) View() *View { return t.view.Load() }
+
+// Lost returns the number of events that were dropped because the owner was behind; each is repeated by the
+// next result of the same kind.
+func (t *Tracker) Lost() int64 { return t.lost.Load() }
+
+// SetServers passes on the servers of the accepted configuration. It waits until the owner takes them or ctx
+// ends.
+func (t *Tracker) SetServers(ctx context.Context, servers []Server) {
+	t.post(ctx, func(now time.Time) { t.state.SetServers(now, servers) })
+}
+
+// ApplyList passes on an answer of the instance list; see SetServers.
+func (t *Tracker) ApplyList(ctx context.Context, l instances.List) {
+	t.post(ctx, func(now time.Time) { t.state.ApplyList(now, l) })
+}
+
+func (t *Tracker) post(ctx context.Context, fn func(time.Time)) {
+	select {
+	case t.events <- fn:
+	case <-t.done:
+	case <-ctx.Done():
+	}
+}
+
+// offer drops the event when the owner is behind, because traffic must not wait for it.
+func (t *Tracker) offer(fn func(time.Time)) {
+	select {
+	case t.events <- fn:
+	default:
+		t.lost.Add(1)
+	}
+}
+
+// Report passes on a self report that came with an answer. A report that tells nothing new costs one look-up.
+func (t *Tracker) Report(rep Report) {
+	s := t.View().Of(rep.Server)
+	fresh := rep.Incarnation > s.Incarnation
+	drains := rep.Draining && s.Reason != Draining
+	unless := s.Reason == Leaving && !rep.Draining
+	if fresh || drains || unless || rep.Slow != s.Slow {
+		t.offer(func(now time.Time) { t.state.Report(now, rep) })
+	}
+}
+
+// Connected passes on a successful exchange.
+func (t *Tracker) Connected(server, domain string) {
+	now := time.Now().UnixNano()
+	if cell, ok := t.okTimes.Load(domain); ok {
+		cell.(*atomic.Int64).Store(now)
+	} else {
+		cell, _ := t.okTimes.LoadOrStore(domain, new(atomic.Int64))
+		cell.(*atomic.Int64).Store(now)
+	}
+	if s := t.View().Of(server); s.Suspect || s.Reason == Down || s.Reason == Partition {
+		t.offer(func(now time.Time) { t.state.Connected(now, server) })
+	}
+}
+
+// Failed passes on a failed connection.
+func (t *Tracker) Failed(server string) {
+	t.offer(func(now time.Time) { t.state.Failed(now, server) })
+}
+
+// Silent passes on a connection that has shown no byte for ConnectionSilence.
+func (t *Tracker) Silent(server string) {
+	t.offer(func(now time.Time) { t.state.Silent(now, server) })
+}
+
+// Run owns the state until ctx ends; then it waits for the probes in flight.
+func (t *Tracker) Run(ctx context.Context) {
+	defer close(t.done)
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	slots := make(chan struct{}, maxProbes)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-t.events:
+			t.apply(fn)
+			t.publish(false)
+		case <-tick.C:
+			now := time.Now()
+			t.foldSuccesses()
+			for _, server := range t.state.Tick(now) {
+				probes.Go(func() { t.runProbe(ctx, slots, server) })
+			}
+			t.publish(true)
+		}
+	}
+}
+
+// apply takes one event and all that wait behind it, so that a burst causes one view.
+func (t *Tracker) apply(fn func(time.Time)) {
+	t.foldSuccesses()
+	fn(time.Now())
+	for {
+		select {
+		case fn = <-t.events:
+			fn(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (t *Tracker) foldSuccesses() {
+	t.okTimes.Range(func(name, cell any) bool {
+		if i, ok := t.state.byName[name.(string)]; ok {
+			d := &t.state.domains[i]
+			if at := time.Unix(0, cell.(*atomic.Int64).Load()); at.After(d.lastOK) {
+				d.lastOK = at
+			}
+		}
+		return true
+	})
+}
+
+func (t *Tracker) runProbe(ctx context.Context, slots chan struct{}, server string) {
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-slots }()
+	probeCtx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	rep, err := t.probe(probeCtx, server)
+	rep.Server = server
+	t.post(ctx, func(now time.Time) {
+		if err != nil {
+			t.state.ProbeFailed(now, server)
+			return
+		}
+		t.state.ProbeSucceeded(now, rep)
+	})
+}
+
+// publish replaces the view at once when the choice of replica changes, and otherwise only at a tick, because
+// a view copies the status of every server.
+func (t *Tracker) publish(atTick bool) {
+	before := t.view.Load()
+	pending := atTick && t.state.dirty
+	if before.Version == t.state.version && !pending {
+		return
+	}
+	v := t.state.View(time.Now())
+	t.view.Store(v)
+	if v.Version != before.Version && t.notify != nil {
+		t.notify(v)
+	}
+}
--- /dev/null
+++ b/membership/tracker_test.go
@@ -0,0 +1,46 @@
+package membership
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a refusal or a failure that reaches the traffic goroutines late, and against a goroutine that
+// outlives the tracker (synctest fails then).
+func TestTrackerPublishesWithinThreeSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var alive atomic.Bool
+		probe := func(ctx context.Context, _ string) (Report, error) {
+			if alive.Load() {
+				return Report{Incarnation: 9}, nil
+			}
+			<-ctx.Done()
+			return Report{}, ctx.Err()
+		}
+		tr := NewTracker(1, probe, nil)
+		go tr.Run(ctx)
+		tr.SetServers(ctx, []Server{{"a0", "a"}, {"a1", "a"}, {"b0", "b"}})
+		synctest.Wait()
+		tr.Connected("a1", "a")
+		tr.Report(Report{Server: "b0", Incarnation: 2, Draining: true})
+		synctest.Wait()
+		require.Equal(t, Draining, tr.View().Of("b0").Reason)
+
+		tr.Failed("a0")
+		time.Sleep(time.Second)
+		tr.Connected("a1", "a")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, Down, tr.View().Of("a0").Reason)
+		alive.Store(true)
+		time.Sleep(time.Minute)
+		require.True(t, tr.View().Of("a0").Usable())
+		require.True(t, tr.View().Of("b0").Usable())
+		cancel()
+	})
+}
