Run the thin path as separate processes

Entries, side processes, stand-ins and lavendermoorctl serve a request from end to end. The process harness in proctest builds the binaries, starts them on loopback, and checks whole answers, a booking and typed errors for bad input.

--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -96,7 +96,7 @@
 	c.store = store.New(c.kv)
 	c.list = instances.NewClient(listURL, instancesTimeout)
 	c.node = feed.NewNode(feed.Options{
-		Self: feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain},
+		Self:  feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain},
 		Peers: c.feedPeers, Store: c.store, Client: c.client, Log: c.log,
 	})
 	return nil
--- a/entry/operator/auth.go
+++ b/entry/operator/auth.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"net/http"
 	"strings"
 
@@ -102,6 +103,7 @@
 }
 
 func (s *Service) isBootstrap(key string) bool {
-	a, b := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(s.opts.BootstrapKey))
-	return s.opts.BootstrapKey != "" && subtle.ConstantTimeCompare(a[:], b[:]) == 1
+	sum := sha256.Sum256([]byte(key))
+	got := hex.EncodeToString(sum[:])
+	return subtle.ConstantTimeCompare([]byte(got), []byte(s.opts.BootstrapKeySHA256)) == 1
 }
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -23,8 +23,9 @@
 type Options struct {
 	Store *store.Store
 	Node  *feed.Node
-	// BootstrapKey is accepted as the key of an admin while no operator is configured; empty for none.
-	BootstrapKey string
+	// BootstrapKeySHA256 is the lower-case hex SHA-256 of a key that is accepted as the key of an admin while no
+	// operator is configured; empty for none.
+	BootstrapKeySHA256 string
 	// Processes returns the processes that Status asks.
 	Processes func() []feed.Peer
 	// Client is used to ask processes for their status.
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -31,6 +33,11 @@
 
 const bootstrap = "boot-key"
 
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{kv: kvserver.New()}
@@ -43,7 +50,7 @@
 		Self: feed.Peer{Name: "e1", FailureDomain: "a"}, Peers: func() []feed.Peer { return nil },
 		Store: b.store, Client: http.DefaultClient, Seed: 1,
 	})
-	path, h := New(Options{Store: b.store, Node: b.node, BootstrapKey: bootstrap})
+	path, h := New(Options{Store: b.store, Node: b.node, BootstrapKeySHA256: hashOf(bootstrap)})
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
 	rpc := httptest.NewServer(mux)
--- a/loadgen/client.go
+++ b/loadgen/client.go
@@ -108,10 +108,8 @@
 func numbered(text string, n int) string { return strings.ReplaceAll(text, "%d", fmt.Sprint(n)) }
 
 func (c *Client) read(resp *http.Response, res *Result, scheduled time.Time) error {
-	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(callerapi.HeaderRequestID) != "" {
-		if done, err := readError(resp, res); done {
-			return err
-		}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return readError(resp, res)
 	}
 	if res.Arrival.Class.Tokens > 0 {
 		return c.readStream(resp.Body, res, scheduled)
@@ -121,20 +119,21 @@
 	return err
 }
 
-// readError reads an error answer; done is false for an answer of the service itself.
-func readError(resp *http.Response, res *Result) (done bool, err error) {
+// readError reads an error answer. One that has not the system's format comes from the service itself and is a
+// whole answer.
+func readError(resp *http.Response, res *Result) error {
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return true, err
+		return err
 	}
 	var body callerapi.Body
-	if json.Unmarshal(raw, &body) != nil || body.Error == nil {
+	if err := json.Unmarshal(raw, &body); err != nil || body.Error == nil {
 		res.Complete = true
-		return true, nil
+		return nil //nolint:nilerr // See above.
 	}
 	res.Error, res.Executed = string(body.Error.Type), body.Error.Executed
 	res.RetryAfter = resp.Header.Get(callerapi.HeaderRetryAfter) != ""
-	return true, nil
+	return nil
 }
 
 type streamChunk struct {
--- /dev/null
+++ b/proctest/calls.go
@@ -0,0 +1,154 @@
+package proctest
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/standin/serviceserver"
+)
+
+// callTimeout bounds one call of the harness.
+const callTimeout = 60 * time.Second
+
+// Do makes a call with a JSON body as the caller "crew"; a nil body sends none. A transport error has status 0.
+func Do(t testing.TB, method, url string, header http.Header, body any) (status int, h http.Header, answer []byte) {
+	t.Helper()
+	var raw []byte
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		raw = b
+	default:
+		var err error
+		raw, err = json.Marshal(b)
+		require.NoError(t, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+CallerKey)
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, []byte(err.Error())
+	}
+	defer resp.Body.Close()
+	answer, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, []byte(err.Error())
+	}
+	return resp.StatusCode, resp.Header, answer
+}
+
+// ErrorOf returns the error in an answer, or nil.
+func ErrorOf(answer []byte) *callerapi.Error {
+	var b callerapi.Body
+	// Anything else leaves the error nil, which callers check.
+	_ = json.Unmarshal(answer, &b)
+	return b.Error
+}
+
+// Stream is what a caller received of a streamed generation.
+type Stream struct {
+	Status int
+	Text   string
+	Events int
+	// Done says that the stream ended with [DONE].
+	Done bool
+	// Error is the error event or error body.
+	Error *callerapi.Error
+}
+
+// Chat streams a chat completion; onEvent, if not nil, is called after each event.
+func Chat(t testing.TB, entry, content string, tokens int, onEvent func(n int)) Stream {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return ChatCtx(ctx, t, entry, content, tokens, onEvent)
+}
+
+// ChatCtx is Chat that ends with the context, as when a caller goes away.
+func ChatCtx(ctx context.Context, t testing.TB, entry, content string, tokens int, onEvent func(n int)) Stream {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{
+		"model": Model, "stream": true, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": content}},
+	})
+	require.NoError(t, err)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/chat/completions", bytes.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+CallerKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Stream{}
+	}
+	defer resp.Body.Close()
+	s := Stream{Status: resp.StatusCode}
+	if resp.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(resp.Body)
+		s.Error = ErrorOf(raw)
+		return s
+	}
+	s.read(resp.Body, onEvent)
+	return s
+}
+
+func (s *Stream) read(body io.Reader, onEvent func(n int)) {
+	lines := bufio.NewScanner(body)
+	failed := false
+	for lines.Scan() {
+		line := lines.Text()
+		data, isData := strings.CutPrefix(line, "data: ")
+		switch {
+		case line == "event: error":
+			failed = true
+		case isData && failed:
+			s.Error = ErrorOf([]byte(data))
+		case data == "[DONE]":
+			s.Done = true
+		case isData:
+			s.add(data)
+			if onEvent != nil {
+				onEvent(s.Events)
+			}
+		}
+	}
+}
+
+func (s *Stream) add(data string) {
+	var ev struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &ev) != nil {
+		return
+	}
+	s.Events++
+	for _, c := range ev.Choices {
+		s.Text += c.Delta.Content
+	}
+}
+
+// Runs returns the executions that the plain service has noted.
+func (d *Deployment) Runs() []serviceserver.Run {
+	d.t.Helper()
+	var runs []serviceserver.Run
+	require.NoError(d.t, getJSON("http://"+d.bookAddresses[0]+"/standin/runs", &runs))
+	return runs
+}
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -30,7 +30,7 @@
 var (
 	buildOnce sync.Once
 	buildDir  string
-	buildErr  error
+	errBuild  error
 	buildOut  []byte
 )
 
@@ -38,17 +38,17 @@
 func Binary(t testing.TB, program string) string {
 	t.Helper()
 	buildOnce.Do(func() {
-		buildDir, buildErr = os.MkdirTemp("", "lavendermoor-bin")
-		if buildErr != nil {
+		buildDir, errBuild = os.MkdirTemp("", "lavendermoor-bin")
+		if errBuild != nil {
 			return
 		}
 		args := []string{"build", "-o", buildDir + "/"}
 		for _, p := range Programs {
 			args = append(args, "lavendermoor.example/cmd/"+p)
 		}
-		buildOut, buildErr = exec.CommandContext(context.Background(), "go", args...).CombinedOutput()
+		buildOut, errBuild = exec.CommandContext(context.Background(), "go", args...).CombinedOutput()
 	})
-	require.NoError(t, buildErr, "%s", buildOut)
+	require.NoError(t, errBuild, "%s", buildOut)
 	return filepath.Join(buildDir, program)
 }
 
@@ -228,12 +228,13 @@
 	return file
 }
 
-// Ctl runs lavendermoorctl and returns its output and exit code.
-func Ctl(t testing.TB, args ...string) (out string, code int) {
+// Ctl runs lavendermoorctl with an operator key and returns its output and exit code.
+func Ctl(t testing.TB, key string, args ...string) (out string, code int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, Binary(t, "lavendermoorctl"), args...)
+	cmd.Env = append(os.Environ(), "LAVENDERMOOR_KEY="+key)
 	raw, err := cmd.CombinedOutput()
 	if err != nil && cmd.ProcessState == nil {
 		require.NoError(t, err)
--- /dev/null
+++ b/proctest/path_test.go
@@ -0,0 +1,104 @@
+package proctest
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/standin/engineserver"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	RemoveBinaries()
+	os.Exit(code)
+}
+
+func small(t *testing.T) *Deployment {
+	t.Helper()
+	return Deploy(t, Plan{
+		Entries: 2, Models: 3, Services: 3, Slots: 8, ListLag: 100 * time.Millisecond, DrainTimeout: 20 * time.Second,
+		EngineArgs: []string{"-token-time", "5ms", "-slots", "8"},
+	})
+}
+
+func expected(content string, tokens int) string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(engineserver.Token(engineserver.ChatPrompt(content), i))
+	}
+	return text.String()
+}
+
+// Guards against a break anywhere on the path from a caller to a backend server and back.
+func TestWholePathAsSeparateProcesses(t *testing.T) {
+	d := small(t)
+	for _, e := range d.Entries {
+		s := Chat(t, e.URL, "a note", 10, nil)
+		require.True(t, s.Done, "%+v", s)
+		require.Equal(t, expected("a note", 10), s.Text)
+	}
+	status, _, body := Do(t, http.MethodPost, d.Entries[0].URL+"/v1/services/booking/bookings", nil,
+		map[string]string{"shed": "north", "slot": "09:00"})
+	require.Equal(t, http.StatusCreated, status, "%s", body)
+	require.Len(t, d.Runs(), 1)
+	status, _, body = Do(t, http.MethodGet, d.Entries[1].URL+"/v1/services/booking/bookings/b1", nil, nil)
+	require.Equal(t, http.StatusOK, status, "%s", body)
+	require.Contains(t, string(body), "north")
+}
+
+// Guards against an unmodified client that asks for a whole answer or for the list of models.
+func TestWholeAnswersAndModels(t *testing.T) {
+	d := small(t)
+	status, _, body := Do(t, http.MethodPost, d.Entries[0].URL+"/v1/chat/completions", nil, map[string]any{
+		"model": Model, "max_tokens": 5, "messages": []map[string]string{{"role": "user", "content": "x"}},
+	})
+	require.Equal(t, http.StatusOK, status, "%s", body)
+	require.Contains(t, string(body), strings.TrimSpace(expected("x", 5)))
+	status, _, body = Do(t, http.MethodGet, d.Entries[0].URL+"/v1/models", nil, nil)
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, string(body), `"id":"drafter"`)
+}
+
+// Guards against bad input that gets an untyped answer, a wrong status, or is run.
+func TestBadInputIsRefusedWithTypedErrors(t *testing.T) {
+	d := small(t)
+	base := d.Entries[0].URL
+	chat, book := base+"/v1/chat/completions", base+"/v1/services/booking/bookings"
+	good := map[string]any{"model": Model, "messages": []any{}}
+	for name, c := range map[string]struct {
+		method, url string
+		header      http.Header
+		body        any
+		want        callerapi.ErrorType
+	}{
+		"malformed JSON":  {"POST", chat, nil, []byte("{"), callerapi.InvalidRequest},
+		"unknown model":   {"POST", chat, nil, map[string]any{"model": "nope"}, callerapi.UnknownModel},
+		"unknown adapter": {"POST", chat, nil, map[string]any{"model": Model + ":nope"}, callerapi.UnknownModel},
+		"missing key":     {"POST", chat, http.Header{"Authorization": {""}}, good, callerapi.Unauthorized},
+		"wrong key":       {"POST", chat, http.Header{"Authorization": {"Bearer nope"}}, good, callerapi.Unauthorized},
+		"negative tokens": {"POST", chat, nil, map[string]any{"model": Model, "max_tokens": -1}, callerapi.InvalidRequest},
+		"past deadline":   {"POST", book, http.Header{callerapi.HeaderDeadline: {"0"}}, good, callerapi.DeadlineExceeded},
+		"bad deadline":    {"POST", book, http.Header{callerapi.HeaderDeadline: {"soon"}}, good, callerapi.InvalidRequest},
+		"method":          {"GET", chat, nil, nil, callerapi.MethodNotAllowed},
+		"path":            {"GET", base + "/v2/x", nil, nil, callerapi.NotFound},
+		"unknown service": {"GET", base + "/v1/services/nope/x", nil, nil, callerapi.UnknownService},
+		"large header":    {"POST", book, http.Header{"X-Large": {strings.Repeat("x", 100<<10)}}, good, callerapi.HeaderTooLarge},
+		"large body":      {"POST", book, nil, make([]byte, 5<<20), callerapi.BodyTooLarge},
+	} {
+		status, header, body := Do(t, c.method, c.url, c.header, c.body)
+		e := ErrorOf(body)
+		require.NotNil(t, e, "%s: %d %s", name, status, body)
+		require.Equal(t, c.want, e.Type, name)
+		require.Equal(t, c.want.Status(), status, name)
+		require.Equal(t, callerapi.ExecutedNo, e.Executed, name)
+		require.NotEmpty(t, e.RequestID, name)
+		require.Equal(t, e.RequestID, header.Get(callerapi.HeaderRequestID), name)
+	}
+	require.Empty(t, d.Runs())
+}
