--- a/cmd/lavendermoorctl/commands.go
+++ b/cmd/lavendermoorctl/commands.go
@@ -277,6 +277,6 @@
 		return &UsageError{Problem: "a key is expected on standard input"}
 	}
 	sum := sha256.Sum256([]byte(in.Text()))
-	fmt.Fprintln(c.stdout, hex.EncodeToString(sum[:]))
-	return nil
+	_, err := fmt.Fprintln(c.stdout, hex.EncodeToString(sum[:]))
+	return err
 }
--- a/cmd/lavendermoorctl/main.go
+++ b/cmd/lavendermoorctl/main.go
@@ -69,6 +69,9 @@
 
 func (e *UsageError) Error() string { return e.Problem }
 
+// printf writes text for a person; there is no other place to report a failed write to.
+func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
@@ -83,7 +86,7 @@
 	}
 	cmd, ok := commands()[args[0]]
 	if !ok {
-		fmt.Fprintf(stderr, "lavendermoorctl: unknown command %q; see lavendermoorctl help\n", args[0])
+		printf(stderr, "lavendermoorctl: unknown command %q; see lavendermoorctl help\n", args[0])
 		return exitUsage
 	}
 	rest, code, ok := c.parse(args[0], cmd, args[1:])
@@ -103,7 +106,7 @@
 			return exitOK
 		}
 	}
-	fmt.Fprintln(c.stdout, "lavendermoorctl reads and changes the configuration of a lavendermoor cluster.\n\nCommands:")
+	printf(c.stdout, "lavendermoorctl reads and changes the configuration of a lavendermoor cluster.\n\nCommands:\n")
 	cmds := commands()
 	names := make([]string, 0, len(cmds))
 	for name := range cmds {
@@ -111,9 +114,9 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		fmt.Fprintf(c.stdout, "  %-10s %s\n", name, cmds[name].summary)
+		printf(c.stdout, "  %-10s %s\n", name, cmds[name].summary)
 	}
-	fmt.Fprintf(c.stdout, "\nlavendermoorctl help COMMAND describes a command and its flags.\n\n%s\n", exitHelp)
+	printf(c.stdout, "\nlavendermoorctl help COMMAND describes a command and its flags.\n\n%s\n", exitHelp)
 	if len(args) == 0 {
 		return exitUsage
 	}
@@ -132,12 +135,12 @@
 		cmd.flags(fs, c)
 	}
 	fs.Usage = func() {
-		fmt.Fprintf(out, "usage: lavendermoorctl %s [flags] %s\n\n%s. %s\n\nFlags:\n", name, cmd.args, cmd.summary, cmd.details)
+		printf(out, "usage: lavendermoorctl %s [flags] %s\n\n%s. %s\n\nFlags:\n", name, cmd.args, cmd.summary, cmd.details)
 		fs.PrintDefaults()
 		if !cmd.offline {
-			fmt.Fprintln(out, "\nThe operator key is read from the environment variable LAVENDERMOOR_KEY.")
+			printf(out, "\nThe operator key is read from the environment variable LAVENDERMOOR_KEY.\n")
 		}
-		fmt.Fprintf(out, "\n%s\n", exitHelp)
+		printf(out, "\n%s\n", exitHelp)
 	}
 	return fs
 }
@@ -169,7 +172,7 @@
 		return rest, exitOK, true
 	}
 	if c.output != "table" && c.output != "json" {
-		fmt.Fprintf(c.stderr, "lavendermoorctl: -o must be table or json\n")
+		printf(c.stderr, "lavendermoorctl: -o must be table or json\n")
 		return nil, exitUsage, false
 	}
 	c.key = os.Getenv("LAVENDERMOOR_KEY")
--- a/cmd/lavendermoorctl/output.go
+++ b/cmd/lavendermoorctl/output.go
@@ -53,10 +53,10 @@
 	var differs *differsError
 	switch {
 	case errors.As(err, &usage):
-		fmt.Fprintf(c.stderr, "lavendermoorctl %s: %v; see lavendermoorctl help %s\n", name, err, name)
+		printf(c.stderr, "lavendermoorctl %s: %v; see lavendermoorctl help %s\n", name, err, name)
 		return exitUsage
 	case errors.As(err, &file):
-		fmt.Fprintln(c.stderr, err)
+		printf(c.stderr, "%v\n", err)
 		return exitUsage
 	case errors.As(err, &differs):
 		return exitDiffers
@@ -67,13 +67,13 @@
 func (c *cli) reportRPC(name string, err error) int {
 	var rpc *connect.Error
 	if !errors.As(err, &rpc) {
-		fmt.Fprintf(c.stderr, "lavendermoorctl %s: %v\n", name, err)
+		printf(c.stderr, "lavendermoorctl %s: %v\n", name, err)
 		return exitFailed
 	}
 	if c.reportDetails(err, rpc) {
 		return exitByCode[rpc.Code()]
 	}
-	fmt.Fprintf(c.stderr, "lavendermoorctl %s: %s: %s\n", name, rpc.Code(), rpc.Message())
+	printf(c.stderr, "lavendermoorctl %s: %s: %s\n", name, rpc.Code(), rpc.Message())
 	code, ok := exitByCode[rpc.Code()]
 	if !ok {
 		return exitFailed
@@ -83,7 +83,7 @@
 		code = exitUnknown
 	}
 	if code == exitUnknown && c.operation != "" {
-		fmt.Fprintf(c.stderr, "repeat the command with -operation %s\n", c.operation)
+		printf(c.stderr, "repeat the command with -operation %s\n", c.operation)
 	}
 	return code
 }
@@ -98,12 +98,12 @@
 		}
 		switch m := v.(type) {
 		case *operatorv1.ConflictDetail:
-			fmt.Fprintf(c.stderr, "another change won: revision %d by %s, operation %s: %s\n",
+			printf(c.stderr, "another change won: revision %d by %s, operation %s: %s\n",
 				m.GetRevision(), m.GetAuthor(), m.GetOperationId(), m.GetComment())
 			found = true
 		case *operatorv1.ValidationDetail:
 			for _, f := range m.GetErrors() {
-				fmt.Fprintln(c.stderr, c.place(err, f))
+				printf(c.stderr, "%s\n", c.place(err, f))
 			}
 			found = true
 		}
@@ -147,11 +147,11 @@
 	return c.table(m, func(w io.Writer) {
 		switch {
 		case c.dryRun:
-			fmt.Fprintf(w, "valid at revision %d; nothing committed\n", m.GetRevision())
+			printf(w, "valid at revision %d; nothing committed\n", m.GetRevision())
 		case m.GetRepeatedOperation():
-			fmt.Fprintf(w, "operation had been committed as revision %d\n", m.GetRevision())
+			printf(w, "operation had been committed as revision %d\n", m.GetRevision())
 		default:
-			fmt.Fprintf(w, "committed as revision %d\n", m.GetRevision())
+			printf(w, "committed as revision %d\n", m.GetRevision())
 		}
 		differenceRows(w, m.GetDifferences())
 	})
@@ -160,7 +160,7 @@
 func (c *cli) showDiff(m *operatorv1.DiffResponse) error {
 	return c.table(m, func(w io.Writer) {
 		if len(m.GetDifferences()) == 0 {
-			fmt.Fprintf(w, "no differences to revision %d\n", m.GetRevision())
+			printf(w, "no differences to revision %d\n", m.GetRevision())
 		}
 		differenceRows(w, m.GetDifferences())
 	})
@@ -171,12 +171,12 @@
 		ref := cluster.RefFrom(d.GetRef())
 		switch {
 		case d.GetBefore() == nil:
-			fmt.Fprintf(w, "+ %s\t%s\n", ref, compact(d.GetAfter()))
+			printf(w, "+ %s\t%s\n", ref, compact(d.GetAfter()))
 		case d.GetAfter() == nil:
-			fmt.Fprintf(w, "- %s\t%s\n", ref, compact(d.GetBefore()))
+			printf(w, "- %s\t%s\n", ref, compact(d.GetBefore()))
 		default:
-			fmt.Fprintf(w, "- %s\t%s\n", ref, compact(d.GetBefore()))
-			fmt.Fprintf(w, "+ %s\t%s\n", ref, compact(d.GetAfter()))
+			printf(w, "- %s\t%s\n", ref, compact(d.GetBefore()))
+			printf(w, "+ %s\t%s\n", ref, compact(d.GetAfter()))
 		}
 	}
 }
@@ -199,9 +199,9 @@
 
 func (c *cli) showList(m *operatorv1.ListResponse) error {
 	return c.table(m, func(w io.Writer) {
-		fmt.Fprintf(w, "OBJECT\tCONTENT (revision %d)\n", m.GetRevision())
+		printf(w, "OBJECT\tCONTENT (revision %d)\n", m.GetRevision())
 		for _, o := range m.GetObjects() {
-			fmt.Fprintf(w, "%s\t%s\n", cluster.RefOf(o), compact(o))
+			printf(w, "%s\t%s\n", cluster.RefOf(o), compact(o))
 		}
 	})
 }
@@ -210,7 +210,7 @@
 
 func (c *cli) showHistory(m *operatorv1.HistoryResponse) error {
 	return c.table(m, func(w io.Writer) {
-		fmt.Fprintln(w, "REVISION\tTIME\tAUTHOR\tOBJECTS\tOPERATION\tCOMMENT")
+		printf(w, "REVISION\tTIME\tAUTHOR\tOBJECTS\tOPERATION\tCOMMENT\n")
 		for _, h := range m.GetChanges() {
 			changeRow(w, h)
 		}
@@ -218,7 +218,7 @@
 }
 
 func changeRow(w io.Writer, h *operatorv1.Change) {
-	fmt.Fprintf(w, "%d\t%s\t%s\t+%d -%d\t%s\t%s\n", h.GetRevision(), timeText(h.GetTimeUnixMs()), h.GetAuthor(),
+	printf(w, "%d\t%s\t%s\t+%d -%d\t%s\t%s\n", h.GetRevision(), timeText(h.GetTimeUnixMs()), h.GetAuthor(),
 		len(h.GetUpserts()), len(h.GetDeletes()), h.GetOperationId(), h.GetComment())
 }
 
@@ -228,14 +228,14 @@
 
 func (c *cli) showStatus(m *operatorv1.StatusResponse) error {
 	return c.table(m, func(w io.Writer) {
-		fmt.Fprintf(w, "latest revision known: %d\n", m.GetRevision())
-		fmt.Fprintln(w, "NAME\tPROGRAM\tADDRESS\tREVISION\tDRAINING\tPROBLEM")
+		printf(w, "latest revision known: %d\n", m.GetRevision())
+		printf(w, "NAME\tPROGRAM\tADDRESS\tREVISION\tDRAINING\tPROBLEM\n")
 		for _, p := range m.GetProcesses() {
 			problem := p.GetError()
 			if problem == "" {
 				problem = p.GetRefused()
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\t%s\n", p.GetName(), p.GetProgram(), p.GetAddress(),
+			printf(w, "%s\t%s\t%s\t%d\t%t\t%s\n", p.GetName(), p.GetProgram(), p.GetAddress(),
 				p.GetRevisionInForce(), p.GetDraining(), problem)
 		}
 	})
