--- a/cmd/lavendermoorctl/main_test.go
+++ b/cmd/lavendermoorctl/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -21,6 +23,11 @@
 )
 
 // bench serves the operator RPC on a stand-in of the key-value service.
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 func bench(t *testing.T) *kvserver.Server {
 	t.Helper()
 	service := kvserver.New()
@@ -32,7 +39,7 @@
 	node := feed.NewNode(feed.Options{
 		Self: feed.Peer{Name: "e1"}, Peers: func() []feed.Peer { return nil }, Store: st, Client: http.DefaultClient, Seed: 1,
 	})
-	_, h := operator.New(operator.Options{Store: st, Node: node, BootstrapKey: "boot"})
+	_, h := operator.New(operator.Options{Store: st, Node: node, BootstrapKeySHA256: hashOf("boot")})
 	rpc := httptest.NewServer(h)
 	t.Cleanup(rpc.Close)
 	t.Setenv("LAVENDERMOOR_SERVER", rpc.URL)
