Add the load tool and a comparison of the entry with the bare engine

Cause of the one failure found: the prompt of a class was cut from a text that could be shorter; a test guards against it.

--- /dev/null
+++ b/cmd/lavendermoor-load/main.go
@@ -0,0 +1,224 @@
+// Command lavendermoor-load sends open-loop load to running entries and reports what callers see.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lavendermoor.example/loadgen"
+	"lavendermoor.example/standin/engineserver"
+)
+
+type options struct {
+	entries, compare  string
+	mix, keys         string
+	rate, crest       float64
+	lead, hold, tail  time.Duration
+	seed              uint64
+	jsonFile, plot    string
+	verify, onlyModel bool
+}
+
+// usageError says that the command line is wrong.
+type usageError struct{ problem string }
+
+func (e *usageError) Error() string { return e.problem }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdout)
+	stop()
+	os.Exit(code)
+}
+
+func parse(args []string) (options, error) {
+	var o options
+	f := flag.NewFlagSet("lavendermoor-load", flag.ContinueOnError)
+	f.StringVar(&o.entries, "entries", "http://127.0.0.1:7100", "URLs of entries, separated by commas, used in turn")
+	f.StringVar(&o.compare, "compare", "", "URLs of a second target, which gets every second request, for comparison in one run")
+	f.StringVar(&o.mix, "mix", "association", "traffic: association or cooperative")
+	f.StringVar(&o.keys, "keys", "", "bearer keys with their shares: KEY=SHARE,KEY=SHARE")
+	f.Float64Var(&o.rate, "rate", 50, "requests per second")
+	f.Float64Var(&o.crest, "crest", 3, "factor of the rate during the crest")
+	f.DurationVar(&o.lead, "before", 10*time.Second, "time before the crest")
+	f.DurationVar(&o.hold, "hold", 10*time.Second, "length of the crest; 0 for none")
+	f.DurationVar(&o.tail, "after", 10*time.Second, "time after the crest")
+	f.Uint64Var(&o.seed, "seed", 1, "seed of the schedule")
+	f.StringVar(&o.jsonFile, "json", "", "`FILE` for the report as JSON")
+	f.StringVar(&o.plot, "plot", "", "`FILE` for a plot of goodput over time, PNG")
+	f.BoolVar(&o.verify, "verify-standin", false, "check answers against those of the stand-in engine")
+	f.BoolVar(&o.onlyModel, "only-model", false, "send only the mix's generations")
+	if err := f.Parse(args); err != nil {
+		return o, err
+	}
+	if o.rate <= 0 || o.crest <= 0 {
+		return o, &usageError{problem: "-rate and -crest must be above 0"}
+	}
+	return o, nil
+}
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func run(ctx context.Context, args []string, out io.Writer) int {
+	o, err := parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err == nil {
+		err = measure(ctx, &o, out)
+	}
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "lavendermoor-load:", err)
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func mixOf(o *options) (loadgen.Mix, error) {
+	customers, err := parseKeys(o.keys)
+	if err != nil {
+		return loadgen.Mix{}, err
+	}
+	var m loadgen.Mix
+	switch o.mix {
+	case "association":
+		m = loadgen.Association(customers)
+	case "cooperative":
+		m = loadgen.Cooperative(customers)
+	default:
+		return m, &usageError{problem: fmt.Sprintf("mix %q does not exist (association, cooperative)", o.mix)}
+	}
+	if o.onlyModel {
+		m.Classes = generations(m.Classes)
+	}
+	return m, nil
+}
+
+func generations(classes []loadgen.Class) []loadgen.Class {
+	var out []loadgen.Class
+	for _, c := range classes {
+		if c.Tokens > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func parseKeys(text string) ([]loadgen.Customer, error) {
+	if text == "" {
+		return nil, &usageError{problem: "-keys is required"}
+	}
+	var out []loadgen.Customer
+	for _, part := range strings.Split(text, ",") {
+		key, share, found := strings.Cut(part, "=")
+		c := loadgen.Customer{Key: key, Share: 1}
+		if found {
+			v, err := strconv.ParseFloat(share, 64)
+			if err != nil || v <= 0 {
+				return nil, &usageError{problem: fmt.Sprintf("share of key %q is not a positive number", key)}
+			}
+			c.Share = v
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+// measure sends the schedule and writes the reports.
+func measure(ctx context.Context, o *options, out io.Writer) error {
+	m, err := mixOf(o)
+	if err != nil {
+		return err
+	}
+	arrivals := loadgen.Schedule(&m, loadgen.Swing(o.rate, o.crest, o.lead, o.hold, o.tail), o.seed)
+	targets := []string{o.entries}
+	if o.compare != "" {
+		targets = append(targets, o.compare)
+	}
+	reports := make([]*loadgen.Report, len(targets))
+	done := make(chan struct{})
+	for i, t := range targets {
+		c := &loadgen.Client{
+			Entries: strings.Split(t, ","), Mix: &m, RunID: uuid.NewString(), HTTP: loadgen.NewHTTPClient(),
+		}
+		if o.verify {
+			c.Verify = verifyStandin
+		}
+		go func() {
+			reports[i] = loadgen.NewReport(&m, o.seed, loadgen.Run(ctx, c, every(arrivals, len(targets), i)))
+			done <- struct{}{}
+		}()
+	}
+	for range targets {
+		<-done
+	}
+	return write(o, out, targets, reports)
+}
+
+// every returns the arrivals of one of n targets.
+func every(arrivals []loadgen.Arrival, n, i int) []loadgen.Arrival {
+	var out []loadgen.Arrival
+	for _, a := range arrivals {
+		if a.Number%n == i {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func verifyStandin(prompt string, tokens int) (string, bool) {
+	full := engineserver.ChatPrompt(prompt)
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(engineserver.Token(full, i))
+	}
+	return text.String(), true
+}
+
+func write(o *options, out io.Writer, targets []string, reports []*loadgen.Report) error {
+	for i, r := range reports {
+		fmt.Fprintf(out, "target %s\n", targets[i])
+		if err := r.Table(out); err != nil {
+			return err
+		}
+	}
+	if err := toFile(o.jsonFile, func(w io.Writer) error { return json.NewEncoder(w).Encode(reports) }); err != nil {
+		return err
+	}
+	return toFile(o.plot, reports[0].Plot)
+}
+
+func toFile(name string, fn func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := fn(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/loadgen/loadgen_test.go
+++ b/loadgen/loadgen_test.go
@@ -67,3 +67,11 @@
 	require.Equal(t, int64(1), row.Refusal.Count)
 	require.Zero(t, row.RefusalsWithoutRetryAfter)
 }
+
+// Guards against a prompt that is shorter than its class says, which once made the load tool panic.
+func TestPromptsHaveTheLengthOfTheirClass(t *testing.T) {
+	class := &Class{PromptBytes: 600}
+	for n := range 2 * prompts {
+		require.GreaterOrEqual(t, len(prompt(&Arrival{Number: n, Class: class})), class.PromptBytes)
+	}
+}
--- a/loadgen/mix.go
+++ b/loadgen/mix.go
@@ -164,6 +164,7 @@
 
 // prompt returns the prompt of a request: one of a few shared beginnings and a part of its own.
 func prompt(a *Arrival) string {
-	text := strings.Repeat(fmt.Sprintf("context %d. ", a.Number%prompts), a.Class.PromptBytes/12+1)
+	part := fmt.Sprintf("context %d. ", a.Number%prompts)
+	text := strings.Repeat(part, a.Class.PromptBytes/len(part)+1)
 	return fmt.Sprintf("%s request %d", text[:a.Class.PromptBytes], a.Number)
 }
--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -221,7 +221,7 @@
 	Servers   []map[string]any `json:"servers"`
 	Customers []map[string]any `json:"customers"`
 	Operators []map[string]any `json:"operators"`
-	Rules     []map[string]any `json:"rules"`
+	Rules     []map[string]any `json:"rules,omitempty"`
 }
 
 // configFile writes the configuration of the deployment.
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -25,7 +25,7 @@
 )
 
 // Programs are the binaries that the harness builds.
-var Programs = []string{"lavendermoor-entry", "lavendermoor-side", "lavendermoor-standin", "lavendermoorctl"}
+var Programs = []string{"lavendermoor-entry", "lavendermoor-side", "lavendermoor-standin", "lavendermoorctl", "lavendermoor-load"}
 
 var (
 	buildOnce sync.Once
