Add routing: picker, policies, retry budget, hedging and quota shares

Cause: an entry must choose a replica for each request at a cost that does not grow with the fleet, keep prompts with their cached prefixes, and not herd with 1,100 other entries on the replica that last reported itself idle.

Change: package routing builds an immutable picker from the configuration and a membership view. The rendezvous ranking is made per slot when the members of a model change, so a decision looks up one slot in place of hashing every replica. Two affinity candidates, bounded by 1.25 x the mean load plus one request, and two random ones are scored by the last report, faded into the mean, plus this process's own requests. Retry budget, hedging delay and quota shares are separate small types. Baselines stay selectable by name.

--- /dev/null
+++ b/routing/bench_test.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/membership"
+)
+
+const benchModels = 28
+
+func benchFleet(b *testing.B, replicas int) (*cluster.State, *membership.View) {
+	f := &fleet{}
+	for i := range benchModels {
+		f.model(fmt.Sprintf("m%02d", i), max(replicas/benchModels, 1), nil)
+	}
+	return f.state(b), f.members().View(start)
+}
+
+// BenchmarkPick measures one decision at 1/10, 1 and 10 times the target number of replicas.
+func BenchmarkPick(b *testing.B) {
+	prompt := make([]byte, 4096)
+	for _, replicas := range []int{290, 2900, 29_000} {
+		st, v := benchFleet(b, replicas)
+		for _, name := range []string{NameAffinity, NameRoundRobin, NameRandom, NameLeastInFlight} {
+			policy, _ := PolicyByName(name)
+			r := NewRouter(policy, domains[0])
+			r.Update(st, v)
+			for _, rep := range r.builder.replicas {
+				rep.Observe(start, Report{Running: 4, Limit: 16})
+			}
+			b.Run(fmt.Sprintf("%s/replicas=%d", name, replicas), func(b *testing.B) {
+				q := Query{Now: start.Add(time.Second), Prompt: prompt}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					q.Random = uint64(i)
+					q.Model = "m07"
+					prompt[0] = byte(i)
+					if _, err := r.Picker().Pick(q); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkUpdate measures a new picker: from nothing, and after a change that leaves the members as they are.
+func BenchmarkUpdate(b *testing.B) {
+	for _, replicas := range []int{290, 2900, 29_000} {
+		st, v := benchFleet(b, replicas)
+		b.Run(fmt.Sprintf("first/replicas=%d", replicas), func(b *testing.B) {
+			for b.Loop() {
+				NewRouter(affinity(), domains[0]).Update(st, v)
+			}
+		})
+		b.Run(fmt.Sprintf("next/replicas=%d", replicas), func(b *testing.B) {
+			r := NewRouter(affinity(), domains[0])
+			r.Update(st, v)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Update(st, v)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/build.go
@@ -0,0 +1,207 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/membership"
+)
+
+// maxSlowShare is the largest share of a model's groups that are left out for being slow. With more of them the
+// measure of slow is more likely wrong than the groups.
+const maxSlowShare = 0.2
+
+// builder makes pickers. What it keeps from one to the next is owned by the goroutine that calls Update.
+type builder struct {
+	policy   Policy
+	domain   string
+	replicas map[string]*Replica
+	loads    map[Target]*loads
+	turns    map[Target]*atomic.Uint64
+	// tables are kept while the members stay, because a table costs a hash for each slot and replica.
+	tables map[string]*table
+	used   map[string]*table
+}
+
+func newBuilder(policy Policy, domain string) *builder {
+	return &builder{
+		policy: policy, domain: domain, replicas: map[string]*Replica{}, loads: map[Target]*loads{},
+		turns: map[Target]*atomic.Uint64{}, tables: map[string]*table{},
+	}
+}
+
+// Update makes and publishes the picker for a configuration and a view.
+func (r *Router) Update(st *cluster.State, v *membership.View) {
+	r.picker.Store(r.builder.build(st, v))
+}
+
+func (b *builder) build(st *cluster.State, v *membership.View) *Picker {
+	p := &Picker{Revision: st.Revision, Version: v.Version, pools: map[Target]*pool{}, policy: b.policy}
+	b.used = map[string]*table{}
+	b.refresh(st, v)
+	for _, name := range st.ModelNames() {
+		b.model(p, st, v, st.Model(name))
+	}
+	b.services(p, st, v)
+	b.tables = b.used
+	return p
+}
+
+func (b *builder) services(p *Picker, st *cluster.State, v *membership.View) {
+	services := map[string]bool{}
+	for _, s := range st.Servers() {
+		if name := s.GetService(); name != "" && !services[name] {
+			services[name] = true
+			t := Target{Service: name}
+			p.pools[t] = b.pool(t, st.ServersOfService(name), v, nil)
+		}
+	}
+}
+
+// refresh brings the replicas up to date with the configuration. A server that has moved, or that serves
+// something else now, is a new replica; requests in flight are counted at the old one to their end.
+func (b *builder) refresh(st *cluster.State, v *membership.View) {
+	next := make(map[string]*Replica, len(st.Servers()))
+	for name, s := range st.Servers() {
+		group := st.Group(s.GetGroup())
+		pooled := b.loadsOf(Target{Model: group.GetModel(), Service: s.GetService()})
+		r := b.replicas[name]
+		if r == nil || r.Address != s.GetAddress() || r.Version != group.GetVersion() || r.pooled != pooled {
+			r = &Replica{
+				Name: name, Address: s.GetAddress(), Domain: s.GetFailureDomain(), Version: group.GetVersion(),
+				slots: float64(max(s.GetSlots(), 1)), hash: hashOf(name), pooled: pooled,
+			}
+		}
+		if since := v.Of(name).Since; !since.IsZero() {
+			r.since.Store(since.UnixMilli())
+		}
+		next[name] = r
+	}
+	b.replicas = next
+}
+
+// model adds the pools of a model: for each version and adapter, and for requests that name no version.
+func (b *builder) model(p *Picker, st *cluster.State, v *membership.View, m *operatorv1.Model) {
+	servers := st.ServersOfModel(m.GetName())
+	slow := slowToLeaveOut(servers, v)
+	for _, adapter := range append([]string{""}, m.GetAdapters()...) {
+		able := withAdapter(st, servers, adapter)
+		byVersion := map[string][]*operatorv1.BackendServer{}
+		for _, s := range able {
+			version := st.Group(s.GetGroup()).GetVersion()
+			byVersion[version] = append(byVersion[version], s)
+		}
+		for version, list := range byVersion {
+			t := Target{Model: m.GetName(), Version: version, Adapter: adapter}
+			if version != "" {
+				p.pools[t] = b.pool(t, list, v, slow)
+			}
+		}
+		b.unversioned(p, Target{Model: m.GetName(), Adapter: adapter}, m, able, v, slow)
+	}
+}
+
+// unversioned adds the pool for requests that name no version: the default version where a replica of it is
+// usable, and otherwise all versions, so that a change of the default does not stop the model.
+func (b *builder) unversioned(
+	p *Picker, t Target, m *operatorv1.Model, able []*operatorv1.BackendServer, v *membership.View, slow map[string]bool,
+) {
+	if versions := m.GetVersions(); len(versions) > 0 {
+		preferred := t
+		preferred.Version = versions[0]
+		if d := p.pools[preferred]; d != nil && len(d.live) > 0 {
+			p.pools[t] = d
+			return
+		}
+	}
+	p.pools[t] = b.pool(t, able, v, slow)
+}
+
+func withAdapter(st *cluster.State, servers []*operatorv1.BackendServer, adapter string) []*operatorv1.BackendServer {
+	if adapter == "" {
+		return servers
+	}
+	var out []*operatorv1.BackendServer
+	for _, s := range servers {
+		if slices.Contains(st.Group(s.GetGroup()).GetAdapters(), adapter) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// slowToLeaveOut returns the groups with a rank that stays slow, up to maxSlowShare of all.
+func slowToLeaveOut(servers []*operatorv1.BackendServer, v *membership.View) map[string]bool {
+	left := int(maxSlowShare * float64(len(servers)))
+	out := map[string]bool{}
+	for _, s := range servers {
+		if len(out) < left && v.Of(s.GetName()).Slow {
+			out[s.GetName()] = true
+		}
+	}
+	return out
+}
+
+// pool makes the pool of a target from its servers, sorted by name. Servers that are not usable keep their place
+// in the ranking, so that the affinity of prompts at other servers stays.
+func (b *builder) pool(
+	t Target, servers []*operatorv1.BackendServer, v *membership.View, slow map[string]bool,
+) *pool {
+	p := &pool{target: t, loads: b.loadsOf(Target{Model: t.Model, Service: t.Service}), turn: b.turnOf(t)}
+	p.localDomain = b.domain
+	var local, remote []*Replica
+	for _, s := range servers {
+		r := b.replicas[s.GetName()]
+		ok := v.Of(r.Name).Usable() && !s.GetDraining() && !slow[r.Name]
+		p.replicas = append(p.replicas, r)
+		p.usable = append(p.usable, ok)
+		p.capacity += r.capacity() / float64(len(servers))
+		switch {
+		case ok && r.Domain == b.domain:
+			local = append(local, r)
+		case ok:
+			remote = append(remote, r)
+		}
+	}
+	p.nLocal = len(local)
+	p.live = append(local, remote...)
+	if t.Model != "" {
+		p.table = b.tableOf(p.replicas)
+	}
+	return p
+}
+
+func (b *builder) loadsOf(t Target) *loads {
+	if b.loads[t] == nil {
+		b.loads[t] = &loads{}
+	}
+	return b.loads[t]
+}
+
+func (b *builder) turnOf(t Target) *atomic.Uint64 {
+	if b.turns[t] == nil {
+		b.turns[t] = new(atomic.Uint64)
+	}
+	return b.turns[t]
+}
+
+// tableOf returns the table of a list of replicas, which all pools with the same members share.
+func (b *builder) tableOf(replicas []*Replica) *table {
+	var key strings.Builder
+	for _, r := range replicas {
+		key.WriteString(r.Name)
+		key.WriteByte(0)
+	}
+	t := b.used[key.String()]
+	if t == nil {
+		t = b.tables[key.String()]
+	}
+	if t == nil {
+		t = newTable(replicas)
+	}
+	b.used[key.String()] = t
+	return t
+}
--- /dev/null
+++ b/routing/limits_test.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+)
+
+// Guards against a retry storm: a fleet that refuses everything must not get every request several times.
+func TestRetriesAreBudgeted(t *testing.T) {
+	var b Budget
+	now, retries := start, 0
+	for range 60 * 100 {
+		now = now.Add(10 * time.Millisecond)
+		b.Request(now)
+		for range 3 {
+			if b.Retry(now) {
+				retries++
+			}
+		}
+	}
+	require.InDelta(t, 600, retries, 70)
+	now = now.Add(time.Minute)
+	granted := 0
+	for range 100 {
+		if b.Retry(now) {
+			granted++
+		}
+	}
+	require.Equal(t, retryFloor, granted, "an idle entry keeps a few retries")
+}
+
+// Guards against hedging work that is not a harmless read, and against hedging from the start.
+func TestOnlyIdempotentStatusCallsAreHedged(t *testing.T) {
+	var h Hedge
+	status := &peerapi.Work{Kind: peerapi.KindStatus, Idempotent: true}
+	_, ok := h.Delay(status)
+	require.False(t, ok)
+	for i := range 400 {
+		h.Observe(time.Duration(i%100) * time.Millisecond)
+	}
+	delay, ok := h.Delay(status)
+	require.True(t, ok)
+	require.InDelta(t, 95, delay.Milliseconds(), 4)
+	_, ok = h.Delay(&peerapi.Work{Kind: peerapi.KindCommand, Idempotent: true})
+	require.False(t, ok)
+	_, ok = h.Delay(&peerapi.Work{Kind: peerapi.KindStatus})
+	require.False(t, ok)
+}
+
+// admitted sends Poisson arrivals at a multiple of the quota to random entries and returns the admitted rate.
+func admitted(entries int, quota, demand float64, d time.Duration) float64 {
+	rng := rand.New(rand.NewPCG(7, 7))
+	c := &operatorv1.Customer{Name: "c", RequestsPerSecond: quota}
+	quotas := make([]*Quota, entries)
+	for i := range quotas {
+		quotas[i] = NewQuota()
+	}
+	n := 0
+	end := start.Add(d)
+	for now := start; now.Before(end); {
+		now = now.Add(time.Duration(rng.ExpFloat64() / demand * float64(time.Second)))
+		if _, ok := quotas[rng.IntN(entries)].Request(now, c, entries); ok {
+			n++
+		}
+	}
+	return float64(n) / d.Seconds()
+}
+
+// Guards against an entry share that refuses customers below their quota, or lets through several times as much.
+func TestSharesOfManyEntriesAddUpToTheQuota(t *testing.T) {
+	const quota = 400
+	require.InEpsilon(t, 0.8*quota, admitted(100, quota, 0.8*quota, 5*time.Minute), 0.03)
+	require.InEpsilon(t, quota, admitted(100, quota, 3*quota, 5*time.Minute), 0.10)
+}
+
+// Guards against a token quota that is never enforced, or that never recovers.
+func TestTokensDelayTheNextRequest(t *testing.T) {
+	q := NewQuota()
+	c := &operatorv1.Customer{Name: "c", TokensPerSecond: 100}
+	_, ok := q.Request(start, c, 1)
+	require.True(t, ok)
+	q.Tokens(c, 10_000)
+	wait, ok := q.Request(start, c, 1)
+	require.False(t, ok)
+	require.Greater(t, wait, 10*time.Second)
+	_, ok = q.Request(start.Add(wait), c, 1)
+	require.True(t, ok)
+	_, ok = q.Request(start, &operatorv1.Customer{Name: "unlimited"}, 1)
+	require.True(t, ok)
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,62 @@
+package routing
+
+import "fmt"
+
+// Policy chooses among the live replicas of a pool. Its zero value is not valid; PolicyByName and
+// AffinityPolicy return one.
+//
+// It is a closed set and not an interface, so that the query of a decision stays on the stack.
+type Policy struct {
+	name     string
+	affinity *Affinity
+}
+
+// Names of the policies.
+const (
+	// NameAffinity is the policy of the design page.
+	NameAffinity = "affinity"
+	// NameAffinityUnbounded always follows affinity; a baseline.
+	NameAffinityUnbounded = "affinity-unbounded"
+	// NameRoundRobin, NameRandom and NameLeastInFlight are baselines that know only this process.
+	NameRoundRobin    = "round-robin"
+	NameRandom        = "random"
+	NameLeastInFlight = "least-in-flight"
+)
+
+// Names lists the policies.
+var Names = []string{NameAffinity, NameAffinityUnbounded, NameRoundRobin, NameRandom, NameLeastInFlight}
+
+// UnknownPolicyError says that no policy has the name.
+type UnknownPolicyError struct{ Name string }
+
+func (e *UnknownPolicyError) Error() string {
+	return fmt.Sprintf("routing policy %q does not exist", e.Name)
+}
+
+// PolicyByName returns a policy, or an *UnknownPolicyError.
+func PolicyByName(name string) (Policy, error) {
+	for _, n := range Names {
+		if n == name {
+			return Policy{name: name, affinity: newAffinity(DefaultBound)}, nil
+		}
+	}
+	return Policy{}, &UnknownPolicyError{Name: name}
+}
+
+// AffinityPolicy returns NameAffinity with another bound.
+func AffinityPolicy(b Bound) Policy { return Policy{name: NameAffinity, affinity: newAffinity(b)} }
+
+// choose returns nil only when no live replica is left that the request has not tried.
+func (c Policy) choose(p *pool, q *Query) *Replica {
+	switch c.name {
+	case NameAffinity:
+		return c.affinity.choose(p, q)
+	case NameAffinityUnbounded:
+		return c.affinity.chooseUnbounded(p, q)
+	case NameRoundRobin:
+		return p.roundRobin(q)
+	case NameLeastInFlight:
+		return p.leastInFlight(q)
+	}
+	return p.randomLeft(q)
+}
--- /dev/null
+++ b/routing/policy_affinity.go
@@ -0,0 +1,84 @@
+package routing
+
+// Bound limits how far affinity may load a replica above the mean; bounded loads by Mirrokni, Thorup and
+// Zadimoghaddam (2016).
+type Bound struct {
+	// Factor is the highest load over the mean at which affinity wins.
+	Factor float64
+	// Requests is a slack above the mean in requests, without which affinity never wins at an idle fleet.
+	Requests float64
+}
+
+// DefaultBound is the bound of the design page; docs/measurements/routing.md compares others.
+var DefaultBound = Bound{Factor: 1.25, Requests: 1}
+
+// tieBand is the difference in load below which two replicas count as equal. Estimates are not better than that.
+const tieBand = 0.02
+
+// Affinity prefers the replicas that have a prompt's prefix cached, within a bound on load, and otherwise the
+// least loaded of a few candidates.
+type Affinity struct {
+	bound Bound
+	hints Hints
+	// prefix may be replaced by a measurement.
+	prefix func(prompt []byte) uint64
+}
+
+func newAffinity(b Bound) *Affinity {
+	a := &Affinity{bound: b}
+	a.prefix = a.hints.Prefix
+	return a
+}
+
+// candidates are few, so their loads are computed once each.
+type candidate struct {
+	replica *Replica
+	load    float64
+	local   bool
+}
+
+func (a *Affinity) choose(p *pool, q *Query) *Replica {
+	mean, others := p.mean()
+	var best candidate
+	if len(q.Prompt) > 0 {
+		for _, r := range p.affine(a.prefix(q.Prompt)) {
+			if !p.eligible(q, r) {
+				continue
+			}
+			c := p.score(q, r, others)
+			if a.within(c, mean) {
+				return r
+			}
+			best = better(best, c)
+		}
+	}
+	for _, r := range [...]*Replica{p.local(q), p.random(q)} {
+		if p.eligible(q, r) {
+			best = better(best, p.score(q, r, others))
+		}
+	}
+	if best.replica == nil {
+		return p.anyLeft(q)
+	}
+	return best.replica
+}
+
+func (p *pool) score(q *Query, r *Replica, others float64) candidate {
+	return candidate{replica: r, load: r.load(q.Now, others), local: r.Domain == p.localDomain}
+}
+
+func (a *Affinity) within(c candidate, mean float64) bool {
+	slack := mean + a.bound.Requests/c.replica.capacity()
+	return c.load <= max(a.bound.Factor*mean, slack)
+}
+
+// better returns the candidate with the lower load; the local one of two that are about equal.
+func better(a, b candidate) candidate {
+	if a.replica == nil {
+		return b
+	}
+	if diff := a.load - b.load; diff > tieBand || (diff > -tieBand && b.local && !a.local) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/routing/pool.go
@@ -0,0 +1,94 @@
+package routing
+
+import "sync/atomic"
+
+// pool holds the replicas that can serve one target, as of one picker.
+type pool struct {
+	target Target
+	// replicas are all configured ones, in the order of the table's indices.
+	replicas []*Replica
+	// table is nil for a service, whose calls have no prompt.
+	table *table
+	// usable says for each of replicas whether it may get work.
+	usable []bool
+	// live are the usable ones; the first nLocal are in this process's failure domain.
+	live   []*Replica
+	nLocal int
+	// localDomain is the failure domain of this process.
+	localDomain string
+	loads       *loads
+	// capacity is the mean limit of the replicas, to express this process's own requests as load.
+	capacity float64
+	turn     *atomic.Uint64
+}
+
+// mean returns the mean load of the live replicas, as this process sees it.
+func (p *pool) mean() (mean, others float64) {
+	others = p.loads.others()
+	if len(p.live) == 0 {
+		return others, others
+	}
+	own := float64(max(p.loads.inFlight.Load(), 0)) / float64(len(p.live))
+	return others + own/p.capacity, others
+}
+
+// eligible applies the filter that differs from request to request.
+func (p *pool) eligible(q *Query, r *Replica) bool {
+	if r == nil || q.tried(r) {
+		return false
+	}
+	if share := r.ramp(q.Now); share < 1 {
+		return unit(q.draw()) < share
+	}
+	return true
+}
+
+// affine returns the first two usable replicas of a prompt's ranking.
+func (p *pool) affine(prefix uint64) (out [2]*Replica) {
+	if p.table == nil {
+		return out
+	}
+	n := 0
+	for _, i := range p.table.slot(prefix) {
+		if i == noReplica || n == len(out) {
+			break
+		}
+		if p.usable[i] {
+			out[n] = p.replicas[i]
+			n++
+		}
+	}
+	return out
+}
+
+// random returns a live replica, or nil.
+func (p *pool) random(q *Query) *Replica {
+	if len(p.live) == 0 {
+		return nil
+	}
+	return p.live[below(q.draw(), len(p.live))]
+}
+
+// local returns a live replica of this process's failure domain; any live one when there is none.
+func (p *pool) local(q *Query) *Replica {
+	if p.nLocal == 0 {
+		return p.random(q)
+	}
+	return p.live[below(q.draw(), p.nLocal)]
+}
+
+// anyLeft returns a live replica that was not tried, ramping up or not. It looks at one more replica than were
+// tried, so its cost does not grow with the pool.
+func (p *pool) anyLeft(q *Query) *Replica {
+	n := len(p.live)
+	if n == 0 {
+		return nil
+	}
+	first := below(q.draw(), n)
+	for i := range min(n, len(q.Tried)+1) {
+		if r := p.live[(first+i)%n]; !q.tried(r) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/quota.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"lavendermoor.example/api/operatorv1"
+)
+
+// quotaWindow is the time over which an entry lets a customer's requests vary. The platform's balancer spreads
+// the requests of a customer over the entries at random, so that an entry's share varies as a Poisson number
+// does; a bucket without that room refuses customers that are well below their quota.
+const quotaWindow = 10 * time.Second
+
+// quotaDeviations is the number of standard deviations of room.
+const quotaDeviations = 3
+
+// What a bucket is taken from at a time: one request, or the tokens of about one answer.
+const (
+	requestUnit = 1
+	answerUnit  = 512
+)
+
+// Quota grants requests and tokens from the buckets of each customer. There is no global counter: an entry
+// grants the quota over the number of live entries. It may be used by any goroutine.
+type Quota struct {
+	mu      sync.Mutex
+	buckets map[string]*quotaBuckets
+}
+
+type quotaBuckets struct{ requests, tokens bucket }
+
+// NewQuota returns a quota without any use.
+func NewQuota() *Quota { return &Quota{buckets: map[string]*quotaBuckets{}} }
+
+// Request takes one request of the customer. When it is refused, wait is the time after which it may be
+// repeated.
+func (q *Quota) Request(now time.Time, c *operatorv1.Customer, entries int) (wait time.Duration, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.of(c)
+	b.requests.set(now, c.GetRequestsPerSecond(), entries, requestUnit)
+	b.tokens.set(now, c.GetTokensPerSecond(), entries, answerUnit)
+	wait = max(b.requests.wait(1), b.tokens.wait(0))
+	if wait > 0 {
+		return wait, false
+	}
+	b.requests.take(1)
+	return 0, true
+}
+
+// Tokens takes tokens that were generated. The bucket may go below zero, which delays the next request.
+func (q *Quota) Tokens(c *operatorv1.Customer, n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.of(c).tokens.take(float64(n))
+}
+
+func (q *Quota) of(c *operatorv1.Customer) *quotaBuckets {
+	b := q.buckets[c.GetName()]
+	if b == nil {
+		b = &quotaBuckets{}
+		q.buckets[c.GetName()] = b
+	}
+	return b
+}
+
+// bucket is a token bucket; rate 0 is no limit.
+type bucket struct {
+	level, rate, burst float64
+	at                 time.Time
+}
+
+// set fills the bucket up to now and applies the present quota and number of entries; the use comes in units.
+func (b *bucket) set(now time.Time, quota float64, entries int, unit float64) {
+	fresh := b.at.IsZero()
+	b.level += b.rate * max(now.Sub(b.at), 0).Seconds()
+	b.at = now
+	if fresh {
+		b.level = math.Inf(1)
+	}
+	b.rate = quota / float64(max(entries, 1))
+	expected := b.rate * quotaWindow.Seconds()
+	b.burst = expected + quotaDeviations*math.Sqrt(expected*unit) + unit
+	b.level = min(b.level, b.burst)
+}
+
+func (b *bucket) take(n float64) {
+	if b.rate > 0 {
+		b.level -= n
+	}
+}
+
+// wait returns the time until the bucket holds n, 0 when it does.
+func (b *bucket) wait(n float64) time.Duration {
+	if b.rate <= 0 || b.level >= n {
+		return 0
+	}
+	return time.Duration((n - b.level) / b.rate * float64(time.Second))
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,289 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/membership"
+)
+
+func affinity() Policy { return AffinityPolicy(DefaultBound) }
+
+func pick(t testing.TB, r *Router, q Query) *Replica {
+	if q.Now.IsZero() {
+		q.Now = start
+	}
+	if q.Target == (Target{}) {
+		q.Target = anyModel
+	}
+	replica, err := r.Picker().Pick(q)
+	require.NoError(t, err)
+	return replica
+}
+
+// Guards against entries that all send to the one replica that last reported itself idle.
+func TestManyEntriesDoNotHerdOnAnIdleReplica(t *testing.T) {
+	const entries, replicas = 400, 20
+	rng := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(replicas)
+	st, v := f.state(t), f.members().View(start)
+	chosen := 0
+	for range entries {
+		r := NewRouter(affinity(), domains[0])
+		r.Update(st, v)
+		for i := range replicas {
+			running := 12
+			if i == 6 {
+				running = 0
+			}
+			r.replica(fmt.Sprintf("m-s%04d", i)).Observe(start, Report{Running: running, Limit: 16})
+		}
+		if pick(t, r, Query{Random: rng.Uint64()}).Name == "m-s0006" {
+			chosen++
+		}
+	}
+	// Two random candidates meet the idle replica in at most 1/20 + 1/7 of the decisions.
+	require.Less(t, chosen, entries/4)
+	require.Greater(t, chosen, entries/10, "the idle replica must get more than its share")
+}
+
+// Guards against affinity that overloads one replica with a popular prompt.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	r := router(t, newFleet(12), affinity())
+	prompt := []byte(strings.Repeat("popular ", 512))
+	for i := range 120 {
+		pick(t, r, Query{Prompt: prompt, Random: uint64(i)}).Begin()
+	}
+	for _, replica := range r.builder.replicas {
+		require.LessOrEqual(t, replica.InFlight(), int64(14), replica.Name)
+	}
+}
+
+// Guards against prompts that lose their cache because the choice ignores it.
+func TestSamePromptReturnsToTheSameReplicas(t *testing.T) {
+	r := router(t, newFleet(100), affinity())
+	prompt := []byte(strings.Repeat("same ", 1000))
+	pick(t, r, Query{Prompt: prompt, Random: 1})
+	first := pick(t, r, Query{Prompt: prompt, Random: 2})
+	for _, replica := range r.builder.replicas {
+		replica.Observe(start, Report{Running: 100, Limit: 200})
+	}
+	first.Observe(start, Report{Running: 115, Limit: 200}) // above the mean, within the bound
+	for i := range 50 {
+		require.Same(t, first, pick(t, r, Query{Prompt: prompt, Random: uint64(i)}))
+	}
+}
+
+// Guards against a change of one server that moves the affinity of prompts at all others.
+func TestRankingMovesOnlyWhatBelongedToALostReplica(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 60).Draw(t, "replicas")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		var all, rest []*Replica
+		for i := range n {
+			all = append(all, &Replica{Name: fmt.Sprint(i), hash: hashOf(fmt.Sprint(i))})
+		}
+		rest = append(append(rest, all[:gone]...), all[gone+1:]...)
+		for slot := range uint64(100) {
+			before := all[rank(mix(slot+1), all)[0]]
+			after := rest[rank(mix(slot+1), rest)[0]]
+			if before != all[gone] && before != after {
+				t.Fatalf("slot %d moved from %s to %s", slot, before.Name, after.Name)
+			}
+		}
+	})
+}
+
+// Guards against choosing a replica again that this request has tried, and against looping when none is left.
+func TestTriedReplicasAreNotChosenAgain(t *testing.T) {
+	for _, name := range Names {
+		policy, err := PolicyByName(name)
+		require.NoError(t, err)
+		r := router(t, newFleet(5), policy)
+		q := Query{Target: anyModel, Now: start, Prompt: make([]byte, 1024)}
+		for i := range 5 {
+			q.Random = uint64(i)
+			replica := pick(t, r, q)
+			require.NotContains(t, q.Tried, replica, name)
+			q.Tried = append(q.Tried, replica)
+		}
+		_, err = r.Picker().Pick(q)
+		var none *NoReplicaError
+		require.ErrorAs(t, err, &none, name)
+	}
+	_, err := PolicyByName("fastest")
+	var unknown *UnknownPolicyError
+	require.ErrorAs(t, err, &unknown)
+}
+
+// Guards against work for servers that membership or operators have taken out, whatever the policy.
+func TestUnusableServersGetNothing(t *testing.T) {
+	f := newFleet(6)
+	f.objects[2].GetServer().Draining = true // m-s0000
+	m := f.members()
+	m.Report(start, membership.Report{Server: "m-s0001", Incarnation: 1, Draining: true})
+	for range membership.DownAfterFailures {
+		m.Failed(start, "m-s0002")
+	}
+	for _, name := range Names {
+		policy, _ := PolicyByName(name)
+		r := NewRouter(policy, domains[0])
+		r.Update(f.state(t), m.View(start))
+		for i := range 200 {
+			got := pick(t, r, Query{Random: uint64(i), Prompt: fmt.Appendf(nil, "prompt %d", i)})
+			require.Contains(t, []string{"m-s0003", "m-s0004", "m-s0005"}, got.Name, name)
+		}
+	}
+}
+
+// Guards against leaving out so many slow groups that the rest is overloaded.
+func TestAtMostAFifthOfTheGroupsIsLeftOutForBeingSlow(t *testing.T) {
+	f := newFleet(12)
+	m := f.members()
+	for i := range 6 {
+		m.Report(start, membership.Report{Server: fmt.Sprintf("m-s%04d", i), Incarnation: 1, Slow: true})
+	}
+	r := NewRouter(affinity(), domains[0])
+	r.Update(f.state(t), m.View(start))
+	require.Equal(t, 10, r.Picker().Usable(anyModel))
+	m.Tick(start.Add(membership.SlowFor))
+	r.Update(f.state(t), m.View(start.Add(membership.SlowFor)))
+	require.Equal(t, 12, r.Picker().Usable(anyModel), "an excluded group sends no report that it has recovered")
+}
+
+// Guards against a new server that gets a full share before its caches and connections are warm.
+func TestNewServersRampUp(t *testing.T) {
+	f := newFleet(10)
+	m := f.members()
+	up := start.Add(time.Minute)
+	for range membership.DownAfterFailures {
+		m.Failed(start, "m-s0003")
+	}
+	m.ProbeSucceeded(up, membership.Report{Server: "m-s0003", Incarnation: 1})
+	r := NewRouter(affinity(), domains[0])
+	r.Update(f.state(t), m.View(up))
+	share := func(age time.Duration) int {
+		n := 0
+		for i := range 2000 {
+			if pick(t, r, Query{Random: uint64(i), Now: up.Add(age)}).Name == "m-s0003" {
+				n++
+			}
+		}
+		return n
+	}
+	full := share(RampUp)
+	require.Less(t, share(0), full/5)
+	require.InDelta(t, full/2, share(RampUp/2), float64(full)/5)
+}
+
+// Guards against the only replica of a model getting nothing while it ramps up.
+func TestASingleNewServerIsUsedAtOnce(t *testing.T) {
+	f := newFleet(1)
+	m := f.members()
+	m.Failed(start, "m-s0000")
+	m.Failed(start, "m-s0000")
+	m.ProbeSucceeded(start, membership.Report{Server: "m-s0000", Incarnation: 1})
+	r := NewRouter(affinity(), domains[0])
+	r.Update(f.state(t), m.View(start))
+	for i := range 100 {
+		pick(t, r, Query{Random: uint64(i)})
+	}
+}
+
+// Guards against a request for an adapter or a version at a replica that has not loaded it, and against a
+// change of the default version that stops the model.
+func TestVersionsAndAdapters(t *testing.T) {
+	f := &fleet{}
+	f.model("m", 6, func(i int, g *operatorv1.Group) {
+		if i < 2 {
+			g.Version = "v1"
+		}
+		if i%2 == 0 {
+			g.Adapters = []string{"permits"}
+		}
+	})
+	r := router(t, f, affinity())
+	require.Equal(t, 4, r.Picker().Usable(anyModel))
+	require.Equal(t, 2, r.Picker().Usable(Target{Model: "m", Version: "v1"}))
+	require.Equal(t, 2, r.Picker().Usable(Target{Model: "m", Adapter: "permits"}))
+	require.Equal(t, 1, r.Picker().Usable(Target{Model: "m", Version: "v1", Adapter: "permits"}))
+	_, err := r.Picker().Pick(Query{Target: Target{Model: "m", Version: "v9"}, Now: start})
+	var unknown *UnknownTargetError
+	require.ErrorAs(t, err, &unknown)
+
+	m := f.members()
+	for i := 2; i < 6; i++ {
+		m.Report(start, membership.Report{Server: fmt.Sprintf("m-s%04d", i), Incarnation: 1, Draining: true})
+	}
+	r.Update(f.state(t), m.View(start))
+	require.Equal(t, 2, r.Picker().Usable(anyModel))
+}
+
+// Guards against crossing failure domains for nothing.
+func TestTheLocalFailureDomainBreaksTies(t *testing.T) {
+	r := router(t, newFleet(30), affinity())
+	local := 0
+	for i := range 1000 {
+		if pick(t, r, Query{Random: uint64(i)}).Domain == domains[0] {
+			local++
+		}
+	}
+	require.Equal(t, 1000, local)
+	near, far := candidate{replica: &Replica{}, load: 0.51, local: true}, candidate{replica: &Replica{}, load: 0.5}
+	require.Equal(t, near, better(far, near))
+	require.Equal(t, near, better(near, far))
+	near.load = 0.6
+	require.Equal(t, far, better(near, far), "a real difference in load outweighs the distance")
+}
+
+// Guards against a replica that refuses work and is still chosen because its last report is old.
+func TestRefusalsCorrectAnOldReport(t *testing.T) {
+	r := router(t, newFleet(2), affinity())
+	a, b := r.replica("m-s0000"), r.replica("m-s0001")
+	a.Observe(start, Report{Running: 1, Limit: 16})
+	b.Observe(start, Report{Running: 8, Limit: 16})
+	require.Same(t, a, pick(t, r, Query{Random: 4}))
+	a.Refused(start)
+	for i := range 20 {
+		if got := pick(t, r, Query{Random: uint64(i)}); got == a {
+			continue // Only a was drawn.
+		}
+		require.Same(t, b, pick(t, r, Query{Random: uint64(i)}))
+	}
+	require.Greater(t, a.load(start, 0), b.load(start, 0))
+}
+
+// Guards against counting this process's own requests twice: they are part of the report and of its own count.
+func TestOwnRequestsCountOnce(t *testing.T) {
+	r := router(t, newFleet(2), affinity())
+	a := r.replica("m-s0000")
+	for range 5 {
+		a.Begin()
+	}
+	a.Observe(start, Report{Running: 8, Limit: 16}) // four of the eight are this process's earlier ones
+	require.InDelta(t, 9.0/16, a.load(start, 0), 1e-3)
+	a.Begin()
+	require.InDelta(t, 10.0/16, a.load(start, 0), 1e-3)
+	for range 6 {
+		a.End()
+	}
+	require.InDelta(t, 4.0/16, a.load(start, 0), 1e-3)
+}
+
+// Guards against memory that each decision leaves to the garbage collector.
+func TestADecisionAllocatesNothing(t *testing.T) {
+	r := router(t, newFleet(50), affinity())
+	prompt := make([]byte, 8192)
+	q := Query{Target: anyModel, Now: start, Prompt: prompt}
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		q.Random++
+		_, _ = r.Picker().Pick(q)
+	}))
+}
