Add stand-in of a lock-step rank group and the messages of ranks

Cause: the switch rule and the placement need a group that takes offers late, dies, pauses and slows down.

--- /dev/null
+++ b/standin/rankgroup/group.go
@@ -0,0 +1,238 @@
+// Package rankgroup is a stand-in of a lock-step rank group. It takes offers of expert maps for each rank over
+// HTTP, loads them with a delay, exchanges the barrier value, and reports step times and the tokens of each
+// expert. Time is virtual: one call of Step is one step of the whole group.
+package rankgroup
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lavendermoor.example/expertmap"
+	"lavendermoor.example/expertmap/rankapi"
+	"lavendermoor.example/telemetry/invariant"
+)
+
+// Settings describe a group.
+type Settings struct {
+	Group string          `json:"group"`
+	Shape expertmap.Shape `json:"shape"`
+	Seed  uint64          `json:"seed"`
+	// RankSeconds is the mean time that a rank of speed 1 computes in a step.
+	RankSeconds float64 `json:"rank_seconds"`
+	// Noise is the standard deviation of the logarithm of a rank's time in a step.
+	Noise float64 `json:"noise"`
+	Drift Drift   `json:"drift"`
+	// ExpertSeconds is the time that a rank needs to load one expert of one layer.
+	ExpertSeconds float64 `json:"expert_seconds"`
+	// LoadSlowdown is the part by which a rank's steps take longer while it loads.
+	LoadSlowdown float64 `json:"load_slowdown"`
+	// TokensPerSecond converts work to the counted tokens.
+	TokensPerSecond float64 `json:"tokens_per_second"`
+}
+
+// DefaultSettings is a group of the target size: 30 ms of work in a step, experts of 44 MB loaded at 4 GB/s.
+func DefaultSettings() Settings {
+	return Settings{
+		Group: "group", Seed: 1, RankSeconds: 0.030, Noise: 0.02,
+		Shape:         expertmap.Shape{Ranks: 64, Experts: 256, Layers: 60, Slots: 5},
+		Drift:         Drift{Sigma: 0.6, MemorySteps: 20_000, Every: 100},
+		ExpertSeconds: 0.011, LoadSlowdown: 0.1, TokensPerSecond: 1e6,
+	}
+}
+
+// Faults are the failures of one rank. The zero value with Speed 1 has none.
+type Faults struct {
+	// Speed is 1 for a usual rank, below 1 for a slow one; 0 leaves the speed as it is.
+	Speed float64 `json:"speed"`
+	// LateSeconds delays the effect of offers, in virtual time.
+	LateSeconds float64 `json:"late_seconds"`
+	// Paused stops the rank; calls to it wait.
+	Paused bool `json:"paused"`
+	// Dead ends the rank; it loses all maps and calls to it break.
+	Dead bool `json:"dead"`
+}
+
+// Step is what happened in one call of Group.Step.
+type Step struct {
+	// Ran is false when a rank was missing at the barrier or lacked the version.
+	Ran     bool
+	Version int64
+	expertmap.Times
+	// Loading is the number of ranks that were loading a map.
+	Loading int
+}
+
+// stallSeconds is the virtual time for which a group waits before it repeats a barrier.
+const stallSeconds = 0.05
+
+// Group is the stand-in. Its methods may be called from any goroutine.
+type Group struct {
+	mu    sync.Mutex
+	set   Settings
+	ranks []*rank
+	pop   *popularity
+	rng   *rand.Rand
+	clock float64
+	steps int64
+	speed []float64
+	// choose is the rule by which a rank chooses its map; tests replace it to show that the invariant fires.
+	choose func(s *expertmap.Switch, reports []expertmap.Report) (*expertmap.Map, error)
+}
+
+// New returns a group whose ranks hold no map.
+func New(set Settings) *Group {
+	g := &Group{
+		set: set, speed: make([]float64, set.Shape.Ranks),
+		pop: newPopularity(set.Shape, set.Drift, set.RankSeconds*float64(set.Shape.Ranks)/float64(set.Shape.Layers), set.Seed),
+		rng: rand.New(rand.NewPCG(set.Seed, 0x6e6f697365)),
+		choose: func(s *expertmap.Switch, reports []expertmap.Report) (*expertmap.Map, error) {
+			return s.BarrierOut(reports)
+		},
+	}
+	for i := range set.Shape.Ranks {
+		g.ranks = append(g.ranks, newRank(g, i))
+	}
+	return g
+}
+
+// Load returns a copy of the present popularity.
+func (g *Group) Load() *expertmap.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := expertmap.NewLoad(g.set.Shape)
+	copy(out.Seconds, g.pop.load.Seconds)
+	return out
+}
+
+// SetFaults replaces the faults of a rank.
+func (g *Group) SetFaults(rank int, f Faults) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[rank].setFaults(f)
+}
+
+// Offer offers a map to a rank, as PathMap does.
+func (g *Group) Offer(rank int, m *expertmap.Map) (rankapi.Status, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.ranks[rank].offer(m); err != nil {
+		return rankapi.Status{}, err
+	}
+	return g.ranks[rank].status(), nil
+}
+
+// Status returns a rank's status, as PathStatus does.
+func (g *Group) Status(rank int) rankapi.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ranks[rank].status()
+}
+
+// Seconds returns the virtual time since the start.
+func (g *Group) Seconds() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.clock
+}
+
+// Step runs one barrier and, if all ranks can, the step that follows.
+func (g *Group) Step() Step {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.ranks {
+		r.work(g.clock)
+	}
+	maps, ok := g.barrier()
+	if !ok {
+		g.clock += stallSeconds
+		return Step{}
+	}
+	out := g.run(maps[0])
+	g.account(maps, out)
+	return out
+}
+
+// barrier returns the map that each rank chose.
+func (g *Group) barrier() ([]*expertmap.Map, bool) {
+	reports := make([]expertmap.Report, len(g.ranks))
+	for i, r := range g.ranks {
+		if r.faults.Dead || r.faults.Paused {
+			return nil, false
+		}
+		reports[i] = r.sw.BarrierIn()
+	}
+	maps := make([]*expertmap.Map, len(g.ranks))
+	ready := true
+	for i, r := range g.ranks {
+		m, err := g.choose(&r.sw, reports)
+		invariant.Check(err == nil, invariant.OneMap, "group %s rank %d: %v", g.set.Group, i, err)
+		maps[i] = m
+		ready = ready && m != nil
+	}
+	if ready {
+		checkOneMap(g.set.Group, g.steps, maps)
+	}
+	return maps, ready
+}
+
+func checkOneMap(group string, step int64, maps []*expertmap.Map) {
+	for i, m := range maps {
+		same := m.Version == maps[0].Version && m.Digest() == maps[0].Digest()
+		invariant.Check(same, invariant.OneMap, "group %s step %d: rank 0 uses version %d, rank %d version %d",
+			group, step, maps[0].Version, i, m.Version)
+	}
+}
+
+func (g *Group) run(m *expertmap.Map) Step {
+	g.pop.advance(g.steps)
+	out := Step{Ran: true, Version: m.Version}
+	for i, r := range g.ranks {
+		g.speed[i] = r.speed / math.Exp(g.set.Noise*g.rng.NormFloat64())
+		if len(r.loading) > 0 {
+			out.Loading++
+			g.speed[i] /= 1 + g.set.LoadSlowdown
+		}
+	}
+	out.Times = expertmap.StepTimes(m, g.pop.load, g.speed)
+	g.clock += out.Step
+	g.steps++
+	return out
+}
+
+func (g *Group) account(maps []*expertmap.Map, out Step) {
+	counts := make([]int, g.set.Shape.Experts)
+	for l := range g.set.Shape.Layers {
+		clear(counts)
+		for i, m := range maps {
+			for _, e := range m.Slots(l, i) {
+				if e != expertmap.Empty {
+					counts[e]++
+				}
+			}
+		}
+		work := g.pop.load.Layer(l)
+		for i, r := range g.ranks {
+			r.count(maps[i], l, work, counts)
+		}
+	}
+	for i, r := range g.ranks {
+		r.steps++
+		r.seconds += out.Rank[i]
+	}
+}
+
+// Run runs steps in real time, slowed down by the factor given, until the context ends.
+func (g *Group) Run(ctx context.Context, factor float64) {
+	for ctx.Err() == nil {
+		before := g.Seconds()
+		g.Step()
+		wait := time.Duration((g.Seconds() - before) * factor * float64(time.Second))
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
