--- a/expertmap/switch_test.go
+++ b/expertmap/switch_test.go
@@ -1,6 +1,8 @@
 package expertmap
 
 import (
+	"flag"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,6 +11,13 @@
 
 var small = Shape{Ranks: 3, Experts: 4, Layers: 1, Slots: 2}
 
+// TestMain fixes the seed of the random checks; -rapid.seed chooses another one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 // testMap returns a small map whose content depends on variant.
 func testMap(t require.TestingT, version int64, variant int) *Map {
 	assign := []uint16{0, 1, 2, 3, 0, 2}
--- /dev/null
+++ b/orders/fake_test.go
@@ -0,0 +1,128 @@
+package orders_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"lavendermoor.example/platform/kv"
+)
+
+// memoryStore is a key-value service in memory with faults, for tests in virtual time.
+type memoryStore struct {
+	kv.Store
+
+	mu       sync.Mutex
+	entries  map[string]kv.Entry
+	revision int64
+	reads    int
+	writes   int
+	// fault decides what happens to each write.
+	fault func() writeFault
+	down  bool
+}
+
+// writeFault delays a write and loses its answer. With late set the write takes effect that long after the
+// caller has been told that its outcome is not known.
+type writeFault struct {
+	delay, late time.Duration
+	lose        bool
+	// slow delays the answer after the write has taken effect.
+	slow time.Duration
+}
+
+func newStore() *memoryStore {
+	return &memoryStore{entries: map[string]kv.Entry{}, fault: func() writeFault { return writeFault{} }}
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (kv.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return kv.Entry{}, &kv.UnavailableError{}
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return kv.Entry{}, &kv.NotFoundError{Key: key}
+	}
+	return e, nil
+}
+
+func (s *memoryStore) Put(_ context.Context, key string, value []byte, expected int64, _ kv.LeaseID) (int64, error) {
+	s.mu.Lock()
+	s.writes++
+	f, down := s.fault(), s.down
+	s.mu.Unlock()
+	if down {
+		return 0, &kv.UnavailableError{}
+	}
+	time.Sleep(f.delay)
+	if f.late > 0 {
+		time.AfterFunc(f.late, func() { _, _ = s.apply(key, value, expected) })
+		return 0, &kv.UnknownOutcomeError{Key: key}
+	}
+	mod, err := s.apply(key, value, expected)
+	time.Sleep(f.slow)
+	if f.lose {
+		return 0, &kv.UnknownOutcomeError{Key: key}
+	}
+	return mod, err
+}
+
+func (s *memoryStore) apply(key string, value []byte, expected int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].ModRevision != expected {
+		return 0, &kv.ConflictError{Key: key, Expected: expected}
+	}
+	s.revision++
+	s.entries[key] = kv.Entry{Key: key, Value: value, ModRevision: s.revision}
+	return s.revision, nil
+}
+
+// memoryTransport calls a handler in place, after a wait for the connection.
+type memoryTransport struct {
+	handler http.Handler
+	dial    time.Duration
+}
+
+func (m *memoryTransport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
+	time.Sleep(m.dial)
+	defer func() {
+		if recover() != nil {
+			resp, err = nil, io.ErrUnexpectedEOF // The handler cut the connection.
+		}
+	}()
+	w := httptest.NewRecorder()
+	in := httptest.NewRequest(r.Method, r.URL.String(), r.Body)
+	if r.Body != nil {
+		body := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, body); err != nil {
+			return nil, err
+		}
+		in = httptest.NewRequest(r.Method, r.URL.String(), &readOnce{body})
+	}
+	m.handler.ServeHTTP(w, in)
+	return w.Result(), nil
+}
+
+type readOnce struct{ rest []byte }
+
+func (r *readOnce) Read(p []byte) (int, error) {
+	if len(r.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
--- /dev/null
+++ b/orders/gate.go
@@ -0,0 +1,73 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/platform/kv"
+)
+
+// StaleError says that a fencing number is below the floor; the order was not sent, or had no effect.
+type StaleError struct{ Fence, Floor int64 }
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("fencing number %d is below %d", e.Fence, e.Floor)
+}
+
+// FloorUnknownError says that the floor has not been read yet; the order was not sent.
+type FloorUnknownError struct{ Server string }
+
+func (e *FloorUnknownError) Error() string {
+	return fmt.Sprintf("floor of fencing numbers of server %q is not known yet", e.Server)
+}
+
+// Gate checks fencing numbers in place of an engine that ignores them. It has to be the only way to the engine.
+// Its methods may be called from any goroutine.
+type Gate struct {
+	server string
+
+	mu      sync.Mutex
+	floor   int64
+	learned bool
+}
+
+// NewGate returns a gate that admits nothing before it has learned the floor.
+func NewGate(server string) *Gate { return &Gate{server: server} }
+
+// Learn reads the floor from the lease of the server. Errors are those of kv.Store.Get and *RecordError.
+func (g *Gate) Learn(ctx context.Context, store kv.Store) error {
+	r, _, err := readRecord(ctx, store, LeaseKey(g.server))
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.floor = max(g.floor, r.Fence)
+	g.learned = true
+	return nil
+}
+
+// Learned says whether the floor is known.
+func (g *Gate) Learned() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.learned
+}
+
+// Admit raises the floor to the fencing number of an order. It fails with a *StaleError or a
+// *FloorUnknownError.
+func (g *Gate) Admit(fence int64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.learned {
+		return merry.Wrap(&FloorUnknownError{Server: g.server})
+	}
+	if fence < g.floor {
+		return merry.Wrap(&StaleError{Fence: fence, Floor: g.floor})
+	}
+	g.floor = fence
+	return nil
+}
--- /dev/null
+++ b/orders/issuer.go
@@ -0,0 +1,276 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cenkalti/backoff/v5"
+
+	"lavendermoor.example/platform/kv"
+)
+
+// RefusedError says that the engine did not take the order, which had no effect.
+type RefusedError struct {
+	Status int
+	Refusal
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("engine refused the order with status %d: %s", e.Status, e.Message)
+}
+
+// FailedError says that the engine took the order and could not carry it out.
+type FailedError struct{ Result }
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("order %s ended as %s: %s", e.ID, e.State, e.Detail)
+}
+
+// UnknownError says that an order was sent and its result is not known; it may have taken effect. It may be
+// repeated with the same ID.
+type UnknownError struct {
+	ID    string
+	Cause error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("order %s may have taken effect: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// IssuerOptions are the parts of an Issuer.
+type IssuerOptions struct {
+	Server string
+	Lease  *Lease
+	Store  kv.Store
+	// Engine is the base URL of the engine's orders.
+	Engine *url.URL
+	// ChecksFencing says that the engine refuses old fencing numbers by itself.
+	ChecksFencing bool
+	HTTP          *http.Client
+	// Poll is the time between two questions for the result of a running order.
+	Poll time.Duration
+}
+
+// Counts counts what an issuer did.
+type Counts struct {
+	// Sent counts requests that carry an order, repeats included.
+	Sent int64 `json:"sent"`
+	Done int64 `json:"done"`
+	// Withheld counts orders that were not sent because of the lease or the floor.
+	Withheld int64 `json:"withheld"`
+}
+
+// Issuer sends orders to one engine under a lease. Its methods may be called from any goroutine.
+type Issuer struct {
+	opts IssuerOptions
+	gate *Gate
+
+	mu     sync.Mutex
+	counts Counts
+}
+
+// NewIssuer returns an issuer. It takes the lease when an order is to be sent, not while one is running: a load
+// of minutes costs one read and one write of the key-value service.
+func NewIssuer(opts IssuerOptions) *Issuer {
+	return &Issuer{opts: opts, gate: NewGate(opts.Server)}
+}
+
+// Counts returns the counts since the start.
+func (i *Issuer) Counts() Counts {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.counts
+}
+
+func (i *Issuer) count(fn func(c *Counts)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	fn(&i.counts)
+}
+
+// Issue sends an order and waits for its result. A lost answer is resolved by repeating the order with the
+// same ID for as long as the lease is held. It fails with an *InvalidError, *LapsedError, *StaleError,
+// *FloorUnknownError, *RefusedError or an error of Lease.Ensure (no effect by this call), a *FailedError, or an
+// *UnknownError.
+func (i *Issuer) Issue(ctx context.Context, o Order) (Result, error) {
+	o.Server = i.opts.Server
+	if err := o.Validate(); err != nil {
+		return Result{}, merry.Wrap(err)
+	}
+	if err := i.ready(ctx); err != nil {
+		i.count(func(c *Counts) { c.Withheld++ })
+		return Result{}, err
+	}
+	sent := false
+	result, err := backoff.Retry(ctx, func() (Result, error) {
+		return i.attempt(ctx, o, &sent)
+	}, backoff.WithBackOff(retryTimes()))
+	return i.finish(ctx, o, result, err, sent)
+}
+
+func retryTimes() backoff.BackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 100 * time.Millisecond
+	b.MaxInterval = 2 * time.Second
+	return b
+}
+
+// ready takes the lease, and learns the floor before the first order to an engine that does not check fencing.
+func (i *Issuer) ready(ctx context.Context) error {
+	if err := i.opts.Lease.Ensure(ctx); err != nil {
+		return err
+	}
+	if i.opts.ChecksFencing || i.gate.Learned() {
+		return nil
+	}
+	return i.gate.Learn(ctx, i.opts.Store)
+}
+
+// attempt sends the order once. Errors after which a repeat is pointless are marked as permanent.
+func (i *Issuer) attempt(ctx context.Context, o Order, sent *bool) (Result, error) {
+	fence, err := i.allowed()
+	if err != nil {
+		i.count(func(c *Counts) { c.Withheld++ })
+		return Result{}, backoff.Permanent(err)
+	}
+	o.Fence = fence
+	result, err := i.post(ctx, o, sent)
+	var refused *RefusedError
+	var lapsed *LapsedError
+	if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError || errors.As(err, &lapsed) {
+		return Result{}, backoff.Permanent(err)
+	}
+	return result, err
+}
+
+// allowed returns the fencing number for an order that may be sent now.
+func (i *Issuer) allowed() (int64, error) {
+	fence, err := i.opts.Lease.Check()
+	if err != nil || i.opts.ChecksFencing {
+		return fence, err
+	}
+	return fence, i.gate.Admit(fence)
+}
+
+func (i *Issuer) finish(ctx context.Context, o Order, r Result, err error, sent bool) (Result, error) {
+	for err == nil && r.State == Running {
+		r, err = i.await(ctx, o.ID, r)
+	}
+	var refused *RefusedError
+	switch {
+	case err != nil && sent && !errors.As(err, &refused):
+		return Result{}, merry.Wrap(&UnknownError{ID: o.ID, Cause: err})
+	case err != nil:
+		return Result{}, err
+	case r.State != Done:
+		return r, merry.Wrap(&FailedError{Result: r})
+	}
+	i.count(func(c *Counts) { c.Done++ })
+	return r, nil
+}
+
+// await asks once for the result of a running order. Reading needs no lease. A failed question is repeated
+// until the context ends.
+func (i *Issuer) await(ctx context.Context, id string, last Result) (Result, error) {
+	select {
+	case <-time.After(i.opts.Poll):
+	case <-ctx.Done():
+		return last, ctx.Err()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.opts.Engine.JoinPath(PathOrders, id).String(), nil)
+	if err != nil {
+		return last, merry.Wrap(err)
+	}
+	r, err := i.roundTrip(req)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return last, merry.Wrap(&UnknownError{ID: id, Cause: err}) // The engine has restarted.
+	}
+	if err != nil {
+		r = last
+	}
+	return r, nil
+}
+
+// checkedBody is the body of an order. The transport reads it after it has a connection, so the lease is checked
+// once more at the last moment, after any wait for the connection.
+type checkedBody struct {
+	lease *Lease
+	fence int64
+	body  *bytes.Reader
+	begun func()
+	err   error
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	if b.begun != nil {
+		fence, err := b.lease.Check()
+		if err == nil && fence != b.fence {
+			err = merry.Wrap(&LapsedError{Fence: b.fence})
+		}
+		if err != nil {
+			b.err = err
+			return 0, err
+		}
+		b.begun()
+		b.begun = nil
+	}
+	return b.body.Read(p)
+}
+
+func (i *Issuer) post(ctx context.Context, o Order, sent *bool) (Result, error) {
+	raw, err := json.Marshal(o)
+	if err != nil {
+		return Result{}, merry.Wrap(err)
+	}
+	begun := func() {
+		*sent = true
+		i.count(func(c *Counts) { c.Sent++ })
+	}
+	body := &checkedBody{lease: i.opts.Lease, fence: o.Fence, body: bytes.NewReader(raw), begun: begun}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, i.opts.Engine.JoinPath(PathOrders).String(), io.NopCloser(body))
+	if err != nil {
+		return Result{}, merry.Wrap(err)
+	}
+	req.ContentLength = int64(len(raw))
+	r, err := i.roundTrip(req)
+	if body.err != nil {
+		return Result{}, body.err
+	}
+	return r, err
+}
+
+// maxResultBytes bounds the answer to an order.
+const maxResultBytes = 1 << 20
+
+func (i *Issuer) roundTrip(req *http.Request) (Result, error) {
+	resp, err := i.opts.HTTP.Do(req)
+	if err != nil {
+		return Result{}, merry.Wrap(err)
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(io.LimitReader(resp.Body, maxResultBytes))
+	if resp.StatusCode != http.StatusOK {
+		refused := &RefusedError{Status: resp.StatusCode}
+		_ = dec.Decode(&refused.Refusal)
+		return Result{}, merry.Wrap(refused)
+	}
+	var r Result
+	if err := dec.Decode(&r); err != nil {
+		return Result{}, merry.Wrap(err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/orders/lease.go
@@ -0,0 +1,332 @@
+// Package orders issues orders to model engines under a lease with a fencing number, and spreads loads over the
+// rate of the weight store.
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"lavendermoor.example/platform/kv"
+)
+
+// LeaseKey returns the key of the lease of a backend server.
+func LeaseKey(server string) string { return "lease/" + server }
+
+// Record is the value of a lease key. The key is never deleted, so that the fencing number only grows.
+type Record struct {
+	// Holder identifies one start of one process; empty after a release.
+	Holder string `json:"holder"`
+	Fence  int64  `json:"fence"`
+	// Nonce identifies one write, so that a lost answer can be resolved by reading.
+	Nonce string `json:"nonce"`
+	TTLMs int64  `json:"ttl_ms"`
+}
+
+func (r Record) ttl() time.Duration { return time.Duration(r.TTLMs) * time.Millisecond }
+
+// HeldError says that another process holds the lease. Nothing was written.
+type HeldError struct {
+	Holder string
+	Fence  int64
+	// Wait is how long the record has to stay unchanged before it may be taken over.
+	Wait time.Duration
+}
+
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("lease is held by %s with fencing number %d, to be taken over in %v", e.Holder, e.Fence, e.Wait)
+}
+
+// LapsedError says that the lease is not held, or not any more; no order may be sent.
+type LapsedError struct {
+	// Fence is the last number held, 0 if none.
+	Fence int64
+}
+
+func (e *LapsedError) Error() string {
+	return fmt.Sprintf("lease with fencing number %d has lapsed", e.Fence)
+}
+
+// UnresolvedError says that a write of the lease may have taken effect and could not be resolved by reading.
+// The lease does not count as held or extended.
+type UnresolvedError struct{ Cause error }
+
+func (e *UnresolvedError) Error() string {
+	return fmt.Sprintf("write of the lease is unresolved: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnresolvedError) Unwrap() error { return e.Cause }
+
+// RecordError says that a lease key holds something else than a Record.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string { return fmt.Sprintf("lease record %q: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// LeaseSettings are the times of a lease.
+type LeaseSettings struct {
+	TTL time.Duration
+	// Margin is taken off the end of the lease at the holder. It covers the way of an order to the engine and the
+	// difference in rate of two monotonic clocks.
+	Margin time.Duration
+}
+
+// DefaultLease lets a holder that renews at a third of the TTL survive one failed renewal.
+func DefaultLease() LeaseSettings {
+	return LeaseSettings{TTL: 10 * time.Second, Margin: 2 * time.Second}
+}
+
+// observation is a record that this process has seen unchanged since a time.
+type observation struct {
+	mod   int64
+	since time.Time
+}
+
+// Lease is one process's view of the lease of one backend server. Its methods may be called from any goroutine.
+type Lease struct {
+	store  kv.Store
+	key    string
+	holder string
+	set    LeaseSettings
+
+	// calls is held by the one call in progress to the service; it guards mod and seen.
+	calls sync.Mutex
+	mod   int64
+	seen  observation
+
+	mu    sync.Mutex
+	fence int64
+	until time.Time
+}
+
+// NewLease returns a lease that is not held. The holder has to be unique to this start of this process.
+func NewLease(store kv.Store, server, holder string, set LeaseSettings) *Lease {
+	return &Lease{store: store, key: LeaseKey(server), holder: holder, set: set}
+}
+
+// Check returns the fencing number if the lease is held at this moment by the monotonic clock of this process,
+// else a *LapsedError. It is called directly before an order is sent.
+func (l *Lease) Check() (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !time.Now().Before(l.until) {
+		return 0, merry.Wrap(&LapsedError{Fence: l.fence})
+	}
+	return l.fence, nil
+}
+
+func (l *Lease) hold(fence int64, start time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fence = fence
+	l.until = start.Add(l.set.TTL - l.set.Margin)
+}
+
+func (l *Lease) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = time.Time{}
+}
+
+// Acquire takes the lease with a new fencing number if it is free, was released, was this process's own, or has
+// stayed unchanged for its whole TTL while this process watched. Otherwise it fails with a *HeldError and is
+// called again after Wait. Other failures are a *LapsedError when the answer came after the end of the lease, an
+// *UnresolvedError, a *RecordError, and those of kv.Store.
+func (l *Lease) Acquire(ctx context.Context) error {
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	return l.acquire(ctx)
+}
+
+// Ensure acquires the lease unless it is held already, and waits while another process holds it. Errors are
+// those of Acquire except *HeldError, and that of the context.
+func (l *Lease) Ensure(ctx context.Context) error {
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	for {
+		if _, err := l.Check(); err == nil {
+			return nil
+		}
+		err := l.acquire(ctx)
+		var held *HeldError
+		if !errors.As(err, &held) {
+			return err
+		}
+		select {
+		case <-time.After(held.Wait):
+		case <-ctx.Done():
+			return merry.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (l *Lease) acquire(ctx context.Context) error {
+	l.drop()
+	current, mod, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	if wait := l.waitFor(current, mod); wait > 0 {
+		return merry.Wrap(&HeldError{Holder: current.Holder, Fence: current.Fence, Wait: wait})
+	}
+	return l.write(ctx, l.record(current.Fence+1), mod)
+}
+
+func (l *Lease) record(fence int64) Record {
+	return Record{Holder: l.holder, Fence: fence, Nonce: uuid.NewString(), TTLMs: l.set.TTL.Milliseconds()}
+}
+
+// waitFor returns how long the record has to stay as it is. The time is counted from the answer that first
+// showed it, which comes after the holder's own start of the lease.
+func (l *Lease) waitFor(r Record, mod int64) time.Duration {
+	if r.Holder == "" || r.Holder == l.holder {
+		return 0
+	}
+	now := time.Now()
+	if l.seen.mod != mod {
+		l.seen = observation{mod: mod, since: now}
+	}
+	return l.seen.since.Add(r.ttl()).Sub(now)
+}
+
+// read returns the record, the zero Record with revision kv.Absent if there is none.
+func (l *Lease) read(ctx context.Context) (Record, int64, error) {
+	return readRecord(ctx, l.store, l.key)
+}
+
+func readRecord(ctx context.Context, store kv.Store, key string) (Record, int64, error) {
+	entry, err := store.Get(ctx, key)
+	var missing *kv.NotFoundError
+	if errors.As(err, &missing) {
+		return Record{}, kv.Absent, nil
+	}
+	if err != nil {
+		return Record{}, 0, err
+	}
+	var r Record
+	if err := json.Unmarshal(entry.Value, &r); err != nil {
+		return Record{}, 0, merry.Wrap(&RecordError{Key: key, Cause: err})
+	}
+	return r, entry.ModRevision, nil
+}
+
+// Renew extends a held lease. It fails with a *LapsedError when the lease has ended or another process has
+// taken it, an *UnresolvedError, or an error of kv.Store; the lease then lasts for as long as it did.
+func (l *Lease) Renew(ctx context.Context) error {
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	fence, err := l.Check()
+	if err != nil {
+		return err
+	}
+	return l.write(ctx, l.record(fence), l.mod)
+}
+
+// maxWrites bounds the repeats of a write whose answer was lost.
+const maxWrites = 3
+
+// write brings the record into the service and holds the lease from the time before the first attempt. A
+// repeated write is the same as the first, so it does not matter which of them takes effect, or how late.
+func (l *Lease) write(ctx context.Context, r Record, expected int64) error {
+	start := time.Now()
+	value, err := json.Marshal(r)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	for range maxWrites {
+		mod, putErr := l.store.Put(ctx, l.key, value, expected, 0)
+		if putErr == nil {
+			return l.written(r, mod, start)
+		}
+		if !mayHaveWritten(putErr) {
+			return putErr
+		}
+		err = putErr
+		current, now, readErr := l.read(ctx)
+		if readErr != nil {
+			return merry.Wrap(&UnresolvedError{Cause: readErr})
+		}
+		if current.Nonce == r.Nonce {
+			return l.written(r, now, start)
+		}
+		if now != expected && !l.own(current, r.Fence) {
+			return l.lost(current, now)
+		}
+		expected = now // Unchanged, or an earlier write of this process that took effect late.
+	}
+	return merry.Wrap(&UnresolvedError{Cause: err})
+}
+
+func (l *Lease) own(r Record, fence int64) bool { return r.Holder == l.holder && r.Fence == fence }
+
+// mayHaveWritten says whether the record has to be read to learn what became of a write. A conflict counts,
+// because an earlier attempt may have won.
+func mayHaveWritten(err error) bool {
+	var conflict *kv.ConflictError
+	var unknown *kv.UnknownOutcomeError
+	return errors.As(err, &conflict) || errors.As(err, &unknown)
+}
+
+func (l *Lease) written(r Record, mod int64, start time.Time) error {
+	l.mod = mod
+	if r.Holder == "" {
+		return nil
+	}
+	l.hold(r.Fence, start)
+	_, err := l.Check()
+	return err // The answer may have taken longer than the lease lasts.
+}
+
+func (l *Lease) lost(current Record, mod int64) error {
+	l.drop()
+	return merry.Wrap(&HeldError{Holder: current.Holder, Fence: current.Fence, Wait: l.waitFor(current, mod)})
+}
+
+// Release gives up the lease so that the next holder need not wait. No order may be in progress. Errors are
+// those of Renew; the lease is not held afterwards in any case.
+func (l *Lease) Release(ctx context.Context) error {
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	fence, err := l.Check()
+	l.drop()
+	if err != nil {
+		return err
+	}
+	return l.write(ctx, Record{Fence: fence, Nonce: uuid.NewString()}, l.mod)
+}
+
+// Keep acquires the lease and renews it until the context ends, then releases it. It waits a third of the TTL
+// between calls, so an outage of the service costs no more calls than normal operation.
+func (l *Lease) Keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := l.Renew(ctx)
+		var lapsed *LapsedError
+		if errors.As(err, &lapsed) {
+			err = l.Acquire(ctx)
+		}
+		wait := l.set.TTL / 3
+		var held *HeldError
+		if errors.As(err, &held) {
+			wait = max(held.Wait, time.Millisecond)
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.set.Margin)
+	defer cancel()
+	_ = l.Release(end) // The lease ends by itself if the service cannot be reached.
+}
--- /dev/null
+++ b/standin/engineorders/engineorders.go
@@ -0,0 +1,269 @@
+// Package engineorders is the part of the stand-in of a model engine that takes orders: to load and unload
+// models, to change role, and to export and import KV cache.
+package engineorders
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"lavendermoor.example/orders"
+)
+
+// Settings describe an engine.
+type Settings struct {
+	// ChecksFencing says that the engine refuses orders with an old fencing number.
+	ChecksFencing bool
+	// LoadTime is how long a load takes without a weight store.
+	LoadTime time.Duration
+	// Weights is the URL of the weight store, nil for none.
+	Weights *url.URL
+	// MaxOrders is the number of orders whose results are remembered; 0 means 4,096.
+	MaxOrders int
+}
+
+// Faults are failures to come.
+type Faults struct {
+	// LoseAnswers is the number of orders to come whose answer is lost after they are taken.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseOrders is the number of orders to come whose connection breaks before they are taken.
+	LoseOrders int `json:"lose_orders"`
+}
+
+// Effect is a change of the engine's state that an order caused.
+type Effect struct {
+	ID    string      `json:"id"`
+	Fence int64       `json:"fence"`
+	Kind  orders.Kind `json:"kind"`
+}
+
+// Dump is the state of the engine.
+type Dump struct {
+	Floor   int64    `json:"floor"`
+	Role    string   `json:"role"`
+	Loaded  []string `json:"loaded"`
+	Caches  []string `json:"caches"`
+	Effects []Effect `json:"effects"`
+}
+
+const defaultMaxOrders = 4096
+
+// Engine is the stand-in. Its methods may be called from any goroutine.
+type Engine struct {
+	set Settings
+
+	mu      sync.Mutex
+	faults  Faults
+	floor   int64
+	results map[string]orders.Result
+	// order lists the IDs of results, oldest first.
+	order   []string
+	loaded  map[string]bool
+	caches  map[string]bool
+	role    string
+	effects []Effect
+}
+
+// New returns an engine without models.
+func New(set Settings) *Engine {
+	if set.MaxOrders == 0 {
+		set.MaxOrders = defaultMaxOrders
+	}
+	return &Engine{
+		set: set, results: map[string]orders.Result{}, loaded: map[string]bool{}, caches: map[string]bool{},
+	}
+}
+
+// Register adds the routes of orders, GET /standin/orders (a Dump) and PUT /standin/order-faults to a router.
+func (e *Engine) Register(r *mux.Router) {
+	r.HandleFunc(orders.PathOrders, e.post).Methods(http.MethodPost)
+	r.HandleFunc(orders.PathOrders+"/{id}", e.get).Methods(http.MethodGet)
+	r.HandleFunc("/standin/orders", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(e.Dump())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/standin/order-faults", e.putFaults).Methods(http.MethodPut)
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Dump returns the state.
+func (e *Engine) Dump() Dump {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := Dump{Floor: e.floor, Role: e.role, Effects: append([]Effect(nil), e.effects...)}
+	for name := range e.loaded {
+		d.Loaded = append(d.Loaded, name)
+	}
+	for name := range e.caches {
+		d.Caches = append(d.Caches, name)
+	}
+	return d
+}
+
+func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+func refuse(w http.ResponseWriter, status int, r orders.Refusal) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(r)
+}
+
+func take(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func (e *Engine) post(w http.ResponseWriter, r *http.Request) {
+	var o orders.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, orders.Refusal{Message: err.Error()})
+		return
+	}
+	if err := o.Validate(); err != nil {
+		refuse(w, http.StatusBadRequest, orders.Refusal{Message: err.Error()})
+		return
+	}
+	e.mu.Lock()
+	breaks := take(&e.faults.LoseOrders)
+	e.mu.Unlock()
+	if breaks {
+		panic(http.ErrAbortHandler) // Cuts the connection before the order is taken.
+	}
+	result, err := e.Take(o)
+	if err != nil {
+		refuse(w, http.StatusConflict, orders.Refusal{Floor: err.Floor, Message: err.Error()})
+		return
+	}
+	e.mu.Lock()
+	lost := take(&e.faults.LoseAnswers)
+	e.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler) // Cuts the connection without an answer.
+	}
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+// Take takes an order that has arrived, as PathOrders does. A known ID returns its result without effect.
+func (e *Engine) Take(o orders.Order) (orders.Result, *orders.StaleError) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.set.ChecksFencing && o.Fence < e.floor {
+		return orders.Result{}, &orders.StaleError{Fence: o.Fence, Floor: e.floor}
+	}
+	e.floor = max(e.floor, o.Fence)
+	if known, ok := e.results[o.ID]; ok {
+		return known, nil
+	}
+	e.remember(o.ID)
+	result := orders.Result{ID: o.ID, State: orders.Done}
+	if o.Kind == orders.Load && !e.loaded[modelName(o)] {
+		result.State = orders.Running
+		go e.load(o)
+	} else {
+		e.apply(o)
+	}
+	e.results[o.ID] = result
+	return result, nil
+}
+
+func (e *Engine) remember(id string) {
+	e.order = append(e.order, id)
+	if len(e.order) > e.set.MaxOrders {
+		delete(e.results, e.order[0])
+		e.order = e.order[1:]
+	}
+}
+
+func modelName(o orders.Order) string { return o.Model + "@" + o.Version + ":" + o.Adapter }
+
+// apply changes the state; an order that asks for the present state has no effect.
+func (e *Engine) apply(o orders.Order) {
+	changed := false
+	switch o.Kind {
+	case orders.Load:
+		changed = !e.loaded[modelName(o)]
+		e.loaded[modelName(o)] = true
+	case orders.Unload:
+		changed = e.loaded[modelName(o)]
+		delete(e.loaded, modelName(o))
+	case orders.SetRole:
+		changed = e.role != o.Role
+		e.role = o.Role
+	case orders.ExportKV, orders.ImportKV:
+		changed = !e.caches[o.Cache]
+		e.caches[o.Cache] = true
+	}
+	if changed {
+		e.effects = append(e.effects, Effect{ID: o.ID, Fence: o.Fence, Kind: o.Kind})
+	}
+}
+
+func (e *Engine) load(o orders.Order) {
+	state, detail := e.fetch(o)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state == orders.Done {
+		e.apply(o)
+	}
+	e.results[o.ID] = orders.Result{ID: o.ID, State: state, Detail: detail}
+}
+
+// maxLoadTime bounds a load from the weight store.
+const maxLoadTime = 10 * time.Minute
+
+func (e *Engine) fetch(o orders.Order) (orders.State, string) {
+	if e.set.Weights == nil {
+		time.Sleep(e.set.LoadTime)
+		return orders.Done, ""
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxLoadTime)
+	defer cancel()
+	u := e.set.Weights.JoinPath("weights", o.Model, o.Version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return orders.Failed, err.Error()
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return orders.Failed, err.Error()
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusTooManyRequests {
+		return orders.Throttled, "weight store is busy"
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		return orders.Failed, "weight store: " + resp.Status
+	}
+	return orders.Done, ""
+}
+
+func (e *Engine) get(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	result, ok := e.results[mux.Vars(r)["id"]]
+	e.mu.Unlock()
+	if !ok {
+		refuse(w, http.StatusNotFound, orders.Refusal{Message: "order is not known"})
+		return
+	}
+	_ = json.NewEncoder(w).Encode(result)
+}
--- /dev/null
+++ b/standin/weightserver/weightserver.go
@@ -0,0 +1,107 @@
+// Package weightserver is a stand-in of the platform's weight store. It serves bytes of models at a limited
+// rate that all readers share, and refuses readers above a number.
+package weightserver
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+)
+
+// Settings describe the store.
+type Settings struct {
+	// RateBytes is the rate that all readers share, in bytes/s.
+	RateBytes int `json:"rate_bytes"`
+	// MaxReaders is the number of readers above which one is refused with status 429.
+	MaxReaders int `json:"max_readers"`
+	// ModelBytes is the size of every model version.
+	ModelBytes int `json:"model_bytes"`
+}
+
+// Counts counts reads since the start.
+type Counts struct {
+	Served  int64 `json:"served"`
+	Refused int64 `json:"refused"`
+	Reading int   `json:"reading"`
+}
+
+// Server is the stand-in. Use Handler to serve it.
+type Server struct {
+	set     Settings
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	counts Counts
+}
+
+// chunkBytes is the unit in which readers take turns.
+const chunkBytes = 16 << 10
+
+// New returns a store that holds every model.
+func New(set Settings) *Server {
+	return &Server{set: set, limiter: rate.NewLimiter(rate.Limit(set.RateBytes), chunkBytes)}
+}
+
+// Handler returns the routes: GET /weights/<model>/<version> and GET /standin/counts.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/weights/{model}/{version}", s.read).Methods(http.MethodGet)
+	r.HandleFunc("/standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		c := s.Counts()
+		_, _ = w.Write([]byte(strconv.FormatInt(c.Served, 10) + " " + strconv.FormatInt(c.Refused, 10) + "\n"))
+	}).Methods(http.MethodGet)
+	return r
+}
+
+// Counts returns the counts.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts.Reading >= s.set.MaxReaders {
+		s.counts.Refused++
+		return false
+	}
+	s.counts.Reading++
+	return true
+}
+
+func (s *Server) leave(served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Reading--
+	if served {
+		s.counts.Served++
+	}
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	if !s.enter() {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	served := false
+	defer func() { s.leave(served) }()
+	w.Header().Set("Content-Length", strconv.Itoa(s.set.ModelBytes))
+	chunk := make([]byte, chunkBytes)
+	for left := s.set.ModelBytes; left > 0; {
+		n := min(left, chunkBytes)
+		if s.limiter.WaitN(r.Context(), n) != nil {
+			return
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		left -= n
+	}
+	served = true
+}
