--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -59,10 +59,17 @@
 	}
 }
 
-// FreeAddress returns a loopback address whose port was free a moment ago.
+// loopback returns a loopback address of this test process's own. On 127.0.0.1 a port that was free a moment ago
+// may be taken by an outgoing connection of any process before the program that is meant to use it starts.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
+// FreeAddress returns an address of this test process whose port was free a moment ago.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback()+":0")
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
