--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -218,9 +218,9 @@
 	Models    []map[string]any `json:"models,omitempty"`
 	Groups    []map[string]any `json:"groups,omitempty"`
 	Services  []map[string]any `json:"services,omitempty"`
-	Servers   []map[string]any `json:"servers"`
-	Customers []map[string]any `json:"customers"`
-	Operators []map[string]any `json:"operators"`
+	Servers   []map[string]any `json:"servers,omitempty"`
+	Customers []map[string]any `json:"customers,omitempty"`
+	Operators []map[string]any `json:"operators,omitempty"`
 	Rules     []map[string]any `json:"rules,omitempty"`
 }
 
