--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -99,7 +99,7 @@
 		Self:  feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain},
 		Peers: c.feedPeers, Store: c.store, Client: c.client, Log: c.log,
 	})
-	return nil
+	return c.node.Register(c.meter)
 }
 
 // countCalls returns the function that counts calls of the key-value service.
--- a/configsync/feed/node.go
+++ b/configsync/feed/node.go
@@ -43,8 +43,10 @@
 	// fallback is the store under the call budget of a process that does not watch.
 	fallback *store.Store
 	state    atomic.Pointer[cluster.State]
-	stopped  chan struct{}
-	stopOnce sync.Once
+	// overBudget counts the times at which the call budget stopped this process from asking the service.
+	overBudget atomic.Int64
+	stopped    chan struct{}
+	stopOnce   sync.Once
 
 	mu      sync.Mutex
 	changed chan struct{}
--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/configsync/store"
 )
 
 // Bounds of the pause after a failure. The interval is spread by half of itself, so the longest pause is 30 s.
@@ -21,7 +22,6 @@
 	maxWatchPause  = 2 * time.Second
 	roleCheck      = 5 * time.Second
 	maintainCheck  = 10 * time.Second
-	snapshotLag    = 256
 	staleAge       = 7 * time.Second
 	scoutCheck     = time.Second
 	scoutTries     = 3
@@ -164,7 +164,12 @@
 	if answered || p.watches() {
 		return
 	}
-	if err := n.catchUp(ctx, n.fallback); err != nil {
+	err := n.catchUp(ctx, n.fallback)
+	var over *store.BudgetError
+	if errors.As(err, &over) {
+		n.overBudget.Add(1)
+	}
+	if err != nil {
 		n.opts.Log.Warn("configuration is stale and cannot be obtained", zap.Error(err), zap.Duration("age", n.Age()))
 	}
 }
@@ -197,7 +202,7 @@
 		n.mu.Unlock()
 		sleep(ctx, wait)
 		state := n.State()
-		if ctx.Err() != nil || state == nil || state.Revision-known < snapshotLag || !n.place().watches() {
+		if ctx.Err() != nil || state == nil || state.Revision-known < store.SnapshotEvery || !n.place().watches() {
 			continue
 		}
 		newest, err := n.opts.Store.Maintain(ctx, state)
--- a/configsync/store/commit.go
+++ b/configsync/store/commit.go
@@ -81,7 +81,7 @@
 func (s *Store) create(ctx context.Context, c *operatorv1.Change, value []byte) error {
 	var lost error
 	for attempt := range resolveAttempts {
-		if attempt > 0 && !sleep(ctx, resolvePause<<attempt) {
+		if attempt > 0 && !s.sleep(ctx, resolvePause<<attempt) {
 			break
 		}
 		err := s.createOnce(ctx, c, value, lost != nil)
@@ -138,7 +138,7 @@
 func (s *Store) checkPlace(ctx context.Context, c *operatorv1.Change) error {
 	var err error
 	for attempt := range placeAttempts {
-		if attempt > 0 && !sleep(ctx, resolvePause<<attempt) {
+		if attempt > 0 && !s.sleep(ctx, resolvePause<<attempt) {
 			break
 		}
 		var entries []kv.Entry
--- /dev/null
+++ b/configsync/store/history_test.go
@@ -0,0 +1,336 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/platform/kv"
+	"lavendermoor.example/standin/kvserver"
+)
+
+// registerIn is a call on the configuration as a register; a read when the operation is empty.
+type registerIn struct {
+	base int64
+	op   string
+}
+
+// registerOut is its answer. The revision is that of the change committed, read, repeated or lost to.
+type registerOut struct {
+	result   string
+	revision int64
+	op       string
+}
+
+// registerModel is the register: its state is the list of committed operations.
+var registerModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{[]string(nil)} },
+	Step: func(state, input, output any) []any {
+		return stepRegister(state.([]string), input.(registerIn), output.(registerOut))
+	},
+	Equal: func(a, b any) bool { return slices.Equal(a.([]string), b.([]string)) },
+}).ToModel()
+
+func stepRegister(ops []string, in registerIn, out registerOut) []any {
+	at := func(revision int64) string {
+		if revision < 1 || revision > int64(len(ops)) {
+			return ""
+		}
+		return ops[revision-1]
+	}
+	same, never := []any{ops}, []any(nil)
+	appended := []any(nil)
+	if int64(len(ops)) == in.base && !slices.Contains(ops, in.op) {
+		appended = []any{append(slices.Clone(ops), in.op)}
+	}
+	switch out.result {
+	case "read":
+		if out.revision == int64(len(ops)) && at(out.revision) == out.op {
+			return same
+		}
+	case "committed":
+		// A lost write of an earlier attempt may have been the one that took effect.
+		if at(in.base+1) == in.op {
+			return same
+		}
+		return appended
+	case "conflict":
+		if at(out.revision) == out.op && out.op != in.op && out.revision == in.base+1 {
+			return same
+		}
+	case "repeated":
+		if at(out.revision) == in.op {
+			return same
+		}
+	case "unknown":
+		return append(appended, ops)
+	case "refused":
+		return same
+	}
+	return never
+}
+
+// historyOf runs clients that race under lost, late and refused calls, and returns what each of them saw.
+func historyOf(t *testing.T, seed uint64) []porcupine.Operation {
+	r := newRig()
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 1))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.IntN(n)
+	}
+	r.local.Fate = func(string, string) kvserver.Fate {
+		if f := kvserver.Fate(draw(16)); f <= kvserver.Late {
+			return f
+		}
+		return kvserver.Normal
+	}
+	var clock atomic.Int64
+	var history []porcupine.Operation
+	record := func(client int, call int64, in registerIn, out registerOut) {
+		end := clock.Add(1)
+		if out.result == "unknown" {
+			end = 1 << 60 // It may take effect at any later time.
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
+	}
+	var clients sync.WaitGroup
+	for id := range 4 {
+		clients.Go(func() {
+			s := r.store()
+			for i := range 12 {
+				runClient(t, s, draw, clock.Add, fmt.Sprintf("%d-%d", id, i), func(call int64, in registerIn, out registerOut) {
+					record(id, call, in, out)
+				})
+				if draw(4) == 0 {
+					r.local.ReleaseLate()
+				}
+			}
+		})
+	}
+	clients.Wait()
+	return history
+}
+
+// runClient reads the configuration and commits one operation, repeating it while its outcome is unknown.
+func runClient(
+	t *testing.T, s *Store, draw func(int) int, tick func(int64) int64, op string,
+	record func(call int64, in registerIn, out registerOut),
+) {
+	for range 3 {
+		call := tick(1)
+		base, err := s.Load(t.Context())
+		if err != nil {
+			continue
+		}
+		record(call, registerIn{}, registerOut{result: "read", revision: base.Revision, op: lastOp(base)})
+		time.Sleep(time.Duration(draw(200)) * time.Millisecond)
+		call = tick(1)
+		in := registerIn{base: base.Revision, op: op}
+		out := outcomeOf(s.Commit(t.Context(), base, opChange(op)))
+		record(call, in, out)
+		if out.result != "unknown" && out.result != "refused" {
+			return
+		}
+	}
+}
+
+// opChange puts the operation into the configuration, so that a read tells which one was last.
+func opChange(op string) *operatorv1.Change {
+	c := change(op, 1)
+	c.Upserts = append(c.Upserts, &operatorv1.Object{Kind: &operatorv1.Object_Model{
+		Model: &operatorv1.Model{Name: "last", Versions: []string{op}},
+	}})
+	return c
+}
+
+func outcomeOf(_ *cluster.State, err error) registerOut {
+	var conflict *ConflictError
+	var repeat *RepeatedOperationError
+	var unknown *UnknownOutcomeError
+	switch {
+	case err == nil:
+		return registerOut{result: "committed"}
+	case errors.As(err, &conflict):
+		return registerOut{
+			result: "conflict", revision: conflict.Winner.GetRevision(), op: conflict.Winner.GetOperationId(),
+		}
+	case errors.As(err, &repeat):
+		return registerOut{result: "repeated", revision: repeat.Change.GetRevision()}
+	case errors.As(err, &unknown):
+		return registerOut{result: "unknown"}
+	}
+	return registerOut{result: "refused"}
+}
+
+// Guards against any history that a register with compare-and-swap could not have: two winners of one revision,
+// a lost change that was reported as accepted, or an operation that was applied twice.
+func TestRacingCommittersSeeOneRegister(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			history := historyOf(t, seed)
+			require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(registerModel, history, 0), "seed %d", seed)
+		})
+	}
+}
+
+// machine is the state machine that rapid drives: two processes on one log, and the list of changes expected in it.
+type machine struct {
+	rig      *rig
+	stores   [2]*Store
+	seen     [2]*cluster.State
+	accepted []*operatorv1.Change
+	pending  []*operatorv1.Change
+	next     int
+}
+
+// settle takes over a pending change that has taken effect; it fails when the log holds anything else.
+func (m *machine) settle(t *rapid.T) *cluster.State {
+	state, err := m.rig.store().Load(t.Context())
+	require.NoError(t, err)
+	for _, c := range m.pending {
+		if c.GetRevision() == int64(len(m.accepted))+1 && state.Revision >= c.GetRevision() {
+			got, err := m.rig.store().Change(t.Context(), c.GetRevision())
+			require.NoError(t, err)
+			if got.GetOperationId() == c.GetOperationId() {
+				m.accepted = append(m.accepted, c)
+			}
+		}
+	}
+	require.Equal(t, int64(len(m.accepted)), state.Revision)
+	if n := len(m.accepted); n > 0 {
+		require.Equal(t, weightOf(m.accepted[n-1]), state.Customer("c").GetWeight())
+	}
+	return state
+}
+
+func weightOf(c *operatorv1.Change) int32 { return c.GetUpserts()[0].GetCustomer().GetWeight() }
+
+func (m *machine) commit(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "process")
+	fate := kvserver.Fate(rapid.IntRange(0, int(kvserver.Late)).Draw(t, "fate"))
+	if rapid.Bool().Draw(t, "fresh") {
+		m.seen[i] = m.settle(t)
+	}
+	if rapid.Bool().Draw(t, "new") {
+		m.next++
+	}
+	c := change(fmt.Sprintf("op%d", m.next), m.next+1)
+	c.Revision = m.seen[i].Revision + 1
+	if fate != kvserver.Normal {
+		m.rig.local.Fate = fateThen(fate)
+	}
+	next, err := m.stores[i].Commit(t.Context(), m.seen[i], c)
+	m.rig.local.Fate = nil
+	m.check(t, c, err)
+	if err == nil {
+		m.seen[i] = next
+	}
+}
+
+// check compares the answer to a commit with what the log should hold.
+func (m *machine) check(t *rapid.T, c *operatorv1.Change, err error) {
+	known := slices.IndexFunc(m.accepted, func(a *operatorv1.Change) bool {
+		return a.GetOperationId() == c.GetOperationId()
+	})
+	var repeat *RepeatedOperationError
+	var conflict *ConflictError
+	var unknown *UnknownOutcomeError
+	var down *kv.UnavailableError
+	switch {
+	case errors.As(err, &repeat):
+		m.settle(t)
+		require.Equal(t, c.GetOperationId(), m.accepted[repeat.Change.GetRevision()-1].GetOperationId())
+	case errors.As(err, &conflict):
+		m.settle(t)
+		require.GreaterOrEqual(t, int64(len(m.accepted)), c.GetRevision(), "a conflict needs a winner")
+	case errors.As(err, &unknown):
+		m.pending = append(m.pending, c)
+	case errors.As(err, &down):
+	default:
+		require.NoError(t, err)
+		if known < 0 {
+			m.pending = append(m.pending, c)
+			m.settle(t)
+		}
+		require.GreaterOrEqual(t, int64(len(m.accepted)), c.GetRevision(), "an accepted change must be in the log")
+		require.Equal(t, c.GetOperationId(), m.accepted[c.GetRevision()-1].GetOperationId())
+	}
+}
+
+// Guards against any sequence of commits, repeats, lost and late answers, snapshots and trims after which the log
+// holds something else than what was accepted.
+func TestStoreStateMachine(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.seed", "20261204"))
+	rapid.Check(t, runMachine)
+}
+
+func runMachine(t *rapid.T) {
+	m := &machine{rig: newRig(), seen: [2]*cluster.State{cluster.Empty(), cluster.Empty()}}
+	for i := range m.stores {
+		m.stores[i] = m.rig.store()
+		m.stores[i].sleep = func(context.Context, time.Duration) bool { return true }
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"commit": m.commit,
+		"run":    m.run,
+		"late":   func(t *rapid.T) { m.settle(t); m.rig.local.ReleaseLate(); m.settle(t) },
+		"maintain": func(t *rapid.T) {
+			_, err := m.stores[0].Maintain(t.Context(), m.settle(t))
+			require.NoError(t, err)
+		},
+		"at": m.at,
+	})
+}
+
+// at checks that an earlier configuration can be read back.
+func (m *machine) at(t *rapid.T) {
+	m.settle(t)
+	if len(m.accepted) == 0 {
+		return
+	}
+	revision := rapid.IntRange(max(1, len(m.accepted)-7), len(m.accepted)).Draw(t, "revision")
+	at, err := m.rig.store().At(t.Context(), int64(revision))
+	require.NoError(t, err)
+	require.Equal(t, weightOf(m.accepted[revision-1]), at.Customer("c").GetWeight())
+}
+
+// run commits several changes, so that trimming gets something to do.
+func (m *machine) run(t *rapid.T) {
+	state := m.settle(t)
+	for range rapid.IntRange(1, 6).Draw(t, "changes") {
+		m.next++
+		c := change(fmt.Sprintf("op%d", m.next), m.next+1)
+		c.Revision = state.Revision + 1
+		next, err := m.stores[1].Commit(t.Context(), state, c)
+		m.check(t, c, err)
+		if err != nil {
+			return
+		}
+		state = next
+	}
+}
+
+func lastOp(s *cluster.State) string {
+	if v := s.Model("last").GetVersions(); len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
--- a/configsync/store/snapshot.go
+++ b/configsync/store/snapshot.go
@@ -18,18 +18,25 @@
 	"lavendermoor.example/platform/kv"
 )
 
-// Bounds of snapshots and of the log.
-const (
-	// snapshotEvery is the number of revisions between two snapshots.
-	snapshotEvery = 256
-	// keptRevisions is the number of revisions before the newest snapshot that can be rolled back to at least.
-	keptRevisions = 1000
-	// maxPartBytes bounds a part; the service takes values up to 1 MB.
-	maxPartBytes = 512 << 10
-	// trimPause spreads deletions, so that trimming after a snapshot takes at most 50 writes/s of the service's
-	// several hundred.
-	trimPause = 20 * time.Millisecond
-)
+// SnapshotEvery is the number of revisions between two snapshots.
+const SnapshotEvery = 256
+
+// bounds are the bounds of snapshots and of the log.
+type bounds struct {
+	// every is the number of revisions between two snapshots.
+	every int64
+	// kept is the number of revisions before the newest snapshot that can be rolled back to at least.
+	kept int64
+	// partBytes bounds a part of a snapshot.
+	partBytes int
+}
+
+// defaultBounds are those of the design page; the service takes values up to 1 MB.
+var defaultBounds = bounds{every: SnapshotEvery, kept: 1000, partBytes: 512 << 10}
+
+// trimPause spreads deletions, so that trimming after a snapshot takes at most 50 writes/s of the service's
+// several hundred.
+const trimPause = 20 * time.Millisecond
 
 // partMagic starts each part, followed by the number of parts (32 bits) and the XXH64 of the whole snapshot.
 const partMagic = "LMS1"
@@ -78,7 +85,7 @@
 // Any process may call it at any time. It returns the revision of the newest snapshot.
 func (s *Store) Maintain(ctx context.Context, state *cluster.State) (int64, error) {
 	h, mod, err := s.readHead(ctx)
-	if err != nil || state.Revision-h.Snapshot < snapshotEvery {
+	if err != nil || state.Revision-h.Snapshot < s.bounds.every {
 		return h.Snapshot, err
 	}
 	if err := s.writeSnapshot(ctx, state); err != nil {
@@ -105,7 +112,7 @@
 	if err != nil {
 		return &CorruptError{Key: partKey(state.Revision, 0), Detail: err.Error()}
 	}
-	for i, part := range split(raw) {
+	for i, part := range split(raw, s.bounds.partBytes) {
 		_, err := s.kv.Put(ctx, partKey(state.Revision, i), part, kv.Absent, 0)
 		var exists *kv.ConflictError
 		if err != nil && !errors.As(err, &exists) {
@@ -116,8 +123,8 @@
 }
 
 // split returns the parts of a snapshot, each with its header.
-func split(raw []byte) [][]byte {
-	body := maxPartBytes - partHeaderLen
+func split(raw []byte, partBytes int) [][]byte {
+	body := partBytes - partHeaderLen
 	count := max(1, (len(raw)+body-1)/body)
 	header := binary.BigEndian.AppendUint32([]byte(partMagic), uint32(count))
 	header = binary.BigEndian.AppendUint64(header, xxhash.Sum64(raw))
@@ -227,7 +234,7 @@
 	}
 }
 
-// trim deletes snapshots and log entries that are not needed to go back keptRevisions from the newest snapshot:
+// trim deletes snapshots and log entries that are not needed to go back the kept revisions from the newest snapshot:
 // those before the last snapshot that is old enough.
 func (s *Store) trim(ctx context.Context, newest int64) error {
 	revisions, err := s.snapshots(ctx)
@@ -236,7 +243,7 @@
 	}
 	cut := int64(0)
 	for _, r := range revisions {
-		if r <= newest-keptRevisions {
+		if r <= newest-s.bounds.kept {
 			cut = r
 		}
 	}
@@ -279,7 +286,7 @@
 	if err != nil && !errors.As(err, &gone) {
 		return err
 	}
-	if !sleep(ctx, trimPause) {
+	if !s.sleep(ctx, trimPause) {
 		return ctx.Err()
 	}
 	return nil
--- a/configsync/store/store.go
+++ b/configsync/store/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -17,13 +18,18 @@
 
 // Store is the configuration in the key-value service. It may be used by any goroutine.
 type Store struct {
-	kv    kv.Store
-	index *opIndex
+	kv     kv.Store
+	index  *opIndex
+	bounds bounds
+	// sleep waits and returns false when the context ended first.
+	sleep func(context.Context, time.Duration) bool
 }
 
 // New returns a Store on a key-value service.
 func New(service kv.Store) *Store {
-	return &Store{kv: service, index: &opIndex{ops: map[string]*operatorv1.Change{}}}
+	return &Store{
+		kv: service, index: &opIndex{ops: map[string]*operatorv1.Change{}}, bounds: defaultBounds, sleep: sleep,
+	}
 }
 
 // Observe tells the store of a committed change that came from a peer, so that a later Commit need not read it.
--- /dev/null
+++ b/configsync/store/store_test.go
@@ -0,0 +1,293 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/platform/kv"
+	"lavendermoor.example/standin/kvserver"
+)
+
+// rig is a stand-in of the service with any number of stores on it.
+type rig struct {
+	server *kvserver.Server
+	local  *kvserver.Local
+}
+
+func newRig() *rig {
+	s := kvserver.New()
+	return &rig{server: s, local: kvserver.NewLocal(s)}
+}
+
+// store returns a store as another process would have it, with bounds small enough for tests.
+func (r *rig) store() *Store {
+	s := New(r.local)
+	s.bounds = bounds{every: 4, kept: 8, partBytes: 256}
+	return s
+}
+
+// change returns a change that sets the weight of the customer "c".
+func change(op string, weight int) *operatorv1.Change {
+	return &operatorv1.Change{OperationId: op, Author: op, Upserts: []*operatorv1.Object{
+		{Kind: &operatorv1.Object_Customer{Customer: &operatorv1.Customer{Name: "c", Weight: int32(weight)}}},
+	}}
+}
+
+// commitN commits n changes and returns the last configuration.
+func commitN(t *testing.T, s *Store, n int) *cluster.State {
+	t.Helper()
+	state, err := s.Load(t.Context())
+	require.NoError(t, err)
+	for range n {
+		state, err = s.Commit(t.Context(), state, change(fmt.Sprintf("n%d", state.Revision+1), int(state.Revision)+1))
+		require.NoError(t, err)
+	}
+	return state
+}
+
+// fateOnce gives a fate to the first call of a name.
+func fateOnce(name string, fate kvserver.Fate) func(string, string) kvserver.Fate {
+	used := false
+	return func(call, _ string) kvserver.Fate {
+		if call == name && !used {
+			used = true
+			return fate
+		}
+		return kvserver.Normal
+	}
+}
+
+// Guards against a commit that is reported wrongly, or applied twice, because its answer was lost.
+func TestLostAnswersAreResolved(t *testing.T) {
+	for name, fate := range map[string]kvserver.Fate{
+		"answer lost": kvserver.AnswerLost, "request lost": kvserver.RequestLost, "request late": kvserver.Late,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig()
+				a := r.store()
+				r.local.Fate = fateOnce("put", fate)
+				next, err := a.Commit(t.Context(), cluster.Empty(), change("x", 1))
+				require.NoError(t, err)
+				require.Equal(t, int64(1), next.Revision)
+				r.local.ReleaseLate()
+				changes, err := a.History(t.Context(), 100, 100)
+				require.NoError(t, err)
+				require.Len(t, changes, 1)
+			})
+		})
+	}
+}
+
+// Guards against a loser that believes that it won, or is not told who did.
+func TestLostAnswerOfALostRaceNamesTheWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		a, b := r.store(), r.store()
+		_, err := b.Commit(t.Context(), cluster.Empty(), change("winner", 1))
+		require.NoError(t, err)
+		r.local.Fate = fateOnce("put", kvserver.AnswerLost)
+		_, err = a.Commit(t.Context(), cluster.Empty(), change("loser", 2))
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.Equal(t, "winner", conflict.Winner.GetOperationId())
+	})
+}
+
+// Guards against a lost answer that is reported as a refusal when the service then goes down.
+func TestOutageAfterALostAnswerIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		a := r.store()
+		r.server.SetFaults(kvserver.Faults{Down: true})
+		_, err := a.Commit(t.Context(), cluster.Empty(), change("x", 1))
+		var down *kv.UnavailableError
+		require.ErrorAs(t, err, &down, "a refusal without effect is no unknown outcome")
+		require.NotErrorAs(t, err, new(*UnknownOutcomeError))
+
+		r.local.Fate = fateThen(kvserver.AnswerLost)
+		r.server.SetFaults(kvserver.Faults{})
+		_, err = a.Commit(t.Context(), cluster.Empty(), change("x", 1))
+		var unknown *UnknownOutcomeError
+		require.ErrorAs(t, err, &unknown)
+		r.local.Fate = nil
+		state, err := a.Load(t.Context())
+		require.NoError(t, err)
+		_, err = a.Commit(t.Context(), state, change("x", 1))
+		var repeat *RepeatedOperationError
+		require.ErrorAs(t, err, &repeat, "the repeat finds that the change took effect")
+	})
+}
+
+// fateThen gives a fate to the next put and refuses every call after it.
+func fateThen(fate kvserver.Fate) func(string, string) kvserver.Fate {
+	put := false
+	return func(call, _ string) kvserver.Fate {
+		switch {
+		case put:
+			return kvserver.Refused
+		case call == "put":
+			put = true
+			return fate
+		}
+		return kvserver.Normal
+	}
+}
+
+// Guards against a repeat through another process that applies an operation a second time.
+func TestRepeatsAreRecognisedByOtherProcesses(t *testing.T) {
+	r := newRig()
+	commitN(t, r.store(), 3)
+	b := r.store()
+	state, err := b.Load(t.Context())
+	require.NoError(t, err)
+	_, err = b.Commit(t.Context(), state, change("n2", 7))
+	var repeat *RepeatedOperationError
+	require.ErrorAs(t, err, &repeat)
+	require.Equal(t, int64(2), repeat.Change.GetRevision())
+}
+
+// Guards against a process that was paused for hours and commits a revision that was committed and trimmed
+// meanwhile: its change would be reported as accepted and never come into force.
+func TestPausedCommitterCannotRecreateATrimmedRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		a, paused := r.store(), r.store()
+		old := commitN(t, a, 2)
+		for range 6 {
+			_, err := a.Maintain(t.Context(), commitN(t, a, 4))
+			require.NoError(t, err)
+		}
+		_, err := paused.Commit(t.Context(), old, change("late", 99))
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		state, err := r.store().Load(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, int64(26), state.Revision)
+		_, err = a.Change(t.Context(), 3)
+		require.ErrorAs(t, err, new(*TrimmedError), "the recreated record is deleted again")
+	})
+}
+
+// Guards against a configuration that differs when it is read from snapshots, and against a half-written or
+// damaged snapshot.
+func TestSnapshotsStandForTheTrimmedLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		a := r.store()
+		var want *cluster.State
+		for range 8 {
+			want = commitN(t, a, 4)
+			_, err := a.Maintain(t.Context(), want)
+			require.NoError(t, err)
+		}
+		check := func() {
+			got, err := r.store().Load(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, want.Revision, got.Revision)
+			require.Equal(t, want.Customer("c").GetWeight(), got.Customer("c").GetWeight())
+		}
+		check()
+		for revision := int64(32); revision >= 24; revision-- {
+			at, err := a.At(t.Context(), revision)
+			require.NoError(t, err)
+			require.Equal(t, int32(revision), at.Customer("c").GetWeight())
+		}
+		_, err := a.At(t.Context(), 10)
+		require.ErrorAs(t, err, new(*TrimmedError))
+		entry, err := r.local.Get(t.Context(), partKey(32, 0))
+		require.NoError(t, err)
+		entry.Value[len(entry.Value)-1] ^= 1
+		_, err = r.local.Put(t.Context(), entry.Key, entry.Value, entry.ModRevision, 0)
+		require.NoError(t, err)
+		check()
+		require.NoError(t, r.local.Delete(t.Context(), keyHead, headMod(t, r)))
+		check()
+	})
+}
+
+func headMod(t *testing.T, r *rig) int64 {
+	t.Helper()
+	e, err := r.local.Get(t.Context(), keyHead)
+	require.NoError(t, err)
+	return e.ModRevision
+}
+
+// Guards against bookkeeping that costs more than 1.1 writes per change on average.
+func TestWritesPerChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		a := New(r.local)
+		var state *cluster.State
+		for range 10 {
+			state = commitN(t, a, SnapshotEvery)
+			_, err := a.Maintain(t.Context(), state)
+			require.NoError(t, err)
+		}
+		extra := float64(r.server.Counts().Writes-state.Revision) / float64(state.Revision)
+		require.LessOrEqual(t, extra, 1.1)
+	})
+}
+
+// follow starts to follow and returns the revisions as they come.
+func follow(ctx context.Context, s *Store, from *cluster.State) (revisions <-chan int64, failed <-chan error) {
+	out, errs := make(chan int64, 1000), make(chan error, 1)
+	go func() {
+		errs <- s.Follow(ctx, from, func(c *operatorv1.Change) error {
+			out <- c.GetRevision()
+			return nil
+		})
+	}()
+	return out, errs
+}
+
+// Guards against changes that are missed between the load and the start of the watch, and against waiting for a
+// watch whose connection went silent.
+func TestFollowHasNoGapAndSurvivesASilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		a, b := r.store(), r.store()
+		first := commitN(t, a, 3)
+		commitN(t, a, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		other := New(kvserver.NewLocal(r.server))
+		r.local.Fate = func(call, _ string) kvserver.Fate {
+			if call == "watch" {
+				commitN(t, other, 1) // Between the read of the log and the start of the watch.
+			}
+			return kvserver.Normal
+		}
+		revisions, failed := follow(ctx, b, first)
+		synctest.Wait()
+		r.local.Fate = nil
+		require.Len(t, revisions, 3)
+		for want := int64(4); want <= 6; want++ {
+			require.Equal(t, want, <-revisions)
+		}
+		r.local.SilenceWatches()
+		commitN(t, a, 1)
+		time.Sleep(checkInterval + time.Millisecond)
+		synctest.Wait()
+		require.Len(t, revisions, 1)
+		require.Equal(t, int64(7), <-revisions)
+		time.Sleep(checkInterval + time.Millisecond)
+		synctest.Wait()
+		require.ErrorAs(t, <-failed, new(*SilentWatchError), "so that a new watch is started")
+		cancel()
+	})
+}
+
+// Guards against a service that lost its data and takes the fleet back to an older configuration.
+func TestLogThatLostItsEndIsReported(t *testing.T) {
+	r := newRig()
+	state := commitN(t, r.store(), 3)
+	_, err := newRig().store().Since(t.Context(), state.Revision, func(*operatorv1.Change) error { return nil })
+	require.ErrorAs(t, err, new(*LogBehindError))
+}
