Carry the instance list with the configuration feed

Cause: every process read the whole list, 600 KB at the target size, every second; the budget for control is 4 KB/s. Now the watchers of each failure domain poll the platform with an entity tag, and deltas travel down the feed's tree; other processes check the version every 30 s.

--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -31,8 +30,12 @@
 const (
 	keyValueTimeout  = 5 * time.Second
 	instancesTimeout = 2 * time.Second
-	// instancesInterval is the time between polls of the instance list. The list itself lags by more.
-	instancesInterval = time.Second
+	// watchInterval is the time between polls of the instance list by the processes that watch the key-value
+	// service. The list itself lags by more.
+	watchInterval = time.Second
+	// checkInterval is that of the other processes, which get the list with the configuration. The poll only finds
+	// out what the feed has missed.
+	checkInterval = 30 * time.Second
 	// lameDuck is how long a process that ends still answers new requests with refusals, so that those who have
 	// not noticed its end get a true answer in place of a refused connection.
 	lameDuck = time.Second
@@ -60,7 +63,7 @@
 	store    *store.Store
 	node     *feed.Node
 	list     *instances.Client
-	peers    atomic.Pointer[[]instances.Instance]
+	replica  *instances.Replica
 	client   *http.Client
 }
 
@@ -94,10 +97,10 @@
 	}
 	c.kv = kv.NewClient(kvURL, keyValueTimeout, observe)
 	c.store = store.New(c.kv)
-	c.list = instances.NewClient(listURL, instancesTimeout)
+	c.list, c.replica = instances.NewClient(listURL, instancesTimeout), instances.NewReplica()
 	c.node = feed.NewNode(feed.Options{
 		Self:  feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain},
-		Peers: c.feedPeers, Store: c.store, Client: c.client, Log: c.log,
+		Peers: c.feedPeers, Store: c.store, Attachment: c.replica, Client: c.client, Log: c.log,
 	})
 	return c.node.Register(c.meter)
 }
@@ -115,12 +118,7 @@
 }
 
 // instances returns the latest instance list.
-func (c *control) instances() []instances.Instance {
-	if p := c.peers.Load(); p != nil {
-		return *p
-	}
-	return nil
-}
+func (c *control) instances() []instances.Instance { return c.replica.List().Instances }
 
 // feedPeers returns the processes that serve the configuration.
 func (c *control) feedPeers() []feed.Peer {
@@ -134,12 +132,22 @@
 	return out
 }
 
-// run keeps instance list and configuration up to date until the context ends.
+// run keeps instance list and configuration up to date until the context ends. It calls seen with each new list.
 func (c *control) run(ctx context.Context, seen func(instances.List)) error {
-	go c.list.Run(ctx, instancesInterval, func(l instances.List) {
-		c.peers.Store(&l.Instances)
-		seen(l)
-	}, func(err error) { c.log.Warn("instance list not read", zap.Error(err)) })
+	go c.list.Run(ctx, c.replica, c.listInterval, func(err error) {
+		c.log.Warn("instance list not read", zap.Error(err))
+	})
+	go func() {
+		for {
+			changed := c.replica.Changed()
+			seen(c.replica.List())
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	err := c.node.Run(ctx)
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -147,6 +155,13 @@
 	return err
 }
 
+func (c *control) listInterval() time.Duration {
+	if c.node.Watches() {
+		return watchInterval
+	}
+	return checkInterval
+}
+
 // register adds the routes that every process serves to its peers.
 func (c *control) register(r *mux.Router, draining func() bool) {
 	r.Handle(peerapi.PathConfig, c.node.Handler()).Methods(http.MethodGet)
--- a/configsync/feed/node.go
+++ b/configsync/feed/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +22,27 @@
 	"lavendermoor.example/telemetry/invariant"
 )
 
+// Attachment is a versioned document that the feed carries beside the configuration: the instance list. Its methods
+// may be called from any goroutine and must not block.
+type Attachment interface {
+	// Version is that of the present document, 0 before the first.
+	Version() int64
+	// Since returns what a process with the version lacks, nil for nothing.
+	Since(version int64) json.RawMessage
+	// Take takes what Since returned in another process.
+	Take(delta json.RawMessage) error
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// noAttachment is used where Options has none.
+type noAttachment struct{}
+
+func (noAttachment) Version() int64              { return 0 }
+func (noAttachment) Since(int64) json.RawMessage { return nil }
+func (noAttachment) Take(json.RawMessage) error  { return nil }
+func (noAttachment) Changed() <-chan struct{}    { return nil }
+
 // Options are the parts of a Node.
 type Options struct {
 	// Self is this process.
@@ -29,6 +51,8 @@
 	Peers func() []Peer
 	// Store is the configuration in the key-value service.
 	Store *store.Store
+	// Attachment is carried beside the configuration; nil for none.
+	Attachment Attachment
 	// Client is used for calls to peers. It must have no timeout of its own.
 	Client *http.Client
 	Log    *zap.Logger
@@ -63,6 +87,9 @@
 
 // NewNode returns a Node without a configuration; Run obtains one.
 func NewNode(opts Options) *Node {
+	if opts.Attachment == nil {
+		opts.Attachment = noAttachment{}
+	}
 	seed := opts.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
--- a/configsync/feed/poll.go
+++ b/configsync/feed/poll.go
@@ -43,7 +43,8 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silence, func() { cancel(&SilentError{}) })
 	defer watchdog.Stop()
-	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d", peer.Address, peerapi.PathConfig, n.revision(), wait.Milliseconds())
+	url := fmt.Sprintf("http://%s%s?after=%d&attachment_after=%d&wait_ms=%d", peer.Address, peerapi.PathConfig,
+		n.revision(), n.opts.Attachment.Version(), wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return merry.Wrap(err)
@@ -90,6 +91,11 @@
 // take puts in force what a line carries, and takes over how fresh the sender's configuration is.
 func (n *Node) take(line *Line) error {
 	received := time.Now()
+	if len(line.Attachment) > 0 {
+		if err := n.opts.Attachment.Take(line.Attachment); err != nil {
+			return err
+		}
+	}
 	if len(line.Snapshot) > 0 {
 		s, err := DecodeState(line.Snapshot)
 		if err != nil {
--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -62,6 +62,9 @@
 	return ctx.Err()
 }
 
+// Watches says whether this process watches the key-value service in place of polling a peer.
+func (n *Node) Watches() bool { return n.place().watches() }
+
 func (n *Node) place() place { return locate(n.opts.Self, n.opts.Peers()) }
 
 // sourceLoop obtains changes from the source that this process's place in the tree says.
--- a/configsync/feed/wire.go
+++ b/configsync/feed/wire.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"encoding/json"
+
 	"google.golang.org/protobuf/proto"
 
 	"lavendermoor.example/api/operatorv1"
@@ -19,6 +21,8 @@
 	Snapshot []byte `json:"snapshot,omitempty"`
 	// Changes are operatorv1.Change messages in their binary form, in order, from the caller's revision on.
 	Changes [][]byte `json:"changes,omitempty"`
+	// Attachment is what the caller lacks of the attachment.
+	Attachment json.RawMessage `json:"attachment,omitempty"`
 	// End marks the last line.
 	End bool `json:"end,omitempty"`
 }
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -79,9 +80,15 @@
 
 func (s *Server) remove(_ http.ResponseWriter, r *http.Request) { s.Remove(mux.Vars(r)["name"]) }
 
-func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.settle(time.Now())
+	tag := strconv.Quote(strconv.FormatInt(s.version, 10))
+	if r.Header.Get("If-None-Match") == tag {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	out := List{Version: s.version}
 	for _, i := range s.shown {
 		out.Instances = append(out.Instances, i)
@@ -89,6 +96,7 @@
 	s.mu.Unlock()
 	sort.Slice(out.Instances, func(a, b int) bool { return out.Instances[a].Name < out.Instances[b].Name })
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("ETag", tag)
 	_ = json.NewEncoder(w).Encode(out)
 }
 
