--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -64,7 +65,9 @@
 	node     *feed.Node
 	list     *instances.Client
 	replica  *instances.Replica
-	client   *http.Client
+	// lastPeers saves computing the peers again.
+	lastPeers atomic.Pointer[peersAt]
+	client    *http.Client
 }
 
 func newControl(id identity, logs io.Writer) (*control, error) {
@@ -120,15 +123,25 @@
 // instances returns the latest instance list.
 func (c *control) instances() []instances.Instance { return c.replica.List().Instances }
 
-// feedPeers returns the processes that serve the configuration.
+// peersAt is the list of peers that follows from a version of the instance list.
+type peersAt struct {
+	version int64
+	peers   []feed.Peer
+}
+
+// feedPeers returns the processes that serve the configuration, the same list while nothing has changed.
 func (c *control) feedPeers() []feed.Peer {
-	list := c.instances()
-	out := make([]feed.Peer, 0, len(list))
-	for _, i := range list {
+	list := c.replica.List()
+	if last := c.lastPeers.Load(); last != nil && last.version == list.Version {
+		return last.peers
+	}
+	out := make([]feed.Peer, 0, len(list.Instances))
+	for _, i := range list.Instances {
 		if i.State == instances.Live {
 			out = append(out, feed.Peer{Name: i.Name, Address: i.Address, FailureDomain: i.FailureDomain})
 		}
 	}
+	c.lastPeers.Store(&peersAt{version: list.Version, peers: out})
 	return out
 }
 
--- a/configsync/feed/node.go
+++ b/configsync/feed/node.go
@@ -47,7 +47,8 @@
 type Options struct {
 	// Self is this process.
 	Self Peer
-	// Peers returns the known processes; it is called often and must not block.
+	// Peers returns the known processes; it is called often and must not block. A list that has been returned must
+	// not be changed; returning the same list again saves work.
 	Peers func() []Peer
 	// Store is the configuration in the key-value service.
 	Store *store.Store
@@ -67,6 +68,8 @@
 	// fallback is the store under the call budget of a process that does not watch.
 	fallback *store.Store
 	state    atomic.Pointer[cluster.State]
+	// lastPlace saves computing the place again.
+	lastPlace atomic.Pointer[placeOf]
 	// overBudget counts the times at which the call budget stopped this process from asking the service.
 	overBudget atomic.Int64
 	stopped    chan struct{}
--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -65,7 +65,28 @@
 // Watches says whether this process watches the key-value service in place of polling a peer.
 func (n *Node) Watches() bool { return n.place().watches() }
 
-func (n *Node) place() place { return locate(n.opts.Self, n.opts.Peers()) }
+// placeOf is a place and the list of peers that it follows from.
+type placeOf struct {
+	peers []Peer
+	place place
+}
+
+// place returns the present place. It is computed once for each list of peers, because sorting 4,000 peers takes
+// milliseconds and the place is asked for every second.
+func (n *Node) place() place {
+	peers := n.opts.Peers()
+	if last := n.lastPlace.Load(); last != nil && samePeers(last.peers, peers) {
+		return last.place
+	}
+	p := locate(n.opts.Self, peers)
+	n.lastPlace.Store(&placeOf{peers: peers, place: p})
+	return p
+}
+
+// samePeers says whether two lists are the same memory.
+func samePeers(a, b []Peer) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
 
 // sourceLoop obtains changes from the source that this process's place in the tree says.
 func (n *Node) sourceLoop(ctx context.Context) {
