Add the controller of expert maps

Change: expertmap/controller polls the ranks, estimates popularity and speeds, decides, fixes the content by creating expertmap/<group>/<version>, and offers decided maps. The record holds the content, because a version whose creator dies before it offers it would otherwise stop the group's maps for good. Old records lose their content and stay for 1,000 versions, so that a controller that was paused cannot create one again. A rank's status carries the tokens of each expert only when asked for (2.4 KB against about 0.2 KB).

--- /dev/null
+++ b/expertmap/controller/controller.go
@@ -0,0 +1,378 @@
+// Package controller decides on the expert maps of one group. It runs in the side process of the group's rank 0
+// server. Any number of controllers may run at once: the key-value service fixes the content of each version
+// before a rank hears of it, so that a second or a late controller can only offer what is decided.
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/expertmap"
+	"lavendermoor.example/expertmap/rankapi"
+	"lavendermoor.example/platform/kv"
+)
+
+// Rank is the access to one rank; *rankapi.Client implements it.
+type Rank interface {
+	Offer(ctx context.Context, o rankapi.Offer) (rankapi.Status, error)
+	Status(ctx context.Context, experts bool) (rankapi.Status, error)
+}
+
+// Options are the parts and settings of a Controller.
+type Options struct {
+	Group string
+	Shape expertmap.Shape
+	Store kv.Store
+	Ranks []Rank
+	// Costs are those of a decision; LifeSteps is the expected life of the first map.
+	Costs expertmap.Costs
+	// Poll is the time between two polls of the ranks.
+	Poll time.Duration
+	// DecideEvery is the number of polls between two decisions.
+	DecideEvery int
+	// MemorySteps is the number of steps over which popularity is averaged.
+	MemorySteps float64
+	// Detector finds slow ranks; its steps are polls.
+	Detector expertmap.DetectorSettings
+	// SlowPolls is the number of polls in a row after which a rank that still holds the group up makes it slow.
+	SlowPolls int
+	Log       *zap.Logger
+}
+
+// DefaultOptions returns the settings for a group; the parts have to be filled in.
+func DefaultOptions() Options {
+	return Options{
+		Costs: expertmap.Costs{
+			ExpertBytes: 44 << 20, BudgetBytes: 64 << 30, LoadSeconds: 20e-6, SwitchSeconds: 0.05, LifeSteps: 2000,
+		},
+		Poll: time.Second, DecideEvery: 15, MemorySteps: 500, SlowPolls: 15,
+		Detector: expertmap.DetectorSettings{Weight: 0.3, Slow: 1.15, Normal: 1.08, MinSteps: 2},
+	}
+}
+
+// Dump is the state dump of a controller.
+type Dump struct {
+	Group string `json:"group"`
+	// Newest is the highest decided version known; Active is the lowest version in use.
+	Newest int64 `json:"newest"`
+	Active int64 `json:"active"`
+	// Missing counts ranks that did not answer the last poll.
+	Missing   int   `json:"missing"`
+	SlowRanks []int `json:"slow_ranks,omitempty"`
+	Slow      bool  `json:"slow"`
+	// Decisions counts decisions, Maps the new maps among them, and Bytes what these moved.
+	Decisions int64   `json:"decisions"`
+	Maps      int64   `json:"maps"`
+	Bytes     int64   `json:"bytes"`
+	LifeSteps float64 `json:"life_steps"`
+	LastError string  `json:"last_error,omitempty"`
+}
+
+// Controller decides on one group's maps. Tick is called by one goroutine; Slow and Dump by any.
+type Controller struct {
+	opts    Options
+	records records
+	est     *estimate
+	// maps are the decided maps known, by version; newest is the highest of them.
+	maps   map[int64]*expertmap.Map
+	newest int64
+	// synced is false until the decided versions have been read.
+	synced bool
+	polls  int
+	// switchedAt is the number of steps seen when the newest map was decided; steps counts those of rank 0.
+	steps, switchedAt int64
+	heldUp            int
+
+	mu   sync.Mutex
+	dump Dump
+}
+
+// New returns a controller that knows no map.
+func New(opts Options) *Controller {
+	return &Controller{
+		opts: opts, records: records{store: opts.Store, group: opts.Group},
+		est:  newEstimate(opts.Shape, opts.MemorySteps, opts.Detector),
+		maps: map[int64]*expertmap.Map{}, dump: Dump{Group: opts.Group, LifeSteps: opts.Costs.LifeSteps},
+	}
+}
+
+// Slow says that the group has a rank that stays slow although work was moved off it.
+func (c *Controller) Slow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dump.Slow
+}
+
+// Dump returns the state dump.
+func (c *Controller) Dump() Dump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dump
+}
+
+func (c *Controller) update(fn func(d *Dump)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn(&c.dump)
+}
+
+// Run ticks until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := c.Tick(ctx)
+		text := ""
+		if err != nil && ctx.Err() == nil {
+			text = err.Error()
+			c.opts.Log.Warn("expert map tick failed", zap.String("group", c.opts.Group), zap.Error(err))
+		}
+		c.update(func(d *Dump) { d.LastError = text })
+		select {
+		case <-time.After(c.opts.Poll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Tick polls the ranks, offers decided maps to those that lack them, and decides now and then. Its errors are
+// those of the key-value service and *RecordError; everything that needs no service is done all the same.
+func (c *Controller) Tick(ctx context.Context) error {
+	c.polls++
+	experts := c.polls%c.opts.DecideEvery == 0
+	statuses, complete := c.poll(ctx, experts)
+	err := c.sync(ctx, statuses)
+	c.offer(ctx, statuses)
+	if !complete {
+		return err
+	}
+	if observeErr := c.observe(statuses, experts); observeErr != nil {
+		return observeErr
+	}
+	if err != nil {
+		return err
+	}
+	if c.newest == 0 {
+		return c.first(ctx)
+	}
+	if experts && settled(statuses, c.newest) {
+		return c.decide(ctx)
+	}
+	return nil
+}
+
+// poll returns the status of each rank, the zero Status for one that does not answer.
+func (c *Controller) poll(ctx context.Context, experts bool) ([]rankapi.Status, bool) {
+	statuses := make([]rankapi.Status, len(c.opts.Ranks))
+	answered := make([]bool, len(c.opts.Ranks))
+	var all errgroup.Group
+	for i, rank := range c.opts.Ranks {
+		all.Go(func() error {
+			s, err := rank.Status(ctx, experts)
+			statuses[i], answered[i] = s, err == nil
+			return nil // A rank that does not answer must not stop the others.
+		})
+	}
+	_ = all.Wait()
+	missing := 0
+	for i, ok := range answered {
+		if !ok {
+			missing++
+			statuses[i] = rankapi.Status{Rank: -1}
+		}
+	}
+	c.update(func(d *Dump) {
+		d.Missing = missing
+		d.Active = lowestActive(statuses)
+	})
+	return statuses, missing == 0
+}
+
+func missing(s rankapi.Status) bool { return s.Rank < 0 }
+
+func lowestActive(statuses []rankapi.Status) int64 {
+	lowest := int64(-1)
+	for _, s := range statuses {
+		if !missing(s) && (lowest < 0 || s.Active < lowest) {
+			lowest = s.Active
+		}
+	}
+	return max(lowest, 0)
+}
+
+// settled says whether every rank uses the newest map, so that no switch is in progress.
+func settled(statuses []rankapi.Status, newest int64) bool {
+	for _, s := range statuses {
+		if missing(s) || s.Active != newest || s.Top != newest {
+			return false
+		}
+	}
+	return true
+}
+
+// sync reads decided versions at the start, and when a rank knows a version that this controller does not.
+func (c *Controller) sync(ctx context.Context, statuses []rankapi.Status) error {
+	needed := !c.synced
+	for _, s := range statuses {
+		needed = needed || s.Top > c.newest
+	}
+	if !needed {
+		return nil
+	}
+	maps, err := c.records.since(ctx, c.newest+1)
+	if err != nil {
+		return err
+	}
+	c.synced = true
+	for _, m := range maps {
+		c.learn(m)
+	}
+	return nil
+}
+
+func (c *Controller) learn(m *expertmap.Map) {
+	c.maps[m.Version] = m
+	if m.Version > c.newest {
+		c.newest = m.Version
+		c.switchedAt = c.steps
+		c.update(func(d *Dump) { d.Newest = m.Version })
+	}
+}
+
+// offer gives each rank the decided maps that it lacks; a rank without a map starts with the newest.
+func (c *Controller) offer(ctx context.Context, statuses []rankapi.Status) {
+	var all errgroup.Group
+	for i, s := range statuses {
+		next := s.Top + 1
+		if s.Top == 0 {
+			next = c.newest
+		}
+		if missing(s) || next > c.newest {
+			continue
+		}
+		all.Go(func() error {
+			c.offerFrom(ctx, c.opts.Ranks[i], next)
+			return nil
+		})
+	}
+	_ = all.Wait()
+}
+
+func (c *Controller) offerFrom(ctx context.Context, rank Rank, next int64) {
+	for ; next <= c.newest; next++ {
+		m := c.maps[next]
+		if m == nil {
+			return
+		}
+		if _, err := rank.Offer(ctx, rankapi.Offer{Group: c.opts.Group, Map: m}); err != nil {
+			c.opts.Log.Info("rank did not take an expert map", zap.String("group", c.opts.Group),
+				zap.Int64("version", next), zap.Error(err))
+			return // Offered again at the next poll.
+		}
+	}
+}
+
+func (c *Controller) observe(statuses []rankapi.Status, experts bool) error {
+	c.steps += since(statuses[0], c.est.last[0]).Steps
+	ran, err := c.est.observeTimes(statuses)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if m := c.maps[c.newest]; experts && m != nil && settled(statuses, c.newest) {
+		c.est.observeExperts(m, statuses)
+	}
+	if ran {
+		c.judge()
+	}
+	return nil
+}
+
+// judge sets the group's Slow flag.
+func (c *Controller) judge() {
+	if c.est.holdsUp(c.opts.Detector.Slow) {
+		c.heldUp = min(c.heldUp+1, c.opts.SlowPolls)
+	} else {
+		c.heldUp = max(c.heldUp-1, 0)
+	}
+	slow := c.est.speeds.Slow()
+	c.update(func(d *Dump) {
+		d.SlowRanks = slow
+		switch c.heldUp {
+		case c.opts.SlowPolls:
+			d.Slow = true
+		case 0:
+			d.Slow = false
+		}
+	})
+}
+
+// first decides the first map of a group, for equal popularity.
+func (c *Controller) first(ctx context.Context) error {
+	load := expertmap.NewLoad(c.opts.Shape)
+	for i := range load.Seconds {
+		load.Seconds[i] = 1
+	}
+	m, err := expertmap.Balanced(1, load, c.est.speeds.Speeds())
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	return c.publish(ctx, m)
+}
+
+// publish fixes a map in the key-value service. The ranks hear of the version's content at the next poll.
+func (c *Controller) publish(ctx context.Context, m *expertmap.Map) error {
+	fixed, err := c.records.create(ctx, m)
+	if err != nil {
+		return err
+	}
+	if fixed == nil || fixed.Digest() != m.Digest() {
+		c.synced = false // Another controller decided; it may have decided later versions too.
+		return nil
+	}
+	c.learn(fixed)
+	return nil
+}
+
+// lifeWeight is the weight of the newest life of a map in the average.
+const lifeWeight = 0.3
+
+func (c *Controller) decide(ctx context.Context) error {
+	if !c.est.known {
+		return nil
+	}
+	costs := c.opts.Costs
+	costs.LifeSteps = c.Dump().LifeSteps
+	plan, err := expertmap.Improve(c.maps[c.newest], c.est.load(), c.est.speeds.Speeds(), costs)
+	c.update(func(d *Dump) { d.Decisions++ })
+	if err != nil || plan.Map == nil {
+		return merry.Wrap(err)
+	}
+	lived := float64(c.steps - c.switchedAt)
+	before := c.newest
+	if err := c.publish(ctx, plan.Map); err != nil {
+		return err
+	}
+	if c.newest != plan.Map.Version {
+		return nil
+	}
+	c.update(func(d *Dump) {
+		d.Maps++
+		d.Bytes += plan.Bytes
+		d.LifeSteps += lifeWeight * (lived - d.LifeSteps)
+	})
+	c.opts.Log.Info("expert map decided", zap.String("group", c.opts.Group), zap.Int64("version", c.newest),
+		zap.Int64("bytes", plan.Bytes), zap.Float64("before", plan.Before), zap.Float64("after", plan.After))
+	return c.forget(ctx, before-1)
+}
+
+// forget trims a version that every rank has left: all of them used a later one when the decision was made.
+func (c *Controller) forget(ctx context.Context, version int64) error {
+	if version <= 0 {
+		return nil
+	}
+	delete(c.maps, version)
+	return c.records.trim(ctx, version)
+}
--- /dev/null
+++ b/expertmap/controller/estimate.go
@@ -0,0 +1,131 @@
+package controller
+
+import (
+	"math"
+	"slices"
+
+	"lavendermoor.example/expertmap"
+	"lavendermoor.example/expertmap/rankapi"
+)
+
+// estimate turns the ranks' counters into popularity and speeds. It does no I/O.
+type estimate struct {
+	shape expertmap.Shape
+	// memory is the number of steps after which the weight of an observation has fallen to 1/e.
+	memory float64
+	speeds *expertmap.Detector
+	// last are the counters at the last poll, counted those at the last poll with experts.
+	last, counted []rankapi.Status
+	// tokens is the mean number of tokens of each expert in a step; known says whether there was an observation.
+	tokens []float64
+	known  bool
+	// tokenSeconds is the median time that a rank needs for one token.
+	tokenSeconds float64
+	// ratio is each rank's time in the last poll over the group's median.
+	ratio []float64
+}
+
+func newEstimate(s expertmap.Shape, memory float64, set expertmap.DetectorSettings) *estimate {
+	return &estimate{
+		shape: s, memory: memory, speeds: expertmap.NewDetector(s.Ranks, set),
+		last: make([]rankapi.Status, s.Ranks), counted: make([]rankapi.Status, s.Ranks),
+		tokens: make([]float64, s.Layers*s.Experts), ratio: make([]float64, s.Ranks),
+	}
+}
+
+// since returns the counters that were added since an earlier status; a switch of maps resets them.
+func since(now, before rankapi.Status) rankapi.Status {
+	if now.Active != before.Active || now.Steps < before.Steps {
+		return now
+	}
+	now.Steps -= before.Steps
+	now.Seconds -= before.Seconds
+	now.Tokens -= before.Tokens
+	if len(now.Experts) == len(before.Experts) {
+		now.Experts = slices.Clone(now.Experts)
+		for i := range now.Experts {
+			now.Experts[i] -= before.Experts[i]
+		}
+	}
+	return now
+}
+
+// observeTimes takes the statuses of all ranks. It returns false when not every rank has run steps.
+func (e *estimate) observeTimes(statuses []rankapi.Status) (bool, error) {
+	perToken := make([]float64, len(statuses))
+	perStep := make([]float64, len(statuses))
+	complete := true
+	for r, s := range statuses {
+		d := since(s, e.last[r])
+		e.last[r] = s
+		if d.Steps <= 0 || d.Tokens <= 0 {
+			complete = false
+			continue
+		}
+		perToken[r] = d.Seconds / float64(d.Tokens)
+		perStep[r] = d.Seconds / float64(d.Steps)
+	}
+	if !complete {
+		return false, nil
+	}
+	e.tokenSeconds = median(perToken)
+	middle := median(perStep)
+	for r := range perStep {
+		e.ratio[r] = perStep[r] / middle
+	}
+	return true, e.speeds.Observe(perToken)
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
+
+// observeExperts takes statuses with the tokens of each expert, counted under the map that all ranks use.
+func (e *estimate) observeExperts(m *expertmap.Map, statuses []rankapi.Status) {
+	sum := make([]float64, len(e.tokens))
+	steps := 0.0
+	for r, s := range statuses {
+		d := since(s, e.counted[r])
+		e.counted[r] = s
+		if d.Steps <= 0 || len(d.Experts) != m.Shape.Layers*m.Shape.Slots {
+			return
+		}
+		steps = float64(d.Steps)
+		for i, n := range d.Experts {
+			layer, slot := i/m.Shape.Slots, i%m.Shape.Slots
+			if expert := m.Slots(layer, r)[slot]; expert != expertmap.Empty {
+				sum[layer*m.Shape.Experts+int(expert)] += float64(n) / steps
+			}
+		}
+	}
+	weight := 1 - math.Exp(-steps/e.memory)
+	if !e.known {
+		weight = 1
+	}
+	e.known = true
+	for i := range e.tokens {
+		e.tokens[i] += weight * (sum[i] - e.tokens[i])
+	}
+}
+
+// load returns the popularity in seconds of a rank of speed 1.
+func (e *estimate) load() *expertmap.Load {
+	out := expertmap.NewLoad(e.shape)
+	for i, n := range e.tokens {
+		out.Seconds[i] = n * e.tokenSeconds
+	}
+	return out
+}
+
+// holdsUp says whether a rank that counts as slow still takes much longer for a step than the median, so that
+// moving work off it has not helped.
+func (e *estimate) holdsUp(threshold float64) bool {
+	for _, r := range e.speeds.Slow() {
+		if e.ratio[r] > threshold {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/expertmap/controller/records.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/expertmap"
+	"lavendermoor.example/platform/kv"
+)
+
+// record is the value of a key of records. The content is in the record, so that a version whose creator has
+// died can still be offered.
+type record struct {
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
+	// Map is nil once every rank uses a later version. The key stays, so that the version is not created again
+	// by a controller that was paused.
+	Map *expertmap.Map `json:"map,omitempty"`
+}
+
+// RecordError says that a record in the key-value service is not valid.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string { return fmt.Sprintf("expert map record %q: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// records are the decided versions of one group.
+type records struct {
+	store kv.Store
+	group string
+}
+
+// prefix of the group's keys. Versions are padded so that the order of keys is that of versions.
+func (r *records) prefix() string { return "expertmap/" + r.group + "/" }
+
+func (r *records) key(version int64) string { return fmt.Sprintf("%s%012d", r.prefix(), version) }
+
+// create fixes the content of a version. It returns the map that the service holds for the version: this one,
+// or that of another controller which came first. A nil map without an error means that the version was used
+// and given up long ago. Errors are *RecordError and those of kv.Store; the record may exist after a
+// *kv.UnknownOutcomeError, and create may be called again.
+func (r *records) create(ctx context.Context, m *expertmap.Map) (*expertmap.Map, error) {
+	value, err := json.Marshal(record{Version: m.Version, Digest: m.Digest(), Map: m})
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	_, err = r.store.Put(ctx, r.key(m.Version), value, kv.Absent, 0)
+	if err == nil {
+		return m, nil
+	}
+	var conflict *kv.ConflictError
+	var unknown *kv.UnknownOutcomeError
+	if !errors.As(err, &conflict) && !errors.As(err, &unknown) {
+		return nil, err
+	}
+	entry, readErr := r.store.Get(ctx, r.key(m.Version))
+	if readErr != nil {
+		return nil, err // Without an answer, or not yet there: the next call resolves it.
+	}
+	got, err := decode(entry)
+	return got.Map, err
+}
+
+func decode(entry kv.Entry) (record, error) {
+	var rec record
+	if err := json.Unmarshal(entry.Value, &rec); err != nil {
+		return rec, merry.Wrap(&RecordError{Key: entry.Key, Cause: err})
+	}
+	return rec, nil
+}
+
+// pageSize is the number of records read at once; those with content have about 52 KB at the target size.
+const pageSize = 64
+
+// since returns the maps of all versions from a version on that still have their content, oldest first.
+func (r *records) since(ctx context.Context, version int64) ([]*expertmap.Map, error) {
+	var maps []*expertmap.Map
+	for {
+		entries, err := r.store.List(ctx, r.prefix(), r.key(version), pageSize)
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range entries {
+			rec, err := decode(entry)
+			if err != nil {
+				return nil, err
+			}
+			if rec.Map != nil {
+				maps = append(maps, rec.Map)
+			}
+			version = rec.Version + 1
+		}
+		if len(entries) < pageSize {
+			return maps, nil
+		}
+	}
+}
+
+// keptRecords is the number of records without content that are kept. A controller that is paused for fewer
+// rebalances cannot create an old version again.
+const keptRecords = 1000
+
+// trim takes the content out of a record that no rank needs, and deletes the one that is keptRecords older.
+func (r *records) trim(ctx context.Context, version int64) error {
+	entry, err := r.store.Get(ctx, r.key(version))
+	if err != nil {
+		return err
+	}
+	rec, err := decode(entry)
+	if err != nil || rec.Map == nil {
+		return err
+	}
+	value, err := json.Marshal(record{Version: rec.Version, Digest: rec.Digest})
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if _, err := r.store.Put(ctx, entry.Key, value, entry.ModRevision, 0); err != nil {
+		return err
+	}
+	return r.drop(ctx, version-keptRecords)
+}
+
+func (r *records) drop(ctx context.Context, version int64) error {
+	if version <= 0 {
+		return nil
+	}
+	entry, err := r.store.Get(ctx, r.key(version))
+	var missing *kv.NotFoundError
+	if errors.As(err, &missing) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return r.store.Delete(ctx, entry.Key, entry.ModRevision)
+}
--- a/expertmap/placement_test.go
+++ b/expertmap/placement_test.go
@@ -104,6 +104,27 @@
 	require.Nil(t, plan.Map)
 }
 
+// Guards against changes whose own gain is below their cost within a map that is worth making, and against a
+// map that is not worth the fixed cost of a switch.
+func TestImproveWeighsEachChange(t *testing.T) {
+	load := skewedLoad(wide, 3, 0.5)
+	m, err := Balanced(1, skewedLoad(wide, 4, 0.5), even(64))
+	require.NoError(t, err)
+	costs := eagerCosts()
+	all, err := Improve(m, load, even(64), costs)
+	require.NoError(t, err)
+	costs.LoadSeconds = (all.Before - all.After) * costs.LifeSteps / float64(all.Loads)
+	some, err := Improve(m, load, even(64), costs)
+	require.NoError(t, err)
+	require.NotNil(t, some.Map)
+	require.Less(t, some.Loads, all.Loads/2)
+	costs = eagerCosts()
+	costs.SwitchSeconds = 2 * all.Before * costs.LifeSteps
+	none, err := Improve(m, load, even(64), costs)
+	require.NoError(t, err)
+	require.Nil(t, none.Map)
+}
+
 // Guards against a slow rank that keeps its share of the work.
 func TestImproveShiftsWorkOffASlowRank(t *testing.T) {
 	load := skewedLoad(wide, 3, 0.5)
--- a/expertmap/rankapi/rankapi.go
+++ b/expertmap/rankapi/rankapi.go
@@ -20,10 +20,13 @@
 const (
 	// PathMap takes an Offer by POST and answers with a Status, or with a Refusal and status 409.
 	PathMap = "/rank/v1/map"
-	// PathStatus returns a Status.
+	// PathStatus returns a Status. The query "experts=true" asks for the tokens of each expert.
 	PathStatus = "/rank/v1/status"
 )
 
+// QueryExperts is the query parameter of PathStatus.
+const QueryExperts = "experts"
+
 // Offer offers a map to a rank. A repeat has no further effect.
 type Offer struct {
 	Group string         `json:"group"`
@@ -51,8 +54,11 @@
 	Steps int64 `json:"steps"`
 	// Seconds is the time that the rank computed in these steps, without waiting for others.
 	Seconds float64 `json:"seconds"`
-	// Tokens counts the tokens of each expert that the rank holds, in order of layer and slot.
-	Tokens []int64 `json:"tokens,omitempty"`
+	// Tokens is the number of tokens in these steps, over all layers.
+	Tokens int64 `json:"tokens"`
+	// Experts counts the tokens of each expert that the rank holds, in order of layer and slot. It is sent only
+	// when asked for, since it is most of the message.
+	Experts []int64 `json:"experts,omitempty"`
 }
 
 // RefusedError says that a rank refused a request.
@@ -84,16 +90,21 @@
 	if err != nil {
 		return Status{}, merry.Wrap(err)
 	}
-	return c.do(ctx, http.MethodPost, PathMap, bytes.NewReader(body))
+	return c.do(ctx, http.MethodPost, c.base.JoinPath(PathMap), bytes.NewReader(body))
 }
 
-// Status asks for a rank's status. It fails with a *RefusedError or an error of the transport.
-func (c *Client) Status(ctx context.Context) (Status, error) {
-	return c.do(ctx, http.MethodGet, PathStatus, nil)
+// Status asks for a rank's status, with the tokens of each expert if experts is set. It fails with a
+// *RefusedError or an error of the transport.
+func (c *Client) Status(ctx context.Context, experts bool) (Status, error) {
+	u := c.base.JoinPath(PathStatus)
+	if experts {
+		u.RawQuery = QueryExperts + "=true"
+	}
+	return c.do(ctx, http.MethodGet, u, nil)
 }
 
-func (c *Client) do(ctx context.Context, method, path string, body io.Reader) (Status, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base.JoinPath(path).String(), body)
+func (c *Client) do(ctx context.Context, method string, u *url.URL, body io.Reader) (Status, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), body)
 	if err != nil {
 		return Status{}, merry.Wrap(err)
 	}
--- a/expertmap/switch_test.go
+++ b/expertmap/switch_test.go
@@ -108,7 +108,7 @@
 		case 5, 6, 7:
 			rank.Loaded(int64(rapid.IntRange(1, len(m.decided)+1).Draw(t, "loaded")))
 		case 8:
-			if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+			if rapid.Bool().Draw(t, "restart") {
 				*rank = Switch{}
 			}
 		case 9:
@@ -178,3 +178,18 @@
 	give(ranks[2], 2)
 	require.Equal(t, []int64{2, 2, 2}, step())
 }
+
+// Guards against a restarted rank that starts with a version which others do not hold yet: nobody may step, on
+// either side.
+func TestRestartedRankWithANewerVersionHoldsTheStep(t *testing.T) {
+	reports := []Report{{Low: 1, High: 1}, {Low: 2, High: 2}}
+	for _, own := range reports {
+		var s Switch
+		_, err := s.Offer(testMap(t, own.Low, 0))
+		require.NoError(t, err)
+		s.Loaded(own.Low)
+		m, err := s.BarrierOut(reports)
+		require.NoError(t, err)
+		require.Nil(t, m)
+	}
+}
--- a/standin/rankgroup/group.go
+++ b/standin/rankgroup/group.go
@@ -121,14 +121,14 @@
 	if err := g.ranks[rank].offer(m); err != nil {
 		return rankapi.Status{}, err
 	}
-	return g.ranks[rank].status(), nil
+	return g.ranks[rank].status(false), nil
 }
 
 // Status returns a rank's status, as PathStatus does.
-func (g *Group) Status(rank int) rankapi.Status {
+func (g *Group) Status(rank int, experts bool) rankapi.Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ranks[rank].status()
+	return g.ranks[rank].status(experts)
 }
 
 // Seconds returns the virtual time since the start.
--- a/standin/rankgroup/group_test.go
+++ b/standin/rankgroup/group_test.go
@@ -116,6 +116,6 @@
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, int64(1), refused.Have)
 	g.SetFaults(3, Faults{Dead: true})
-	_, err = c.Status(t.Context())
+	_, err = c.Status(t.Context(), false)
 	require.Error(t, err)
 }
--- a/standin/rankgroup/rank.go
+++ b/standin/rankgroup/rank.go
@@ -133,16 +133,24 @@
 	}
 }
 
-func (r *rank) status() rankapi.Status {
+func (r *rank) status(experts bool) rankapi.Status {
 	out := rankapi.Status{
 		Group: r.g.set.Group, Rank: r.index, Active: r.active, Top: r.sw.Top(), Report: r.sw.BarrierIn(),
-		Steps: r.steps, Seconds: r.seconds, Tokens: make([]int64, len(r.tokens)),
+		Steps: r.steps, Seconds: r.seconds,
 	}
+	total := 0.0
+	for _, n := range r.tokens {
+		total += n
+	}
+	out.Tokens = int64(total)
 	if m := r.sw.Held(r.active); m != nil {
 		out.Digest = m.Digest()
 	}
-	for i, n := range r.tokens {
-		out.Tokens[i] = int64(n)
+	if experts {
+		out.Experts = make([]int64, len(r.tokens))
+		for i, n := range r.tokens {
+			out.Experts[i] = int64(n)
+		}
 	}
 	return out
 }
@@ -218,8 +226,8 @@
 	_ = json.NewEncoder(w).Encode(r)
 }
 
-func serveStatus(g *Group, i int, w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(g.Status(i))
+func serveStatus(g *Group, i int, w http.ResponseWriter, r *http.Request) {
+	_ = json.NewEncoder(w).Encode(g.Status(i, r.URL.Query().Has(rankapi.QueryExperts)))
 }
 
 func (g *Group) serveFaults(w http.ResponseWriter, r *http.Request) {
