Run the controller of expert maps and the orders in the side process

Change: settings 'experts' (ranks, slots, sizes) and 'orders' (rate and size of the weight store), both off by default; state in the dump; the Slow flag of the load report. Orders bring the engine to the version, adapters and role of its group in the configuration; a load waits for its slot and for another one when the store is busy.

--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lavendermoor.example/expertmap/controller"
 	"lavendermoor.example/platform/engine"
 	"lavendermoor.example/platform/instances"
 	"lavendermoor.example/side"
@@ -21,6 +22,9 @@
 	Side      side.Dump            `json:"side"`
 	Refused   string               `json:"refused_configuration,omitempty"`
 	Instances []instances.Instance `json:"instances"`
+	// Experts and Orders are set where the settings enable them.
+	Experts *controller.Dump `json:"experts,omitempty"`
+	Orders  *side.OrdersDump `json:"orders,omitempty"`
 }
 
 // Side runs a side process until the context ends and its work is done.
@@ -36,15 +40,21 @@
 	if err != nil {
 		return err
 	}
+	g, err := newGroupControl(s, backend, c)
+	if err != nil {
+		return err
+	}
 	srv := side.New(side.Options{
 		Name: s.Name, Configuration: c.node, Backend: engine.NewClient(backend), Admission: side.NewFIFO(s.Slots),
-		Calls: side.Once{}, Log: c.log,
+		Calls: side.Once{}, Log: c.log, Slow: g.slow,
 	})
 	peers := mux.NewRouter()
 	c.register(peers, srv.Draining)
 	srv.Register(peers)
 	dump := func() any {
-		return sideDump{Side: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
+		d := sideDump{Side: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
+		g.dump(&d)
+		return d
 	}
 
 	// Listeners and control path outlive the termination signal until the work is done.
@@ -52,6 +62,7 @@
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return c.run(serving, func(instances.List) {}) })
+	g.start(serving, group)
 	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
 	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
@@ -69,3 +80,44 @@
 	stop()
 	return group.Wait()
 }
+
+// groupControl holds the parts that act for a whole model group; those that the settings do not enable are nil.
+type groupControl struct {
+	experts *side.Experts
+	orders  *side.Orders
+}
+
+func newGroupControl(s side.Settings, backend *url.URL, c *control) (*groupControl, error) {
+	g := &groupControl{}
+	if s.Experts != nil {
+		var err error
+		if g.experts, err = side.NewExperts(s.Name, *s.Experts, c.node, c.kv, c.log); err != nil {
+			return nil, err
+		}
+	}
+	if s.Orders != nil {
+		g.orders = side.NewOrders(s.Name, *s.Orders, backend, c.node, c.kv, c.log)
+	}
+	return g, nil
+}
+
+func (g *groupControl) start(ctx context.Context, group *errgroup.Group) {
+	if g.experts != nil {
+		group.Go(func() error { g.experts.Run(ctx); return nil })
+	}
+	if g.orders != nil {
+		group.Go(func() error { g.orders.Run(ctx); return nil })
+	}
+}
+
+func (g *groupControl) slow() bool { return g.experts != nil && g.experts.Slow() }
+
+func (g *groupControl) dump(d *sideDump) {
+	if g.experts != nil {
+		d.Experts = g.experts.Dump()
+	}
+	if g.orders != nil {
+		o := g.orders.Dump()
+		d.Orders = &o
+	}
+}
--- /dev/null
+++ b/orders/want.go
@@ -0,0 +1,38 @@
+package orders
+
+import "slices"
+
+// Want is what an engine has to have loaded and the role that it has to take.
+type Want struct {
+	Model, Version string
+	Adapters       []string
+	Role           string
+}
+
+// Diff returns the orders, without IDs, that bring an engine from one state to another: loads first, then the
+// role, then unloads, so that the engine serves throughout. An engine whose state is not known has the zero
+// Want; an order for something that it has already has no effect.
+func Diff(have, want Want) []Order {
+	var out []Order
+	base := have.Model == want.Model && have.Version == want.Version
+	if !base && want.Model != "" {
+		out = append(out, Order{Kind: Load, Model: want.Model, Version: want.Version, Class: CustomerFacing})
+	}
+	for _, a := range want.Adapters {
+		if !base || !slices.Contains(have.Adapters, a) {
+			out = append(out, Order{Kind: Load, Model: want.Model, Version: want.Version, Adapter: a, Class: CustomerFacing})
+		}
+	}
+	if have.Role != want.Role {
+		out = append(out, Order{Kind: SetRole, Role: want.Role})
+	}
+	for _, a := range have.Adapters {
+		if !base || !slices.Contains(want.Adapters, a) {
+			out = append(out, Order{Kind: Unload, Model: have.Model, Version: have.Version, Adapter: a})
+		}
+	}
+	if !base && have.Model != "" {
+		out = append(out, Order{Kind: Unload, Model: have.Model, Version: have.Version})
+	}
+	return out
+}
--- /dev/null
+++ b/side/experts.go
@@ -0,0 +1,122 @@
+package side
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/config/settings"
+	"lavendermoor.example/expertmap"
+	"lavendermoor.example/expertmap/controller"
+	"lavendermoor.example/expertmap/rankapi"
+	"lavendermoor.example/platform/kv"
+)
+
+// ExpertSettings are the settings of the expert map of the group whose rank 0 this backend server is.
+type ExpertSettings struct {
+	// Ranks are the URLs of the ranks, in order.
+	Ranks []string `json:"ranks" validate:"min=1,max=64,dive,url"`
+	// Slots is the number of experts that a rank holds in each layer.
+	Slots int `json:"slots" validate:"min=1"`
+	// ExpertBytes is the size of one expert of one layer, BudgetBytes the bound of what one new map moves.
+	ExpertBytes int64 `json:"expert_bytes" validate:"min=0"`
+	BudgetBytes int64 `json:"budget_bytes" validate:"min=0"`
+	// Poll is the time between two polls of the ranks; DecideEvery is the number of polls between decisions.
+	Poll        settings.Duration `json:"poll" validate:"min=0"`
+	DecideEvery int               `json:"decide_every" validate:"min=0"`
+}
+
+// Experts runs the controller of the group's expert map. Its methods may be called from any goroutine.
+type Experts struct {
+	server        string
+	opts          controller.Options
+	slots         int
+	configuration Configuration
+	running       atomic.Pointer[controller.Controller]
+}
+
+// rankTimeout bounds a call to a rank. It is below the time between polls so that a paused rank delays the
+// controller by less than one poll.
+const rankTimeout = 500 * time.Millisecond
+
+// NewExperts returns the controller of a server's group; it needs the configuration to start. Fields of the
+// settings that are 0 have the controller's defaults. It fails if a URL is not valid.
+func NewExperts(server string, s ExpertSettings, c Configuration, store kv.Store, log *zap.Logger) (*Experts, error) {
+	opts := controller.DefaultOptions()
+	opts.Store, opts.Log = store, log
+	client := &http.Client{Timeout: rankTimeout}
+	for _, rank := range s.Ranks {
+		u, err := url.Parse(rank)
+		if err != nil {
+			return nil, err
+		}
+		opts.Ranks = append(opts.Ranks, rankapi.NewClient(u, client))
+	}
+	if s.ExpertBytes > 0 {
+		opts.Costs.ExpertBytes = s.ExpertBytes
+	}
+	if s.BudgetBytes > 0 {
+		opts.Costs.BudgetBytes = s.BudgetBytes
+	}
+	if s.Poll > 0 {
+		opts.Poll = s.Poll.D()
+	}
+	if s.DecideEvery > 0 {
+		opts.DecideEvery = s.DecideEvery
+	}
+	return &Experts{server: server, opts: opts, slots: s.Slots, configuration: c}, nil
+}
+
+// configurationWait is the time between two looks at a configuration that has no group for the server yet.
+const configurationWait = 500 * time.Millisecond
+
+// Run runs the controller from when the configuration names the group until the context ends. A group of a
+// dense model has none. The number of ranks in the configuration has to be that of the settings.
+func (e *Experts) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if opts, ok := e.options(e.configuration.State()); ok {
+			c := controller.New(opts)
+			e.running.Store(c)
+			c.Run(ctx)
+			return
+		}
+		select {
+		case <-time.After(configurationWait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *Experts) options(st *cluster.State) (controller.Options, bool) {
+	if st == nil {
+		return controller.Options{}, false
+	}
+	g := st.Group(st.Server(e.server).GetGroup())
+	opts := e.opts
+	opts.Group = g.GetName()
+	opts.Shape = expertmap.Shape{
+		Ranks: int(g.GetRanks()), Experts: int(g.GetExperts()), Layers: int(g.GetLayers()), Slots: e.slots,
+	}
+	return opts, opts.Shape.Ranks == len(opts.Ranks) && opts.Shape.Validate() == nil
+}
+
+// Slow says that the group has a rank that stays slow.
+func (e *Experts) Slow() bool {
+	c := e.running.Load()
+	return c != nil && c.Slow()
+}
+
+// Dump returns the state dump, nil while no controller runs.
+func (e *Experts) Dump() *controller.Dump {
+	c := e.running.Load()
+	if c == nil {
+		return nil
+	}
+	d := c.Dump()
+	return &d
+}
--- /dev/null
+++ b/side/group_test.go
@@ -0,0 +1,118 @@
+package side
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/config/settings"
+	"lavendermoor.example/expertmap"
+	"lavendermoor.example/orders"
+	"lavendermoor.example/platform/kv"
+	"lavendermoor.example/standin/engineorders"
+	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/standin/rankgroup"
+	"lavendermoor.example/standin/weightserver"
+)
+
+// patience bounds how long a test waits for a state that has to come; it is not a measure.
+const patience = 20 * time.Second
+
+type fixedState struct{ st *cluster.State }
+
+func (f *fixedState) State() *cluster.State { return f.st }
+
+func groupState(t *testing.T, version string) *fixedState {
+	st, err := cluster.New(1, []*operatorv1.Object{
+		{Kind: &operatorv1.Object_Model{Model: &operatorv1.Model{Name: "m", Versions: []string{"1", "2"}}}},
+		{Kind: &operatorv1.Object_Group{Group: &operatorv1.Group{
+			Name: "group", Model: "m", Version: version, Ranks: 4, Experts: 16, Layers: 2,
+		}}},
+		{Kind: &operatorv1.Object_Server{Server: &operatorv1.BackendServer{
+			Name: "s", Address: "127.0.0.1:1", FailureDomain: "a", Group: "group", Slots: 1,
+		}}},
+	})
+	require.NoError(t, err)
+	return &fixedState{st: st}
+}
+
+func kvStore(t *testing.T) kv.Store {
+	srv := httptest.NewServer(kvserver.New().Handler())
+	t.Cleanup(srv.Close)
+	base, err := url.Parse(srv.URL)
+	require.NoError(t, err)
+	return kv.NewClient(base, 5*time.Second, nil)
+}
+
+// Guards the wiring of the controller: the group gets maps in the shape of the configuration and uses them.
+func TestExpertsServeTheGroup(t *testing.T) {
+	set := rankgroup.DefaultSettings()
+	set.Shape = expertmap.Shape{Ranks: 4, Experts: 16, Layers: 2, Slots: 5}
+	set.Drift = rankgroup.Drift{Sigma: 1, MemorySteps: 500, Every: 20}
+	g := rankgroup.New(set)
+	srv := httptest.NewServer(g.Handler())
+	defer srv.Close()
+	s := ExpertSettings{Slots: 5, ExpertBytes: 1, BudgetBytes: 1000, Poll: settings.Duration(2 * time.Millisecond), DecideEvery: 3}
+	for i := range 4 {
+		s.Ranks = append(s.Ranks, srv.URL+"/ranks/"+strconv.Itoa(i))
+	}
+	e, err := NewExperts("s", s, groupState(t, "1"), kvStore(t), zap.NewNop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go e.Run(ctx)
+	require.Eventually(t, func() bool {
+		g.Step()
+		return g.Status(0, false).Active >= 2
+	}, patience, time.Microsecond*200)
+	require.Equal(t, "group", e.Dump().Group)
+	require.False(t, e.Slow())
+}
+
+// Guards the wiring of orders: the engine gets what the configuration asks for, loads from a busy weight store
+// included, and drops the version before.
+func TestOrdersFollowTheConfiguration(t *testing.T) {
+	weights := weightserver.New(weightserver.Settings{RateBytes: 8 << 20, MaxReaders: 0, ModelBytes: 64 << 10})
+	ws := httptest.NewServer(weights.Handler())
+	defer ws.Close()
+	busy, err := url.Parse(ws.URL)
+	require.NoError(t, err)
+	for name, c := range map[string]struct {
+		weights *url.URL
+		loaded  []string
+	}{"free": {nil, []string{"m@2:"}}, "busy": {busy, nil}} {
+		t.Run(name, func(t *testing.T) {
+			engine := engineorders.New(engineorders.Settings{Weights: c.weights})
+			r := mux.NewRouter()
+			engine.Register(r)
+			srv := httptest.NewServer(r)
+			defer srv.Close()
+			backend, err := url.Parse(srv.URL)
+			require.NoError(t, err)
+			conf := groupState(t, "1")
+			set := OrderSettings{WeightRate: 1 << 30, LoadBytes: 1, Parallel: 1, Poll: settings.Duration(time.Millisecond)}
+			o := NewOrders("s", set, backend, conf, kvStore(t), zap.NewNop())
+			if c.weights != nil {
+				ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+				defer cancel()
+				o.update(ctx)
+				require.Positive(t, weights.Counts().Refused)
+			} else {
+				o.update(t.Context())
+				*conf = *groupState(t, "2")
+				o.update(t.Context())
+				require.Equal(t, orders.Want{Model: "m", Version: "2"}, o.Dump().Have)
+			}
+			require.Equal(t, c.loaded, engine.Dump().Loaded)
+		})
+	}
+}
--- /dev/null
+++ b/side/orders.go
@@ -0,0 +1,170 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/config/settings"
+	"lavendermoor.example/orders"
+	"lavendermoor.example/platform/kv"
+)
+
+// OrderSettings are the settings of orders to the engine.
+type OrderSettings struct {
+	// WeightRate is the rate of the weight store in bytes/s, LoadBytes the size of a model version.
+	WeightRate int64 `json:"weight_rate" validate:"min=1"`
+	LoadBytes  int64 `json:"load_bytes" validate:"min=1"`
+	// Parallel is the number of groups that load at once.
+	Parallel int `json:"parallel" validate:"min=1"`
+	// Poll is the time between two questions for the result of an order.
+	Poll settings.Duration `json:"poll" validate:"min=1"`
+}
+
+// DefaultOrderPoll is the usual Poll of OrderSettings.
+const DefaultOrderPoll = settings.Duration(2 * time.Second)
+
+// Orders brings the engine to the state that the configuration asks for. Its methods may be called from any
+// goroutine.
+type Orders struct {
+	server        string
+	set           OrderSettings
+	configuration Configuration
+	lease         *orders.Lease
+	issuer        *orders.Issuer
+	store         kv.Store
+	backend       *url.URL
+	log           *zap.Logger
+
+	mu   sync.Mutex
+	dump OrdersDump
+}
+
+// OrdersDump is the state dump of orders.
+type OrdersDump struct {
+	// Have is the state that the engine has reached by orders of this process.
+	Have      orders.Want   `json:"have"`
+	Counts    orders.Counts `json:"counts"`
+	LastError string        `json:"last_error,omitempty"`
+}
+
+// NewOrders returns the issuer of orders to the engine at the URL backend.
+func NewOrders(
+	server string, s OrderSettings, backend *url.URL, c Configuration, store kv.Store, log *zap.Logger,
+) *Orders {
+	// The holder is new at each start: an earlier process of this server may be paused and not dead.
+	lease := orders.NewLease(store, server, server+"/"+uuid.NewString(), orders.DefaultLease())
+	return &Orders{
+		server: server, set: s, configuration: c, lease: lease, store: store, backend: backend, log: log,
+		dump: OrdersDump{Have: orders.Want{Role: roleUnknown}},
+	}
+}
+
+// roleUnknown makes the first round set the role, which an earlier process may have changed.
+const roleUnknown = "unknown"
+
+// orderTimeout bounds one request to the engine; a load goes on after the answer.
+const orderTimeout = 2 * time.Second
+
+// Run issues orders until the context ends, then releases the lease.
+func (o *Orders) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.update(ctx)
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	_ = o.lease.Release(end) // It ends by itself if the service cannot be reached.
+}
+
+// update issues the orders for the present configuration, if there are any.
+func (o *Orders) update(ctx context.Context) {
+	st := o.configuration.State()
+	if st == nil {
+		return
+	}
+	want, ok := wantOf(st, o.server)
+	if !ok {
+		return
+	}
+	if o.issuer == nil {
+		o.issuer = o.newIssuer(st)
+	}
+	for _, order := range orders.Diff(o.Dump().Have, want) {
+		if err := o.issue(ctx, st, order); err != nil {
+			o.note(func(d *OrdersDump) { d.LastError = err.Error() })
+			o.log.Warn("order failed", zap.String("kind", string(order.Kind)), zap.Error(err))
+			return // Tried again, from the first order, at the next round.
+		}
+	}
+	o.note(func(d *OrdersDump) { d.Have, d.LastError = want, "" })
+}
+
+func wantOf(st *cluster.State, server string) (orders.Want, bool) {
+	g := st.Group(st.Server(server).GetGroup())
+	if g == nil {
+		return orders.Want{}, false
+	}
+	return orders.Want{
+		Model: g.GetModel(), Version: g.GetVersion(), Adapters: g.GetAdapters(), Role: g.GetRole(),
+	}, g.GetVersion() != ""
+}
+
+func (o *Orders) newIssuer(st *cluster.State) *orders.Issuer {
+	return orders.NewIssuer(orders.IssuerOptions{
+		Server: o.server, Lease: o.lease, Store: o.store, Engine: o.backend, Poll: o.set.Poll.D(),
+		ChecksFencing: st.Server(o.server).GetChecksFencing(), HTTP: &http.Client{Timeout: orderTimeout},
+	})
+}
+
+// issue sends one order. A load waits for its slot, and for another one when the weight store refuses it.
+func (o *Orders) issue(ctx context.Context, st *cluster.State, order orders.Order) error {
+	spread := orders.NewSpread(o.set.WeightRate, o.set.LoadBytes, len(st.Servers()), o.set.Parallel)
+	for attempt := 0; ; attempt++ {
+		order.ID = orders.NewID()
+		if order.Kind == orders.Load {
+			order.RateBytes = spread.Share()
+			if err := sleep(ctx, spread.Delay(o.server, order.Class, attempt)); err != nil {
+				return err
+			}
+		}
+		_, err := o.issuer.Issue(ctx, order)
+		o.note(func(d *OrdersDump) { d.Counts = o.issuer.Counts() })
+		var failed *orders.FailedError
+		if !errors.As(err, &failed) || failed.State != orders.Throttled {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (o *Orders) note(fn func(d *OrdersDump)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	fn(&o.dump)
+}
+
+// Dump returns the state dump.
+func (o *Orders) Dump() OrdersDump {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dump
+}
--- a/side/settings.go
+++ b/side/settings.go
@@ -28,6 +28,10 @@
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
 	// DrainTimeout is how long running work may take after a termination signal.
 	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
+	// Experts is set where this process decides on the expert map of its group.
+	Experts *ExpertSettings `json:"experts,omitempty"`
+	// Orders is set where the engine takes orders.
+	Orders *OrderSettings `json:"orders,omitempty"`
 }
 
 // Defaults returns the settings that a file need not set.
--- a/side/side.go
+++ b/side/side.go
@@ -50,6 +50,8 @@
 	Admission     Admission
 	Calls         Calls
 	Log           *zap.Logger
+	// Slow says that the group has a rank that stays slow; nil if there is no group.
+	Slow func() bool
 }
 
 // Server serves the entries' requests for one backend server. Its methods may be called from any goroutine.
@@ -99,6 +101,7 @@
 	if st := s.opts.Configuration.State(); st != nil {
 		l.Revision = st.Revision
 	}
+	l.Slow = s.opts.Slow != nil && s.opts.Slow()
 	s.opts.Admission.Load(&l)
 	return l
 }
