Add the pure admission queue with fair, fifo and priority policies

One backend server's queue: kinds, slots reserved for short work, token prediction, start-time fair queueing by customer weight, aging, deadlines, shedding by share and value, and a learned concurrency limit. Every decision carries a verdict, a reason, the predicted wait and Retry-After.

--- /dev/null
+++ b/admission/item.go
@@ -0,0 +1,80 @@
+package admission
+
+import "time"
+
+// MaxPriority is the highest priority of a request.
+const MaxPriority = 9
+
+// Request is what the queue needs to know of a request.
+type Request struct {
+	ID       string
+	Customer string
+	// Weight is the customer's weight; values below 1 count as 1.
+	Weight int
+	Kind   Kind
+	// Priority is 0 (lowest) to MaxPriority; values outside are clamped.
+	Priority int
+	// Deadline is the time by which the whole answer is wanted; 0 means none.
+	Deadline time.Duration
+	// Model and MaxTokens describe a generation; MaxTokens is 0 when the caller set no limit.
+	Model     string
+	MaxTokens int
+}
+
+type itemState uint8
+
+const (
+	stateNew itemState = iota
+	stateWaiting
+	stateRunning
+	stateDone
+	stateRefused
+)
+
+// Item is one request in the hands of a Queue. It must not be copied or offered twice. Its fields may be
+// changed only before it is offered.
+type Item struct {
+	Request
+	// Owner is for the user of the queue, which does not read it.
+	Owner any
+
+	cust *customer
+	// tokens is the predicted number of generated tokens, 0 for other kinds.
+	tokens float64
+	// service is the predicted service time in seconds.
+	service float64
+	// predictedWait is the wait expected on arrival, before the correction by waitBias.
+	predictedWait float64
+	arrived       time.Duration
+	// key orders by effective priority. Levels grow by one per aging step for all requests alike, so the
+	// order of two requests never changes while they wait: arrival less level times aging step.
+	key time.Duration
+	// latestStart is the last time at which a start still meets the deadline.
+	latestStart time.Duration
+	seq         uint64
+	orderPos    int32
+	deadlinePos int32
+	class       uint8
+	state       itemState
+	inCustomer  links
+	inAll       links
+}
+
+// Wait returns how long the item has waited at the given time.
+func (it *Item) Wait(now time.Duration) time.Duration { return now - it.arrived }
+
+// Refused says whether the item was refused.
+func (it *Item) Refused() bool { return it.state == stateRefused }
+
+// Running says whether the item holds a slot.
+func (it *Item) Running() bool { return it.state == stateRunning }
+
+// Predicted returns the predicted tokens and service time.
+func (it *Item) Predicted() (tokens float64, service time.Duration) {
+	return it.tokens, time.Duration(it.service * float64(time.Second))
+}
+
+func (r *Request) normalise() {
+	r.Weight = max(r.Weight, 1)
+	r.Priority = min(max(r.Priority, 0), MaxPriority)
+}
--- /dev/null
+++ b/admission/limit.go
@@ -0,0 +1,92 @@
+package admission
+
+import "time"
+
+// LimitConfig sets the learned concurrency limit.
+type LimitConfig struct {
+	// Initial, Min and Max are numbers of requests that run at the same time.
+	Initial, Min, Max int
+	// Tolerance is the ratio of observed to lowest service time above which the limit is cut.
+	Tolerance float64
+	// Fixed keeps the limit at Initial.
+	Fixed bool
+}
+
+const (
+	// limitSamples is the number of service times of one kind that are averaged for a decision. The mean of
+	// 32 times that vary by half of their mean has a standard error of 5%.
+	limitSamples = 32
+	// limitCut is the factor of a decrease.
+	limitCut = 0.8
+	// limitPause follows a decrease, in addition to the mean service time, so that requests which started
+	// before the cut do not cause a second one.
+	limitPause = 500 * time.Millisecond
+	// unitGain is the weight of a new observation in the mean service time.
+	unitGain = 0.05
+	// lowestDrift raises the lowest service time with each decision, so that a server that stays slower is
+	// accepted after some minutes.
+	lowestDrift = 1.001
+)
+
+// serviceTimes are the observed seconds per unit of one kind: per token for generations, per request otherwise.
+type serviceTimes struct {
+	// unit is the running mean, 0 before the first observation.
+	unit    float64
+	lowest  float64
+	sum     float64
+	seconds float64
+	n       int
+}
+
+// limiter learns how many requests the backend server runs at the same time without slowing down. It follows
+// an additive-increase, multiplicative-decrease rule (Chiu and Jain, 1989).
+type limiter struct {
+	cfg   LimitConfig
+	limit float64
+	kinds [numKinds]serviceTimes
+	// used says that the limit held back work since the last decision; otherwise it does not grow.
+	used     bool
+	notUntil time.Duration
+}
+
+func newLimiter(cfg LimitConfig) *limiter {
+	return &limiter{cfg: cfg, limit: float64(cfg.Initial)}
+}
+
+func (l *limiter) slots() int { return int(l.limit) }
+
+// observe takes the service time of a finished request that consisted of the given number of units.
+func (l *limiter) observe(now time.Duration, k Kind, seconds, units float64) {
+	t := &l.kinds[k]
+	unit := seconds / max(units, 1)
+	if t.unit == 0 {
+		t.unit = unit
+	}
+	t.unit += unitGain * (unit - t.unit)
+	t.sum += unit
+	t.seconds += seconds
+	t.n++
+	if t.n >= limitSamples {
+		l.decide(now, t)
+	}
+}
+
+func (l *limiter) decide(now time.Duration, t *serviceTimes) {
+	mean, seconds := t.sum/float64(t.n), t.seconds/float64(t.n)
+	t.sum, t.seconds, t.n = 0, 0, 0
+	if t.lowest == 0 {
+		t.lowest = mean
+	}
+	// The lowest mean is approached halfway, because the minimum of noisy means is too low.
+	t.lowest = min(t.lowest*lowestDrift, (t.lowest+mean)/2)
+	if l.cfg.Fixed || now < l.notUntil {
+		return
+	}
+	if mean > l.cfg.Tolerance*t.lowest {
+		l.limit = max(l.limit*limitCut, float64(l.cfg.Min))
+		l.notUntil = now + limitPause + time.Duration(seconds*float64(time.Second))
+	} else if l.used {
+		l.limit = min(l.limit+1, float64(l.cfg.Max))
+	}
+	l.used = false
+}
--- /dev/null
+++ b/admission/policy.go
@@ -0,0 +1,241 @@
+package admission
+
+import "time"
+
+// PolicyName selects the order of waiting work.
+type PolicyName string
+
+// The policies. FIFO and Priority are baselines.
+const (
+	Fair     PolicyName = "fair"
+	FIFO     PolicyName = "fifo"
+	Priority PolicyName = "priority"
+)
+
+// Policy keeps the waiting items in order. It is used by one goroutine at a time.
+type Policy interface {
+	// Push adds an item.
+	Push(it *Item)
+	// Pop removes and returns the next item, or nil if none may start. Items of kind Long may start only if
+	// long is true.
+	Pop(long bool) *Item
+	// Remove takes out an item that is waiting.
+	Remove(it *Item)
+	// Ahead returns the predicted service time, in seconds, of the waiting work that would start before an
+	// item that arrives now.
+	Ahead(it *Item) float64
+	// Passes says that an item of the kind which arrives now and has a slot may start before all waiting ones.
+	Passes(k Kind) bool
+	// Len returns the number of waiting items.
+	Len() int
+}
+
+// ordered is a baseline: one heap with a fixed order, without fair share, aging or kinds. When the first item
+// is long and long work may not start, nothing starts.
+type ordered struct {
+	heap indexedHeap[*Item]
+	// work is the waiting service time by priority.
+	work [MaxPriority + 1]float64
+	// byPriority says that higher priorities go first.
+	byPriority bool
+}
+
+func newOrdered(byPriority bool) *ordered {
+	o := &ordered{byPriority: byPriority}
+	o.heap.pos = func(it *Item) *int32 { return &it.orderPos }
+	o.heap.less = func(a, b *Item) bool {
+		if byPriority && a.Priority != b.Priority {
+			return a.Priority > b.Priority
+		}
+		return a.seq < b.seq
+	}
+	return o
+}
+
+func (o *ordered) Push(it *Item) {
+	o.heap.push(it)
+	o.work[it.Priority] += it.service
+}
+
+func (o *ordered) Pop(long bool) *Item {
+	if o.heap.empty() || (o.heap.min().Kind == Long && !long) {
+		return nil
+	}
+	it := o.heap.min()
+	o.Remove(it)
+	return it
+}
+
+func (o *ordered) Remove(it *Item) {
+	o.heap.remove(it)
+	o.work[it.Priority] -= it.service
+}
+
+func (o *ordered) Ahead(it *Item) float64 {
+	from := 0
+	if o.byPriority {
+		from = it.Priority
+	}
+	sum := 0.0
+	for p := from; p <= MaxPriority; p++ {
+		sum += o.work[p]
+	}
+	return max(sum, 0)
+}
+
+func (o *ordered) Passes(Kind) bool { return o.heap.empty() }
+
+func (o *ordered) Len() int { return len(o.heap.list) }
+
+// flow is the waiting work of one customer and kind.
+type flow struct {
+	heap indexedHeap[*Item]
+	// start is the start tag of the first item while the flow has work, else the finish tag of the last one
+	// that ran. Tags are in seconds of service per unit of weight.
+	start  float64
+	weight float64
+	work   float64
+	pos    int32
+}
+
+// kindQueue is the start-time fair queue of one kind.
+type kindQueue struct {
+	flows indexedHeap[*flow]
+	// virtual is the start tag of the item that ran last.
+	virtual float64
+	// weight is the sum over flows that have work.
+	weight float64
+	work   float64
+	n      int
+}
+
+// fair serves the kind whose next item has the highest effective priority, and picks that item by start-time
+// fair queueing among customers. Within a customer and kind, items go by effective priority.
+type fair struct {
+	kinds [numKinds]kindQueue
+	boost [numKinds]int
+	n     int
+}
+
+func newFair(boost [numKinds]int) *fair {
+	f := &fair{boost: boost}
+	for k := range f.kinds {
+		h := &f.kinds[k].flows
+		h.pos = func(fl *flow) *int32 { return &fl.pos }
+		h.less = func(a, b *flow) bool {
+			if a.start != b.start {
+				return a.start < b.start
+			}
+			return earlier(a.heap.min(), b.heap.min())
+		}
+	}
+	return f
+}
+
+func earlier(a, b *Item) bool {
+	if a.key != b.key {
+		return a.key < b.key
+	}
+	return a.seq < b.seq
+}
+
+func (f *fair) Push(it *Item) {
+	k, fl := &f.kinds[it.Kind], &it.cust.flows[it.Kind]
+	f.n++
+	k.n++
+	k.work += it.service
+	fl.work += it.service
+	if !fl.heap.empty() {
+		k.weight += it.cust.weight - fl.weight
+		fl.weight = it.cust.weight
+		fl.heap.push(it)
+		k.flows.fix(fl)
+		return
+	}
+	if fl.heap.less == nil {
+		fl.heap.less = earlier
+		fl.heap.pos = func(it *Item) *int32 { return &it.orderPos }
+	}
+	fl.heap.push(it)
+	fl.start = max(fl.start, k.virtual)
+	fl.weight = it.cust.weight
+	k.weight += fl.weight
+	k.flows.push(fl)
+}
+
+func (f *fair) Pop(long bool) *Item {
+	best := -1
+	for k := range f.kinds {
+		if f.kinds[k].flows.empty() || (Kind(k) == Long && !long) {
+			continue
+		}
+		if best < 0 || earlier(f.head(k), f.head(best)) {
+			best = k
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	it := f.head(best)
+	k, fl := &f.kinds[best], &it.cust.flows[best]
+	k.virtual = fl.start
+	fl.start += it.service / fl.weight
+	f.Remove(it)
+	return it
+}
+
+func (f *fair) head(k int) *Item { return f.kinds[k].flows.min().heap.min() }
+
+func (f *fair) Remove(it *Item) {
+	k, fl := &f.kinds[it.Kind], &it.cust.flows[it.Kind]
+	f.n--
+	k.n--
+	k.work -= it.service
+	fl.work -= it.service
+	fl.heap.remove(it)
+	if !fl.heap.empty() {
+		k.flows.fix(fl)
+		return
+	}
+	fl.work = 0
+	k.weight -= fl.weight
+	k.flows.remove(fl)
+}
+
+// Ahead counts all work of preferred kinds, and of the item's own kind what start-time fair queueing lets
+// through before the customer's share reaches the item.
+func (f *fair) Ahead(it *Item) float64 {
+	sum := 0.0
+	for k := range f.kinds {
+		if f.boost[k] > f.boost[it.Kind] {
+			sum += f.kinds[k].work
+		}
+	}
+	k := &f.kinds[it.Kind]
+	if k.n == 0 {
+		return max(sum, 0)
+	}
+	fl := &it.cust.flows[it.Kind]
+	own := max(fl.work, 0)
+	distance := max(fl.start-k.virtual, 0) + own/it.cust.weight
+	others := k.weight - it.cust.weight
+	count := float64(len(k.flows.list) - 1)
+	if fl.heap.empty() {
+		others, count = k.weight, count+1
+	}
+	// Every other customer may have begun its turn, which is one mean item each.
+	share := own + distance*max(others, 0) + count*k.work/float64(k.n)
+	return max(sum+min(k.work, share), 0)
+}
+
+// Passes lets other kinds pass long work that waits for its own slots.
+func (f *fair) Passes(k Kind) bool {
+	return f.n == 0 || (k != Long && f.n == f.kinds[Long].n)
+}
+
+func (f *fair) Len() int { return f.n }
+
+// levelKey returns the key that orders by effective priority: the level plus one for each aging step waited.
+func levelKey(arrived time.Duration, level int, step time.Duration) time.Duration {
+	return arrived - time.Duration(level)*step
+}
--- /dev/null
+++ b/admission/predict.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"math/bits"
+	"slices"
+)
+
+const (
+	// medianWindow is the number of recent predictions whose median separates short from long generations.
+	medianWindow = 255
+	// medianMin is the number of predictions below which the kind given by the caller is kept.
+	medianMin = 16
+	// longFactor is the multiple of the median above which a generation is long.
+	longFactor = 8
+	// historyMax bounds the number of (customer, model, limit class) histories. At about 100 bytes each it
+	// keeps the table below 1 MB; the oldest entry is dropped first.
+	historyMax = 8192
+	// historyGain is the weight of a new observation in the running means.
+	historyGain = 0.2
+	// defaultTokens is predicted for a request without limit before anything was observed.
+	defaultTokens = 256
+	// defaultRatio is the used part of max_tokens that is assumed before anything was observed.
+	defaultRatio = 0.5
+)
+
+type historyKey struct {
+	customer, model string
+	// class is the number of bits of max_tokens. A customer's short and long requests usually differ in their
+	// limit, so they get histories of their own.
+	class int
+}
+
+// predictor estimates generated tokens.
+type predictor struct {
+	tokens map[historyKey]float64
+	order  []historyKey
+	oldest int
+	ratio  float64
+	mean   float64
+
+	recent [medianWindow]float64
+	sorted []float64
+	next   int
+}
+
+func newPredictor() *predictor {
+	return &predictor{tokens: map[historyKey]float64{}, ratio: defaultRatio, mean: defaultTokens}
+}
+
+// predict returns the expected number of tokens, at least 1 and at most maxTokens unless that is 0.
+func (p *predictor) predict(customer, model string, maxTokens int) float64 {
+	key := historyKey{customer, model, bits.Len(uint(maxTokens))}
+	t, ok := p.tokens[key]
+	switch {
+	case ok:
+	case maxTokens > 0:
+		t = p.ratio * float64(maxTokens)
+	default:
+		t = p.mean
+	}
+	if maxTokens > 0 {
+		t = min(t, float64(maxTokens))
+	}
+	return max(t, 1)
+}
+
+// learn records the tokens that a finished generation produced.
+func (p *predictor) learn(customer, model string, maxTokens, tokens int) {
+	got := float64(tokens)
+	key := historyKey{customer, model, bits.Len(uint(maxTokens))}
+	if t, ok := p.tokens[key]; ok {
+		p.tokens[key] = t + historyGain*(got-t)
+	} else {
+		p.insert(key, got)
+	}
+	p.mean += historyGain * (got - p.mean)
+	if maxTokens > 0 {
+		p.ratio += historyGain * (min(got/float64(maxTokens), 1) - p.ratio)
+	}
+}
+
+func (p *predictor) insert(key historyKey, tokens float64) {
+	if len(p.order) < historyMax {
+		p.order = append(p.order, key)
+	} else {
+		delete(p.tokens, p.order[p.oldest])
+		p.order[p.oldest] = key
+		p.oldest = (p.oldest + 1) % historyMax
+	}
+	p.tokens[key] = tokens
+}
+
+// classify returns Short or Long for a generation of the predicted length and counts it in the median.
+func (p *predictor) classify(tokens float64, given Kind) Kind {
+	kind := given
+	if len(p.sorted) >= medianMin {
+		kind = Short
+		if tokens > longFactor*p.sorted[len(p.sorted)/2] {
+			kind = Long
+		}
+	}
+	p.count(tokens)
+	return kind
+}
+
+func (p *predictor) count(tokens float64) {
+	if len(p.sorted) == medianWindow {
+		i, _ := slices.BinarySearch(p.sorted, p.recent[p.next])
+		p.sorted = slices.Delete(p.sorted, i, i+1)
+	}
+	i, _ := slices.BinarySearch(p.sorted, tokens)
+	p.sorted = slices.Insert(p.sorted, i, tokens)
+	p.recent[p.next] = tokens
+	p.next = (p.next + 1) % medianWindow
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,362 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minRetryAfter is the shortest Retry-After, so that refused callers do not come back in a tight loop.
+	minRetryAfter = 100 * time.Millisecond
+	// drainRetryAfter is given while draining: another replica can take the request at once.
+	drainRetryAfter = time.Second
+	// biasGain is the weight of a new observation in the correction of predicted waits.
+	biasGain = 0.05
+	// biasMax bounds the correction of predicted waits upwards, and its inverse downwards.
+	biasMax = 4
+	// biasFrom is the predicted wait in seconds from which the correction learns. Shorter ones are mostly
+	// the rest of one service time.
+	biasFrom = 0.01
+	// maxCustomers is the number of known customers at which those without waiting work are forgotten.
+	maxCustomers = 4096
+)
+
+// never is the latest start of a request without deadline.
+const never = time.Duration(math.MaxInt64)
+
+// Queue decides about the requests of one backend server. It is not safe for concurrent use. All times are
+// durations since a fixed start and must not decrease from call to call.
+type Queue struct {
+	cfg       Config
+	policy    Policy
+	limit     *limiter
+	predict   *predictor
+	shed      *shedder
+	deadlines indexedHeap[*Item]
+	customers map[string]*customer
+	sweepAt   int
+	outcomes  []Outcome
+	seq       uint64
+	draining  bool
+	// probe is a short request of a customer without waiting work, for Load.
+	probe Item
+
+	running [numKinds]int
+	// runningWork is the predicted service time of running work in seconds.
+	runningWork [numKinds]float64
+	// waitBias is the running mean of actual over predicted waits.
+	waitBias [numKinds]float64
+}
+
+// New returns an empty queue. It fails with a *ConfigError.
+func New(cfg Config) (*Queue, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	q := &Queue{
+		cfg:       cfg,
+		policy:    newPolicy(cfg),
+		limit:     newLimiter(cfg.Limit),
+		predict:   newPredictor(),
+		shed:      newShedder(cfg.KindWeight),
+		customers: map[string]*customer{},
+		sweepAt:   maxCustomers,
+		probe:     Item{Request: Request{Kind: Short}, cust: &customer{weight: 1}},
+	}
+	for k := range q.waitBias {
+		q.waitBias[k] = 1
+	}
+	q.deadlines.pos = func(it *Item) *int32 { return &it.deadlinePos }
+	q.deadlines.less = func(a, b *Item) bool { return a.latestStart < b.latestStart }
+	return q, nil
+}
+
+func newPolicy(cfg Config) Policy {
+	if cfg.Policy == Fair {
+		return newFair(cfg.KindBoost)
+	}
+	return newOrdered(cfg.Policy == Priority)
+}
+
+// Offer decides about a new request. After Wait, the item belongs to the queue until an Outcome of Advance
+// or Cancel gives it back. Offer may give up another waiting item, which Advance then returns.
+func (q *Queue) Offer(now time.Duration, it *Item) Decision {
+	q.prepare(now, it)
+	if q.draining {
+		return q.refuse(it, Draining, 0, drainRetryAfter)
+	}
+	if q.policy.Passes(it.Kind) && q.slotFor(it.Kind) {
+		if it.Deadline != 0 && now >= it.Deadline {
+			return q.refuse(it, Unmeetable, 0, minRetryAfter)
+		}
+		q.start(it)
+		return Decision{Verdict: Run, Reason: FreeSlot}
+	}
+	it.predictedWait = q.rawWait(it)
+	wait := seconds(it.predictedWait * q.waitBias[it.Kind])
+	if q.cfg.RefuseUnmeetable && wait > it.latestStart-now {
+		// Once the excess has drained, the same request would be in time.
+		return q.refuse(it, Unmeetable, wait, wait-(it.latestStart-now))
+	}
+	if q.policy.Len() >= q.cfg.MaxWaiting {
+		if d, refused := q.makeRoom(it, wait); refused {
+			return d
+		}
+	}
+	q.push(it)
+	reason := NoSlot
+	if it.Kind == Long && q.totalRunning() < q.limit.slots() {
+		reason = LongSlotsBusy
+	}
+	return Decision{Verdict: Wait, Reason: reason, PredictedWait: wait}
+}
+
+func (q *Queue) prepare(now time.Duration, it *Item) {
+	it.normalise()
+	it.arrived = now
+	it.seq = q.seq
+	q.seq++
+	if it.Kind.Generation() {
+		it.tokens = q.predict.predict(it.Customer, it.Model, it.MaxTokens)
+		it.Kind = q.predict.classify(it.tokens, it.Kind)
+	}
+	it.service = q.limit.kinds[it.Kind].unit * max(it.tokens, 1)
+	it.key = levelKey(now, it.Priority+q.cfg.KindBoost[it.Kind], q.cfg.AgingStep)
+	it.latestStart = never
+	if it.Deadline != 0 {
+		it.latestStart = it.Deadline - seconds(it.service)
+	}
+	it.cust = q.customer(it)
+}
+
+func (q *Queue) customer(it *Item) *customer {
+	c, ok := q.customers[it.Customer]
+	if !ok {
+		if len(q.customers) >= q.sweepAt {
+			q.forgetIdle()
+		}
+		c = &customer{weight: float64(it.Weight)}
+		q.customers[it.Customer] = c
+	}
+	if c.weight != float64(it.Weight) {
+		q.shed.setWeight(c, float64(it.Weight))
+	}
+	return c
+}
+
+func (q *Queue) forgetIdle() {
+	for name, c := range q.customers {
+		if c.waiting == 0 {
+			delete(q.customers, name)
+		}
+	}
+	q.sweepAt = max(maxCustomers, 2*len(q.customers))
+}
+
+func (q *Queue) push(it *Item) {
+	it.state = stateWaiting
+	q.policy.Push(it)
+	q.shed.push(it)
+	if it.latestStart != never {
+		q.deadlines.push(it)
+	}
+}
+
+func (q *Queue) unlink(it *Item) {
+	q.shed.remove(it)
+	if q.deadlines.contains(it) {
+		q.deadlines.remove(it)
+	}
+}
+
+// makeRoom gives up one request of a full queue. It reports whether that is the newcomer.
+func (q *Queue) makeRoom(it *Item, wait time.Duration) (Decision, bool) {
+	if !q.cfg.ShedByValue {
+		return q.refuse(it, QueueFull, wait, wait), true
+	}
+	victim, reason := q.shed.victim(it)
+	if victim == it {
+		return q.refuse(it, reason, wait, wait), true
+	}
+	q.giveUp(victim, reason)
+	return Decision{}, false
+}
+
+// giveUp refuses a waiting item.
+func (q *Queue) giveUp(it *Item, reason Reason) {
+	q.policy.Remove(it)
+	q.unlink(it)
+	wait := seconds(q.rawWait(it) * q.waitBias[it.Kind])
+	q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: q.refuse(it, reason, wait, wait)})
+}
+
+func (q *Queue) refuse(it *Item, reason Reason, wait, retry time.Duration) Decision {
+	it.state = stateRefused
+	return Decision{Verdict: Refuse, Reason: reason, PredictedWait: wait, RetryAfter: max(retry, minRetryAfter)}
+}
+
+// Advance gives up what can no longer meet its deadline and starts what may start. The returned slice is
+// valid until the next call of any method.
+func (q *Queue) Advance(now time.Duration) []Outcome {
+	q.expire(now)
+	for q.totalRunning() < q.limit.slots() {
+		it := q.policy.Pop(q.slotFor(Long))
+		if it == nil {
+			break
+		}
+		q.unlink(it)
+		q.learnWait(it, now)
+		q.start(it)
+		q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: Decision{
+			Verdict: Run, Reason: Turn, PredictedWait: seconds(it.predictedWait * q.waitBias[it.Kind]),
+		}})
+	}
+	if q.totalRunning() >= q.limit.slots() {
+		q.limit.used = true
+	}
+	out := q.outcomes
+	q.outcomes = q.outcomes[:0]
+	return out
+}
+
+func (q *Queue) expire(now time.Duration) {
+	if !q.cfg.DropExpired {
+		return
+	}
+	for !q.deadlines.empty() && q.deadlines.min().latestStart < now {
+		it := q.deadlines.min()
+		q.learnWait(it, now)
+		q.giveUp(it, Expired)
+	}
+}
+
+// NextDeadline returns the time from which Advance will give up a waiting request.
+func (q *Queue) NextDeadline() (time.Duration, bool) {
+	if q.deadlines.empty() || !q.cfg.DropExpired {
+		return 0, false
+	}
+	return q.deadlines.min().latestStart + 1, true
+}
+
+// Cancel takes a waiting item out of the queue. It reports false when the item is not waiting.
+func (q *Queue) Cancel(it *Item) bool {
+	if it.state != stateWaiting {
+		return false
+	}
+	q.policy.Remove(it)
+	q.unlink(it)
+	it.state = stateRefused
+	return true
+}
+
+// Done gives back the slot of a request that ran to its end. Tokens is the number of generated tokens.
+func (q *Queue) Done(now time.Duration, it *Item, tokens int, service time.Duration) {
+	if it.state != stateRunning {
+		return
+	}
+	q.Release(it)
+	units := 1.0
+	if it.Kind.Generation() {
+		units = float64(tokens)
+		q.predict.learn(it.Customer, it.Model, it.MaxTokens, tokens)
+	}
+	q.limit.observe(now, it.Kind, service.Seconds(), units)
+}
+
+// Release gives back the slot of a request that failed or did not run. Nothing is learned from it.
+func (q *Queue) Release(it *Item) {
+	if it.state != stateRunning {
+		return
+	}
+	it.state = stateDone
+	q.running[it.Kind]--
+	q.runningWork[it.Kind] -= it.service
+}
+
+func (q *Queue) start(it *Item) {
+	it.state = stateRunning
+	q.running[it.Kind]++
+	q.runningWork[it.Kind] += it.service
+}
+
+// Drain makes the queue refuse new work. Waiting and running work is finished.
+func (q *Queue) Drain() { q.draining = true }
+
+// Idle says that nothing waits or runs.
+func (q *Queue) Idle() bool { return q.policy.Len() == 0 && q.totalRunning() == 0 }
+
+func (q *Queue) totalRunning() int {
+	n := 0
+	for _, r := range q.running {
+		n += r
+	}
+	return n
+}
+
+// longSlots returns the number of slots that long work may use. With one slot there is nothing to reserve.
+func (q *Queue) longSlots() int {
+	limit := q.limit.slots()
+	reserved := int(math.Ceil(q.cfg.ReservedShare * float64(limit)))
+	return max(limit-reserved, 1)
+}
+
+func (q *Queue) slotFor(k Kind) bool {
+	if q.totalRunning() >= q.limit.slots() {
+		return false
+	}
+	return k != Long || q.running[Long] < q.longSlots()
+}
+
+// rawWait predicts the wait of an item that arrives now, in seconds: the work ahead of it, plus the rest of
+// one running service time, over the slots that its kind can get.
+func (q *Queue) rawWait(it *Item) float64 {
+	slots, work, n := q.limit.slots(), 0.0, 0
+	if it.Kind == Long {
+		slots = min(q.longSlots(), slots-(q.totalRunning()-q.running[Long]))
+		work, n = q.runningWork[Long], q.running[Long]
+	} else {
+		for k := Status; k < Long; k++ {
+			work, n = work+q.runningWork[k], n+q.running[k]
+		}
+		slots -= q.running[Long]
+	}
+	if q.cfg.ReservedShare == 0 {
+		slots, work, n = q.limit.slots(), 0, q.totalRunning()
+		for _, w := range q.runningWork {
+			work += w
+		}
+	}
+	rest := max(work, 0) / float64(max(n, 1))
+	return (q.policy.Ahead(it) + rest) / float64(max(slots, 1))
+}
+
+// learnWait compares the predicted with the actual wait of an item that leaves the queue.
+func (q *Queue) learnWait(it *Item, now time.Duration) {
+	if it.predictedWait < biasFrom {
+		return
+	}
+	ratio := it.Wait(now).Seconds() / it.predictedWait
+	b := &q.waitBias[it.Kind]
+	*b += biasGain * (min(max(ratio, 1.0/biasMax), biasMax) - *b)
+}
+
+// Load is a snapshot of the queue.
+type Load struct {
+	Running, Waiting, Limit int
+	// Wait is the predicted wait of a new short request of a customer without waiting work.
+	Wait     time.Duration
+	Draining bool
+}
+
+// Load returns a snapshot.
+func (q *Queue) Load() Load {
+	l := Load{
+		Running: q.totalRunning(), Waiting: q.policy.Len(), Limit: q.limit.slots(), Draining: q.draining,
+	}
+	if l.Waiting > 0 || l.Running >= l.Limit {
+		l.Wait = seconds(q.rawWait(&q.probe) * q.waitBias[Short])
+	}
+	return l
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/admission/shed.go
@@ -0,0 +1,173 @@
+package admission
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
+// numClasses is the number of pairs of kind and priority, which fit the bits of a word.
+const numClasses = numKinds * (MaxPriority + 1)
+
+// fairSlack is the multiple of its share of a full queue that a customer may hold before its work is shed
+// ahead of less valuable work of others. Without slack, whoever is one request above the share is shed first,
+// and value never counts.
+const fairSlack = 1.25
+
+// customer is what a queue knows of one customer.
+type customer struct {
+	weight  float64
+	waiting int
+	pos     int32
+	flows   [numKinds]flow
+	classes classList
+}
+
+// links connect an item to its neighbours in a classList.
+type links struct{ prev, next *Item }
+
+// classList holds items by value class. The newest item of the lowest class is found in constant time.
+type classList struct {
+	last [numClasses]*Item
+	used uint64
+}
+
+func (l *classList) lowest() *Item {
+	if l.used == 0 {
+		return nil
+	}
+	return l.last[bits.TrailingZeros64(l.used)]
+}
+
+func (l *classList) add(it *Item, of func(*Item) *links) {
+	before := l.last[it.class]
+	*of(it) = links{prev: before}
+	if before != nil {
+		of(before).next = it
+	}
+	l.last[it.class] = it
+	l.used |= 1 << it.class
+}
+
+func (l *classList) remove(it *Item, of func(*Item) *links) {
+	n := *of(it)
+	if n.prev != nil {
+		of(n.prev).next = n.next
+	}
+	if n.next != nil {
+		of(n.next).prev = n.prev
+	} else {
+		l.last[it.class] = n.prev
+		if n.prev == nil {
+			l.used &^= 1 << it.class
+		}
+	}
+	*of(it) = links{}
+}
+
+func inCustomer(it *Item) *links { return &it.inCustomer }
+func inAll(it *Item) *links      { return &it.inAll }
+
+// shedder finds the request to give up when the queue is full.
+type shedder struct {
+	// class is the rank of a pair of kind and priority by value, 0 for the lowest.
+	class [numKinds][MaxPriority + 1]uint8
+	all   classList
+	// heavy has the customer with the most waiting requests per weight first.
+	heavy  indexedHeap[*customer]
+	weight float64
+	n      int
+}
+
+func newShedder(kindWeight [numKinds]float64) *shedder {
+	s := &shedder{}
+	s.heavy.pos = func(c *customer) *int32 { return &c.pos }
+	s.heavy.less = func(a, b *customer) bool { return a.load() > b.load() }
+	type pair struct {
+		kind, priority int
+		value          float64
+	}
+	var pairs []pair
+	for k := range numKinds {
+		for p := range MaxPriority + 1 {
+			pairs = append(pairs, pair{k, p, kindWeight[k] * float64(p+1)})
+		}
+	}
+	slices.SortStableFunc(pairs, func(a, b pair) int { return cmp.Compare(a.value, b.value) })
+	for i, p := range pairs {
+		s.class[p.kind][p.priority] = uint8(i)
+	}
+	return s
+}
+
+func (c *customer) load() float64 { return float64(c.waiting) / c.weight }
+
+func (s *shedder) push(it *Item) {
+	c := it.cust
+	it.class = s.class[it.Kind][it.Priority]
+	s.all.add(it, inAll)
+	c.classes.add(it, inCustomer)
+	s.n++
+	c.waiting++
+	if c.waiting == 1 {
+		s.weight += c.weight
+		s.heavy.push(c)
+		return
+	}
+	s.heavy.fix(c)
+}
+
+func (s *shedder) remove(it *Item) {
+	c := it.cust
+	s.all.remove(it, inAll)
+	c.classes.remove(it, inCustomer)
+	s.n--
+	c.waiting--
+	if c.waiting == 0 {
+		s.weight -= c.weight
+		s.heavy.remove(c)
+		return
+	}
+	s.heavy.fix(c)
+}
+
+// setWeight changes the weight of a customer.
+func (s *shedder) setWeight(c *customer, weight float64) {
+	if c.waiting == 0 {
+		c.weight = weight
+		return
+	}
+	s.weight += weight - c.weight
+	c.weight = weight
+	s.heavy.fix(c)
+}
+
+// victim returns the item to give up so that the newcomer can wait, which is the newcomer itself when no
+// waiting item is worth less.
+func (s *shedder) victim(newcomer *Item) (*Item, Reason) {
+	c := newcomer.cust
+	newcomer.class = s.class[newcomer.Kind][newcomer.Priority]
+	weight, load := s.weight, float64(c.waiting+1)/c.weight
+	if c.waiting == 0 {
+		weight += c.weight
+	}
+	bound := fairSlack * float64(s.n+1) / weight
+	heaviest := s.heavy.min()
+	if load >= heaviest.load() {
+		heaviest = c
+	} else {
+		load = heaviest.load()
+	}
+	list, reason := &s.all, ShedValue
+	if load > bound {
+		list, reason = &heaviest.classes, ShedShare
+	}
+	low := list.lowest()
+	if reason == ShedShare && heaviest != c {
+		return low, reason
+	}
+	if low == nil || newcomer.class <= low.class {
+		return newcomer, reason
+	}
+	return low, reason
+}
