Add the concurrent gate around the admission queue

Gate owns a Queue under one lock. Acquire waits for a slot, Ticket.Done or Release gives it back, a caller that goes away leaves the queue, and Drain refuses new work while waiting and running work finishes. A timer answers a waiting request as soon as its deadline cannot be met. Refusals are checked against TrueRefusal and drains against Graceful at run time. Failed runs are released without learning from their service time.

--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/telemetry/invariant"
+)
+
+// Gate is a Queue for concurrent use. One lock owns the queue; it is held for one decision at a time.
+type Gate struct {
+	start time.Time
+
+	mu    sync.Mutex
+	queue *Queue
+	// timer fires when the next waiting request can no longer meet its deadline.
+	timer *time.Timer
+	// drained is closed when the gate drains and nothing waits or runs.
+	drained chan struct{}
+	closed  bool
+}
+
+// NewGate returns an open gate. It fails with a *ConfigError.
+func NewGate(cfg Config) (*Gate, error) {
+	q, err := New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return &Gate{start: time.Now(), queue: q, drained: make(chan struct{})}, nil
+}
+
+// waiter is one call of Acquire.
+type waiter struct {
+	item Item
+	// ready takes the one decision about an item that waits.
+	ready chan Decision
+}
+
+// Ticket is the right to run one request. Exactly one of Done and Release must be called when the run has
+// ended; further calls have no effect. Its methods may be called from any goroutine.
+type Ticket struct {
+	gate *Gate
+	item *Item
+}
+
+// Acquire waits for a slot. It fails with a *KindError, with a *RefusedError, or with a *GoneError when the
+// context ends first. After every error the request has not run and will not run. MaxTokens is the limit of a
+// generation, or 0.
+func (g *Gate) Acquire(ctx context.Context, w *peerapi.Work, maxTokens int) (*Ticket, error) {
+	kind, err := ParseKind(w.Kind)
+	if err != nil {
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		return nil, &GoneError{ID: w.ID, Cause: ctx.Err()}
+	}
+	wt := &waiter{item: Item{Request: Request{
+		ID: w.ID, Customer: w.Customer, Weight: w.Weight, Kind: kind, Priority: w.Priority, MaxTokens: maxTokens,
+	}}}
+	wt.item.Owner = wt
+	d := g.offer(wt, time.Duration(w.DeadlineMs)*time.Millisecond)
+	if d.Verdict == Wait {
+		d, err = g.await(ctx, wt)
+		if err != nil {
+			return nil, err
+		}
+	}
+	if d.Verdict == Refuse {
+		return nil, &RefusedError{ID: w.ID, Decision: d}
+	}
+	return &Ticket{gate: g, item: &wt.item}, nil
+}
+
+// offer makes the first decision; left is the time until the deadline, 0 for none.
+func (g *Gate) offer(wt *waiter, left time.Duration) Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if left > 0 {
+		wt.item.Deadline = now + left
+	}
+	d := g.queue.Offer(now, &wt.item)
+	if d.Verdict == Wait {
+		wt.ready = make(chan Decision, 1)
+	}
+	checkRefusal(&wt.item, d)
+	g.settle(now)
+	return d
+}
+
+// await waits for the decision about an item in the queue.
+func (g *Gate) await(ctx context.Context, wt *waiter) (Decision, error) {
+	select {
+	case d := <-wt.ready:
+		return d, nil
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.queue.Cancel(&wt.item) {
+		// The decision was made before the lock was taken.
+		if d := <-wt.ready; d.Verdict == Refuse {
+			return d, nil
+		}
+		g.queue.Release(&wt.item)
+	}
+	g.settle(g.now())
+	return Decision{}, &GoneError{ID: wt.item.ID, Cause: ctx.Err()}
+}
+
+// now returns the time since the start of the gate, on the monotonic clock.
+func (g *Gate) now() time.Duration { return time.Since(g.start) }
+
+// settle delivers the decisions that are due. The lock is held.
+func (g *Gate) settle(now time.Duration) {
+	for _, o := range g.queue.Advance(now) {
+		checkRefusal(o.Item, o.Decision)
+		invariant.Check(!g.queue.draining || o.Verdict == Run || o.Reason == Expired, invariant.Graceful,
+			"drain gave up request %s: %s", o.Item.ID, o.Reason)
+		o.Item.Owner.(*waiter).ready <- o.Decision
+	}
+	g.arm(now)
+	if g.queue.draining && !g.closed && g.queue.Idle() {
+		g.closed = true
+		close(g.drained)
+	}
+}
+
+func checkRefusal(it *Item, d Decision) {
+	if d.Verdict == Refuse {
+		invariant.Check(!it.Started(), invariant.TrueRefusal, "request %s refused after it started", it.ID)
+		return
+	}
+	invariant.Check(!it.Refused(), invariant.TrueRefusal, "request %s accepted after it was refused", it.ID)
+}
+
+// arm sets the timer to the next time at which a waiting request must be given up.
+func (g *Gate) arm(now time.Duration) {
+	at, ok := g.queue.NextDeadline()
+	if !ok {
+		if g.timer != nil {
+			g.timer.Stop()
+		}
+		return
+	}
+	if g.timer == nil {
+		g.timer = time.AfterFunc(at-now, g.expire)
+		return
+	}
+	g.timer.Reset(at - now)
+}
+
+func (g *Gate) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settle(g.now())
+}
+
+// Drain refuses new work from now on. Waiting and running work goes on; see Drained.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Drain()
+	g.settle(g.now())
+}
+
+// Drained returns a channel that is closed when Drain was called and nothing waits or runs.
+func (g *Gate) Drained() <-chan struct{} { return g.drained }
+
+// Load fills in the queue's part of a load report.
+func (g *Gate) Load(l *peerapi.Load) {
+	g.mu.Lock()
+	s := g.queue.Load()
+	g.mu.Unlock()
+	l.Running, l.Waiting, l.Limit = s.Running, s.Waiting, s.Limit
+	l.WaitMs = s.Wait.Milliseconds()
+	l.Draining = l.Draining || s.Draining
+}
+
+// Done ends a run that succeeded. Tokens is the number of generated tokens, and service the time that the
+// backend server took; both are learned from.
+func (t *Ticket) Done(tokens int, service time.Duration) {
+	t.end(func(now time.Duration) { t.gate.queue.Done(now, t.item, tokens, service) })
+}
+
+// Release ends a run that failed. Nothing is learned from it, since a failure may be much faster or slower
+// than an answer.
+func (t *Ticket) Release() {
+	t.end(func(time.Duration) { t.gate.queue.Release(t.item) })
+}
+
+func (t *Ticket) end(give func(now time.Duration)) {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	give(now)
+	g.settle(now)
+}
--- a/admission/item.go
+++ b/admission/item.go
@@ -56,6 +56,7 @@
 	deadlinePos int32
 	class       uint8
 	state       itemState
+	started     bool
 	inCustomer  links
 	inAll       links
 }
@@ -66,6 +67,9 @@
 // Refused says whether the item was refused.
 func (it *Item) Refused() bool { return it.state == stateRefused }
 
+// Started says whether the item ever held a slot.
+func (it *Item) Started() bool { return it.started }
+
 // Running says whether the item holds a slot.
 func (it *Item) Running() bool { return it.state == stateRunning }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -275,6 +275,7 @@
 
 func (q *Queue) start(it *Item) {
 	it.state = stateRunning
+	it.started = true
 	q.running[it.Kind]++
 	q.runningWork[it.Kind] += it.service
 }
