Test admission failures: starvation, deadlines, floods, races, drain, limit

Seeds are fixed; time is virtual (passed in, or testing/synctest). The queue runs against a linear-search model under rapid.

--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,229 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/telemetry/invariant"
+)
+
+func newGate(t testing.TB, cfg Config) *Gate {
+	t.Helper()
+	g, err := NewGate(cfg)
+	require.NoError(t, err)
+	restore := invariant.OnViolation(func(v *invariant.ViolationError) { t.Error(v) })
+	t.Cleanup(restore)
+	return g
+}
+
+func work(id string, left time.Duration) *peerapi.Work {
+	return &peerapi.Work{ID: id, Customer: "a", Weight: 1, Kind: peerapi.KindStatus, DeadlineMs: left.Milliseconds()}
+}
+
+// A caller that goes away must leave the queue, and its place must not be given a slot.
+func TestCallerThatGoesAwayLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(t, fixedConfig(1))
+		first, err := g.Acquire(t.Context(), work("first", time.Minute), 0)
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := make(chan error, 1)
+		go func() {
+			_, err := g.Acquire(ctx, work("second", time.Minute), 0)
+			gone <- err
+		}()
+		synctest.Wait()
+		cancel()
+		var e *GoneError
+		require.ErrorAs(t, <-gone, &e)
+		require.ErrorIs(t, e, context.Canceled)
+		require.Equal(t, callerapi.ExecutedNo, e.Caller().Executed)
+		var l peerapi.Load
+		g.Load(&l)
+		require.Equal(t, peerapi.Load{Running: 1, Limit: 1, WaitMs: l.WaitMs}, l)
+		first.Done(0, time.Second)
+		first.Done(0, time.Second)
+		again, err := g.Acquire(t.Context(), work("third", time.Minute), 0)
+		require.NoError(t, err)
+		again.Release()
+	})
+}
+
+// A waiting request must be answered as soon as it cannot be in time, although nothing else happens.
+func TestExpiryNeedsNoTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(t, fixedConfig(1))
+		first, err := g.Acquire(t.Context(), work("first", time.Minute), 0)
+		require.NoError(t, err)
+		begin := time.Now()
+		// A later deadline sets the timer first; the earlier one must move it.
+		later := make(chan error, 1)
+		go func() {
+			_, err := g.Acquire(t.Context(), work("later", 5*time.Second), 0)
+			later <- err
+		}()
+		synctest.Wait()
+		_, err = g.Acquire(t.Context(), work("second", 3*time.Second), 0)
+		var e *RefusedError
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, Expired, e.Reason)
+		require.Equal(t, 3*time.Second+1, time.Since(begin))
+		require.Equal(t, callerapi.DeadlineExceeded, e.Caller().Type)
+		require.Equal(t, callerapi.ExecutedNo, e.Caller().Executed)
+		require.Positive(t, e.Caller().RetryAfter)
+		require.ErrorAs(t, <-later, &e)
+		require.Equal(t, 5*time.Second+1, time.Since(begin))
+		first.Release()
+	})
+}
+
+// Drain must let waiting and running work finish, refuse the rest, and end only then.
+func TestDrainFinishesAcceptedWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(t, fixedConfig(2))
+		var wg sync.WaitGroup
+		for i := range 6 {
+			wg.Go(func() {
+				ticket, err := g.Acquire(t.Context(), work(fmt.Sprint(i), time.Minute), 0)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				time.Sleep(time.Second)
+				ticket.Done(0, time.Second)
+			})
+		}
+		synctest.Wait()
+		begin := time.Now()
+		g.Drain()
+		_, err := g.Acquire(t.Context(), work("late", time.Minute), 0)
+		var e *RefusedError
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, callerapi.Draining, e.Caller().Type)
+		require.Equal(t, callerapi.ExecutedNo, e.Caller().Executed)
+		<-g.Drained()
+		require.Equal(t, 3*time.Second, time.Since(begin))
+		wg.Wait()
+		g.Drain()
+	})
+}
+
+func TestUnknownKindIsRefused(t *testing.T) {
+	g := newGate(t, fixedConfig(1))
+	w := work("x", time.Second)
+	w.Kind = "bulk"
+	_, err := g.Acquire(t.Context(), w, 0)
+	var e *KindError
+	require.ErrorAs(t, err, &e)
+}
+
+type plannedCall struct {
+	at, gone, service, deadline time.Duration
+	kind                        string
+}
+
+// Cancellations that fall on the very instant of a grant, an expiry or a drain must leak no slot, and every
+// call must get one answer.
+func TestCancellationRaces(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ms := func(label string, from, to int) time.Duration {
+			return time.Duration(rapid.IntRange(from, to).Draw(rt, label)) * 10 * time.Millisecond
+		}
+		var calls []plannedCall
+		for range rapid.IntRange(1, 30).Draw(rt, "calls") {
+			calls = append(calls, plannedCall{
+				at: ms("at", 0, 20), gone: ms("gone", 0, 20), service: ms("service", 0, 10), deadline: ms("deadline", 1, 30),
+				kind: kindNames[rapid.IntRange(0, numKinds-1).Draw(rt, "kind")],
+			})
+		}
+		slots, drainAt := rapid.IntRange(1, 4).Draw(rt, "slots"), ms("drain", 0, 40)
+		synctest.Test(t, func(t *testing.T) {
+			if problem := runPlan(t, calls, slots, drainAt); problem != "" {
+				t.Error(problem)
+			}
+		})
+		if t.Failed() {
+			rt.FailNow()
+		}
+	})
+}
+
+func runPlan(t *testing.T, calls []plannedCall, slots int, drainAt time.Duration) string {
+	g := newGate(t, fixedConfig(slots))
+	var mu sync.Mutex
+	running, most, answers := 0, 0, 0
+	count := func(n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		running += n
+		most = max(most, running)
+	}
+	var wg sync.WaitGroup
+	for i, c := range calls {
+		wg.Go(func() {
+			time.Sleep(c.at)
+			ctx, cancel := context.WithTimeout(t.Context(), c.gone)
+			defer cancel()
+			w := work(fmt.Sprint(i), c.deadline)
+			w.Kind = c.kind
+			ticket, err := g.Acquire(ctx, w, 100)
+			mu.Lock()
+			answers++
+			mu.Unlock()
+			if err == nil {
+				count(1)
+				time.Sleep(c.service)
+				count(-1)
+				ticket.Done(10, c.service)
+			}
+		})
+	}
+	time.Sleep(drainAt)
+	g.Drain()
+	<-g.Drained()
+	wg.Wait()
+	var l peerapi.Load
+	g.Load(&l)
+	if l.Running != 0 || l.Waiting != 0 || most > slots || answers != len(calls) {
+		return fmt.Sprintf("%+v, at most %d of %d slots used, %d answers to %d calls", l, most, slots, answers, len(calls))
+	}
+	return ""
+}
+
+// The same races with real goroutines, for the race detector.
+func TestGateUnderContention(t *testing.T) {
+	g := newGate(t, fixedConfig(3))
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for n := range 200 {
+				ctx, cancel := context.WithCancel(t.Context())
+				if n%3 == 0 {
+					go cancel()
+				}
+				ticket, err := g.Acquire(ctx, work(fmt.Sprint(i, "-", n), time.Minute), 0)
+				var gone *GoneError
+				if err != nil && !errors.As(err, &gone) {
+					t.Error(err)
+				}
+				if err == nil {
+					ticket.Done(0, time.Millisecond)
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	g.Drain()
+	<-g.Drained()
+}
--- /dev/null
+++ b/admission/machine_test.go
@@ -0,0 +1,212 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// machine drives a Queue with random operations next to a model that looks at all items in turn. It guards
+// against items that are lost, doubled, started in the wrong order, started too late or refused after a start.
+type machine struct {
+	q       *Queue
+	cfg     Config
+	now     time.Duration
+	waiting []*Item
+	running []*Item
+	offered int
+	final   map[*Item]Verdict
+	// virtual and tags are the model's start-time fair queueing: tags by kind and customer.
+	virtual [numKinds]float64
+	tags    [numKinds]map[string]float64
+}
+
+func newMachine(t *rapid.T) *machine {
+	cfg := fixedConfig(rapid.IntRange(1, 6).Draw(t, "slots"))
+	cfg.Policy = rapid.SampledFrom([]PolicyName{Fair, FIFO, Priority}).Draw(t, "policy")
+	cfg.MaxWaiting = rapid.IntRange(1, 12).Draw(t, "bound")
+	cfg.RefuseUnmeetable = rapid.Bool().Draw(t, "refuse")
+	cfg.ShedByValue = rapid.Bool().Draw(t, "shed")
+	q, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Without known service times all costs are 0, and the tags would not be compared.
+	for k := range numKinds {
+		q.limit.kinds[k].unit = 0.1 * float64(k+1)
+	}
+	m := &machine{q: q, cfg: cfg, final: map[*Item]Verdict{}}
+	for k := range m.tags {
+		m.tags[k] = map[string]float64{}
+	}
+	return m
+}
+
+func (m *machine) Offer(t *rapid.T) {
+	it := &Item{Request: Request{
+		ID: fmt.Sprint(m.offered), Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+		Kind: Kind(rapid.IntRange(0, numKinds-1).Draw(t, "kind")), Priority: rapid.IntRange(-1, 10).Draw(t, "priority"),
+	}}
+	it.Weight = map[string]int{"a": 0, "b": 1, "c": 3}[it.Customer]
+	if rapid.Bool().Draw(t, "deadline") {
+		it.Deadline = m.now + time.Duration(rapid.IntRange(0, 4000).Draw(t, "left"))*time.Millisecond
+	}
+	m.offered++
+	switch d := m.q.Offer(m.now, it); d.Verdict {
+	case Run:
+		m.start(t, it)
+	case Wait:
+		m.waiting = append(m.waiting, it)
+		m.model(it)
+	case Refuse:
+		m.refuse(t, it, d)
+	}
+	m.advance(t)
+}
+
+func (m *machine) Done(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "item")
+	it := m.running[i]
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	m.q.Done(m.now, it, rapid.IntRange(0, 50).Draw(t, "tokens"), time.Duration(rapid.IntRange(1, 900).Draw(t, "ms"))*time.Millisecond)
+	m.advance(t)
+}
+
+func (m *machine) Cancel(t *rapid.T) {
+	if len(m.waiting) == 0 {
+		t.Skip("nothing waits")
+	}
+	i := rapid.IntRange(0, len(m.waiting)-1).Draw(t, "item")
+	it := m.waiting[i]
+	if !m.q.Cancel(it) || m.q.Cancel(it) {
+		t.Fatal("a waiting item can be cancelled once")
+	}
+	m.final[it] = Refuse
+	m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+	m.advance(t)
+}
+
+func (m *machine) Pass(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
+	m.advance(t)
+}
+
+func (m *machine) advance(t *rapid.T) {
+	for _, o := range m.q.Advance(m.now) {
+		if o.Verdict == Refuse {
+			m.refuse(t, o.Item, o.Decision)
+			m.drop(t, o.Item)
+			continue
+		}
+		if want := m.next(); want != o.Item {
+			t.Fatalf("started %+v, model expects %+v", o.Item.Request, want.Request)
+		}
+		m.drop(t, o.Item)
+		m.start(t, o.Item)
+		tags := m.tags[o.Item.Kind]
+		m.virtual[o.Item.Kind] = tags[o.Item.Customer]
+		tags[o.Item.Customer] += o.Item.service / o.Item.cust.weight
+	}
+	if len(m.running) < m.q.limit.slots() && m.next() != nil {
+		t.Fatal("a slot is free although an item may start")
+	}
+}
+
+func (m *machine) start(t *rapid.T, it *Item) {
+	if _, ended := m.final[it]; ended || it.latestStart < m.now && it.arrived < m.now {
+		t.Fatalf("started %+v, which was decided or is late", it.Request)
+	}
+	m.final[it] = Run
+	m.running = append(m.running, it)
+}
+
+func (m *machine) refuse(t *rapid.T, it *Item, d Decision) {
+	if _, ended := m.final[it]; ended || it.Started() || d.RetryAfter < minRetryAfter {
+		t.Fatalf("refused %+v: %+v", it.Request, d)
+	}
+	m.final[it] = Refuse
+}
+
+func (m *machine) drop(t *rapid.T, it *Item) {
+	for i, w := range m.waiting {
+		if w == it {
+			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+			return
+		}
+	}
+	t.Fatalf("outcome of %+v, which does not wait", it.Request)
+}
+
+// model raises the tag of a customer that becomes active to the virtual time.
+func (m *machine) model(it *Item) {
+	for _, w := range m.waiting {
+		if w != it && w.Kind == it.Kind && w.Customer == it.Customer {
+			return
+		}
+	}
+	m.tags[it.Kind][it.Customer] = max(m.tags[it.Kind][it.Customer], m.virtual[it.Kind])
+}
+
+// next returns the item that should start, by linear search, and nil if none may.
+func (m *machine) next() *Item {
+	long := 0
+	for _, r := range m.running {
+		if r.Kind == Long {
+			long++
+		}
+	}
+	longFree := long < m.q.longSlots()
+	if m.cfg.Policy != Fair {
+		var best *Item
+		for _, it := range m.waiting {
+			if best == nil || m.cfg.Policy == Priority && it.Priority > best.Priority {
+				best = it
+			}
+		}
+		if best != nil && best.Kind == Long && !longFree {
+			return nil
+		}
+		return best
+	}
+	var best *Item
+	for k := range m.tags {
+		var head *Item
+		for _, it := range m.waiting {
+			if it.Kind != Kind(k) || it.Kind == Long && !longFree {
+				continue
+			}
+			if head == nil || m.tags[k][it.Customer] < m.tags[k][head.Customer] ||
+				m.tags[k][it.Customer] == m.tags[k][head.Customer] && earlier(it, head) {
+				head = it
+			}
+		}
+		if head != nil && (best == nil || earlier(head, best)) {
+			best = head
+		}
+	}
+	return best
+}
+
+// Check compares the counts of the queue and the model.
+func (m *machine) Check(t *rapid.T) {
+	if n := m.q.Load(); n.Waiting != len(m.waiting) || n.Running != len(m.running) {
+		t.Fatalf("queue has %d waiting, %d running; model %d, %d", n.Waiting, n.Running, len(m.waiting), len(m.running))
+	}
+	if len(m.waiting) > m.cfg.MaxWaiting || len(m.running) > m.q.limit.slots() {
+		t.Fatal("a bound is passed")
+	}
+	if m.offered != len(m.final)+len(m.waiting) {
+		t.Fatal("an item is lost")
+	}
+}
+
+func TestQueueAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(newMachine(t)))
+	})
+}
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,361 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+// TestMain fixes the seed of the property tests and fails when a goroutine is left behind.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// fixedConfig is the default with a limit that does not move.
+func fixedConfig(slots int) Config {
+	cfg := DefaultConfig()
+	cfg.Limit = LimitConfig{Initial: slots, Min: 1, Max: slots, Tolerance: 1.5, Fixed: true}
+	return cfg
+}
+
+func newQueue(t testing.TB, cfg Config) *Queue {
+	t.Helper()
+	q, err := New(cfg)
+	require.NoError(t, err)
+	return q
+}
+
+// teach makes the queue expect the given service time of status reads.
+func teach(q *Queue, k Kind, service time.Duration) {
+	for range 3 {
+		it := &Item{Request: Request{Customer: "teacher", Kind: k, MaxTokens: 1}}
+		q.Offer(0, it)
+		q.Done(0, it, 1, service)
+	}
+}
+
+func offer(q *Queue, now time.Duration, r Request) (*Item, Decision) {
+	it := &Item{Request: r}
+	return it, q.Offer(now, it)
+}
+
+// serve runs a single-slot queue at a fixed service time until the end. Arrive is called before each start.
+// It returns the started items in order.
+func serve(q *Queue, service, end time.Duration, arrive func(now time.Duration)) []*Item {
+	running, _ := offer(q, 0, Request{Customer: "first", Kind: Status})
+	var order []*Item
+	for now := time.Duration(0); now < end; now += service {
+		arrive(now)
+		q.Done(now, running, 1, service)
+		for _, o := range q.Advance(now) {
+			if o.Verdict == Run {
+				running = o.Item
+				order = append(order, o.Item)
+			}
+		}
+	}
+	return order
+}
+
+// A request of low priority must not wait forever behind a stream of preferred ones.
+func TestAgingPreventsStarvation(t *testing.T) {
+	served := func(step time.Duration) bool {
+		cfg := fixedConfig(1)
+		cfg.AgingStep = step
+		q := newQueue(t, cfg)
+		var low *Item
+		serve(q, 100*time.Millisecond, time.Minute, func(now time.Duration) {
+			if now == 0 {
+				low, _ = offer(q, now, Request{Customer: "b", Kind: Long})
+			}
+			offer(q, now, Request{Customer: "a", Kind: Status, Priority: MaxPriority})
+		})
+		return low.Started()
+	}
+	require.True(t, served(AgingStep), "15 levels of 2 s are passed within a minute")
+	require.False(t, served(24*time.Hour), "without aging the test must see the starvation")
+}
+
+// A request whose deadline cannot be met must be refused at once, and Retry-After must be true: after that
+// time the same request is accepted and is in time.
+func TestUnmeetableDeadline(t *testing.T) {
+	const service = time.Second
+	fill := func(cfg Config) (*Queue, *Item) {
+		q := newQueue(t, cfg)
+		teach(q, Command, service)
+		first, _ := offer(q, 0, Request{Customer: "a", Kind: Command})
+		for range 10 {
+			offer(q, 0, Request{Customer: "a", Kind: Command})
+		}
+		return q, first
+	}
+	request := func(now time.Duration) Request {
+		return Request{Customer: "a", Kind: Command, Deadline: now + 5*service}
+	}
+	q, running := fill(fixedConfig(1))
+	_, d := offer(q, 0, request(0))
+	require.Equal(t, Unmeetable, d.Reason)
+	require.Equal(t, 11*service, d.PredictedWait)
+	require.Equal(t, 7*service, d.RetryAfter)
+
+	again, end := (*Item)(nil), 7*service
+	for now := service; now <= 12*service; now += service {
+		q.Done(now, running, 0, service)
+		if now == end {
+			again, d = offer(q, now, request(now))
+			require.Equal(t, Wait, d.Verdict, "%s", d.Reason)
+		}
+		for _, o := range q.Advance(now) {
+			running = o.Item
+			if o.Item == again {
+				require.Equal(t, Run, o.Verdict)
+				require.LessOrEqual(t, now+service, again.Deadline)
+				return
+			}
+		}
+	}
+	t.Fatal("the repeated request was not served")
+}
+
+// What expires while it waits must be dropped when it can no longer be in time, and never run.
+func TestExpiredRequestIsDropped(t *testing.T) {
+	run := func(drop bool) Outcome {
+		cfg := fixedConfig(1)
+		cfg.RefuseUnmeetable, cfg.DropExpired = false, drop
+		q := newQueue(t, cfg)
+		teach(q, Status, time.Second)
+		first, _ := offer(q, 0, Request{Customer: "a", Kind: Status})
+		late, _ := offer(q, 0, Request{Customer: "a", Kind: Status, Deadline: 3 * time.Second})
+		if drop {
+			at, ok := q.NextDeadline()
+			require.True(t, ok)
+			require.Equal(t, 2*time.Second+1, at)
+			require.Empty(t, q.Advance(2*time.Second))
+		}
+		q.Release(first)
+		out := q.Advance(4 * time.Second)
+		require.Len(t, out, 1)
+		require.Same(t, late, out[0].Item)
+		return out[0]
+	}
+	dropped := run(true)
+	require.Equal(t, Refuse, dropped.Verdict)
+	require.Equal(t, Expired, dropped.Reason)
+	require.Positive(t, dropped.RetryAfter)
+	require.Equal(t, Run, run(false).Verdict, "without the mechanism the test must see the late start")
+}
+
+// A customer that floods must not take the share of another.
+func TestFloodGetsItsShareOnly(t *testing.T) {
+	share := func(policy PolicyName, weight int) float64 {
+		cfg := fixedConfig(1)
+		cfg.Policy = policy
+		q := newQueue(t, cfg)
+		order := serve(q, 10*time.Millisecond, 10*time.Second, func(now time.Duration) {
+			for range 10 {
+				offer(q, now, Request{Customer: "flood", Kind: Status})
+			}
+			offer(q, now, Request{Customer: "steady", Weight: weight, Kind: Status})
+		})
+		n := 0
+		for _, it := range order {
+			if it.Customer == "steady" {
+				n++
+			}
+		}
+		return float64(n) / float64(len(order))
+	}
+	require.InDelta(t, 0.5, share(Fair, 1), 0.02)
+	require.InDelta(t, 0.75, share(Fair, 3), 0.02)
+	require.Less(t, share(FIFO, 1), 0.15, "without fair queueing the test must see the flood win")
+}
+
+// The excess of a heavy customer is shed first, even when it is worth more than the newcomer.
+func TestFullQueueShedsExcessFirst(t *testing.T) {
+	fill := func(byValue bool) (*Queue, *Item) {
+		cfg := fixedConfig(1)
+		cfg.MaxWaiting, cfg.ShedByValue = 20, byValue
+		q := newQueue(t, cfg)
+		for range 18 {
+			offer(q, 0, Request{Customer: "flood", Kind: Command, Priority: 9})
+		}
+		var last *Item
+		for range 3 {
+			last, _ = offer(q, 0, Request{Customer: "steady", Kind: Status})
+		}
+		return q, last
+	}
+	q, _ := fill(true)
+	_, d := offer(q, 0, Request{Customer: "steady", Kind: Status})
+	require.Equal(t, Wait, d.Verdict)
+	out := q.Advance(0)
+	require.Len(t, out, 1)
+	require.Equal(t, "flood", out[0].Item.Customer)
+	require.Equal(t, ShedShare, out[0].Reason)
+	require.Positive(t, out[0].RetryAfter)
+
+	_, d = offer(q, 0, Request{Customer: "flood", Kind: Command, Priority: 9})
+	require.Equal(t, ShedShare, d.Reason, "the newcomer of the heavy customer is no better than its last")
+
+	q, _ = fill(false)
+	_, d = offer(q, 0, Request{Customer: "steady", Kind: Status})
+	require.Equal(t, QueueFull, d.Reason, "without the mechanism the test must see the refusal")
+}
+
+// Within the shares, the least valuable request is shed.
+func TestFullQueueShedsLowestValue(t *testing.T) {
+	cfg := fixedConfig(1)
+	cfg.MaxWaiting = 10
+	q := newQueue(t, cfg)
+	for i := range 11 {
+		offer(q, 0, Request{Customer: fmt.Sprint("c", i%2), Kind: Command, Priority: i % 5})
+	}
+	_, d := offer(q, 0, Request{Customer: "c0", Kind: Long})
+	require.Equal(t, Refuse, d.Verdict)
+	require.Equal(t, ShedValue, d.Reason)
+	_, d = offer(q, 0, Request{Customer: "c0", Kind: Command, Priority: 9})
+	require.Equal(t, Wait, d.Verdict)
+	out := q.Advance(0)
+	require.Len(t, out, 1)
+	require.Equal(t, 0, out[0].Item.Priority)
+}
+
+// Long work must not take the slots reserved for short work.
+func TestReservedSlots(t *testing.T) {
+	reason := func(share float64) Reason {
+		cfg := fixedConfig(8)
+		cfg.ReservedShare = share
+		q := newQueue(t, cfg)
+		for range 10 {
+			offer(q, 0, Request{Customer: "a", Kind: Long, MaxTokens: 1000})
+			q.Advance(0)
+		}
+		_, d := offer(q, 0, Request{Customer: "b", Kind: Status})
+		return d.Reason
+	}
+	require.Equal(t, FreeSlot, reason(0.25))
+	require.Equal(t, NoSlot, reason(0), "without reserved slots the test must see the wait")
+}
+
+// The limit must fall while the server is slow and return afterwards.
+func TestLimitRecovers(t *testing.T) {
+	const capacity = 16
+	lim := newLimiter(LimitConfig{Initial: capacity, Min: 2, Max: 64, Tolerance: 1.5})
+	now := time.Duration(0)
+	phase := func(seconds int, slowdown float64) int {
+		for end := now + time.Duration(seconds)*time.Second; now < end; {
+			// Beyond its capacity the server runs all requests more slowly.
+			service := 0.05 * max(1, lim.limit*slowdown/capacity)
+			now += time.Duration(service / lim.limit * float64(time.Second))
+			lim.used = true
+			lim.observe(now, Status, service, 1)
+		}
+		return lim.slots()
+	}
+	normal := phase(30, 1)
+	require.GreaterOrEqual(t, normal, capacity)
+	require.LessOrEqual(t, normal, 2*capacity)
+	slow := phase(10, 4)
+	require.LessOrEqual(t, slow, capacity/2)
+	require.GreaterOrEqual(t, phase(10, 1), capacity)
+
+	lim.cfg.Fixed = true
+	before := lim.slots()
+	require.Equal(t, before, phase(10, 4), "without the mechanism the test must see the limit stay")
+}
+
+// A limit that holds nothing back must not grow, or it would allow any burst later.
+func TestLimitGrowsOnlyWhenUsed(t *testing.T) {
+	lim := newLimiter(LimitConfig{Initial: 8, Min: 2, Max: 64, Tolerance: 1.5})
+	for i := range 1000 {
+		lim.observe(time.Duration(i)*time.Millisecond, Status, 0.01, 1)
+	}
+	require.Equal(t, 8, lim.slots())
+}
+
+// Predictions must follow what a customer's requests really generate, not what they ask for.
+func TestPredictionFollowsHistory(t *testing.T) {
+	p := newPredictor()
+	require.InDelta(t, 500, p.predict("a", "m", 1000), 0.1)
+	for range 50 {
+		p.learn("a", "m", 1000, 20)
+		p.learn("a", "m", 8000, 6000)
+	}
+	require.InDelta(t, 20, p.predict("a", "m", 1000), 0.1)
+	require.InDelta(t, 6000, p.predict("a", "m", 8000), 0.1)
+	require.LessOrEqual(t, p.predict("a", "m", 600), 600.0)
+	for range 100 {
+		p.classify(20, Short)
+	}
+	require.Equal(t, Long, p.classify(6000, Short))
+	require.Equal(t, Short, p.classify(160, Long))
+	for i := range 3 * historyMax {
+		p.learn(fmt.Sprint(i), "m", 10, 10)
+	}
+	require.LessOrEqual(t, len(p.tokens), historyMax)
+}
+
+// A drained queue refuses new work and finishes the rest.
+func TestDrain(t *testing.T) {
+	q := newQueue(t, fixedConfig(1))
+	running, _ := offer(q, 0, Request{Customer: "a", Kind: Status})
+	waiting, _ := offer(q, 0, Request{Customer: "a", Kind: Status})
+	q.Drain()
+	_, d := offer(q, 0, Request{Customer: "a", Kind: Status})
+	require.Equal(t, Draining, d.Reason)
+	require.Positive(t, d.RetryAfter)
+	require.False(t, q.Idle())
+	q.Done(time.Second, running, 0, time.Second)
+	require.Same(t, waiting, q.Advance(time.Second)[0].Item)
+	q.Done(2*time.Second, waiting, 0, time.Second)
+	require.True(t, q.Idle())
+}
+
+func TestConfigIsValidated(t *testing.T) {
+	var bad *ConfigError
+	for _, change := range []func(*Config){
+		func(c *Config) { c.Policy = "random" },
+		func(c *Config) { c.MaxWaiting = 0 },
+		func(c *Config) { c.ReservedShare = 1 },
+		func(c *Config) { c.AgingStep = 0 },
+		func(c *Config) { c.Limit.Initial = c.Limit.Max + 1 },
+		func(c *Config) { c.Limit.Tolerance = 1 },
+	} {
+		cfg := DefaultConfig()
+		change(&cfg)
+		_, err := New(cfg)
+		require.ErrorAs(t, err, &bad)
+	}
+}
+
+// A customer that was idle must not make up for the time in which it sent nothing.
+func TestIdleTimeEarnsNoCredit(t *testing.T) {
+	q := newQueue(t, fixedConfig(1))
+	teach(q, Status, 10*time.Millisecond)
+	order := serve(q, 10*time.Millisecond, 2*time.Second, func(now time.Duration) {
+		offer(q, now, Request{Customer: "steady", Kind: Status})
+		offer(q, now, Request{Customer: "steady", Kind: Status})
+		if now >= time.Second {
+			offer(q, now, Request{Customer: "idle", Kind: Status})
+		}
+	})
+	n := 0
+	for _, it := range order[100:] {
+		if it.Customer == "steady" {
+			n++
+		}
+	}
+	require.InDelta(t, 50, n, 1)
+}
