--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -184,20 +184,19 @@
 
 // The excess of a heavy customer is shed first, even when it is worth more than the newcomer.
 func TestFullQueueShedsExcessFirst(t *testing.T) {
-	fill := func(byValue bool) (*Queue, *Item) {
+	fill := func(byValue bool) *Queue {
 		cfg := fixedConfig(1)
 		cfg.MaxWaiting, cfg.ShedByValue = 20, byValue
 		q := newQueue(t, cfg)
 		for range 18 {
 			offer(q, 0, Request{Customer: "flood", Kind: Command, Priority: 9})
 		}
-		var last *Item
 		for range 3 {
-			last, _ = offer(q, 0, Request{Customer: "steady", Kind: Status})
+			offer(q, 0, Request{Customer: "steady", Kind: Status})
 		}
-		return q, last
+		return q
 	}
-	q, _ := fill(true)
+	q := fill(true)
 	_, d := offer(q, 0, Request{Customer: "steady", Kind: Status})
 	require.Equal(t, Wait, d.Verdict)
 	out := q.Advance(0)
@@ -209,7 +208,7 @@
 	_, d = offer(q, 0, Request{Customer: "flood", Kind: Command, Priority: 9})
 	require.Equal(t, ShedShare, d.Reason, "the newcomer of the heavy customer is no better than its last")
 
-	q, _ = fill(false)
+	q = fill(false)
 	_, d = offer(q, 0, Request{Customer: "steady", Kind: Status})
 	require.Equal(t, QueueFull, d.Reason, "without the mechanism the test must see the refusal")
 }
