--- /dev/null
+++ b/configsync/feed/poll.go
@@ -0,0 +1,123 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+)
+
+// Times of a long poll.
+const (
+	pollWait = 25 * time.Second
+	// keepAlive is the time between lines while a caller waits.
+	keepAlive = time.Second
+	// silence is the time without a byte after which a caller gives a connection up; two keep-alives fit in.
+	silence = 3 * time.Second
+)
+
+// maxAnswerBytes bounds one answer; a snapshot of the target size has less than 1 MB.
+const maxAnswerBytes = 64 << 20
+
+// poll asks one peer for changes and puts them in force, for as long as wait. It returns nil when the peer
+// answered to the end, with or without a change.
+func (n *Node) poll(ctx context.Context, peer Peer, wait time.Duration) error {
+	if err := n.exchange(ctx, peer, wait); err != nil {
+		return &PeerError{Peer: peer.Name, Cause: err}
+	}
+	return nil
+}
+
+func (n *Node) exchange(ctx context.Context, peer Peer, wait time.Duration) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silence, func() { cancel(&SilentError{}) })
+	defer watchdog.Stop()
+	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d", peer.Address, peerapi.PathConfig, n.revision(), wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	resp, err := n.opts.Client.Do(req)
+	if err != nil {
+		return merry.Wrap(cause(ctx, err))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{Status: resp.StatusCode}
+	}
+	return cause(ctx, n.readLines(resp.Body, func() { watchdog.Reset(silence) }))
+}
+
+// cause returns why this package cancelled the context, in place of the error that followed from it.
+func cause(ctx context.Context, err error) error {
+	var silent *SilentError
+	var role *RoleError
+	why := context.Cause(ctx)
+	if err != nil && (errors.As(why, &silent) || errors.As(why, &role)) {
+		return why
+	}
+	return err
+}
+
+func (n *Node) readLines(body io.Reader, alive func()) error {
+	dec := json.NewDecoder(io.LimitReader(body, maxAnswerBytes))
+	for {
+		var line Line
+		if err := dec.Decode(&line); err != nil {
+			return merry.Wrap(err)
+		}
+		alive()
+		if err := n.take(&line); err != nil {
+			return err
+		}
+		if line.End {
+			return nil
+		}
+	}
+}
+
+// take puts in force what a line carries, and takes over how fresh the sender's configuration is.
+func (n *Node) take(line *Line) error {
+	received := time.Now()
+	if len(line.Snapshot) > 0 {
+		s, err := DecodeState(line.Snapshot)
+		if err != nil {
+			n.mu.Lock()
+			n.refuse(line.Revision, err)
+			n.mu.Unlock()
+			return err
+		}
+		n.Accept(s)
+	}
+	for _, raw := range line.Changes {
+		c := &operatorv1.Change{}
+		if err := proto.Unmarshal(raw, c); err != nil {
+			return &MessageError{Detail: err.Error()}
+		}
+		if err := n.AcceptChange(c); err != nil && !isGap(err) {
+			return err
+		}
+	}
+	if line.Revision > 0 && line.Revision == n.revision() {
+		n.confirmNow(received.Add(-time.Duration(line.AgeMs) * time.Millisecond))
+	}
+	return nil
+}
+
+// isGap says that a change does not follow the revision in force, because another source was faster or slower;
+// the next poll asks from the revision in force then.
+func isGap(err error) bool {
+	var gap *cluster.RevisionGapError
+	return errors.As(err, &gap)
+}
