Use the admission queue in the side process and drain when the instance list says leaving

side.Queue replaces the plain FIFO slots. The settings gain policy (fair, fifo, priority) and max_slots. A run reports whether it succeeded, so that the time of a failure is not learned from. A side process drains when the instance list turns it from live to leaving; an entry left over from its predecessor does not count, because the list lags (TestLeavingCountsOnlyAfterLive fails when that condition is removed).

go test ./side/... ./proctest/... passes.

--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -36,8 +36,12 @@
 	if err != nil {
 		return err
 	}
+	queue, err := side.NewQueue(s)
+	if err != nil {
+		return err
+	}
 	srv := side.New(side.Options{
-		Name: s.Name, Configuration: c.node, Backend: engine.NewClient(backend), Admission: side.NewFIFO(s.Slots),
+		Name: s.Name, Configuration: c.node, Backend: engine.NewClient(backend), Admission: queue,
 		Calls: side.Once{}, Log: c.log,
 	})
 	peers := mux.NewRouter()
@@ -51,7 +55,8 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return c.run(serving, func(instances.List) {}) })
+	leaving := side.NewLeavingWatch(s.Name, l.Peers.Addr().String(), srv.Drain)
+	group.Go(func() error { return c.run(serving, leaving.Observe) })
 	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
 	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
--- /dev/null
+++ b/side/queue.go
@@ -0,0 +1,73 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lavendermoor.example/admission"
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+)
+
+// Queue is the Admission of a side process: an admission.Gate.
+type Queue struct{ gate *admission.Gate }
+
+// defaultMaxSlots is the multiple of Slots up to which the concurrency limit may grow when MaxSlots is not set.
+const defaultMaxSlots = 2
+
+// NewQueue returns a queue as the settings have it. It fails with an *admission.ConfigError.
+func NewQueue(s Settings) (*Queue, error) {
+	cfg := admission.DefaultConfig()
+	if p := admission.PolicyName(s.Policy); p != admission.Fair {
+		cfg = admission.BaselineConfig(p)
+	}
+	cfg.Limit.Initial = s.Slots
+	cfg.Limit.Min = min(cfg.Limit.Min, s.Slots)
+	cfg.Limit.Max = s.MaxSlots
+	if s.MaxSlots == 0 {
+		cfg.Limit.Max = defaultMaxSlots * s.Slots
+	}
+	gate, err := admission.NewGate(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return &Queue{gate: gate}, nil
+}
+
+// Acquire implements Admission.
+func (q *Queue) Acquire(
+	ctx context.Context, w *peerapi.Work, maxTokens int,
+) (func(tokens int, ok bool), *callerapi.Error) {
+	ticket, err := q.gate.Acquire(ctx, w, maxTokens)
+	if err != nil {
+		return nil, refusal(err)
+	}
+	start := time.Now()
+	return func(tokens int, ok bool) {
+		if !ok {
+			ticket.Release()
+			return
+		}
+		ticket.Done(tokens, time.Since(start))
+	}, nil
+}
+
+// refusal turns an error of the gate, which is always a refusal before the run, into what the caller sees.
+func refusal(err error) *callerapi.Error {
+	var refused *admission.RefusedError
+	var gone *admission.GoneError
+	switch {
+	case errors.As(err, &refused):
+		return refused.Caller()
+	case errors.As(err, &gone):
+		return gone.Caller()
+	}
+	return callerapi.NotRun(callerapi.InvalidRequest, "%v", err)
+}
+
+// Drain implements Admission.
+func (q *Queue) Drain() { q.gate.Drain() }
+
+// Load implements Admission.
+func (q *Queue) Load(l *peerapi.Load) { q.gate.Load(l) }
--- /dev/null
+++ b/side/queue_test.go
@@ -0,0 +1,60 @@
+package side
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/platform/instances"
+)
+
+// Guards against a refusal that does not say that the request was not executed, or gives no time to come back,
+// and against a policy of the settings that is not in force.
+func TestQueueRefusalsSayNotExecuted(t *testing.T) {
+	for _, policy := range []string{"fair", "fifo", "priority"} {
+		s := Defaults()
+		s.Slots, s.MaxSlots, s.Policy = 1, 1, policy
+		q, err := NewQueue(s)
+		require.NoError(t, err)
+		w := &peerapi.Work{ID: "1", Customer: "a", Kind: peerapi.KindStatus, DeadlineMs: time.Minute.Milliseconds()}
+		release, refused := q.Acquire(t.Context(), w, 0)
+		require.Nil(t, refused)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, refused = q.Acquire(ctx, w, 0)
+		require.Equal(t, callerapi.ExecutedNo, refused.Executed)
+		q.Drain()
+		_, refused = q.Acquire(t.Context(), w, 0)
+		require.Equal(t, callerapi.Draining, refused.Type)
+		require.Equal(t, callerapi.ExecutedNo, refused.Executed)
+		require.Positive(t, refused.RetryAfter)
+		release(0, true)
+		l := peerapi.Load{}
+		q.Load(&l)
+		require.Equal(t, peerapi.Load{Limit: 1, Draining: true}, l)
+	}
+	_, err := NewQueue(Settings{Slots: 1, Policy: "random"})
+	require.Error(t, err)
+}
+
+// Guards against a restarted process that drains because the list still shows its predecessor as leaving.
+func TestLeavingCountsOnlyAfterLive(t *testing.T) {
+	left := 0
+	w := NewLeavingWatch("s", "127.0.0.1:1", func() { left++ })
+	see := func(address string, state instances.State) {
+		w.Observe(instances.List{Instances: []instances.Instance{{Name: "s", Address: address, State: state}}})
+	}
+	see("127.0.0.1:1", instances.Leaving)
+	require.Zero(t, left)
+	see("127.0.0.1:1", instances.Live)
+	see("127.0.0.1:2", instances.Leaving)
+	require.Zero(t, left)
+	see("127.0.0.1:1", instances.Leaving)
+	see("127.0.0.1:1", instances.Leaving)
+	require.Equal(t, 1, left)
+}
--- a/side/settings.go
+++ b/side/settings.go
@@ -23,8 +23,13 @@
 	KeyValue string `json:"key_value" validate:"required,url"`
 	// Instances is the URL of the instance list.
 	Instances string `json:"instances" validate:"required,url"`
-	// Slots is the number of requests that the backend server runs at once.
-	Slots    int    `json:"slots" validate:"min=1"`
+	// Slots is the number of requests that the backend server runs at once. The concurrency limit begins there
+	// and is then learned from service times.
+	Slots int `json:"slots" validate:"min=1"`
+	// MaxSlots bounds the concurrency limit; 0 means twice Slots.
+	MaxSlots int `json:"max_slots,omitempty" validate:"omitempty,gtefield=Slots"`
+	// Policy is the order of waiting work; "fifo" and "priority" are baselines.
+	Policy   string `json:"policy" validate:"oneof=fair fifo priority"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
 	// DrainTimeout is how long running work may take after a termination signal.
 	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
@@ -36,6 +41,7 @@
 		Listen:       "127.0.0.1:7200",
 		Admin:        "127.0.0.1:7201",
 		Slots:        16,
+		Policy:       "fair",
 		LogLevel:     "info",
 		DrainTimeout: settings.Duration(10 * time.Minute),
 	}
--- a/side/side.go
+++ b/side/side.go
@@ -24,8 +24,8 @@
 // Admission decides when a request may run.
 type Admission interface {
 	// Acquire waits for a slot. The error is a refusal before the run. The release function is called once, when
-	// the run has ended.
-	Acquire(ctx context.Context, w *peerapi.Work, maxTokens int) (release func(tokens int), err *callerapi.Error)
+	// the run has ended; ok says that it succeeded, so that its time and tokens are learned from.
+	Acquire(ctx context.Context, w *peerapi.Work, maxTokens int) (release func(tokens int, ok bool), err *callerapi.Error)
 	// Drain refuses all further requests.
 	Drain()
 	// Load fills in the queue's part of a load report.
--- a/side/work.go
+++ b/side/work.go
@@ -43,7 +43,8 @@
 		return refusal
 	}
 	tokens := 0
-	defer func() { release(tokens) }()
+	ok := false
+	defer func() { release(tokens, ok) }()
 	err := s.opts.Backend.Generate(ctx, in, func(event json.RawMessage) error {
 		tokens++
 		return f.data(event)
@@ -51,6 +52,7 @@
 	if err != nil {
 		return s.failure(ctx, &in.Work, err)
 	}
+	ok = true
 	return nil
 }
 
@@ -58,7 +60,7 @@
 // the run.
 func (s *Server) admit(
 	ctx context.Context, w *peerapi.Work, maxTokens int,
-) (context.Context, func(tokens int), *callerapi.Error) {
+) (context.Context, func(tokens int, ok bool), *callerapi.Error) {
 	if e := s.check(w); e != nil {
 		s.refused.Add(1)
 		return nil, nil, e
@@ -71,7 +73,7 @@
 		return nil, nil, e
 	}
 	s.served.Add(1)
-	return ctx, func(tokens int) { cancel(); release(tokens) }, nil
+	return ctx, func(tokens int, ok bool) { cancel(); release(tokens, ok) }, nil
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
@@ -98,8 +100,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	defer release(0)
+	ok := false
+	defer func() { release(0, ok) }()
 	result, err := s.opts.Backend.Call(ctx, in)
+	ok = err == nil
 	if err != nil {
 		return nil, s.failure(ctx, &in.Work, err)
 	}
