Decide token, keyed and plain calls that must not be repeated

Copied grants are now marked, and differing ones are all kept. - A paused predecessor could still claim, and grant, after its successor had copied the records. Each message names the incarnation of its sender; older incarnations get no grant and theirs do not count.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -155,6 +155,9 @@
 // OutcomeRequest asks what became of a request without token or key.
 type OutcomeRequest struct {
 	ID string `json:"id"`
+	// Incarnation is the one that the sender knew before it sent the call, or 0. Only that one can say that a call
+	// that it has not seen has not run.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // OutcomeResponse answers an OutcomeRequest. Running means that the call has not ended; the answer may be
--- /dev/null
+++ b/idempotency/holders.go
@@ -0,0 +1,163 @@
+// Package idempotency decides which calls that must not be repeated may run. It does no I/O: the callers of its
+// functions pass the time and exchange the messages. The design page, section 5, describes the protocol.
+package idempotency
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+)
+
+const (
+	// Shards is the number of shards of the keys of a service.
+	Shards = 64
+	// MaxHolders is the number of holders of a shard when there are enough servers. Three let one be lost.
+	MaxHolders = 3
+)
+
+// View is the list of a service's servers at one epoch.
+type View struct {
+	Service string
+	// Epoch increases with each change of Servers.
+	Epoch   int64
+	Servers []cluster.Member
+	// Previous is the list before the change, until the change is complete.
+	Previous []cluster.Member
+}
+
+// ViewOf returns the view of a service in a configuration.
+func ViewOf(s *cluster.State, service string) View {
+	servers, previous := s.Members(service)
+	return View{Service: service, Epoch: s.Service(service).GetEpoch(), Servers: servers, Previous: previous}
+}
+
+// ShardOf returns the shard of a key, 0 to Shards-1.
+func ShardOf(k peerapi.CallKey) int {
+	d := xxhash.New()
+	writePart(d, k.Service)
+	writePart(d, k.Customer)
+	writePart(d, k.Key)
+	return int(d.Sum64() % Shards)
+}
+
+// writePart adds a text with its length, so that two different lists of texts never hash alike.
+func writePart(d *xxhash.Digest, s string) {
+	_, _ = d.WriteString(strconv.Itoa(len(s)))
+	_, _ = d.WriteString(":")
+	_, _ = d.WriteString(s)
+}
+
+// Ranked returns the members in rendezvous order for a text.
+func Ranked(text string, members []cluster.Member) []cluster.Member {
+	type scored struct {
+		member cluster.Member
+		score  uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		d := xxhash.New()
+		writePart(d, text)
+		writePart(d, m.Name)
+		all[i] = scored{m, d.Sum64()}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].member.Name < all[j].member.Name
+	})
+	out := make([]cluster.Member, len(all))
+	for i, s := range all {
+		out[i] = s.member
+	}
+	return out
+}
+
+// Holders returns the holders of a shard in rank order: the first in rendezvous order of each failure domain, then,
+// if there are fewer than MaxHolders domains, the next ones of any domain.
+func Holders(service string, shard int, members []cluster.Member) []cluster.Member {
+	ranked := Ranked(service+"/"+strconv.Itoa(shard), members)
+	picked := make([]bool, len(ranked))
+	domains := map[string]bool{}
+	count := 0
+	for i, m := range ranked {
+		if count < MaxHolders && !domains[m.Domain] {
+			domains[m.Domain] = true
+			picked[i] = true
+			count++
+		}
+	}
+	for i := range ranked {
+		if count < MaxHolders && !picked[i] {
+			picked[i] = true
+			count++
+		}
+	}
+	out := make([]cluster.Member, 0, count)
+	for i, m := range ranked {
+		if picked[i] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Sets are the holders of one shard in rank order. Old is empty unless a change of the servers is in progress.
+type Sets struct {
+	New, Old []cluster.Member
+}
+
+// SetsOf returns the holders of a shard.
+func (v *View) SetsOf(shard int) Sets {
+	s := Sets{New: Holders(v.Service, shard, v.Servers)}
+	if len(v.Previous) > 0 {
+		s.Old = Holders(v.Service, shard, v.Previous)
+	}
+	return s
+}
+
+// All returns the new holders and then the old ones that are not among them.
+func (s Sets) All() []cluster.Member {
+	out := append([]cluster.Member{}, s.New...)
+	for _, m := range s.Old {
+		if !has(s.New, m.Name) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func has(members []cluster.Member, name string) bool { return rankOf(members, name) >= 0 }
+
+// rankOf returns the position of a server, or -1.
+func rankOf(members []cluster.Member, name string) int {
+	for i, m := range members {
+		if m.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// majority returns the number of servers that is more than half of n.
+func majority(n int) int { return n/2 + 1 }
+
+// satisfied says whether the servers for which ok is true are a majority of the new holders and, during a change, of
+// the old ones too.
+func (s Sets) satisfied(ok func(server string) bool) bool {
+	return majorityOf(s.New, ok) && (len(s.Old) == 0 || majorityOf(s.Old, ok))
+}
+
+func majorityOf(members []cluster.Member, ok func(string) bool) bool {
+	n := 0
+	for _, m := range members {
+		if ok(m.Name) {
+			n++
+		}
+	}
+	return n >= majority(len(members))
+}
--- /dev/null
+++ b/idempotency/plain.go
@@ -0,0 +1,121 @@
+package idempotency
+
+import (
+	"time"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+)
+
+const (
+	// plainRetention is how long the outcome of a call without token or key can be asked for. The entry asks right
+	// after a connection broke, so this only has to cover the longest deadline that is usual.
+	plainRetention = 10 * time.Minute
+	maxPlain       = 65_536
+	maxPlainBytes  = 16 << 20
+)
+
+type plainCall struct {
+	running bool
+	// barred says that the outcome was asked for before the call arrived, and that it was said not to have run.
+	barred  bool
+	outcome *peerapi.Outcome
+	began   time.Time
+}
+
+type plainAge struct {
+	id    string
+	began time.Time
+}
+
+// Plain keeps the outcomes of the calls that have neither token nor key and must not be repeated, by request ID. It is
+// not safe for use by several goroutines at once.
+type Plain struct {
+	incarnation int64
+	calls       map[string]*plainCall
+	queue       []plainAge
+	bytes       int
+	// forgot is the last time at which a call was removed before its retention had passed.
+	forgot time.Time
+}
+
+// NewPlain returns the state of an incarnation.
+func NewPlain(incarnation int64) *Plain {
+	return &Plain{incarnation: incarnation, calls: map[string]*plainCall{}}
+}
+
+// Begin says whether a call may run. It may not when its ID is known: it has arrived twice, or its sender was told
+// that it has not run.
+func (p *Plain) Begin(now time.Time, id string) bool {
+	p.expire(now)
+	if p.calls[id] != nil {
+		return false
+	}
+	p.add(now, id, &plainCall{running: true, began: now})
+	return true
+}
+
+func (p *Plain) add(now time.Time, id string, c *plainCall) {
+	p.calls[id] = c
+	p.queue = append(p.queue, plainAge{id, now})
+}
+
+// End notes the outcome of a call that had begun.
+func (p *Plain) End(id string, o peerapi.Outcome) {
+	c := p.calls[id]
+	if c == nil {
+		return
+	}
+	c.running = false
+	c.outcome = trim(o, maxPlainBytes-p.bytes)
+	p.bytes += bodyBytes(c.outcome)
+}
+
+func (p *Plain) expire(now time.Time) {
+	for len(p.queue) > 0 {
+		oldest := p.queue[0]
+		early := now.Sub(oldest.began) <= plainRetention
+		if early && len(p.queue) < maxPlain {
+			return
+		}
+		if early {
+			p.forgot = now
+		}
+		if c := p.calls[oldest.id]; c != nil {
+			p.bytes -= bodyBytes(c.outcome)
+			delete(p.calls, oldest.id)
+		}
+		p.queue = p.queue[1:]
+	}
+}
+
+// Outcome answers a question about a call. A call that has not arrived is barred and then said not to have run,
+// provided that the sender knew this incarnation before it sent the call: an earlier one cannot have got it then.
+func (p *Plain) Outcome(now time.Time, id string, incarnation int64) peerapi.OutcomeResponse {
+	p.expire(now)
+	c := p.calls[id]
+	switch {
+	case c == nil && p.canBar(now, incarnation):
+		p.add(now, id, &plainCall{barred: true, began: now})
+		return peerapi.OutcomeResponse{Executed: callerapi.ExecutedNo}
+	case c == nil:
+		return peerapi.OutcomeResponse{Executed: callerapi.ExecutedUnknown}
+	case c.barred:
+		return peerapi.OutcomeResponse{Executed: callerapi.ExecutedNo}
+	case c.running:
+		return peerapi.OutcomeResponse{Executed: callerapi.ExecutedUnknown, Running: true}
+	}
+	return ended(c.outcome)
+}
+
+func (p *Plain) canBar(now time.Time, incarnation int64) bool {
+	forgetful := !p.forgot.IsZero() && now.Sub(p.forgot) <= plainRetention
+	return incarnation == p.incarnation && !forgetful
+}
+
+func ended(o *peerapi.Outcome) peerapi.OutcomeResponse {
+	if o.Result == nil {
+		return peerapi.OutcomeResponse{Executed: o.Failure.Executed}
+	}
+	return peerapi.OutcomeResponse{Executed: callerapi.ExecutedYes, Result: o.Result}
+}
--- /dev/null
+++ b/idempotency/shard.go
@@ -0,0 +1,306 @@
+package idempotency
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+)
+
+// shard is this server's part in one shard of a service.
+type shard struct {
+	sets    Sets
+	records map[peerapi.CallKey]*record
+	// complete says that every record that an earlier incarnation or an earlier holder could have had is here, so
+	// that the absence of a record proves that this holder has granted the key to nobody.
+	complete bool
+	// restarted says that an earlier incarnation of this server may have held the shard.
+	restarted bool
+	// since is the time from which the retention is counted when the copies cannot be had.
+	since  time.Time
+	copied map[string]bool
+}
+
+// SetView brings a view into force. A view with an older epoch than the one in force is ignored.
+func (t *Table) SetView(now time.Time, v View) {
+	before := t.views[v.Service]
+	if before != nil && v.Epoch < before.Epoch {
+		return
+	}
+	t.views[v.Service] = &v
+	for i := range Shards {
+		t.setShard(now, shardID{v.Service, i}, before, &v)
+	}
+}
+
+func (t *Table) setShard(now time.Time, id shardID, before, v *View) {
+	sets := v.SetsOf(id.shard)
+	s := t.shards[id]
+	if !has(sets.All(), t.self.Server) {
+		t.dropShard(id, s)
+		return
+	}
+	if s != nil && before != nil && before.Epoch == v.Epoch {
+		s.sets = sets
+		return
+	}
+	fresh := t.newShard(now, sets, before == nil)
+	if s != nil {
+		fresh.records = s.records
+		t.inherit(s, fresh, before, v)
+	}
+	t.shards[id] = fresh
+}
+
+func (t *Table) dropShard(id shardID, s *shard) {
+	if s == nil {
+		return
+	}
+	for k := range s.records {
+		t.remove(k)
+	}
+	delete(t.shards, id)
+	t.forgotten[id] = t.attempts
+}
+
+// newShard returns the shard as it is for a holder that knows nothing of it yet. In the first view of a process the
+// retention counts from the start of the process, later from the time at which the view came into force.
+func (t *Table) newShard(now time.Time, sets Sets, first bool) *shard {
+	joined := len(sets.Old) > 0 && !has(sets.Old, t.self.Server)
+	s := &shard{
+		sets: sets, records: map[peerapi.CallKey]*record{}, copied: map[string]bool{},
+		restarted: t.self.Incarnation != 1, since: now,
+	}
+	s.complete = !s.restarted && !joined && first && !t.unrecorded
+	if first && !joined {
+		s.since = t.base
+	}
+	return s
+}
+
+// inherit keeps the completeness of a holder that was one before the change. After a jump over an epoch it cannot be
+// kept, because the shard may have had other holders meanwhile.
+func (t *Table) inherit(s, fresh *shard, before, v *View) {
+	follows := v.Epoch == before.Epoch+1
+	stays := len(fresh.sets.Old) == 0 || has(fresh.sets.Old, t.self.Server)
+	if !follows || !stays {
+		fresh.restarted = true
+		return
+	}
+	fresh.complete = s.complete
+	fresh.since = s.since
+	fresh.restarted = s.restarted
+}
+
+// CopyNeed is a shard that is not complete, and the holders whose records are still missing.
+type CopyNeed struct {
+	Service string
+	Shard   int
+	Epoch   int64
+	From    []cluster.Member
+}
+
+// CopyNeeds returns the shards that need copies, after it has completed those whose retention has passed.
+func (t *Table) CopyNeeds(now time.Time) []CopyNeed {
+	var out []CopyNeed
+	for id, s := range t.shards {
+		t.settle(now, s)
+		if s.complete {
+			continue
+		}
+		need := CopyNeed{Service: id.service, Shard: id.shard, Epoch: t.views[id.service].Epoch}
+		for _, m := range s.sets.All() {
+			if m.Name != t.self.Server && !s.copied[m.Name] {
+				need.From = append(need.From, m)
+			}
+		}
+		out = append(out, need)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Service != out[j].Service {
+			return out[i].Service < out[j].Service
+		}
+		return out[i].Shard < out[j].Shard
+	})
+	return out
+}
+
+// settle completes a shard that has its copies, or whose missing keys have all been forgotten everywhere by now.
+func (t *Table) settle(now time.Time, s *shard) {
+	if !t.unrecorded && (s.copiedEnough(t.self.Server) || now.Sub(s.since) > t.opts.Retention) {
+		s.complete = true
+	}
+}
+
+// Incomplete returns the number of shards that cannot judge keys yet.
+func (t *Table) Incomplete() int {
+	n := 0
+	for _, s := range t.shards {
+		if !s.complete {
+			n++
+		}
+	}
+	return n
+}
+
+// Reported says whether this process has a service's epoch in force and all its copies complete.
+func (t *Table) Reported(service string, epoch int64) bool {
+	v := t.views[service]
+	if v == nil || v.Epoch != epoch {
+		return false
+	}
+	for id, s := range t.shards {
+		if id.service == service && !s.complete {
+			return false
+		}
+	}
+	return true
+}
+
+// copiedEnough says whether the copies that were taken contain every record that may bind this holder. Each attempt
+// that counted a grant of an earlier incarnation of this server has a record at its runner, which is one of the new
+// holders, and at one more holder of each set that it needed. A holder that never held the shard needs only what ran
+// under the older epoch, which a majority of the old holders knows.
+func (s *shard) copiedEnough(self string) bool {
+	all := func(members []cluster.Member) bool {
+		others := 0
+		for _, m := range members {
+			if m.Name == self {
+				continue
+			}
+			others++
+			if !s.copied[m.Name] {
+				return false
+			}
+		}
+		return others > 0
+	}
+	got := func(name string) bool { return s.copied[name] }
+	switch {
+	case len(s.sets.Old) == 0:
+		return all(s.sets.New)
+	case has(s.sets.Old, self):
+		return all(s.sets.New) && all(s.sets.Old)
+	case s.restarted:
+		return all(s.sets.New) && majorityOf(s.sets.Old, got)
+	}
+	return majorityOf(s.sets.Old, got)
+}
+
+// Export answers a pull with up to limit records of a shard.
+func (t *Table) Export(now time.Time, from peerapi.Peer, p peerapi.PullRange, limit int) peerapi.RecordsResponse {
+	t.Observe(from)
+	out := peerapi.RecordsResponse{From: t.self, Epoch: t.epoch(p.Service)}
+	s := t.shards[shardID{p.Service, p.Shard}]
+	if s == nil {
+		return out
+	}
+	t.settle(now, s)
+	out.Complete = s.complete
+	for _, k := range pageKeys(s, p.Cursor) {
+		if len(out.Records) >= limit {
+			out.Next = cursorOf(out.Records[len(out.Records)-1].Key)
+			break
+		}
+		out.Records = append(out.Records, t.messages(now, k, s.records[k])...)
+	}
+	return out
+}
+
+func pageKeys(s *shard, cursor string) []peerapi.CallKey {
+	keys := make([]peerapi.CallKey, 0, len(s.records))
+	for k := range s.records {
+		if cursorOf(k) > cursor {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b peerapi.CallKey) int {
+		if cursorOf(a) < cursorOf(b) {
+			return -1
+		}
+		return 1
+	})
+	return keys
+}
+
+// cursorOf orders the keys of a shard. Names of customers hold no zero byte.
+func cursorOf(k peerapi.CallKey) string { return k.Customer + "\x00" + k.Key }
+
+func (t *Table) message(now time.Time, k peerapi.CallKey, r *record) peerapi.KeyRecord {
+	age := now.Sub(t.base) - r.changed
+	return peerapi.KeyRecord{
+		Key: k, Digest: r.digest, Attempt: r.attempt, Outcome: r.outcome, AgeMs: age.Milliseconds(),
+	}
+}
+
+func (t *Table) messages(now time.Time, k peerapi.CallKey, r *record) []peerapi.KeyRecord {
+	out := []peerapi.KeyRecord{t.message(now, k, r)}
+	for _, a := range r.also {
+		m := out[0]
+		m.Attempt = a
+		out = append(out, m)
+	}
+	return out
+}
+
+func (t *Table) epoch(service string) int64 {
+	if v := t.views[service]; v != nil {
+		return v.Epoch
+	}
+	return 0
+}
+
+// Usable says whether a page may be taken as part of a copy at the given epoch. A source with a newer epoch in force
+// shows that this process is behind; one with an older epoch could still grant claims of that epoch after the copy.
+func Usable(r peerapi.RecordsResponse, epoch int64) bool { return r.Complete && r.Epoch == epoch }
+
+// Import stores the records of one page.
+func (t *Table) Import(now time.Time, from peerapi.Peer, records []peerapi.KeyRecord) {
+	t.Observe(from)
+	for _, r := range records {
+		t.Store(now, r)
+	}
+}
+
+// Copied notes that all pages of a holder were imported, from the first to the last in one incarnation of it, while
+// the epoch was in force here. It does nothing when the epoch has changed since.
+func (t *Table) Copied(now time.Time, need CopyNeed, from peerapi.Peer) {
+	s := t.shards[shardID{need.Service, need.Shard}]
+	if s == nil || t.epoch(need.Service) != need.Epoch || t.replaced(from) {
+		return
+	}
+	s.copied[from.Server] = true
+	t.settle(now, s)
+}
+
+// Store takes a record from another holder. An outcome replaces grants. A grant to another attempt is kept beside
+// those known: each of them may have run.
+func (t *Table) Store(now time.Time, m peerapi.KeyRecord) {
+	age := time.Duration(m.AgeMs) * time.Millisecond
+	if age > t.opts.Retention || t.shardOf(m.Key) == nil {
+		return
+	}
+	r := t.find(m.Key)
+	if r == nil {
+		r = &record{digest: m.Digest, attempt: m.Attempt, copied: true}
+		t.put(now, m.Key, r, age)
+	}
+	if m.Outcome == nil || r.state == stateDone {
+		t.checkSameRun(r, m)
+		r.addAttempt(m.Attempt)
+		return
+	}
+	t.checkNotRunning(r, m)
+	r.digest = m.Digest
+	r.attempt = m.Attempt
+	t.setDone(now, m.Key, r, *m.Outcome)
+	r.changed -= age
+}
+
+func (r *record) addAttempt(a peerapi.Attempt) {
+	if r.state != stateDone && r.attempt != a && !slices.Contains(r.also, a) {
+		r.also = append(r.also, a)
+	}
+}
--- /dev/null
+++ b/idempotency/table.go
@@ -0,0 +1,247 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+
+	"lavendermoor.example/api/peerapi"
+)
+
+// Options bound a Table. The zero value of a field stands for its default.
+type Options struct {
+	// Retention is the time for which a key is remembered after its last change.
+	Retention time.Duration
+	// MaxRecords is the number of keys after which new ones are refused.
+	MaxRecords int
+	// MaxBodyBytes is the total size of kept bodies; later outcomes are kept without their body.
+	MaxBodyBytes int
+	// MaxClaimAge is the age at which an attempt may no longer begin. It bounds how long a paused runner can wait
+	// between its claim and its run, so that its grants cannot have expired.
+	MaxClaimAge time.Duration
+}
+
+// Defaults of Options. 200,000 records of about 500 bytes each are 100 MB of the 256 MB of a node.
+const (
+	DefaultRetention    = time.Hour
+	DefaultMaxRecords   = 200_000
+	DefaultMaxBodyBytes = 64 << 20
+	DefaultMaxClaimAge  = 5 * time.Second
+	// MaxKeptBody is the largest body of an outcome that is kept, in bytes.
+	MaxKeptBody = 64 << 10
+)
+
+func (o Options) withDefaults() Options {
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.MaxRecords == 0 {
+		o.MaxRecords = DefaultMaxRecords
+	}
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if o.MaxClaimAge == 0 {
+		o.MaxClaimAge = DefaultMaxClaimAge
+	}
+	return o
+}
+
+type state uint8
+
+const (
+	stateGranted state = iota
+	// stateRunning is used at the runner only.
+	stateRunning
+	stateDone
+)
+
+type record struct {
+	digest  peerapi.Digest
+	attempt peerapi.Attempt
+	state   state
+	// copied says that the attempt was learned from another holder, so that this server has not granted it.
+	copied bool
+	// also holds further attempts that other holders had granted the key to when their records were copied. Each of
+	// them may have run.
+	also    []peerapi.Attempt
+	outcome *peerapi.Outcome
+	// changed is the time since the base of the table.
+	changed time.Duration
+}
+
+type shardID struct {
+	service string
+	shard   int
+}
+
+// expiry is an entry of the queue of records in order of their last change.
+type expiry struct {
+	key     peerapi.CallKey
+	changed time.Duration
+}
+
+// Table is the state of a side process for keyed calls, both as a holder of records and as a runner. It is not safe
+// for use by several goroutines at once. All times passed must carry a monotonic clock reading.
+type Table struct {
+	self     peerapi.Peer
+	opts     Options
+	base     time.Time
+	views    map[string]*View
+	shards   map[shardID]*shard
+	records  int
+	bytes    int
+	queue    []expiry
+	attempts int64
+	claims   map[int64]*Claim
+	// running is kept apart from the records to check that no key begins twice.
+	running map[peerapi.CallKey]peerapi.Attempt
+	// forgotten holds, for shards that this server has left, the last attempt that it made before. What became of the
+	// attempts up to it can no longer be said.
+	forgotten map[shardID]int64
+	// unrecorded says that the incarnation number has not been written to the key-value service, so that a successor
+	// could take itself for the first incarnation. Nothing is granted until then.
+	unrecorded bool
+	// seen is the newest known incarnation of each server.
+	seen map[string]int64
+}
+
+// NewTable returns the table of an incarnation that starts at the given time. Incarnation 1 has no predecessor.
+func NewTable(self peerapi.Peer, opts Options, start time.Time) *Table {
+	return &Table{
+		self: self, opts: opts.withDefaults(), base: start,
+		views: map[string]*View{}, shards: map[shardID]*shard{}, claims: map[int64]*Claim{},
+		running: map[peerapi.CallKey]peerapi.Attempt{}, forgotten: map[shardID]int64{},
+		seen: map[string]int64{self.Server: self.Incarnation},
+	}
+}
+
+// Self returns the incarnation that the table belongs to.
+func (t *Table) Self() peerapi.Peer { return t.self }
+
+// SetRecorded says whether the incarnation number has been written to the key-value service. A new table is recorded.
+func (t *Table) SetRecorded(yes bool) { t.unrecorded = !yes }
+
+// SetRetention changes the time for which keys are remembered.
+func (t *Table) SetRetention(d time.Duration) { t.opts.Retention = d }
+
+// Observe notes that an incarnation of a server exists. Earlier ones get no grant from then on, and their grants no
+// longer count: a restarted holder may have copied the records before a grant of its paused predecessor.
+func (t *Table) Observe(p peerapi.Peer) {
+	if p.Incarnation > t.seen[p.Server] {
+		t.seen[p.Server] = p.Incarnation
+	}
+}
+
+func (t *Table) replaced(p peerapi.Peer) bool { return p.Incarnation < t.seen[p.Server] }
+
+func idOf(k peerapi.CallKey) shardID { return shardID{k.Service, ShardOf(k)} }
+
+// shardOf returns the shard of a key, or nil when this server has no part in it.
+func (t *Table) shardOf(k peerapi.CallKey) *shard { return t.shards[idOf(k)] }
+
+func (t *Table) find(k peerapi.CallKey) *record {
+	if s := t.shardOf(k); s != nil {
+		return s.records[k]
+	}
+	return nil
+}
+
+func (t *Table) put(now time.Time, k peerapi.CallKey, r *record, age time.Duration) {
+	id := idOf(k)
+	s := t.shards[id]
+	if s == nil {
+		return
+	}
+	if s.records[k] == nil {
+		t.records++
+	}
+	s.records[k] = r
+	t.touch(now, k, r, age)
+}
+
+func (t *Table) touch(now time.Time, k peerapi.CallKey, r *record, age time.Duration) {
+	r.changed = now.Sub(t.base) - age
+	t.queue = append(t.queue, expiry{k, r.changed})
+}
+
+func (t *Table) remove(k peerapi.CallKey) {
+	s := t.shardOf(k)
+	if s == nil || s.records[k] == nil {
+		return
+	}
+	t.bytes -= bodyBytes(s.records[k].outcome)
+	delete(s.records, k)
+	t.records--
+}
+
+// drop frees a key from one attempt that will never run.
+func (t *Table) drop(k peerapi.CallKey, a peerapi.Attempt) {
+	r := t.find(k)
+	if r == nil || r.state == stateDone {
+		return
+	}
+	if i := slices.Index(r.also, a); i >= 0 {
+		r.also = slices.Delete(r.also, i, i+1)
+	}
+	switch {
+	case r.attempt != a:
+	case len(r.also) > 0:
+		r.attempt, r.also, r.copied, r.state = r.also[0], r.also[1:], true, stateGranted
+	default:
+		t.remove(k)
+	}
+}
+
+func bodyBytes(o *peerapi.Outcome) int {
+	if o == nil || o.Result == nil {
+		return 0
+	}
+	return len(o.Result.Body)
+}
+
+// Expire removes the records whose retention has passed. Attempts of this incarnation that have not ended stay.
+func (t *Table) Expire(now time.Time) {
+	limit := now.Sub(t.base) - t.opts.Retention
+	n := 0
+	for ; n < len(t.queue) && t.queue[n].changed < limit; n++ {
+		e := t.queue[n]
+		r := t.find(e.key)
+		if r == nil || r.changed != e.changed || t.ownsOpen(r) {
+			continue
+		}
+		t.remove(e.key)
+	}
+	t.queue = t.queue[n:]
+}
+
+func (t *Table) ownsOpen(r *record) bool { return r.attempt.Peer == t.self && r.state != stateDone }
+
+// Len returns the number of records.
+func (t *Table) Len() int { return t.records }
+
+// full says whether a new key must be refused.
+func (t *Table) full() bool { return t.records >= t.opts.MaxRecords }
+
+// keep returns the outcome as it is kept: without a body that is too large.
+func (t *Table) keep(o peerapi.Outcome) *peerapi.Outcome {
+	return trim(o, t.opts.MaxBodyBytes-t.bytes)
+}
+
+func trim(o peerapi.Outcome, room int) *peerapi.Outcome {
+	if o.Result == nil || len(o.Result.Body) <= min(room, MaxKeptBody) {
+		return &o
+	}
+	short := *o.Result
+	short.Body = nil
+	short.Truncated = true
+	return &peerapi.Outcome{Result: &short, Failure: o.Failure}
+}
+
+func (t *Table) setDone(now time.Time, k peerapi.CallKey, r *record, o peerapi.Outcome) {
+	t.bytes -= bodyBytes(r.outcome)
+	r.outcome = t.keep(o)
+	t.bytes += bodyBytes(r.outcome)
+	r.state = stateDone
+	r.also = nil
+	t.touch(now, k, r, 0)
+}
--- /dev/null
+++ b/idempotency/token.go
@@ -0,0 +1,285 @@
+package idempotency
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/telemetry/invariant"
+)
+
+const (
+	// TokenWindow is the number of the newest sequence numbers whose outcomes are kept.
+	TokenWindow = 65_536
+	// MaxTokenBytes is the total size of the bodies of token outcomes that are kept; later ones are kept without.
+	MaxTokenBytes = 32 << 20
+	// maxHandovers is the number of drained incarnations whose outcomes are kept.
+	maxHandovers = 8
+	macBytes     = 16
+)
+
+// MACKey is the key that authenticates the tokens of one incarnation.
+type MACKey [32]byte
+
+// Token is a token as text carries it: "server.incarnation.seq.mac".
+type Token struct {
+	peerapi.Peer
+	Seq int64
+	MAC []byte
+}
+
+// ParseToken returns the token of a text; false when the text has not the form of a token. Names of servers may
+// contain dots.
+func ParseToken(text string) (Token, bool) {
+	parts := strings.Split(text, ".")
+	n := len(parts)
+	if n < 4 {
+		return Token{}, false
+	}
+	inc, err1 := strconv.ParseInt(parts[n-3], 10, 64)
+	seq, err2 := strconv.ParseInt(parts[n-2], 10, 64)
+	mac, err3 := base64.RawURLEncoding.DecodeString(parts[n-1])
+	if err1 != nil || err2 != nil || err3 != nil || seq < 1 || inc < 1 {
+		return Token{}, false
+	}
+	server := strings.Join(parts[:n-3], ".")
+	return Token{Peer: peerapi.Peer{Server: server, Incarnation: inc}, Seq: seq, MAC: mac}, server != ""
+}
+
+// String returns the text of a token.
+func (t Token) String() string {
+	return strings.Join([]string{
+		t.Server, strconv.FormatInt(t.Incarnation, 10), strconv.FormatInt(t.Seq, 10),
+		base64.RawURLEncoding.EncodeToString(t.MAC),
+	}, ".")
+}
+
+func (k MACKey) mac(p peerapi.Peer, seq int64, customer, service string) []byte {
+	h := hmac.New(sha256.New, k[:])
+	var number [8]byte
+	writeNumber := func(n int64) {
+		binary.BigEndian.PutUint64(number[:], uint64(n))
+		h.Write(number[:])
+	}
+	for _, s := range []string{p.Server, customer, service} {
+		writeNumber(int64(len(s)))
+		h.Write([]byte(s))
+	}
+	writeNumber(p.Incarnation)
+	writeNumber(seq)
+	return h.Sum(nil)[:macBytes]
+}
+
+func (k MACKey) valid(t Token, customer, service string) bool {
+	return hmac.Equal(t.MAC, k.mac(t.Peer, t.Seq, customer, service))
+}
+
+// UseKind is what to do with a token call that arrived.
+type UseKind uint8
+
+// The kinds of Use.
+const (
+	// UseBegin says that the call is to be run now; End must follow.
+	UseBegin UseKind = iota
+	// UseJoin says that the call is running.
+	UseJoin
+	// UseReplay says that the call has run.
+	UseReplay
+	// UseReused says that the token was used for another request.
+	UseReused
+	// UseInvalid says that the token was not issued to this customer for this service.
+	UseInvalid
+	// UseUnknown says that nothing can be said of the token, which will not be run.
+	UseUnknown
+	// UseDraining says that the token has not run and will not run in this process.
+	UseDraining
+)
+
+// Use is the decision on a token call.
+type Use struct {
+	Kind    UseKind
+	Outcome *peerapi.Outcome
+}
+
+type tokenState uint8
+
+const (
+	tokenUnused tokenState = iota
+	tokenRunning
+	tokenDone
+)
+
+type tokenSlot struct {
+	seq     int64
+	state   tokenState
+	digest  peerapi.Digest
+	outcome *peerapi.Outcome
+}
+
+// handover is what a drained incarnation has handed over.
+type handover struct {
+	key      MACKey
+	outcomes map[int64]peerapi.TokenOutcome
+	bytes    int
+}
+
+// Tokens is the state of the token calls of one incarnation. It is not safe for use by several goroutines at once.
+type Tokens struct {
+	self   peerapi.Peer
+	key    MACKey
+	window []tokenSlot
+	issued int64
+	bytes  int
+	// closed says that the outcomes were handed over, so that no token may begin.
+	closed bool
+	handed map[peerapi.Peer]*handover
+	order  []peerapi.Peer
+}
+
+// NewTokens returns the state of an incarnation. The key must be random and new.
+func NewTokens(self peerapi.Peer, key MACKey) *Tokens {
+	return &Tokens{self: self, key: key, handed: map[peerapi.Peer]*handover{}}
+}
+
+// Issue returns a new token; false after Close.
+func (t *Tokens) Issue(customer, service string) (string, bool) {
+	if t.closed {
+		return "", false
+	}
+	t.issued++
+	t.clear(t.issued)
+	mac := t.key.mac(t.self, t.issued, customer, service)
+	return Token{Peer: t.self, Seq: t.issued, MAC: mac}.String(), true
+}
+
+// clear takes the slot of the sequence number that leaves the window. The window grows up to its size.
+func (t *Tokens) clear(seq int64) {
+	fresh := tokenSlot{seq: seq}
+	if len(t.window) < TokenWindow {
+		t.window = append(t.window, fresh)
+		return
+	}
+	slot := t.slot(seq)
+	t.bytes -= bodyBytes(slot.outcome)
+	*slot = fresh
+}
+
+func (t *Tokens) slot(seq int64) *tokenSlot {
+	i := (seq - 1) % TokenWindow
+	if i >= int64(len(t.window)) {
+		return nil
+	}
+	return &t.window[i]
+}
+
+// Use decides on a call with a token.
+func (t *Tokens) Use(token Token, customer, service string, d peerapi.Digest) Use {
+	if token.Peer != t.self {
+		return t.useInherited(token, customer, service, d)
+	}
+	if !t.key.valid(token, customer, service) {
+		return Use{Kind: UseInvalid}
+	}
+	slot := t.slot(token.Seq)
+	if slot == nil || slot.seq != token.Seq {
+		return Use{Kind: UseUnknown}
+	}
+	switch {
+	case slot.state != tokenUnused && slot.digest != d:
+		return Use{Kind: UseReused}
+	case slot.state == tokenDone:
+		return Use{Kind: UseReplay, Outcome: slot.outcome}
+	case slot.state == tokenRunning:
+		return Use{Kind: UseJoin}
+	case t.closed:
+		return Use{Kind: UseDraining}
+	}
+	slot.state, slot.digest = tokenRunning, d
+	return Use{Kind: UseBegin}
+}
+
+func (t *Tokens) useInherited(token Token, customer, service string, d peerapi.Digest) Use {
+	h := t.handed[token.Peer]
+	if h == nil {
+		return Use{Kind: UseUnknown}
+	}
+	if !h.key.valid(token, customer, service) {
+		return Use{Kind: UseInvalid}
+	}
+	o, ok := h.outcomes[token.Seq]
+	switch {
+	case !ok:
+		return Use{Kind: UseUnknown}
+	case o.Digest != d:
+		return Use{Kind: UseReused}
+	}
+	return Use{Kind: UseReplay, Outcome: &o.Outcome}
+}
+
+// End notes the outcome of a call that had begun. A nil outcome says that it did not run and will not, so that the
+// token may be used again.
+func (t *Tokens) End(seq int64, o *peerapi.Outcome) {
+	slot := t.slot(seq)
+	if slot == nil || slot.seq != seq {
+		// The sequence number has left the window during the run.
+		return
+	}
+	invariant.Check(slot.state == tokenRunning, invariant.AtMostOnce, "token %d ends and did not run", seq)
+	if o == nil {
+		slot.state = tokenUnused
+		return
+	}
+	slot.state = tokenDone
+	slot.outcome = trim(*o, MaxTokenBytes-t.bytes)
+	t.bytes += bodyBytes(slot.outcome)
+}
+
+// Close ends the use of tokens and returns what the next server needs. No call may be running; the outcomes of those that
+// are stay unknown.
+func (t *Tokens) Close() peerapi.Handover {
+	t.closed = true
+	out := peerapi.Handover{From: t.self, MACKey: t.key[:]}
+	for _, s := range t.window {
+		if s.state == tokenDone {
+			out.Outcomes = append(out.Outcomes, peerapi.TokenOutcome{Seq: s.seq, Digest: s.digest, Outcome: *s.outcome})
+		}
+	}
+	return out
+}
+
+// Inherit stores what a drained incarnation handed over, or a part of it. The oldest incarnation is forgotten when
+// there are too many.
+func (t *Tokens) Inherit(h peerapi.Handover) {
+	if h.From == t.self || len(h.MACKey) != len(MACKey{}) {
+		return
+	}
+	kept := t.handed[h.From]
+	if kept == nil {
+		kept = &handover{key: MACKey(h.MACKey), outcomes: map[int64]peerapi.TokenOutcome{}}
+		t.handed[h.From] = kept
+		t.order = append(t.order, h.From)
+	}
+	for _, o := range h.Outcomes {
+		if _, known := kept.outcomes[o.Seq]; known {
+			continue
+		}
+		o.Outcome = *trim(o.Outcome, MaxTokenBytes-t.bytes)
+		kept.outcomes[o.Seq] = o
+		kept.bytes += bodyBytes(&o.Outcome)
+		t.bytes += bodyBytes(&o.Outcome)
+	}
+	t.forgetHandovers()
+}
+
+func (t *Tokens) forgetHandovers() {
+	if len(t.order) <= maxHandovers {
+		return
+	}
+	t.bytes -= t.handed[t.order[0]].bytes
+	delete(t.handed, t.order[0])
+	t.order = t.order[1:]
+}
