Run the claim protocol between side processes over HTTP

One lock guards the state and is never held during I/O. A claim waits for verdicts 500 ms at most and only when it needs them; a call is answered at its deadline and its run goes on, so that the outcome can be asked for.

--- /dev/null
+++ b/idempotency/peer/copy.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/idempotency"
+)
+
+// copyInterval is the time between rounds of copying while shards are incomplete.
+const copyInterval = 250 * time.Millisecond
+
+// Copy copies missing records from the other holders until the context ends.
+func (n *Node) Copy(ctx context.Context) {
+	t := time.NewTicker(copyInterval)
+	defer t.Stop()
+	for {
+		n.copyRound(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// copyRound asks every source once. Sources are asked side by side, so that one that is silent delays only its own.
+func (n *Node) copyRound(ctx context.Context) {
+	n.lock()
+	n.table.Expire(time.Now())
+	needs := n.table.CopyNeeds(time.Now())
+	n.mu.Unlock()
+	bySource := map[string][]idempotency.CopyNeed{}
+	members := map[string]cluster.Member{}
+	for _, need := range needs {
+		for _, m := range need.From {
+			bySource[m.Name] = append(bySource[m.Name], need)
+			members[m.Name] = m
+		}
+	}
+	var wg sync.WaitGroup
+	for name, list := range bySource {
+		wg.Go(func() { n.copyFrom(ctx, members[name], list) })
+	}
+	wg.Wait()
+}
+
+func (n *Node) copyFrom(ctx context.Context, source cluster.Member, needs []idempotency.CopyNeed) {
+	for _, need := range needs {
+		if err := n.copyShard(ctx, source, need); err != nil {
+			n.opts.Log.Debug("copy failed", zap.String("source", source.Name), zap.Error(err))
+			return
+		}
+	}
+}
+
+func (n *Node) copyShard(ctx context.Context, source cluster.Member, need idempotency.CopyNeed) error {
+	pull := peerapi.PullRange{Service: need.Service, Shard: need.Shard}
+	var from peerapi.Peer
+	for {
+		page, err := n.pull(ctx, source, need.Epoch, pull)
+		if err != nil {
+			return err
+		}
+		changed := from != (peerapi.Peer{}) && from != page.From
+		if changed || page.From.Server != source.Name || !idempotency.Usable(page, need.Epoch) {
+			return nil // It is tried again in the next round.
+		}
+		from = page.From
+		n.lock()
+		n.table.Import(time.Now(), page.From, page.Records)
+		if page.Next == "" {
+			n.table.Copied(time.Now(), need, page.From)
+		}
+		n.mu.Unlock()
+		if page.Next == "" {
+			return nil
+		}
+		pull.Cursor = page.Next
+	}
+}
+
+func (n *Node) pull(
+	ctx context.Context, source cluster.Member, epoch int64, p peerapi.PullRange,
+) (page peerapi.RecordsResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	q := peerapi.RecordsRequest{From: n.opts.Self, Epoch: epoch, Pull: &p}
+	err = n.send(ctx, source.Address, peerapi.PathRecords, q, &page)
+	return page, err
+}
--- /dev/null
+++ b/idempotency/peer/node.go
@@ -0,0 +1,240 @@
+// Package peer runs the protocol of package idempotency between side processes, over HTTP with JSON.
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"reflect"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/idempotency"
+)
+
+// Run executes a call once at the backend server. An error with ExecutedNo says that it did not run and will not.
+type Run = func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error)
+
+// Configuration gives the configuration in force; nil before the first one.
+type Configuration interface {
+	State() *cluster.State
+}
+
+// Options are the parts of a Node.
+type Options struct {
+	Self peerapi.Peer
+	// Unrecorded says that the key-value service does not hold the incarnation number yet; see Node.Record.
+	Unrecorded    bool
+	Configuration Configuration
+	Log           *zap.Logger
+	// Table bounds the records of keyed calls; its retention is replaced by that of the configuration.
+	Table idempotency.Options
+	// Transport carries the messages to the peers; nil stands for one with limits of its own.
+	Transport http.RoundTripper
+}
+
+// Times of the protocol.
+const (
+	// claimTimeout bounds the wait for the verdicts of holders; a paused holder costs a call this time at most, and
+	// only when its verdict is needed.
+	claimTimeout = 500 * time.Millisecond
+	// messageTimeout bounds any other message.
+	messageTimeout = 2 * time.Second
+	// askWait is how long a runner holds a question about a running attempt.
+	askWait = time.Second
+	// retryAfter is what callers are told when they may come back.
+	retryAfter = time.Second
+	// maxTries bounds the claims of one call that lost to attempts that were withdrawn.
+	maxTries = 16
+	// idleTimeout and idlePerHost bound the connections to a peer.
+	idleTimeout = 15 * time.Second
+	idlePerHost = 64
+)
+
+// Node runs the calls of one side process that must not be repeated. Its methods may be called from any goroutine.
+// One lock guards the state; it is never held during I/O.
+type Node struct {
+	opts   Options
+	client *http.Client
+
+	mu       sync.Mutex
+	table    *idempotency.Table
+	tokens   *idempotency.Tokens
+	plain    *idempotency.Plain
+	keyed    map[int64]chan struct{}
+	tokened  map[int64]chan struct{}
+	views    map[string]idempotency.View
+	state    *cluster.State
+	draining bool
+
+	// sending counts messages and runs that go on after the call that caused them was answered.
+	sending sync.WaitGroup
+	// sent and sentBytes count the messages to peers, for the state dump and for measurements.
+	sent, sentBytes int64
+}
+
+// New returns the node of an incarnation that starts now.
+func New(opts Options) *Node {
+	var key idempotency.MACKey
+	_, _ = rand.Read(key[:]) // It never fails; see the documentation of crypto/rand.
+	transport := opts.Transport
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}
+	}
+	table := idempotency.NewTable(opts.Self, opts.Table, time.Now())
+	table.SetRecorded(!opts.Unrecorded)
+	return &Node{
+		opts: opts, client: &http.Client{Transport: transport},
+		table: table, tokens: idempotency.NewTokens(opts.Self, key), plain: idempotency.NewPlain(opts.Self.Incarnation),
+		keyed: map[int64]chan struct{}{}, tokened: map[int64]chan struct{}{}, views: map[string]idempotency.View{},
+	}
+}
+
+// lock takes the lock with the configuration in force applied.
+func (n *Node) lock() {
+	st := n.opts.Configuration.State()
+	n.mu.Lock()
+	if st != nil && st != n.state && (n.state == nil || st.Revision >= n.state.Revision) {
+		n.apply(st)
+	}
+}
+
+func (n *Node) apply(st *cluster.State) {
+	n.state = st
+	n.table.SetRetention(st.Limits().KeyRetention)
+	for _, o := range st.Objects() {
+		service := o.GetService().GetName()
+		if service == "" {
+			continue
+		}
+		v := idempotency.ViewOf(st, service)
+		if before, ok := n.views[service]; !ok || !reflect.DeepEqual(before, v) {
+			n.views[service] = v
+			n.table.SetView(time.Now(), v)
+		}
+	}
+}
+
+// address returns where a server is reached, or the empty text.
+func (n *Node) address(server string) string {
+	n.lock()
+	defer n.mu.Unlock()
+	if n.state != nil && n.state.Server(server) != nil {
+		return n.state.Server(server).GetAddress()
+	}
+	for _, v := range n.views {
+		for _, m := range append(append([]cluster.Member{}, v.Servers...), v.Previous...) {
+			if m.Name == server {
+				return m.Address
+			}
+		}
+	}
+	return ""
+}
+
+// Call runs, joins or replays a call of a plain service. It returns at the call's deadline at the latest.
+func (n *Node) Call(ctx context.Context, r *peerapi.CallRequest, run Run) (*peerapi.CallResult, *callerapi.Error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	switch {
+	case r.Token != "":
+		return n.callToken(ctx, r, run)
+	case r.Key != "":
+		return n.callKey(ctx, r, run)
+	case r.Idempotent:
+		return run(ctx)
+	}
+	return n.callPlain(ctx, r, run)
+}
+
+// digestOf returns the digest of a call. Each part is preceded by its length, so that no two calls share a digest.
+func digestOf(r *peerapi.CallRequest) peerapi.Digest {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Path), []byte(r.Query), r.Body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return peerapi.Digest(h.Sum(nil))
+}
+
+// outcomeOf returns what is kept of a run; nil when it did not run.
+func outcomeOf(result *peerapi.CallResult, e *callerapi.Error) *peerapi.Outcome {
+	switch {
+	case e == nil:
+		return &peerapi.Outcome{Result: result}
+	case e.Executed == callerapi.ExecutedNo:
+		return nil
+	}
+	return &peerapi.Outcome{Failure: peerapi.FailureOf(e)}
+}
+
+// replay returns a kept outcome as an answer.
+func replay(o *peerapi.Outcome) (*peerapi.CallResult, *callerapi.Error) {
+	if o.Result == nil {
+		return nil, &callerapi.Error{
+			Type: o.Failure.Type, Message: o.Failure.Message, Executed: o.Failure.Executed,
+			RetryAfter: time.Duration(o.Failure.RetryAfterMs) * time.Millisecond,
+		}
+	}
+	result := *o.Result
+	result.Replayed = true
+	return &result, nil
+}
+
+func unknown(format string, args ...any) *callerapi.Error {
+	return callerapi.Unknown(callerapi.OutcomeUnknown, format, args...).WithRetryAfter(retryAfter)
+}
+
+func tooLate() *callerapi.Error {
+	return callerapi.Unknown(callerapi.DeadlineExceeded, "deadline passed before the outcome was known").
+		WithRetryAfter(retryAfter)
+}
+
+// detach runs fn, which the answer to the present call does not wait for.
+func (n *Node) detach(fn func()) {
+	n.sending.Add(1)
+	go func() {
+		defer n.sending.Done()
+		fn()
+	}()
+}
+
+// Wait waits for the messages and runs that go on in the background.
+func (n *Node) Wait() { n.sending.Wait() }
+
+// Dump is the state dump of a node.
+type Dump struct {
+	Self       peerapi.Peer `json:"self"`
+	Records    int          `json:"records"`
+	Incomplete int          `json:"incomplete_shards"`
+	Draining   bool         `json:"draining"`
+	Sent       int64        `json:"messages_sent"`
+	SentBytes  int64        `json:"message_bytes_sent"`
+}
+
+// Dump returns the state dump.
+func (n *Node) Dump() Dump {
+	n.lock()
+	defer n.mu.Unlock()
+	return Dump{
+		Self: n.opts.Self, Records: n.table.Len(), Incomplete: n.table.Incomplete(), Draining: n.draining,
+		Sent: n.sent, SentBytes: n.sentBytes,
+	}
+}
+
+// Reported says whether this process has an epoch of a service in force and all its copies complete, which is the
+// condition for clearing the list of previous servers.
+func (n *Node) Reported(service string, epoch int64) bool {
+	n.lock()
+	defer n.mu.Unlock()
+	return n.table.Reported(service, epoch)
+}
--- /dev/null
+++ b/idempotency/peer/token.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/idempotency"
+)
+
+// Token issues a token for a call of the customer to the service.
+func (n *Node) Token(customer, service string) (string, *callerapi.Error) {
+	n.lock()
+	defer n.mu.Unlock()
+	if n.draining {
+		return "", callerapi.NotRun(callerapi.Draining, "server is draining").WithRetryAfter(retryAfter)
+	}
+	text, ok := n.tokens.Issue(customer, service)
+	if !ok {
+		return "", callerapi.NotRun(callerapi.Draining, "server has handed its tokens over").WithRetryAfter(retryAfter)
+	}
+	return text, nil
+}
+
+func (n *Node) callToken(ctx context.Context, r *peerapi.CallRequest, run Run) (*peerapi.CallResult, *callerapi.Error) {
+	token, ok := idempotency.ParseToken(r.Token)
+	if !ok {
+		return nil, callerapi.NotRun(callerapi.InvalidToken, "the token has not the form of a token")
+	}
+	digest := digestOf(r)
+	for {
+		n.lock()
+		use := n.tokens.Use(token, r.Customer, r.Service, digest)
+		ended := n.tokened[token.Seq]
+		if use.Kind == idempotency.UseBegin {
+			ended = make(chan struct{})
+			n.tokened[token.Seq] = ended
+		}
+		n.mu.Unlock()
+		switch use.Kind {
+		case idempotency.UseBegin:
+			return n.runToken(ctx, token.Seq, ended, run)
+		case idempotency.UseJoin:
+		default:
+			return answerUse(use)
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return nil, tooLate()
+		}
+	}
+}
+
+func answerUse(use idempotency.Use) (*peerapi.CallResult, *callerapi.Error) {
+	switch use.Kind {
+	case idempotency.UseReplay:
+		return replay(use.Outcome)
+	case idempotency.UseReused:
+		return nil, reused().err
+	case idempotency.UseInvalid:
+		return nil, callerapi.NotRun(callerapi.InvalidToken, "the token was not issued for this customer and service")
+	case idempotency.UseDraining:
+		return nil, callerapi.NotRun(callerapi.Draining, "server is draining and will not run the token")
+	}
+	return nil, callerapi.Unknown(callerapi.OutcomeUnknown, "nothing is known of the token, and it will not be run")
+}
+
+func (n *Node) runToken(ctx context.Context, seq int64, ended chan struct{}, run Run) (*peerapi.CallResult, *callerapi.Error) {
+	done := make(chan answer, 1)
+	n.detach(func() {
+		result, e := run(context.WithoutCancel(ctx))
+		n.lock()
+		n.tokens.End(seq, outcomeOf(result, e))
+		delete(n.tokened, seq)
+		n.mu.Unlock()
+		close(ended)
+		done <- answer{result: result, err: e}
+	})
+	select {
+	case a := <-done:
+		return a.result, a.err
+	case <-ctx.Done():
+		return nil, tooLate()
+	}
+}
+
+// callPlain runs a call that must not be repeated and has neither token nor key.
+func (n *Node) callPlain(ctx context.Context, r *peerapi.CallRequest, run Run) (*peerapi.CallResult, *callerapi.Error) {
+	n.lock()
+	begun := n.plain.Begin(time.Now(), r.ID)
+	n.mu.Unlock()
+	if !begun {
+		return nil, unknown("request %s has arrived before, or was given up", r.ID)
+	}
+	done := make(chan answer, 1)
+	n.detach(func() {
+		result, e := run(context.WithoutCancel(ctx))
+		o := outcomeOf(result, e)
+		if o == nil {
+			o = &peerapi.Outcome{Failure: peerapi.FailureOf(e)}
+		}
+		n.lock()
+		n.plain.End(r.ID, *o)
+		n.mu.Unlock()
+		done <- answer{result: result, err: e}
+	})
+	select {
+	case a := <-done:
+		return a.result, a.err
+	case <-ctx.Done():
+		return nil, tooLate()
+	}
+}
+
+// Drain refuses new work; what was run is still told.
+func (n *Node) Drain() {
+	n.lock()
+	defer n.mu.Unlock()
+	n.draining = true
+}
+
+// handoverPart is the number of outcomes in one message of a handover: at 64 KiB each, 16 MiB.
+const handoverPart = 256
+
+// Handover gives the token outcomes to the next server of the service that takes them. It is called when no call is
+// running any more.
+func (n *Node) Handover(ctx context.Context) {
+	n.lock()
+	all := n.tokens.Close()
+	var targets []string
+	for _, v := range n.views {
+		if memberOf(v, n.opts.Self.Server) {
+			targets = append(targets, heirs(v, n.opts.Self.Server)...)
+		}
+	}
+	n.mu.Unlock()
+	for _, server := range targets {
+		if n.handTo(ctx, server, all) {
+			return
+		}
+	}
+}
+
+func memberOf(v idempotency.View, server string) bool {
+	for _, m := range v.Servers {
+		if m.Name == server {
+			return true
+		}
+	}
+	return false
+}
+
+func heirs(v idempotency.View, server string) []string {
+	var out []string
+	for _, m := range idempotency.Ranked(server, v.Servers) {
+		if m.Name != server {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
+func (n *Node) handTo(ctx context.Context, server string, all peerapi.Handover) bool {
+	address := n.address(server)
+	for first := true; first || len(all.Outcomes) > 0; first = false {
+		part := all
+		part.Outcomes = all.Outcomes[:min(handoverPart, len(all.Outcomes))]
+		all.Outcomes = all.Outcomes[len(part.Outcomes):]
+		if err := n.send(ctx, address, peerapi.PathHandover, part, nil); err != nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/idempotency/peer/wire.go
@@ -0,0 +1,253 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/idempotency"
+)
+
+const (
+	// maxMessage bounds a message: a page of records or a part of a handover, with bodies in base64.
+	maxMessage = 64 << 20
+	// pageRecords is the number of records of a page, whose bodies are at most 64 KiB each.
+	pageRecords = 256
+	// pushTries is how often the copy of an outcome is sent to a holder that does not answer.
+	pushTries = 3
+)
+
+// StatusError says that a peer answered a message with an error status.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("peer answered %s with status %d", e.Path, e.Status)
+}
+
+// NoAddressError says that the configuration has no address of a server.
+type NoAddressError struct{ Path string }
+
+func (e *NoAddressError) Error() string { return fmt.Sprintf("no address to send %s to", e.Path) }
+
+// send sends one message and decodes the answer into out, unless that is nil. After an error the message may have
+// taken effect.
+func (n *Node) send(ctx context.Context, address, path string, in, out any) error {
+	if address == "" {
+		return merry.Wrap(&NoAddressError{Path: path})
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	n.count(len(body))
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	n.count(len(answer))
+	if resp.StatusCode != http.StatusOK {
+		return merry.Wrap(&StatusError{Path: path, Status: resp.StatusCode})
+	}
+	if out == nil {
+		return nil
+	}
+	return merry.Wrap(json.Unmarshal(answer, out))
+}
+
+func (n *Node) count(size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent++
+	n.sentBytes += int64(size)
+}
+
+// askHolders sends a claim to the other holders. Each verdict that comes in time is put into the channel, which holds
+// all of them, so that nobody has to read them.
+func (n *Node) askHolders(claim *idempotency.Claim, withdrawn []peerapi.Attempt) <-chan peerapi.ClaimResponse {
+	out := make(chan peerapi.ClaimResponse, len(claim.Peers))
+	q := claim.Request(withdrawn)
+	for _, m := range claim.Peers {
+		n.detach(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+			defer cancel()
+			var r peerapi.ClaimResponse
+			if n.send(ctx, m.Address, peerapi.PathClaim, q, &r) == nil && r.From.Server == m.Name {
+				out <- r
+			}
+		})
+	}
+	return out
+}
+
+func (n *Node) sendRelease(claim *idempotency.Claim) {
+	for _, m := range claim.Peers {
+		n.detach(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
+			defer cancel()
+			// A release that is lost is made up for when the next claim conflicts.
+			_ = n.send(ctx, m.Address, peerapi.PathClaim, claim.Release(), nil)
+		})
+	}
+}
+
+// push copies an outcome to the other holders. A holder that misses it asks the runner.
+func (n *Node) push(claim *idempotency.Claim, record peerapi.KeyRecord) {
+	for _, m := range claim.Peers {
+		n.detach(func() {
+			for range pushTries {
+				if n.pushTo(m, claim.Epoch, record) == nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+func (n *Node) pushTo(m cluster.Member, epoch int64, record peerapi.KeyRecord) error {
+	ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
+	defer cancel()
+	q := peerapi.RecordsRequest{From: n.opts.Self, Epoch: epoch, Push: []peerapi.KeyRecord{record}}
+	return n.send(ctx, m.Address, peerapi.PathRecords, q, nil)
+}
+
+func (n *Node) askRunner(
+	ctx context.Context, k peerapi.CallKey, d peerapi.Digest, a peerapi.Attempt,
+) (peerapi.AttemptResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	q := peerapi.AttemptRequest{From: n.opts.Self, Key: k, Digest: d, Attempt: a, WaitMs: askWait.Milliseconds()}
+	var r peerapi.AttemptResponse
+	err := n.send(ctx, n.address(a.Server), peerapi.PathAttempt, q, &r)
+	if err == nil {
+		n.lock()
+		n.table.Observe(r.From)
+		n.mu.Unlock()
+	}
+	return r, err
+}
+
+// Register adds the node's routes to a router.
+func (n *Node) Register(r *mux.Router) {
+	r.HandleFunc(peerapi.PathClaim, serve(n.serveClaim)).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathRecords, serve(n.serveRecords)).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathAttempt, serve(n.serveAttempt)).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathOutcome, serve(n.serveOutcome)).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathHandover, serve(n.serveHandover)).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathToken, n.serveToken).Methods(http.MethodPost)
+}
+
+// Handler returns the node's routes.
+func (n *Node) Handler() http.Handler {
+	r := mux.NewRouter()
+	n.Register(r)
+	return r
+}
+
+func serve[In, Out any](fn func(context.Context, *In) Out) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answerJSON(w, fn(r.Context(), &in))
+	}
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the peer has gone, which needs no further action.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (n *Node) serveClaim(_ context.Context, q *peerapi.ClaimRequest) peerapi.ClaimResponse {
+	n.lock()
+	defer n.mu.Unlock()
+	if q.Op == peerapi.ClaimRelease {
+		n.table.Release(*q)
+		return peerapi.ClaimResponse{From: n.opts.Self}
+	}
+	return n.table.Verdict(time.Now(), *q)
+}
+
+func (n *Node) serveRecords(_ context.Context, q *peerapi.RecordsRequest) peerapi.RecordsResponse {
+	n.lock()
+	defer n.mu.Unlock()
+	n.table.Import(time.Now(), q.From, q.Push)
+	if q.Pull == nil {
+		return peerapi.RecordsResponse{From: n.opts.Self}
+	}
+	return n.table.Export(time.Now(), q.From, *q.Pull, pageRecords)
+}
+
+// serveAttempt holds the question while the attempt is under way.
+func (n *Node) serveAttempt(ctx context.Context, q *peerapi.AttemptRequest) peerapi.AttemptResponse {
+	n.lock()
+	r := n.table.Ask(*q)
+	ended := n.keyed[q.Attempt.Number]
+	n.mu.Unlock()
+	open := r.State == peerapi.AttemptClaiming || r.State == peerapi.AttemptRunning
+	if !open || ended == nil {
+		return r
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(q.WaitMs)*time.Millisecond, askWait))
+	defer cancel()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	n.lock()
+	defer n.mu.Unlock()
+	return n.table.Ask(*q)
+}
+
+func (n *Node) serveOutcome(_ context.Context, q *peerapi.OutcomeRequest) peerapi.OutcomeResponse {
+	n.lock()
+	defer n.mu.Unlock()
+	return n.plain.Outcome(time.Now(), q.ID, q.Incarnation)
+}
+
+func (n *Node) serveHandover(_ context.Context, h *peerapi.Handover) struct{} {
+	n.lock()
+	defer n.mu.Unlock()
+	n.table.Observe(h.From)
+	n.tokens.Inherit(*h)
+	return struct{}{}
+}
+
+func (n *Node) serveToken(w http.ResponseWriter, r *http.Request) {
+	var in peerapi.TokenRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	text, e := n.Token(in.Customer, in.Service)
+	if e != nil {
+		callerapi.Write(w, e, "")
+		return
+	}
+	answerJSON(w, peerapi.TokenResponse{Token: text})
+}
