--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -170,13 +170,17 @@
 // Restart starts a side process that has ended, as a new incarnation on the same addresses.
 func (d *Deployment) Restart(s *Server) { d.runSide(s) }
 
-func (d *Deployment) startEntry(i int) *Entry {
+func (d *Deployment) startEntry(i int) *Entry { return d.startEntryWith(i, func(*entry.Settings) {}) }
+
+// startEntryWith starts an entry whose settings are changed by a function.
+func (d *Deployment) startEntryWith(i int, change func(*entry.Settings)) *Entry {
 	s := entry.Defaults()
 	s.Name, s.FailureDomain = serverName("entry", i), Domains[i%len(Domains)]
 	s.Listen, s.PeerListen, s.Admin = FreeAddress(d.t), FreeAddress(d.t), FreeAddress(d.t)
 	s.KeyValue, s.Instances = d.KVURL, d.ListURL
 	s.BootstrapKeySHA256 = HashKey(OperatorKey)
 	s.DrainTimeout = settings.Duration(d.plan.DrainTimeout)
+	change(&s)
 	e := &Entry{Settings: s, URL: "http://" + s.Listen}
 	e.Proc = Start(d.t, s.Name, "lavendermoor-entry", "-config", writeSettings(d.t, s.Name, s))
 	e.Admin = s.Admin
