Execute calls at most once in the side process and deliver them from the entry

The side process takes its incarnation number from the key-value service and runs calls through idempotency/peer. The entry delivers a token to the server that issued it, then to the next servers in rendezvous order, and a key to the holders in rank order; a refusal as not run is passed on only when no earlier delivery of the call may still run. A call without token or key whose exchange broke is asked for on a new connection.

The lists of servers of a service now hold failure domain and address too: a change of a server's failure domain would have moved the holders without an epoch, and a removed server could not be placed. The operator test states the new texts in full. The server that ranks first clears the previous servers.

--- a/api/peerapi/idempotency.go
+++ b/api/peerapi/idempotency.go
@@ -177,3 +177,18 @@
 		Type: e.Type, Message: e.Message, Executed: e.Executed, RetryAfterMs: e.RetryAfter.Milliseconds(),
 	}
 }
+
+// PathReady answers a ReadyRequest.
+const PathReady = "/peer/v1/ready"
+
+// ReadyRequest asks whether a server has an epoch of a service in force and its copies of records complete.
+type ReadyRequest struct {
+	Service string `json:"service"`
+	Epoch   int64  `json:"epoch"`
+}
+
+// ReadyResponse answers a ReadyRequest.
+type ReadyResponse struct {
+	From  Peer `json:"from"`
+	Ready bool `json:"ready"`
+}
--- /dev/null
+++ b/cmd/internal/daemon/once.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/idempotency/peer"
+)
+
+const (
+	// incarnationTimeout bounds the start of a process while the key-value service does not answer.
+	incarnationTimeout = 3 * time.Second
+	// handoverTimeout bounds the handover of token outcomes at the end of a process.
+	handoverTimeout = 5 * time.Second
+)
+
+// newOnce returns the part of a side process that runs calls at most once, under a new incarnation number.
+func newOnce(ctx context.Context, c *control) *peer.Node {
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	number := peer.Incarnation(ctx, c.kv, c.id.name, time.Now)
+	c.log.Info("incarnation taken", zap.Int64("incarnation", number.Incarnation), zap.Bool("recorded", number.Recorded))
+	return peer.New(peer.Options{
+		Self:       peerapi.Peer{Server: c.id.name, Incarnation: number.Incarnation},
+		Unrecorded: !number.Recorded, Configuration: c.node, Log: c.log,
+	})
+}
+
+func startOnce(ctx context.Context, group *errgroup.Group, c *control, n *peer.Node) {
+	group.Go(func() error { n.Copy(ctx); return nil })
+	group.Go(func() error {
+		n.FinishChanges(ctx, uuid.NewString, func(ctx context.Context, base *cluster.State, change *operatorv1.Change) error {
+			_, err := c.store.Commit(ctx, base, change)
+			return err
+		})
+		return nil
+	})
+	group.Go(func() error { n.Record(ctx, c.kv); return nil })
+}
+
+// handOver gives the token outcomes to another server when all work has ended. Work that goes on for longer than the
+// timeout stays unknown.
+func handOver(n *peer.Node) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() { n.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	n.Handover(context.WithoutCancel(ctx))
+}
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/expertmap/controller"
+	"lavendermoor.example/idempotency/peer"
 	"lavendermoor.example/platform/engine"
 	"lavendermoor.example/platform/instances"
 	"lavendermoor.example/side"
@@ -20,6 +21,7 @@
 // sideDump is the state dump of a side process.
 type sideDump struct {
 	Side      side.Dump            `json:"side"`
+	Once      peer.Dump            `json:"once"`
 	Refused   string               `json:"refused_configuration,omitempty"`
 	Instances []instances.Instance `json:"instances"`
 	// Experts and Orders are set where the settings enable them.
@@ -48,15 +50,17 @@
 	if err != nil {
 		return err
 	}
+	node := newOnce(ctx, c)
 	srv := side.New(side.Options{
-		Name: s.Name, Configuration: c.node, Backend: engine.NewClient(backend), Admission: queue,
-		Calls: side.Once{}, Log: c.log, Slow: g.slow,
+		Name: s.Name, Incarnation: node.Self().Incarnation, Configuration: c.node, Backend: engine.NewClient(backend),
+		Admission: queue, Calls: node, Log: c.log, Slow: g.slow,
 	})
 	peers := mux.NewRouter()
 	c.register(peers, srv.Draining)
 	srv.Register(peers)
+	node.Register(peers)
 	dump := func() any {
-		d := sideDump{Side: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
+		d := sideDump{Side: srv.Dump(), Once: node.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
 		g.dump(&d)
 		return d
 	}
@@ -65,9 +69,11 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	leaving := side.NewLeavingWatch(s.Name, l.Peers.Addr().String(), srv.Drain)
+	drain := func() { srv.Drain(); node.Drain() }
+	leaving := side.NewLeavingWatch(s.Name, l.Peers.Addr().String(), drain)
 	group.Go(func() error { return c.run(serving, leaving.Observe) })
 	g.start(serving, group)
+	startOnce(serving, group, c, node)
 	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
 	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
@@ -76,12 +82,13 @@
 	case <-serving.Done():
 		return group.Wait()
 	}
-	srv.Drain()
+	drain()
 	c.log.Info("draining")
 	time.Sleep(lameDuck)
 	if !waitIdle(srv.Idle, s.DrainTimeout.D()) {
 		c.log.Warn("drain timeout passed with work running")
 	}
+	handOver(node)
 	stop()
 	return group.Wait()
 }
--- a/config/cluster/member.go
+++ b/config/cluster/member.go
@@ -32,6 +32,13 @@
 	return Member{Name: parts[0], Domain: parts[1], Address: parts[2]}
 }
 
+// sameMember says whether two texts stand for the same server in the same failure domain. A new address alone does not
+// change the holders of any key.
+func sameMember(a, b string) bool {
+	ma, mb := ParseMember(a), ParseMember(b)
+	return ma.Name == mb.Name && (ma.Domain == mb.Domain || ma.Domain == "" || mb.Domain == "")
+}
+
 // Members returns the members of a service, and those of before the change that is in progress, if any. A server that
 // is still configured is reached at its present address. A service without lists has the servers configured for it.
 func (s *State) Members(service string) (servers, previous []Member) {
--- a/config/cluster/services.go
+++ b/config/cluster/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 
@@ -40,12 +41,9 @@
 	return nil
 }
 
-// servicesAfter returns the sorted names of the servers that each service has after a change.
+// servicesAfter returns the sorted members that each service has after a change.
 func servicesAfter(base *State, c *operatorv1.Change) map[string][]string {
-	servers := map[string]string{}
-	for name, s := range base.servers {
-		servers[name] = s.GetService()
-	}
+	servers := maps.Clone(base.servers)
 	services := map[string][]string{}
 	for name := range base.services {
 		services[name] = nil
@@ -60,15 +58,15 @@
 	}
 	for _, o := range c.GetUpserts() {
 		if s := o.GetServer(); s != nil {
-			servers[s.GetName()] = s.GetService()
+			servers[s.GetName()] = s
 		}
 		if s := o.GetService(); s != nil {
 			services[s.GetName()] = nil
 		}
 	}
-	for server, service := range servers {
-		if _, ok := services[service]; ok {
-			services[service] = append(services[service], server)
+	for _, server := range servers {
+		if _, ok := services[server.GetService()]; ok {
+			services[server.GetService()] = append(services[server.GetService()], MemberOf(server).String())
 		}
 	}
 	for _, list := range services {
@@ -82,7 +80,7 @@
 	next := &operatorv1.Service{
 		Name: name, Epoch: before.GetEpoch(), Servers: before.GetServers(), Previous: before.GetPrevious(),
 	}
-	if !slices.Equal(servers, before.GetServers()) {
+	if !slices.EqualFunc(servers, before.GetServers(), sameMember) {
 		if len(before.GetPrevious()) > 0 {
 			return &ServersChangingError{Service: name, Epoch: before.GetEpoch()}
 		}
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -171,7 +171,9 @@
 	require.NoError(t, err)
 	s := b.node.State().Service("booking")
 	require.Equal(t, int64(2), s.GetEpoch())
-	require.Equal(t, []string{"booking-1", "booking-2", "booking-3"}, s.GetPrevious())
+	require.Equal(t, []string{
+		"booking-1@tampere@127.0.0.1:9312", "booking-2@lahti@127.0.0.1:9313", "booking-3@hameenlinna@127.0.0.1:9314",
+	}, s.GetPrevious())
 
 	_, err = c.Rollback(t.Context(), connect.NewRequest(&operatorv1.RollbackRequest{ToRevision: 1}))
 	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err), "a change of the servers is in progress")
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -19,6 +19,7 @@
 // used by any goroutine.
 type Upstream struct {
 	http *http.Client
+	once *once
 }
 
 // Bounds of connections to side processes.
@@ -32,7 +33,7 @@
 
 // NewUpstream returns an upstream with its own connections.
 func NewUpstream() *Upstream {
-	return &Upstream{http: &http.Client{Transport: &http.Transport{
+	return &Upstream{once: newOnce(), http: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
 	}}}
 }
@@ -71,12 +72,20 @@
 
 // Call runs a call of a plain service.
 func (u *Upstream) Call(ctx context.Context, st *cluster.State, r *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
+	if r.Token != "" || r.Key != "" {
+		return u.once.call(ctx, st, r)
+	}
 	server := pick(st.ServersOfService(r.Service))
 	if server == nil {
 		return nil, noReplica()
 	}
 	r.Server = server.GetName()
-	return u.exchange(ctx, server.GetAddress(), peerapi.PathCall, r.ID, r, func(json.RawMessage) error { return nil })
+	known := u.once.incarnation(r.Server)
+	result, e := u.exchange(ctx, server.GetAddress(), peerapi.PathCall, r.ID, r, func(json.RawMessage) error { return nil })
+	if e != nil && !r.Idempotent && broken(e) {
+		return u.once.outcome(ctx, server.GetAddress(), r, known, e)
+	}
+	return result, e
 }
 
 // Token asks a side process of the service for a token.
@@ -123,6 +132,7 @@
 		return nil, callerapi.Unknown(callerapi.BackendFailed, "exchange with %s failed: %v", address, err)
 	}
 	defer resp.Body.Close()
+	u.once.note(resp.Header)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxFrameBytes)
 	var next int64
--- /dev/null
+++ b/idempotency/peer/change.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/idempotency"
+)
+
+// changeInterval is the time between looks at a change of servers that is in progress.
+const changeInterval = time.Second
+
+// Commit commits a change that follows the base configuration.
+type Commit func(ctx context.Context, base *cluster.State, c *operatorv1.Change) error
+
+// FinishChanges clears the previous servers of services for which this server ranks first, once every server has the
+// epoch in force and its copies complete. It runs until the context ends.
+func (n *Node) FinishChanges(ctx context.Context, operationID func() string, commit Commit) {
+	t := time.NewTicker(changeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, v := range n.changing() {
+			n.finishChange(ctx, v, operationID, commit)
+		}
+	}
+}
+
+// changing returns the views whose change this server is to finish.
+func (n *Node) changing() []idempotency.View {
+	n.lock()
+	defer n.mu.Unlock()
+	var out []idempotency.View
+	for _, v := range n.views {
+		ranked := idempotency.Ranked(v.Service, v.Servers)
+		if len(v.Previous) > 0 && len(ranked) > 0 && ranked[0].Name == n.opts.Self.Server {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (n *Node) finishChange(ctx context.Context, v idempotency.View, operationID func() string, commit Commit) {
+	for _, m := range v.Servers {
+		if !n.ready(ctx, m, v) {
+			return
+		}
+	}
+	base := n.opts.Configuration.State()
+	before := base.Service(v.Service)
+	if before.GetEpoch() != v.Epoch {
+		return
+	}
+	err := commit(ctx, base, &operatorv1.Change{
+		OperationId: operationID(), Author: "side/" + n.opts.Self.Server,
+		Upserts: []*operatorv1.Object{{Kind: &operatorv1.Object_Service{Service: &operatorv1.Service{
+			Name: v.Service, Epoch: v.Epoch, Servers: before.GetServers(),
+		}}}},
+	})
+	n.opts.Log.Info("previous servers cleared", zap.String("service", v.Service), zap.Int64("epoch", v.Epoch), zap.Error(err))
+}
+
+func (n *Node) ready(ctx context.Context, m cluster.Member, v idempotency.View) bool {
+	if m.Name == n.opts.Self.Server {
+		return n.Reported(v.Service, v.Epoch)
+	}
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	var r peerapi.ReadyResponse
+	err := n.send(ctx, m.Address, peerapi.PathReady, peerapi.ReadyRequest{Service: v.Service, Epoch: v.Epoch}, &r)
+	return err == nil && r.Ready && r.From.Server == m.Name
+}
+
+func (n *Node) serveReady(_ context.Context, q *peerapi.ReadyRequest) peerapi.ReadyResponse {
+	return peerapi.ReadyResponse{From: n.opts.Self, Ready: n.Reported(q.Service, q.Epoch)}
+}
--- a/idempotency/peer/incarnation.go
+++ b/idempotency/peer/incarnation.go
@@ -94,6 +94,9 @@
 // Record writes the number of a node that started without one, as soon as the service answers. It ends when the number
 // is recorded, when a later incarnation is found, or with the context.
 func (n *Node) Record(ctx context.Context, store kv.Store) {
+	if !n.opts.Unrecorded {
+		return
+	}
 	self := n.opts.Self
 	mine := incarnationRecord{Incarnation: self.Incarnation, Owner: uuid.NewString()}
 	for wait := recordPause; ctx.Err() == nil; wait = min(2*wait, maxRecordPause) {
--- a/idempotency/peer/node.go
+++ b/idempotency/peer/node.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// Self returns the incarnation of the node.
+func (n *Node) Self() peerapi.Peer { return n.opts.Self }
+
 // lock takes the lock with the configuration in force applied.
 func (n *Node) lock() {
 	st := n.opts.Configuration.State()
--- a/idempotency/peer/token.go
+++ b/idempotency/peer/token.go
@@ -165,12 +165,21 @@
 func (n *Node) handTo(ctx context.Context, server string, all peerapi.Handover) bool {
 	address := n.address(server)
 	for first := true; first || len(all.Outcomes) > 0; first = false {
+		if ctx.Err() != nil {
+			return false
+		}
 		part := all
 		part.Outcomes = all.Outcomes[:min(handoverPart, len(all.Outcomes))]
 		all.Outcomes = all.Outcomes[len(part.Outcomes):]
-		if err := n.send(ctx, address, peerapi.PathHandover, part, nil); err != nil {
+		if err := n.handPart(ctx, address, part); err != nil {
 			return false
 		}
 	}
 	return true
 }
+
+func (n *Node) handPart(ctx context.Context, address string, part peerapi.Handover) error {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	return n.send(ctx, address, peerapi.PathHandover, part, nil)
+}
--- a/idempotency/peer/wire.go
+++ b/idempotency/peer/wire.go
@@ -155,6 +155,7 @@
 	r.HandleFunc(peerapi.PathRecords, serve(n.serveRecords)).Methods(http.MethodPost)
 	r.HandleFunc(peerapi.PathAttempt, serve(n.serveAttempt)).Methods(http.MethodPost)
 	r.HandleFunc(peerapi.PathOutcome, serve(n.serveOutcome)).Methods(http.MethodPost)
+	r.HandleFunc(peerapi.PathReady, serve(n.serveReady)).Methods(http.MethodPost)
 	r.HandleFunc(peerapi.PathHandover, serve(n.serveHandover)).Methods(http.MethodPost)
 	r.HandleFunc(peerapi.PathToken, n.serveToken).Methods(http.MethodPost)
 }
--- a/side/side.go
+++ b/side/side.go
@@ -39,7 +39,7 @@
 }
 
 // RunFunc executes a call once at the backend server.
-type RunFunc func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error)
+type RunFunc = func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error)
 
 // Options are the parts of a Server.
 type Options struct {
