--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -36,8 +36,13 @@
 	if err != nil {
 		return err
 	}
+	metrics, err := entry.NewMetrics(c.meter)
+	if err != nil {
+		return err
+	}
 	srv := entry.New(entry.Options{
-		Name: s.Name, FailureDomain: s.FailureDomain, Configuration: c.node, Upstream: entry.NewUpstream(), Log: c.log,
+		Name: s.Name, FailureDomain: s.FailureDomain, Configuration: c.node, Upstream: entry.NewUpstream(),
+		Metrics: metrics, Log: c.log,
 	})
 	callers, err := callerServer(s, c, srv)
 	if err != nil {
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -52,6 +52,9 @@
 		Name: s.Name, Configuration: c.node, Backend: engine.NewClient(backend), Admission: queue,
 		Calls: side.Once{}, Log: c.log, Slow: g.slow,
 	})
+	if err := telemetry.Register(c.meter, srv.Instruments()); err != nil {
+		return err
+	}
 	peers := mux.NewRouter()
 	c.register(peers, srv.Draining)
 	srv.Register(peers)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
@@ -23,7 +24,9 @@
 	FailureDomain string
 	Configuration Configuration
 	Upstream      *Upstream
-	Log           *zap.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
+	Log     *zap.Logger
 }
 
 // Server answers callers. Its methods may be called from any goroutine.
@@ -91,7 +94,7 @@
 		s.requests.Add(1)
 		s.running.Add(1)
 		defer s.running.Add(-1)
-		x := &exchange{s: s, w: w, r: r, id: uuid.NewString()}
+		x := &exchange{s: s, w: w, r: r, id: uuid.NewString(), began: time.Now()}
 		e := x.prepare()
 		if e == nil {
 			e = fn(x)
@@ -100,6 +103,7 @@
 			s.failed.Add(1)
 			x.fail(e)
 		}
+		s.opts.Metrics.answered(x.kind, e, time.Since(x.began))
 		x.log(e)
 	}
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -29,6 +29,9 @@
 	w  http.ResponseWriter
 	r  *http.Request
 	id string
+	// began is the time of arrival; kind is known after the request was classified.
+	began time.Time
+	kind  string
 
 	state    *cluster.State
 	customer *operatorv1.Customer
@@ -114,6 +117,7 @@
 			limit = time.Duration(rule.GetDeadlineMs()) * time.Millisecond
 		}
 	}
+	x.kind = w.Kind
 	left, e := x.deadline(limit)
 	w.DeadlineMs = left.Milliseconds()
 	return w, e
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -106,6 +106,7 @@
 func (x *exchange) event(data json.RawMessage) error {
 	if !x.streaming {
 		x.streaming = true
+		x.s.opts.Metrics.streamBegan(time.Since(x.began))
 		x.w.Header().Set("Content-Type", "text/event-stream")
 		x.w.Header().Set("Cache-Control", "no-cache")
 		x.w.WriteHeader(http.StatusOK)
--- /dev/null
+++ b/telemetry/instruments.go
@@ -0,0 +1,46 @@
+package telemetry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/metric"
+
+	"lavendermoor.example/telemetry/invariant"
+)
+
+// Instrument is a number that is read when metrics are collected.
+type Instrument struct {
+	Name, Unit, Description string
+	// Counter says that the number only grows; otherwise it is a gauge.
+	Counter bool
+	// Value may be called from any goroutine.
+	Value func() int64
+}
+
+// Register adds instruments to a meter.
+func Register(m metric.Meter, list []Instrument) error {
+	for _, i := range list {
+		callback := metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(i.Value())
+			return nil
+		})
+		var err error
+		if i.Counter {
+			_, err = m.Int64ObservableCounter(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Description), callback)
+		} else {
+			_, err = m.Int64ObservableGauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Description), callback)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Violations is the instrument that counts invariant violations.
+func Violations() Instrument {
+	return Instrument{
+		Name: "lavendermoor.invariant.violations", Unit: "{violation}", Counter: true, Value: invariant.Count,
+		Description: "Violations of the properties that must always hold; must stay at 0.",
+	}
+}
