Test the distribution tree under outages, silence, cut-offs and stale peers

Cause: the tree's handling of failures was not tested. Change: fleets of up to 180 processes on a network in memory and a fake clock; configsync/memnet carries the requests. Conclusion: a change reaches 180 processes within 8 s on the test's clock, also past silent connections; a domain whose watchers are cut off gets it within 20 s.

--- /dev/null
+++ b/configsync/feed/feed_test.go
@@ -0,0 +1,411 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/configsync/memnet"
+	"lavendermoor.example/configsync/store"
+	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/telemetry/invariant"
+)
+
+// fleet is a set of processes in one test, connected without a network.
+type fleet struct {
+	t      *testing.T
+	server *kvserver.Server
+	locals map[string]*kvserver.Local
+	nodes  map[string]*Node
+	peers  []Peer
+	net    *memnet.Network
+	stop   map[string]context.CancelFunc
+	mu     sync.Mutex
+	// calls counts the calls of all processes to the service, refused ones too.
+	calls atomic.Int64
+	wg    sync.WaitGroup
+}
+
+// newFleet prepares processes in three failure domains; start starts them. All violations of properties fail the
+// test.
+func newFleet(t *testing.T, perDomain int) *fleet {
+	t.Helper()
+	restore := invariant.OnViolation(func(v *invariant.ViolationError) { t.Error(v) })
+	f := &fleet{
+		t: t, server: kvserver.New(), net: memnet.New(),
+		locals: map[string]*kvserver.Local{}, nodes: map[string]*Node{}, stop: map[string]context.CancelFunc{},
+	}
+	for i := range 3 * perDomain {
+		name := fmt.Sprintf("p%03d", i)
+		f.peers = append(f.peers, Peer{Name: name, Address: name, FailureDomain: string(rune('a' + i%3))})
+	}
+	t.Cleanup(restore)
+	return f
+}
+
+func (f *fleet) known() []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peers
+}
+
+// start starts one process anew.
+func (f *fleet) start(p Peer) *Node {
+	local := kvserver.NewLocal(f.server)
+	local.Fate = func(string, string) kvserver.Fate {
+		f.calls.Add(1)
+		return kvserver.Normal
+	}
+	n := NewNode(Options{
+		Self: p, Peers: f.known, Store: store.New(local), Client: f.net.Client(p.Address), Seed: 1,
+	})
+	ctx, cancel := context.WithCancel(f.t.Context())
+	f.locals[p.Name], f.nodes[p.Name], f.stop[p.Name] = local, n, cancel
+	f.net.Serve(p.Address, n.Handler())
+	f.wg.Go(func() { _ = n.Run(ctx) })
+	return n
+}
+
+func (f *fleet) startAll() {
+	for _, p := range f.peers {
+		f.start(p)
+	}
+}
+
+func (f *fleet) stopAll() {
+	for _, stop := range f.stop {
+		stop()
+	}
+	f.wg.Wait()
+}
+
+// commit commits n changes.
+func (f *fleet) commit(n int) int64 {
+	f.t.Helper()
+	s := store.New(kvserver.NewLocal(f.server))
+	state, err := s.Load(f.t.Context())
+	require.NoError(f.t, err)
+	for range n {
+		state, err = s.Commit(f.t.Context(), state, change(state.Revision+1))
+		require.NoError(f.t, err)
+	}
+	return state.Revision
+}
+
+func change(revision int64) *operatorv1.Change {
+	return &operatorv1.Change{
+		Revision: revision, OperationId: fmt.Sprintf("op%d", revision),
+		Upserts: []*operatorv1.Object{{Kind: &operatorv1.Object_Customer{
+			Customer: &operatorv1.Customer{Name: "c", Weight: int32(revision)},
+		}}},
+	}
+}
+
+// behind returns the processes that have not reached a revision.
+func (f *fleet) behind(revision int64) []string {
+	var out []string
+	for _, p := range f.peers {
+		if n := f.nodes[p.Name]; n.revision() < revision {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
+
+// inForceWithin waits, on the test's clock, until all processes have a revision, and fails after a bound.
+func (f *fleet) inForceWithin(bound time.Duration, revision int64) {
+	f.t.Helper()
+	start := time.Now()
+	for len(f.behind(revision)) > 0 {
+		require.Less(f.t, time.Since(start), bound, "behind revision %d: %v", revision, f.behind(revision))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// place returns the tree position of a process.
+func (f *fleet) place(p Peer) place { return locate(p, f.peers) }
+
+// Guards against processes that get a change late, and against calls to the service that grow with the fleet.
+func TestChangesReachTheWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 60)
+		f.startAll()
+		defer f.stopAll()
+		f.commit(1)
+		f.inForceWithin(8*time.Second, 1)
+		time.Sleep(time.Minute)
+		before := f.server.Counts()
+		for range 10 {
+			f.inForceWithin(8*time.Second, f.commit(1))
+			time.Sleep(6 * time.Second)
+		}
+		after := f.server.Counts()
+		require.Equal(t, int64(3*watchers), after.Watching, "only two processes of a failure domain watch")
+		// Six watchers read every 2 s; each commit of this test makes four more reads.
+		require.LessOrEqual(t, after.Reads-before.Reads, int64(6*35+10*4))
+	})
+}
+
+// Guards against an outage that stops new processes, takes configurations away, or ends in a rush of calls.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20)
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(3))
+		f.server.SetFaults(kvserver.Faults{Down: true})
+		before := f.calls.Load()
+		time.Sleep(time.Hour)
+		require.Empty(t, f.behind(3))
+		require.LessOrEqual(t, f.calls.Load()-before, int64(3*watchers*3600), "fewer than 1 call/s of each watcher")
+		for _, p := range f.peers {
+			if i := f.place(p).position; i == 0 || i == 1 || i == 9 {
+				f.stop[p.Name]()
+				f.start(p)
+			}
+		}
+		f.inForceWithin(8*time.Second, 3)
+
+		before = f.calls.Load()
+		f.server.SetFaults(kvserver.Faults{})
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, f.calls.Load()-before, int64(3*watchers*5), "no rush when the service returns")
+		f.inForceWithin(8*time.Second, f.commit(1))
+	})
+}
+
+// Guards against a process that waits for ever on a connection that went silent, or on a parent that died.
+func TestSilentAndDeadParents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 60)
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		f.net.Silence()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		for _, p := range f.peers {
+			if f.place(p).position == 0 || f.place(p).position == 3 {
+				f.stop[p.Name]()
+				f.net.Serve(p.Address, nil)
+				f.nodes[p.Name] = f.nodes[f.peers[59].Name] // Not waited for.
+			}
+		}
+		time.Sleep(time.Minute)
+		// Within the time that a process waits before it asks peers at random, so the fallback brings the change.
+		f.inForceWithin(2*time.Second, f.commit(1))
+	})
+}
+
+// Guards against a failure domain that is cut off from the service, while it reaches other domains, and stays on
+// an old revision; also when its watchers reach nobody and only the processes below them do.
+func TestDomainCutOffFromTheService(t *testing.T) {
+	t.Run("watchers reach peers", func(t *testing.T) { cutOff(t, false) })
+	t.Run("watchers reach nobody", func(t *testing.T) { cutOff(t, true) })
+}
+
+func cutOff(t *testing.T, isolated bool) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20)
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		for _, p := range f.peers {
+			if p.FailureDomain == "b" {
+				f.locals[p.Name].SilenceWatches()
+				f.locals[p.Name].Fate = func(string, string) kvserver.Fate { return kvserver.Refused }
+			}
+			if p.FailureDomain == "b" && isolated && f.place(p).watches() {
+				f.net.Block(p.Address)
+			}
+		}
+		revision := f.commit(1)
+		time.Sleep(20 * time.Second)
+		for _, name := range f.behind(revision) {
+			require.True(t, isolated && f.place(f.nodes[name].opts.Self).watches(), "%s is behind", name)
+		}
+	})
+}
+
+// Guards against a process that does not hear of a change because its own list of processes is wrong, so that its
+// parent is one that does not exist or that waits for it in turn.
+func TestProcessWithAWrongList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20)
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		self := Peer{Name: "x", Address: "x", FailureDomain: "a"}
+		ghosts := []Peer{self, {Name: "g1", Address: "g1", FailureDomain: "a"}, {Name: "g2", Address: "g2", FailureDomain: "a"}}
+		for i := range 20 {
+			name := fmt.Sprintf("ghost%d", i)
+			ghosts = append(ghosts, Peer{Name: name, Address: name, FailureDomain: "a"})
+		}
+		local := kvserver.NewLocal(f.server)
+		calls := 0
+		local.Fate = func(string, string) kvserver.Fate { calls++; return kvserver.Normal }
+		x := NewNode(Options{
+			Self: self, Peers: func() []Peer { return ghosts }, Store: store.New(local), Client: f.net.Client("x"), Seed: 1,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		f.wg.Go(func() { _ = x.Run(ctx) })
+		defer cancel()
+		require.False(t, locate(self, ghosts).watches())
+		time.Sleep(10 * time.Minute)
+		require.Equal(t, int64(1), x.revision())
+		require.LessOrEqual(t, calls, fallbackBurst+60, "the call budget is 1 call in 10 s")
+		require.Positive(t, x.overBudget.Load())
+	})
+}
+
+// Guards against a revision that goes back because a peer is stale or an answer comes late.
+func TestStalePeersAndLateAnswersNeverRevert(t *testing.T) {
+	restore := invariant.OnViolation(func(v *invariant.ViolationError) { t.Error(v) })
+	defer restore()
+	states := []*cluster.State{cluster.Empty()}
+	for i := int64(1); i <= 30; i++ {
+		next, err := states[i-1].Apply(change(i))
+		require.NoError(t, err)
+		states = append(states, next)
+	}
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		n := NewNode(Options{Store: store.New(kvserver.NewLocal(kvserver.New())), Seed: 1})
+		highest := int64(0)
+		for range 200 {
+			s := states[1+rng.IntN(30)]
+			raw, err := EncodeState(s)
+			require.NoError(t, err)
+			line := &Line{Revision: s.Revision, Snapshot: raw}
+			if rng.IntN(2) == 0 {
+				line = &Line{Revision: s.Revision, Changes: [][]byte{encode(t, change(s.Revision))}}
+			}
+			if rng.IntN(10) == 0 || len(line.Changes) > 0 {
+				require.NoError(t, n.take(line))
+			}
+			require.GreaterOrEqual(t, n.revision(), highest)
+			highest = n.revision()
+			if highest > 0 {
+				require.Equal(t, int32(highest), n.State().Customer("c").GetWeight())
+			}
+		}
+	}
+}
+
+func encode(t *testing.T, c *operatorv1.Change) []byte {
+	t.Helper()
+	r := recent{}
+	r.add(c.GetRevision(), c)
+	return r.encoded[0]
+}
+
+// Guards against half a revision in force, against a refusal that nobody sees, and against a process that stays
+// behind after a later revision has put things right.
+func TestInvalidRevisionIsRefusedWholeAndReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		bad := change(2)
+		bad.Upserts = append(bad.Upserts, &operatorv1.Object{Kind: &operatorv1.Object_Group{
+			Group: &operatorv1.Group{Name: "g", Model: "none", Ranks: 1},
+		}})
+		put := func(c *operatorv1.Change) {
+			_, err := kvserver.NewLocal(f.server).Put(t.Context(),
+				fmt.Sprintf("config/log/%020d", c.GetRevision()), encode(t, c), 0, 0)
+			require.NoError(t, err)
+		}
+		put(bad)
+		time.Sleep(10 * time.Second)
+		refused := 0
+		for _, n := range f.nodes {
+			require.Equal(t, int32(1), n.State().Customer("c").GetWeight())
+			if strings.Contains(n.Refused(), "does not exist") {
+				refused++
+			}
+		}
+		require.GreaterOrEqual(t, refused, 3*watchers)
+		good := change(3)
+		good.Deletes = []*operatorv1.ObjectRef{{Type: "group", Name: "g"}}
+		put(good)
+		f.inForceWithin(8*time.Second, 3)
+		for _, n := range f.nodes {
+			require.Empty(t, n.Refused())
+		}
+	})
+}
+
+// Guards against a process that stops late because a peer waits on it.
+func TestStopEndsLongPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		n := f.start(f.peers[0])
+		f.inForceWithin0(n, f.commit(1))
+		req := httptest.NewRequest(http.MethodGet, "/peer/v1/config?after=1", nil)
+		done := make(chan struct{})
+		go func() {
+			n.Handler().ServeHTTP(discard{httptest.NewRecorder()}, req)
+			close(done)
+		}()
+		synctest.Wait()
+		start := time.Now()
+		f.stopAll()
+		<-done
+		require.Zero(t, time.Since(start))
+	})
+}
+
+// discard is a recorder that can be used by one goroutine while another waits for it.
+type discard struct{ *httptest.ResponseRecorder }
+
+func (f *fleet) inForceWithin0(n *Node, revision int64) {
+	for n.revision() < revision {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against processes that go on watching after others have taken their place in the tree.
+func TestWatchersFollowTheListOfProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20)
+		all := f.peers
+		f.peers = all[:30]
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		f.mu.Lock()
+		f.peers = all
+		f.mu.Unlock()
+		for _, p := range all[30:] {
+			f.start(p)
+		}
+		time.Sleep(time.Minute)
+		require.Equal(t, int64(3*watchers), f.server.Counts().Watching)
+		f.inForceWithin(8*time.Second, f.commit(1))
+	})
+}
+
+// Guards against parameters that a peer cannot mean.
+func TestHandlerRefusesBadParameters(t *testing.T) {
+	n := NewNode(Options{Store: store.New(kvserver.NewLocal(kvserver.New())), Seed: 1})
+	for _, query := range []string{"", "after=x", "after=-1", "after=1&wait_ms=-1", "after=1&wait_ms=z"} {
+		w := httptest.NewRecorder()
+		n.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/peer/v1/config?"+query, nil))
+		require.Equal(t, http.StatusBadRequest, w.Code, query)
+		_, err := io.Copy(io.Discard, w.Body)
+		require.NoError(t, err)
+	}
+}
--- /dev/null
+++ b/configsync/memnet/memnet.go
@@ -0,0 +1,157 @@
+// Package memnet connects processes of one program without sockets, for tests and for measurements with thousands of
+// processes.
+package memnet
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// Network carries HTTP requests without bodies. Its methods may be called from any goroutine.
+type Network struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	sent     map[string]*atomic.Int64
+	silent   chan struct{}
+	blocked  map[string]bool
+}
+
+// New returns a network without processes.
+func New() *Network {
+	return &Network{
+		handlers: map[string]http.Handler{}, sent: map[string]*atomic.Int64{}, silent: make(chan struct{}),
+		blocked: map[string]bool{},
+	}
+}
+
+// Serve lets a handler answer at an address; with nil, connections to it are refused.
+func (m *Network) Serve(address string, h http.Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handlers[address] = h
+	if m.sent[address] == nil {
+		m.sent[address] = &atomic.Int64{}
+	}
+}
+
+// Sent returns the bytes of the answers that the process at an address has sent, without headers.
+func (m *Network) Sent(address string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n := m.sent[address]; n != nil {
+		return n.Load()
+	}
+	return 0
+}
+
+// Block refuses all connections from the process at an address, while it can still be reached.
+func (m *Network) Block(from string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.blocked[from] = true
+}
+
+// Silence makes all open connections carry nothing more, without closing them; new ones work.
+func (m *Network) Silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.silent)
+	m.silent = make(chan struct{})
+}
+
+// Client returns a client of the process at an address.
+func (m *Network) Client(from string) *http.Client {
+	return &http.Client{Transport: &transport{net: m, from: from}}
+}
+
+type transport struct {
+	net  *Network
+	from string
+}
+
+// RoundTrip implements http.RoundTripper. The request must have no body.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	t.net.mu.Lock()
+	h, silent, sent := t.net.handlers[req.URL.Host], t.net.silent, t.net.sent[req.URL.Host]
+	blocked := t.net.blocked[t.from]
+	t.net.mu.Unlock()
+	if h == nil || blocked {
+		return nil, syscall.ECONNREFUSED
+	}
+	ctx, cancel := context.WithCancel(req.Context())
+	r, w := io.Pipe()
+	rw := &writer{header: http.Header{}, pipe: w, ctx: ctx, silent: silent, sent: sent, started: make(chan struct{})}
+	go func() {
+		<-ctx.Done()
+		_ = r.CloseWithError(ctx.Err())
+	}()
+	go func() {
+		defer cancel()
+		h.ServeHTTP(rw, req.WithContext(ctx))
+		rw.start(http.StatusOK)
+		_ = w.Close()
+	}()
+	select {
+	case <-rw.started:
+		return &http.Response{StatusCode: rw.status, Header: rw.header, Body: &body{r, cancel}, Request: req}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// body ends the handler when the caller closes it.
+type body struct {
+	*io.PipeReader
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.cancel()
+	return b.PipeReader.Close()
+}
+
+// writer is the http.ResponseWriter of one answer.
+type writer struct {
+	header  http.Header
+	pipe    *io.PipeWriter
+	ctx     context.Context
+	silent  chan struct{}
+	sent    *atomic.Int64
+	once    sync.Once
+	status  int
+	started chan struct{}
+}
+
+// Header implements http.ResponseWriter.
+func (w *writer) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *writer) WriteHeader(status int) { w.start(status) }
+
+func (w *writer) start(status int) {
+	w.once.Do(func() {
+		w.status = status
+		close(w.started)
+	})
+}
+
+// Write implements io.Writer; on a silenced connection it takes the bytes and they go nowhere.
+func (w *writer) Write(b []byte) (int, error) {
+	w.start(http.StatusOK)
+	w.sent.Add(int64(len(b)))
+	select {
+	case <-w.silent:
+		<-w.ctx.Done()
+		return 0, w.ctx.Err()
+	default:
+	}
+	return w.pipe.Write(b)
+}
+
+// Flush implements http.Flusher.
+func (w *writer) Flush() {}
