--- /dev/null
+++ b/admission/internal/virtual/run.go
@@ -0,0 +1,185 @@
+package virtual
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"lavendermoor.example/admission"
+)
+
+// Sample is the fate of one request.
+type Sample struct {
+	Class    *Class
+	Customer string
+	// Arrived and Ended are times since the start of the run. Ended is the time of the answer or refusal.
+	Arrived, Ended time.Duration
+	// InTime says that the whole answer came before the deadline.
+	InTime bool
+	// Ran says that the request was run to its end, and Aborted that it was cut off at its deadline.
+	Ran, Aborted bool
+	Reason       admission.Reason
+	// RetryAfter of a refusal.
+	RetryAfter time.Duration
+}
+
+// Latency returns the time from arrival to answer or refusal.
+func (s *Sample) Latency() time.Duration { return s.Ended - s.Arrived }
+
+// Result is what one run measured.
+type Result struct {
+	Samples []Sample
+	// Limits holds the concurrency limit at the end of every second.
+	Limits []int
+	End    time.Duration
+}
+
+type run struct {
+	sc     *Scenario
+	q      *admission.Queue
+	srv    server
+	src    source
+	now    time.Duration
+	result Result
+}
+
+// Run plays a scenario until its last phase has passed and nothing is left. It fails with an
+// *admission.ConfigError.
+func Run(sc *Scenario) (*Result, error) {
+	q, err := admission.New(sc.Config)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{sc: sc, q: q, src: source{rng: rand.New(rand.NewPCG(sc.Seed, 1)), sc: sc}}
+	r.srv = server{parallel: sc.Parallel, slowdown: 1}
+	for _, p := range sc.Phases {
+		r.phase(p)
+	}
+	r.phase(Phase{Length: time.Hour})
+	return &r.result, nil
+}
+
+func (r *run) phase(p Phase) {
+	r.srv.slowdown = max(p.Slowdown, 1)
+	end := r.now + p.Length
+	arrival := r.now + r.src.interval(p.Load)
+	for r.now < end {
+		first, left := r.srv.next()
+		if p.Load == 0 && r.q.Idle() {
+			return
+		}
+		at := min(arrival, end)
+		if first != nil && r.now+left < at {
+			at = r.now + left
+		}
+		expiry, ok := r.q.NextDeadline()
+		if ok && expiry < at {
+			at = max(expiry, r.now)
+		}
+		late := r.srv.nextDeadline()
+		if late != nil && late.item.Deadline < at {
+			at = max(late.item.Deadline, r.now)
+		}
+		r.pass(at)
+		if first != nil && first.work <= 1e-9 {
+			r.finish(first)
+		} else if late != nil && late.item.Deadline <= r.now {
+			r.abort(late)
+		}
+		if r.now == arrival && r.now < end {
+			r.arrive()
+			arrival = r.now + r.src.interval(p.Load)
+		}
+		r.settle()
+	}
+}
+
+// pass moves the time forward.
+func (r *run) pass(to time.Duration) {
+	for sec := r.now/time.Second + 1; sec*time.Second <= to; sec++ {
+		r.result.Limits = append(r.result.Limits, r.q.Load().Limit)
+	}
+	r.srv.pass(to - r.now)
+	r.now = to
+	r.result.End = to
+}
+
+func (r *run) finish(done *request) {
+	r.srv.remove(done)
+	r.q.Done(r.now, &done.item, done.tokens, r.now-done.started)
+	r.sample(done, Sample{InTime: true, Ran: true})
+}
+
+// abort cuts off a run at its deadline, as the side process does.
+func (r *run) abort(late *request) {
+	r.srv.remove(late)
+	r.q.Release(&late.item)
+	r.sample(late, Sample{Aborted: true})
+}
+
+func (r *run) arrive() {
+	req := r.src.request(r.now)
+	switch d := r.q.Offer(r.now, &req.item); d.Verdict {
+	case admission.Run:
+		r.start(req)
+	case admission.Refuse:
+		r.sample(req, Sample{Reason: d.Reason, RetryAfter: d.RetryAfter})
+	}
+}
+
+func (r *run) settle() {
+	for _, o := range r.q.Advance(r.now) {
+		req := o.Item.Owner.(*request)
+		if o.Verdict == admission.Run {
+			r.start(req)
+			continue
+		}
+		r.sample(req, Sample{Reason: o.Reason, RetryAfter: o.RetryAfter})
+	}
+}
+
+func (r *run) start(req *request) {
+	req.started = r.now
+	r.srv.running = append(r.srv.running, req)
+}
+
+func (r *run) sample(req *request, s Sample) {
+	s.Class, s.Customer, s.Arrived, s.Ended = req.class, req.item.Customer, req.arrived, r.now
+	r.result.Samples = append(r.result.Samples, s)
+}
+
+// Select returns the samples for which keep is true.
+func (r *Result) Select(keep func(*Sample) bool) []Sample {
+	var out []Sample
+	for i := range r.Samples {
+		if keep(&r.Samples[i]) {
+			out = append(out, r.Samples[i])
+		}
+	}
+	return out
+}
+
+// Quantile returns a quantile of the latencies, by nearest rank; 0 without samples.
+func Quantile(samples []Sample, q float64) time.Duration {
+	if len(samples) == 0 {
+		return 0
+	}
+	all := make([]time.Duration, len(samples))
+	for i := range samples {
+		all[i] = samples[i].Latency()
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all[min(int(math.Ceil(q*float64(len(all)))), len(all))-1]
+}
+
+// Value returns the summed value of the answers in time.
+func Value(samples []Sample) float64 {
+	sum := 0.0
+	for i := range samples {
+		if samples[i].InTime {
+			sum += samples[i].Class.Value
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/admission/internal/virtual/server.go
@@ -0,0 +1,181 @@
+// Package virtual runs an admission queue in front of a modelled backend server in virtual time. Runs are
+// deterministic: they depend only on the seed and the scenario.
+package virtual
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"lavendermoor.example/admission"
+)
+
+// Class describes the requests of one kind.
+type Class struct {
+	Kind admission.Kind
+	// Share is the part of all requests.
+	Share float64
+	// Service is the mean service time at an idle server. Times vary uniformly by half of the mean either way.
+	Service time.Duration
+	// Deadline is the time that the caller gives.
+	Deadline time.Duration
+	// Value is the weight of an answer in time.
+	Value float64
+	// MaxTokens is asked for, and Tokens is the mean number generated; 0 for plain calls.
+	MaxTokens, Tokens int
+}
+
+// Customer is a source of requests.
+type Customer struct {
+	Name   string
+	Weight int
+	// Share is the part of all requests.
+	Share float64
+}
+
+// Phase is a period with a constant arrival rate.
+type Phase struct {
+	Length time.Duration
+	// Load is the offered work as a multiple of the server's capacity.
+	Load float64
+	// Slowdown multiplies service times; 0 counts as 1.
+	Slowdown float64
+}
+
+// Scenario is one run.
+type Scenario struct {
+	Seed      uint64
+	Config    admission.Config
+	Classes   []Class
+	Customers []Customer
+	Phases    []Phase
+	// Parallel is the number of requests that the server runs at full speed; more share that capacity equally.
+	Parallel int
+}
+
+// MeanService returns the mean service time over the mix.
+func (s *Scenario) MeanService() time.Duration {
+	sum := 0.0
+	for _, c := range s.Classes {
+		sum += c.Share * float64(c.Service)
+	}
+	return time.Duration(sum)
+}
+
+// CapacityRate returns the number of requests of the mix that the server can complete in a second.
+func (s *Scenario) CapacityRate() float64 {
+	return float64(s.Parallel) / s.MeanService().Seconds()
+}
+
+// request is one arrival and what became of it.
+type request struct {
+	item  admission.Item
+	class *Class
+	// work is the remaining service time in seconds at full speed.
+	work    float64
+	tokens  int
+	arrived time.Duration
+	started time.Duration
+}
+
+// server is processor sharing above its capacity: n requests each run at min(1, Parallel/n).
+type server struct {
+	parallel int
+	slowdown float64
+	running  []*request
+}
+
+func (v *server) speed() float64 {
+	if len(v.running) == 0 {
+		return 1
+	}
+	return min(1, float64(v.parallel)/float64(len(v.running))) / v.slowdown
+}
+
+// next returns the request that ends first, and the time until then.
+func (v *server) next() (*request, time.Duration) {
+	var first *request
+	for _, r := range v.running {
+		if first == nil || r.work < first.work {
+			first = r
+		}
+	}
+	if first == nil {
+		return nil, math.MaxInt64
+	}
+	return first, time.Duration(math.Ceil(max(first.work, 0) / v.speed() * float64(time.Second)))
+}
+
+// nextDeadline returns the running request with the earliest deadline, or nil.
+func (v *server) nextDeadline() *request {
+	var first *request
+	for _, r := range v.running {
+		if r.item.Deadline > 0 && (first == nil || r.item.Deadline < first.item.Deadline) {
+			first = r
+		}
+	}
+	return first
+}
+
+func (v *server) pass(d time.Duration) {
+	done := d.Seconds() * v.speed()
+	for _, r := range v.running {
+		r.work -= done
+	}
+}
+
+func (v *server) remove(gone *request) {
+	for i, r := range v.running {
+		if r == gone {
+			v.running[i] = v.running[len(v.running)-1]
+			v.running = v.running[:len(v.running)-1]
+			return
+		}
+	}
+}
+
+// source draws requests.
+type source struct {
+	rng *rand.Rand
+	sc  *Scenario
+	n   int
+}
+
+// interval draws the time to the next arrival of a Poisson process.
+func (s *source) interval(load float64) time.Duration {
+	if load <= 0 {
+		return math.MaxInt64 / 4
+	}
+	return time.Duration(s.rng.ExpFloat64() / (load * s.sc.CapacityRate()) * float64(time.Second))
+}
+
+func (s *source) request(now time.Duration) *request {
+	u := s.rng.Float64()
+	class := &s.sc.Classes[len(s.sc.Classes)-1]
+	for i := range s.sc.Classes {
+		if u -= s.sc.Classes[i].Share; u < 0 {
+			class = &s.sc.Classes[i]
+			break
+		}
+	}
+	u = s.rng.Float64()
+	cust := &s.sc.Customers[len(s.sc.Customers)-1]
+	for i := range s.sc.Customers {
+		if u -= s.sc.Customers[i].Share; u < 0 {
+			cust = &s.sc.Customers[i]
+			break
+		}
+	}
+	vary := 0.5 + s.rng.Float64()
+	s.n++
+	r := &request{class: class, arrived: now, work: class.Service.Seconds() * vary}
+	r.tokens = int(math.Round(float64(class.Tokens) * vary))
+	r.item.Request = admission.Request{
+		Customer: cust.Name, Weight: cust.Weight, Kind: class.Kind, Priority: 4, MaxTokens: class.MaxTokens,
+	}
+	if class.Deadline > 0 {
+		r.item.Deadline = now + class.Deadline
+	}
+	r.item.Owner = r
+	return r
+}
