Give waiting work a margin for the error of predicted service times

Cause: in a crest nearly every request of the preferred kind starts at its last moment, and half of the runs took longer than the mean and were cut off at their deadline. Change: the last start lies earlier by twice the mean relative error of predictions.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -17,6 +17,12 @@
 	// biasFrom is the predicted wait in seconds from which the correction learns. Shorter ones are mostly
 	// the rest of one service time.
 	biasFrom = 0.01
+	// marginFactor is the number of mean errors by which a run may take longer than predicted and still be in
+	// time. Without a margin, half of the runs that start last are cut off at their deadline. Twice the mean
+	// error is the whole range of a uniform distribution and 1.6 standard deviations of a normal one.
+	marginFactor = 2
+	// maxServiceError bounds one observation of the relative error.
+	maxServiceError = 1
 	// maxCustomers is the number of known customers at which those without waiting work are forgotten.
 	maxCustomers = 4096
 )
@@ -44,6 +50,8 @@
 	running [numKinds]int
 	// runningWork is the predicted service time of running work in seconds.
 	runningWork [numKinds]float64
+	// serviceError is the running mean of the relative error of predicted service times.
+	serviceError [numKinds]float64
 	// waitBias is the running mean of actual over predicted waits.
 	waitBias [numKinds]float64
 }
@@ -124,7 +132,7 @@
 	it.key = levelKey(now, it.Priority+q.cfg.KindBoost[it.Kind], q.cfg.AgingStep)
 	it.latestStart = never
 	if it.Deadline != 0 {
-		it.latestStart = it.Deadline - seconds(it.service)
+		it.latestStart = it.Deadline - seconds(it.service*(1+marginFactor*q.serviceError[it.Kind]))
 	}
 	it.cust = q.customer(it)
 }
@@ -261,6 +269,10 @@
 		q.predict.learn(it.Customer, it.Model, it.MaxTokens, tokens)
 	}
 	q.limit.observe(now, it.Kind, service.Seconds(), units)
+	if it.service > 0 {
+		relative := min(math.Abs(service.Seconds()-it.service)/it.service, maxServiceError)
+		q.serviceError[it.Kind] += biasGain * (relative - q.serviceError[it.Kind])
+	}
 }
 
 // Release gives back the slot of a request that failed or did not run. Nothing is learned from it.
