Cut the concurrency limit in proportion to the excess and tolerate 1.25

Cause: a tolerance of 1.5 let the limit settle at 26 with a capacity of 16, so status reads ran 1.5 times slower. A fixed cut of 0.9 no longer halves the limit within 10 s of a slow server (TestLimitRecovers fails); rejected. Change: the cut is allowed over observed, between 0.5 and 0.9.

--- a/admission/config.go
+++ b/admission/config.go
@@ -44,7 +44,7 @@
 		RefuseUnmeetable: true,
 		DropExpired:      true,
 		ShedByValue:      true,
-		Limit:            LimitConfig{Initial: 16, Min: 4, Max: 512, Tolerance: 1.5},
+		Limit:            LimitConfig{Initial: 16, Min: 4, Max: 512, Tolerance: 1.25},
 	}
 }
 
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -16,8 +16,10 @@
 	// limitSamples is the number of service times of one kind that are averaged for a decision. The mean of
 	// 32 times that vary by half of their mean has a standard error of 5%.
 	limitSamples = 32
-	// limitCut is the factor of a decrease.
-	limitCut = 0.8
+	// minCut and maxCut bound the factor of a decrease. A fixed factor of 0.8 cut well below the capacity
+	// whenever the limit had grown slightly beyond it.
+	minCut = 0.5
+	maxCut = 0.9
 	// limitPause follows a decrease, in addition to the mean service time, so that requests which started
 	// before the cut do not cause a second one.
 	limitPause = 500 * time.Millisecond
@@ -82,8 +84,9 @@
 	if l.cfg.Fixed || now < l.notUntil {
 		return
 	}
-	if mean > l.cfg.Tolerance*t.lowest {
-		l.limit = max(l.limit*limitCut, float64(l.cfg.Min))
+	if allowed := l.cfg.Tolerance * t.lowest; mean > allowed {
+		cut := min(max(allowed/mean, minCut), maxCut)
+		l.limit = max(l.limit*cut, float64(l.cfg.Min))
 		l.notUntil = now + limitPause + time.Duration(seconds*float64(time.Second))
 	} else if l.used {
 		l.limit = min(l.limit+1, float64(l.cfg.Max))
