Serve commands before status reads of the same age

Cause: in a crest without long work, status reads alone exceeded the capacity, and commands, which are worth twice as much, starved until their deadline. Change: the boost of commands goes from 4 to 7 levels, one above status.

--- a/admission/config.go
+++ b/admission/config.go
@@ -39,7 +39,7 @@
 		MaxWaiting:       MaxWaiting,
 		ReservedShare:    0.25,
 		AgingStep:        AgingStep,
-		KindBoost:        [numKinds]int{Status: 6, Command: 4, Short: 2, Long: 0},
+		KindBoost:        [numKinds]int{Status: 6, Command: 7, Short: 2, Long: 0},
 		KindWeight:       [numKinds]float64{Status: 2, Command: 4, Short: 2, Long: 1},
 		RefuseUnmeetable: true,
 		DropExpired:      true,
