--- a/admission/config.go
+++ b/admission/config.go
@@ -39,12 +39,12 @@
 		MaxWaiting:       MaxWaiting,
 		ReservedShare:    0.25,
 		AgingStep:        AgingStep,
-		KindBoost:        [numKinds]int{Status: 6, Command: 4, Short: 2, Long: 0},
+		KindBoost:        [numKinds]int{Status: 6, Command: 7, Short: 2, Long: 0},
 		KindWeight:       [numKinds]float64{Status: 2, Command: 4, Short: 2, Long: 1},
 		RefuseUnmeetable: true,
 		DropExpired:      true,
 		ShedByValue:      true,
-		Limit:            LimitConfig{Initial: 16, Min: 4, Max: 512, Tolerance: 1.5},
+		Limit:            LimitConfig{Initial: 16, Min: 4, Max: 512, Tolerance: 1.25},
 	}
 }
 
