--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -213,3 +213,20 @@
 		require.False(t, ok, text)
 	}
 }
+
+// Guards against a withdrawn attempt that begins with its old grants, and against a late release of it that frees the
+// grant of the next attempt.
+func TestWithdrawnAttemptHasNoEffect(t *testing.T) {
+	a, b := tableOf("a", 1, oldView), tableOf("b", 1, oldView)
+	first := claimAt(t, a)
+	grant(a, b, first)
+	require.True(t, a.Withdraw(first))
+	b.Release(first.Release())
+	second := claimAt(t, a)
+	require.Equal(t, peerapi.VerdictGranted, grant(a, b, second))
+	require.False(t, a.Begin(start, first))
+	b.Release(first.Release())
+	require.Equal(t, 1, b.Len())
+	require.True(t, a.Begin(start, second))
+	require.False(t, a.Begin(start, second), "a doubled grant")
+}
