--- /dev/null
+++ b/entry/once_test.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/operatorv1"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/idempotency"
+)
+
+// peers are side processes that answer every request with the same function; the argument is the server's name.
+func peers(t *testing.T, serve func(name string, w http.ResponseWriter, r *http.Request)) *cluster.State {
+	objects := []*operatorv1.Object{{Kind: &operatorv1.Object_Service{Service: &operatorv1.Service{Name: "shed"}}}}
+	for _, name := range []string{"a", "b", "c"} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(name, w, r) }))
+		t.Cleanup(srv.Close)
+		objects = append(objects, &operatorv1.Object{Kind: &operatorv1.Object_Server{Server: &operatorv1.BackendServer{
+			Name: name, Address: srv.Listener.Addr().String(), FailureDomain: name, Service: "shed", Slots: 1,
+		}}})
+	}
+	st, err := cluster.New(1, objects)
+	require.NoError(t, err)
+	return st
+}
+
+func callOf(key string) *peerapi.CallRequest {
+	return &peerapi.CallRequest{Work: peerapi.Work{ID: "id", Customer: "crew", DeadlineMs: 9000}, Service: "shed", Key: key}
+}
+
+func sendFrame(w http.ResponseWriter, f peerapi.Frame) {
+	f.ID = "id"
+	_ = json.NewEncoder(w).Encode(f)
+}
+
+func holders(st *cluster.State, key string) []cluster.Member {
+	v := idempotency.ViewOf(st, "shed")
+	return v.SetsOf(idempotency.ShardOf(peerapi.CallKey{Service: "shed", Customer: "crew", Key: key})).New
+}
+
+// Guards against a refusal as not run while an earlier delivery of the same call, which got no answer, may still run.
+func TestLostDeliveryMakesRefusalUnknown(t *testing.T) {
+	var lose atomic.Bool
+	var calls atomic.Int64
+	st := peers(t, func(_ string, w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 && lose.Load() {
+			panic(http.ErrAbortHandler) // The connection breaks after the request has arrived.
+		}
+		sendFrame(w, peerapi.Frame{Error: &peerapi.FrameError{Type: callerapi.Overloaded, Executed: callerapi.ExecutedNo}})
+	})
+	_, e := newOnce().call(t.Context(), st, callOf("k"))
+	require.Equal(t, callerapi.ExecutedNo, e.Executed)
+	require.Equal(t, int64(3), calls.Swap(0))
+	lose.Store(true)
+	_, e = newOnce().call(t.Context(), st, callOf("k"))
+	require.Equal(t, callerapi.ExecutedUnknown, e.Executed)
+}
+
+// Guards against calls that wait for a silent holder instead of going to the next one, and against another order than
+// that of the ranks.
+func TestSilentHolderIsPassedOver(t *testing.T) {
+	var asked atomic.Pointer[[]string]
+	asked.Store(&[]string{})
+	var first string
+	st := peers(t, func(name string, w http.ResponseWriter, r *http.Request) {
+		list := append(append([]string{}, *asked.Load()...), name)
+		asked.Store(&list)
+		if name == first {
+			_, _ = io.Copy(io.Discard, r.Body) // Only then does the server notice that the client has gone.
+			<-r.Context().Done()
+			return
+		}
+		sendFrame(w, peerapi.Frame{Result: &peerapi.CallResult{Status: 201}, End: true})
+	})
+	ranked := holders(st, "k")
+	first = ranked[0].Name
+	result, e := newOnce().call(t.Context(), st, callOf("k"))
+	require.Nil(t, e)
+	require.Equal(t, 201, result.Status)
+	require.Equal(t, []string{ranked[0].Name, ranked[1].Name}, *asked.Load())
+}
+
+// Guards against "unknown" for a call whose connection broke and whose outcome the server can tell.
+func TestOutcomeIsAskedForOnANewConnection(t *testing.T) {
+	var asks atomic.Int64
+	st := peers(t, func(_ string, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == peerapi.PathCall {
+			panic(http.ErrAbortHandler)
+		}
+		out := peerapi.OutcomeResponse{Executed: callerapi.ExecutedUnknown, Running: true}
+		if asks.Add(1) > 1 {
+			out = peerapi.OutcomeResponse{Executed: callerapi.ExecutedYes, Result: &peerapi.CallResult{Status: 201}}
+		}
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	result, e := NewUpstream().Call(t.Context(), st, callOf(""))
+	require.Nil(t, e)
+	require.Equal(t, 201, result.Status)
+	require.Equal(t, int64(2), asks.Load())
+}
+
+// Guards against a token that is delivered to others before the server that issued it, and against the loss of an
+// outcome that was handed over.
+func TestTokenGoesToItsServerThenInRendezvousOrder(t *testing.T) {
+	var asked []string
+	st := peers(t, func(name string, w http.ResponseWriter, _ *http.Request) {
+		asked = append(asked, name)
+		f := peerapi.Frame{Error: &peerapi.FrameError{Type: callerapi.OutcomeUnknown, Executed: callerapi.ExecutedUnknown}}
+		if len(asked) == 3 {
+			f = peerapi.Frame{Result: &peerapi.CallResult{Status: 201}, End: true}
+		}
+		sendFrame(w, f)
+	})
+	r := callOf("")
+	r.Token = "b.1.1.AAAA"
+	result, e := newOnce().call(t.Context(), st, r)
+	require.Nil(t, e)
+	require.Equal(t, 201, result.Status)
+	want := []string{"b"}
+	for _, m := range idempotency.Ranked("b", idempotency.ViewOf(st, "shed").Servers) {
+		if m.Name != "b" {
+			want = append(want, m.Name)
+		}
+	}
+	require.Equal(t, want, asked)
+	r.Token = "forged"
+	_, e = newOnce().call(t.Context(), st, r)
+	require.Equal(t, callerapi.InvalidToken, e.Type)
+}
