--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	@unformatted=$$($(BIN)/gofumpt -l $(GO_FILES)); \
 		if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet work
-	$(BIN)/golangci-lint run $(addsuffix /...,$(addprefix ./,$(MODULES)))
+	$(BIN)/golangci-lint run --allow-parallel-runners $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 format: tools
 	$(BIN)/gofumpt -w $(GO_FILES)
--- a/configsync/feed/serve.go
+++ b/configsync/feed/serve.go
@@ -23,7 +23,7 @@
 
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
 	p := params{values: r.URL.Query()}
-	have := position{revision: p.number("after", 0), attachment: p.number("attachment_after", 0)}
+	have := position{revision: p.number("after", required), attachment: p.number("attachment_after", 0)}
 	wait := time.Duration(p.number("wait_ms", pollWait.Milliseconds())) * time.Millisecond
 	if p.bad != "" {
 		http.Error(w, p.bad+" must be a number that is not negative", http.StatusBadRequest)
@@ -39,9 +39,12 @@
 	bad    string
 }
 
+// required as the default of a number means that it has none.
+const required = -1
+
 func (p *params) number(name string, def int64) int64 {
 	text := p.values.Get(name)
-	if text == "" {
+	if text == "" && def != required {
 		return def
 	}
 	v, err := strconv.ParseInt(text, 10, 64)
