--- a/configsync/feed/poll.go
+++ b/configsync/feed/poll.go
@@ -90,12 +90,17 @@
 
 // take puts in force what a line carries, and takes over how fresh the sender's configuration is.
 func (n *Node) take(line *Line) error {
-	received := time.Now()
+	if err := n.takeConfig(line); err != nil {
+		return err
+	}
 	if len(line.Attachment) > 0 {
-		if err := n.opts.Attachment.Take(line.Attachment); err != nil {
-			return err
-		}
+		return n.opts.Attachment.Take(line.Attachment)
 	}
+	return nil
+}
+
+func (n *Node) takeConfig(line *Line) error {
+	received := time.Now()
 	if len(line.Snapshot) > 0 {
 		s, err := DecodeState(line.Snapshot)
 		if err != nil {
