Add a randomised run of separate processes with mixed failures

Finding: two holders that lose their records at once leave the keys of their shards unknown, as designed; most runs wait for the copies after a restart, one in four does not.

--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,8 +49,14 @@
 	Settings side.Settings
 	// Backend is the URL of the stand-in behind it.
 	Backend string
+
+	// busy is held by a test that has the process in hand.
+	busy sync.Mutex
 }
 
+// State returns the state dump of the present process, decoded into v.
+func (s *Server) State(v any) error { return getJSON("http://"+s.Settings.Admin+"/debug/state", v) }
+
 // Entry is one entry process.
 type Entry struct {
 	*Proc
@@ -69,6 +76,21 @@
 	Entries                        []*Entry
 	Models, Services               []*Server
 	engineAddresses, bookAddresses []string
+
+	mu sync.Mutex
+	// started are all side processes ever started.
+	started []*Proc
+}
+
+// ended returns all side processes ever started, also those that have ended, and the entries.
+func (d *Deployment) ended() []*Proc {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := append([]*Proc{}, d.started...)
+	for _, e := range d.Entries {
+		out = append(out, e.Proc)
+	}
+	return out
 }
 
 // Deploy starts a deployment, applies its configuration with lavendermoorctl and waits until it is in force in
@@ -162,8 +184,12 @@
 
 func (d *Deployment) runSide(s *Server) {
 	file := writeSettings(d.t, s.Settings.Name, s.Settings)
-	s.Proc = Start(d.t, s.Settings.Name, "lavendermoor-side", "-config", file)
-	s.Admin = s.Settings.Admin
+	p := Start(d.t, s.Settings.Name, "lavendermoor-side", "-config", file)
+	p.Admin = s.Settings.Admin
+	s.Proc = p
+	d.mu.Lock()
+	d.started = append(d.started, p)
+	d.mu.Unlock()
 	d.Show(s.Settings.Name, s.Settings.Listen, s.Settings.FailureDomain, "side", "live")
 }
 
--- /dev/null
+++ b/proctest/soak_test.go
@@ -0,0 +1,365 @@
+package proctest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/standin/engineserver"
+	"lavendermoor.example/standin/kvserver"
+)
+
+// Length and seed of the run in CI; LAVENDERMOOR_MINUTES and LAVENDERMOOR_SEED override them.
+const (
+	soakSeconds = 12
+	soakSeed    = 1
+)
+
+func fromEnv(name string, def float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
+		return v
+	}
+	return def
+}
+
+// soak is a run with traffic and failures at random. The schedule follows from the seed; what the processes
+// make of it does not.
+type soak struct {
+	t   *testing.T
+	d   *Deployment
+	ctx context.Context
+
+	mu       sync.Mutex
+	answers  map[string][]callAnswer
+	problems []string
+	counts   map[string]int
+}
+
+// callAnswer is what one sending of a call was told.
+type callAnswer struct {
+	executed string
+	body     string
+}
+
+// Guards against any violation of the properties under mixed traffic while processes are killed, paused,
+// restarted and drained, the key-value service fails, engine connections break and operators race.
+func TestSoak(t *testing.T) {
+	seed := uint64(fromEnv("LAVENDERMOOR_SEED", soakSeed))
+	length := time.Duration(fromEnv("LAVENDERMOOR_MINUTES", soakSeconds/60.0) * float64(time.Minute))
+	t.Logf("seed %d, length %v", seed, length)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := &soak{t: t, d: small(t), ctx: ctx, answers: map[string][]callAnswer{}, counts: map[string]int{}}
+	var wg sync.WaitGroup
+	loops := []func(*rand.Rand){
+		s.streamLoop, s.streamLoop, s.streamLoop, s.keyedLoop, s.keyedLoop, s.keyedLoop, s.tokenLoop, s.plainLoop,
+		s.readLoop, s.operatorLoop, s.operatorLoop, s.revisionLoop,
+	}
+	for i, loop := range loops {
+		wg.Go(func() { loop(rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	s.faults(rand.New(rand.NewPCG(seed, 1000)), time.Now().Add(length))
+	stop()
+	wg.Wait()
+	s.check()
+}
+
+func (s *soak) on() bool { return s.ctx.Err() == nil }
+
+func (s *soak) problem(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.problems = append(s.problems, fmt.Sprintf(format, args...))
+}
+
+func (s *soak) count(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[what]++
+}
+
+func (s *soak) entry(rng *rand.Rand) string { return s.d.Entries[rng.IntN(len(s.d.Entries))].URL }
+
+func (s *soak) streamLoop(rng *rand.Rand) {
+	for s.on() {
+		tokens := 5 + rng.IntN(60)
+		content := fmt.Sprint("note ", rng.IntN(1000))
+		out := Chat(s.t, s.entry(rng), content, tokens, nil)
+		want := expected(content, tokens)
+		switch {
+		case out.Done && out.Text != want:
+			s.problem("stream is complete and wrong: %q, want %q", out.Text, want)
+		case !strings.HasPrefix(want, out.Text):
+			s.problem("stream is no beginning of the answer: %q, want %q", out.Text, want)
+		case out.Done:
+			s.count("stream complete")
+		default:
+			s.count("stream broken")
+		}
+	}
+}
+
+// send makes a call and notes what it was told.
+func (s *soak) send(url, name string, header http.Header) {
+	status, _, body := Do(s.t, http.MethodPost, url+"/v1/services/booking/bookings", header, map[string]string{"shed": name})
+	a := callAnswer{executed: "unknown"}
+	if e := ErrorOf(body); e != nil {
+		a.executed = string(e.Executed)
+		s.count("call " + string(e.Type) + " " + a.executed)
+	} else if status == http.StatusCreated {
+		a = callAnswer{executed: "yes", body: string(body)}
+		s.count("call answered")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[name] = append(s.answers[name], a)
+}
+
+// repeat sends a call one to three times, in turn or at once, through any entries.
+func (s *soak) repeat(rng *rand.Rand, name string, header http.Header) {
+	var wg sync.WaitGroup
+	for range 1 + rng.IntN(3) {
+		url := s.entry(rng)
+		if rng.IntN(2) == 0 {
+			s.send(url, name, header)
+			continue
+		}
+		wg.Go(func() { s.send(url, name, header) })
+	}
+	wg.Wait()
+}
+
+func (s *soak) keyedLoop(rng *rand.Rand) {
+	for s.on() {
+		name := fmt.Sprintf("keyed-%d", rng.Uint64())
+		s.repeat(rng, name, http.Header{callerapi.HeaderIdempotencyKey: {name}})
+	}
+}
+
+func (s *soak) tokenLoop(rng *rand.Rand) {
+	for s.on() {
+		status, _, body := Do(s.t, http.MethodPost, s.entry(rng)+"/v1/services/booking/-/token", nil, nil)
+		var issued struct{ Token string }
+		if status != http.StatusOK || json.Unmarshal(body, &issued) != nil {
+			s.count("token refused")
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		s.repeat(rng, fmt.Sprintf("token-%d", rng.Uint64()), http.Header{callerapi.HeaderToken: {issued.Token}})
+	}
+}
+
+func (s *soak) plainLoop(rng *rand.Rand) {
+	for s.on() {
+		s.send(s.entry(rng), fmt.Sprintf("plain-%d", rng.Uint64()), nil)
+	}
+}
+
+func (s *soak) readLoop(rng *rand.Rand) {
+	for s.on() {
+		status, _, _ := Do(s.t, http.MethodGet, s.entry(rng)+"/v1/services/booking/bookings/b1", nil, nil)
+		s.count(fmt.Sprint("read ", status))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// operatorLoop races with its twin to change one object.
+func (s *soak) operatorLoop(rng *rand.Rand) {
+	for s.on() {
+		file := writeSettings(s.t, "change", map[string]any{
+			"models": []map[string]any{{"name": "raced", "versions": []string{fmt.Sprint("v", rng.IntN(1000))}}},
+		})
+		_, code := s.d.CtlAt(s.d.Entries[rng.IntN(len(s.d.Entries))], "apply", "-f", file)
+		s.count(fmt.Sprint("apply exit ", code))
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// revisionLoop watches that no process goes back within one incarnation.
+func (s *soak) revisionLoop(*rand.Rand) {
+	type seen struct{ incarnation, revision int64 }
+	last := map[string]seen{}
+	for s.on() {
+		for _, p := range s.d.sides() {
+			var st sideState
+			if p.State(&st) != nil {
+				continue
+			}
+			now := seen{st.Side.Load.Incarnation, st.Side.Load.Revision}
+			if before := last[p.Settings.Name]; now.incarnation == before.incarnation && now.revision < before.revision {
+				s.problem("%s goes from revision %d to %d", p.Settings.Name, before.revision, now.revision)
+			}
+			last[p.Settings.Name] = now
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (d *Deployment) sides() []*Server {
+	return append(append([]*Server{}, d.Models...), d.Services...)
+}
+
+// faults brings about one failure after another, sometimes two at once, until the end, then heals all of them.
+func (s *soak) faults(rng *rand.Rand, end time.Time) {
+	kinds := []func(*rand.Rand){
+		s.killSide, s.killSide, s.pauseSide, s.pauseSide, s.terminateSide, s.outage, s.loseAnswers, s.breakStreams,
+		s.slowEngine,
+	}
+	for time.Now().Before(end) {
+		first, second := kinds[rng.IntN(len(kinds))], kinds[rng.IntN(len(kinds))]
+		seedA, seedB := rng.Uint64(), rng.Uint64()
+		var wg sync.WaitGroup
+		wg.Go(func() { first(rand.New(rand.NewPCG(seedA, 0))) })
+		if rng.IntN(3) == 0 {
+			wg.Go(func() { second(rand.New(rand.NewPCG(seedB, 0))) })
+		}
+		wg.Wait()
+		time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+	}
+}
+
+// victim takes a server for one failure, so that two failures do not fight over one process.
+func (s *soak) victim(rng *rand.Rand) (*Server, func()) {
+	all := s.d.sides()
+	v := all[rng.IntN(len(all))]
+	v.busy.Lock()
+	return v, v.busy.Unlock
+}
+
+func hold(rng *rand.Rand, most time.Duration) {
+	time.Sleep(time.Duration(rng.Int64N(int64(most))))
+}
+
+func (s *soak) killSide(rng *rand.Rand) {
+	v, free := s.victim(rng)
+	defer free()
+	s.count("fault kill")
+	v.Kill()
+	hold(rng, time.Second)
+	s.restart(rng, v)
+}
+
+// restart starts a server again. Three times out of four it waits until the copies of idempotency records are
+// complete, because two servers that lose their records at once leave their keys unknown for the rest of the run.
+func (s *soak) restart(rng *rand.Rand, v *Server) {
+	s.d.Restart(v)
+	v.Ready()
+	if rng.IntN(4) == 0 {
+		return
+	}
+	for end := time.Now().Add(copyPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		var st struct {
+			Once struct {
+				Incomplete int `json:"incomplete_shards"`
+			}
+		}
+		if v.State(&st) == nil && st.Once.Incomplete == 0 {
+			return
+		}
+	}
+	s.count("copies not complete in time")
+}
+
+// copyPatience bounds the wait for copies, which never end while both other holders lack their own.
+const copyPatience = 5 * time.Second
+
+func (s *soak) pauseSide(rng *rand.Rand) {
+	v, free := s.victim(rng)
+	defer free()
+	s.count("fault pause")
+	v.Pause()
+	hold(rng, 3*time.Second)
+	v.Resume()
+}
+
+func (s *soak) terminateSide(rng *rand.Rand) {
+	v, free := s.victim(rng)
+	defer free()
+	s.count("fault terminate")
+	v.Terminate()
+	_ = v.Wait(patience)
+	s.restart(rng, v)
+}
+
+func (s *soak) outage(rng *rand.Rand) {
+	s.count("fault outage")
+	s.d.KVFaults(kvserver.Faults{Down: true})
+	hold(rng, 3*time.Second)
+	s.d.KVFaults(kvserver.Faults{})
+}
+
+func (s *soak) loseAnswers(rng *rand.Rand) {
+	s.count("fault lost answers")
+	s.d.KVFaults(kvserver.Faults{LoseAnswers: 1 + rng.IntN(3)})
+}
+
+func (s *soak) breakStreams(rng *rand.Rand) {
+	s.count("fault broken streams")
+	m := s.d.Models[rng.IntN(len(s.d.Models))]
+	s.d.EngineFaults(m, engineserver.Faults{BreakAfter: 1 + rng.IntN(20)})
+	hold(rng, time.Second)
+	s.d.EngineFaults(m, engineserver.Faults{})
+}
+
+func (s *soak) slowEngine(rng *rand.Rand) {
+	s.count("fault slow engine")
+	m := s.d.Models[rng.IntN(len(s.d.Models))]
+	s.d.EngineFaults(m, engineserver.Faults{Slowdown: 20})
+	hold(rng, time.Second)
+	s.d.EngineFaults(m, engineserver.Faults{})
+}
+
+// check compares what callers were told with what ran, and looks for violations that the processes found.
+func (s *soak) check() {
+	t := s.t
+	t.Logf("%v", s.counts)
+	require.Empty(t, s.problems)
+	ran := map[string]int{}
+	for _, r := range s.d.Runs() {
+		var b struct{ Shed string }
+		require.NoError(t, json.Unmarshal([]byte(r.Body), &b))
+		ran[b.Shed]++
+	}
+	for name, answers := range s.answers {
+		checkCall(t, name, answers, ran[name])
+	}
+	for _, p := range s.d.ended() {
+		require.NotContains(t, p.Output(), "invariant violated", p.Name)
+		require.NotContains(t, p.Output(), "panic", p.Name)
+	}
+	require.NotZero(t, s.counts["stream complete"])
+	require.NotZero(t, s.counts["call answered"])
+}
+
+// checkCall compares the answers to one call with the number of its runs.
+func checkCall(t *testing.T, name string, answers []callAnswer, runs int) {
+	t.Helper()
+	require.LessOrEqual(t, runs, 1, "call %s: %+v", name, answers)
+	told := map[string]int{}
+	outcome := ""
+	for _, a := range answers {
+		told[a.executed]++
+		if a.body == "" {
+			continue
+		}
+		require.True(t, outcome == "" || outcome == a.body, "call %s has two outcomes: %+v", name, answers)
+		outcome = a.body
+	}
+	if told["yes"] > 0 {
+		require.Equal(t, 1, runs, "call %s was said to have run: %+v", name, answers)
+	}
+	if told["no"] == len(answers) {
+		require.Zero(t, runs, "call %s was said not to have run: %+v", name, answers)
+	}
+}
