Keep the members of a service as typed messages; never hand out a test address twice

Cause: members were kept as text with separators, and a port could be given to two programs of one test. The tests of epochs now compare members in place of names or text.

--- a/config/cluster/services.go
+++ b/config/cluster/services.go
@@ -42,9 +42,9 @@
 }
 
 // servicesAfter returns the sorted members that each service has after a change.
-func servicesAfter(base *State, c *operatorv1.Change) map[string][]string {
+func servicesAfter(base *State, c *operatorv1.Change) map[string][]*operatorv1.ServiceMember {
 	servers := maps.Clone(base.servers)
-	services := map[string][]string{}
+	services := map[string][]*operatorv1.ServiceMember{}
 	for name := range base.services {
 		services[name] = nil
 	}
@@ -66,16 +66,16 @@
 	}
 	for _, server := range servers {
 		if _, ok := services[server.GetService()]; ok {
-			services[server.GetService()] = append(services[server.GetService()], MemberOf(server).String())
+			services[server.GetService()] = append(services[server.GetService()], MemberOf(server).proto())
 		}
 	}
 	for _, list := range services {
-		sort.Strings(list)
+		sort.Slice(list, func(i, j int) bool { return list[i].GetName() < list[j].GetName() })
 	}
 	return services
 }
 
-func maintainService(base *State, c *operatorv1.Change, name string, servers []string) error {
+func maintainService(base *State, c *operatorv1.Change, name string, servers []*operatorv1.ServiceMember) error {
 	before := base.Service(name)
 	next := &operatorv1.Service{
 		Name: name, Epoch: before.GetEpoch(), Servers: before.GetServers(), Previous: before.GetPrevious(),
--- a/config/cluster/services_test.go
+++ b/config/cluster/services_test.go
@@ -18,6 +18,14 @@
 	return &operatorv1.Object{Kind: &operatorv1.Object_Service{Service: s}}
 }
 
+func membersOf(names ...string) []*operatorv1.ServiceMember {
+	var out []*operatorv1.ServiceMember
+	for _, n := range names {
+		out = append(out, Member{Name: n, Domain: "a", Address: "127.0.0.1:1"}.proto())
+	}
+	return out
+}
+
 // step applies a change after MaintainServices.
 func step(t *testing.T, s *State, c *operatorv1.Change) *State {
 	t.Helper()
@@ -32,17 +40,17 @@
 // servers change, previous servers that are forgotten, and a second change before the first has ended.
 func TestMaintainServices(t *testing.T) {
 	s := step(t, Empty(), &operatorv1.Change{Upserts: []*operatorv1.Object{
-		serverOf("s2", "b"), serverOf("s1", "b"), service(&operatorv1.Service{Name: "b", Epoch: 9, Servers: []string{"x"}}),
+		serverOf("s2", "b"), serverOf("s1", "b"), service(&operatorv1.Service{Name: "b", Epoch: 9, Servers: membersOf("x")}),
 	}})
 	require.Equal(t, int64(1), s.Service("b").GetEpoch(), "what an operator writes in these fields is replaced")
-	require.Equal(t, []string{"s1", "s2"}, s.Service("b").GetServers())
+	require.Equal(t, []string{"s1", "s2"}, memberNames(s.Service("b").GetServers()))
 	require.Empty(t, s.Service("b").GetPrevious())
 
 	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{service(&operatorv1.Service{Name: "b"})}})
 	require.Equal(t, int64(1), s.Service("b").GetEpoch(), "the same servers are no new epoch")
 	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{serverOf("s3", "b")}})
 	require.Equal(t, int64(2), s.Service("b").GetEpoch())
-	require.Equal(t, []string{"s1", "s2"}, s.Service("b").GetPrevious())
+	require.Equal(t, []string{"s1", "s2"}, memberNames(s.Service("b").GetPrevious()))
 
 	var changing *ServersChangingError
 	remove := &operatorv1.Change{Deletes: []*operatorv1.ObjectRef{{Type: "server", Name: "s1"}}}
@@ -50,11 +58,11 @@
 	require.Equal(t, int64(2), changing.Epoch)
 
 	next, err := s.Apply(&operatorv1.Change{Revision: s.Revision + 1, Upserts: []*operatorv1.Object{
-		service(&operatorv1.Service{Name: "b", Epoch: 2, Servers: []string{"s1", "s2", "s3"}}),
+		service(&operatorv1.Service{Name: "b", Epoch: 2, Servers: membersOf("s1", "s2", "s3")}),
 	}})
 	require.NoError(t, err)
 	s = step(t, next, remove)
 	require.Equal(t, int64(3), s.Service("b").GetEpoch())
-	require.Equal(t, []string{"s2", "s3"}, s.Service("b").GetServers())
-	require.Equal(t, []string{"s1", "s2", "s3"}, s.Service("b").GetPrevious())
+	require.Equal(t, []string{"s2", "s3"}, memberNames(s.Service("b").GetServers()))
+	require.Equal(t, []string{"s1", "s2", "s3"}, memberNames(s.Service("b").GetPrevious()))
 }
--- a/config/cluster/validate.go
+++ b/config/cluster/validate.go
@@ -160,13 +160,21 @@
 }
 
 func (v *validator) service(r Ref, s *operatorv1.Service) {
-	v.unique(r, "servers", s.GetServers())
-	v.unique(r, "previous", s.GetPrevious())
+	v.unique(r, "servers", memberNames(s.GetServers()))
+	v.unique(r, "previous", memberNames(s.GetPrevious()))
 	if s.GetEpoch() < 0 {
 		v.fail(r, "epoch", "is negative")
 	}
 }
 
+func memberNames(list []*operatorv1.ServiceMember) []string {
+	out := make([]string, len(list))
+	for i, m := range list {
+		out[i] = m.GetName()
+	}
+	return out
+}
+
 func (v *validator) customer(r Ref, c *operatorv1.Customer) {
 	v.between(r, "weight", int64(c.GetWeight()), 1, 1_000_000)
 	if c.GetRequestsPerSecond() < 0 {
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -16,6 +16,7 @@
 
 	"lavendermoor.example/api/operatorv1"
 	"lavendermoor.example/api/operatorv1/operatorv1connect"
+	"lavendermoor.example/config/cluster"
 	"lavendermoor.example/config/cluster/configfile"
 	"lavendermoor.example/configsync/feed"
 	"lavendermoor.example/configsync/store"
@@ -179,9 +180,12 @@
 	require.NoError(t, err)
 	s := b.node.State().Service("booking")
 	require.Equal(t, int64(2), s.GetEpoch())
-	require.Equal(t, []string{
-		"booking-1@tampere@127.0.0.1:9312", "booking-2@lahti@127.0.0.1:9313", "booking-3@hameenlinna@127.0.0.1:9314",
-	}, s.GetPrevious())
+	_, previous := b.node.State().Members("booking")
+	require.Equal(t, []cluster.Member{
+		{Name: "booking-1", Domain: "tampere", Address: "127.0.0.1:9312"},
+		{Name: "booking-2", Domain: "lahti", Address: "127.0.0.1:9313"},
+		{Name: "booking-3", Domain: "hameenlinna", Address: "127.0.0.1:9314"},
+	}, previous)
 
 	_, err = c.Rollback(t.Context(), connect.NewRequest(&operatorv1.RollbackRequest{ToRevision: 1}))
 	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err), "a change of the servers is in progress")
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -66,13 +66,22 @@
 	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
 }
 
-// FreeAddress returns an address of this test process whose port was free a moment ago.
+// given holds the addresses that FreeAddress has returned. The kernel may choose a port again before the program
+// that it was meant for has opened it.
+var given sync.Map
+
+// FreeAddress returns an address of this test process whose port was free a moment ago, each one once.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback()+":0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback()+":0")
+		require.NoError(t, err)
+		address := l.Addr().String()
+		l.Close()
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address
+		}
+	}
 }
 
 // Proc is a running process. Its output is shown when the test fails.
