Add the entry's exchange with side processes: frames, silence, retries, resume

Cause: the entry's plain exchange reads frames without a check for gaps, waits for a silent connection until the deadline and repeats nothing.

Change: package entry/upstream. The frame reader discards and counts crossed and late frames and breaks the stream at a gap or at an end that comes too early. A watchdog gives up a connection after 1 s without a byte and closes the other idle connections to the same address. A broken stream is resumed at the same side process on a new connection, then continued at another replica with the text so far where its engine has declared that it continues (new fields Load.Continues and GenerateRequest.Generated). Only what provably did not run or is idempotent is sent again, within the retry budget; other calls are asked for at the side process that got them. The final error says 'executed: no' only if no attempt may have run the request. WholeAnswer is checked at the end.

Found by the tests: the caller's context ended before the rest of an answer was read, which closed the connection in place of pooling it; the exchange now outlives the caller's context by that drain.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -69,6 +69,9 @@
 	Prompt []byte `json:"-"`
 	// ResumeFrom is the sequence number of the first frame wanted; 0 starts the generation.
 	ResumeFrom int64 `json:"resume_from,omitempty"`
+	// Generated is the text of the answer before ResumeFrom, a JSON string, for an engine that did not generate
+	// it. It is sent only where Load.Continues was reported.
+	Generated json.RawMessage `json:"generated,omitempty"`
 }
 
 // CallRequest asks a side process to run a call of a plain service. The answer is a stream of Frame lines,
@@ -137,6 +140,8 @@
 	Draining bool  `json:"draining,omitempty"`
 	// Slow says that the group has a rank that stays slow.
 	Slow bool `json:"slow,omitempty"`
+	// Continues says that the engine continues an answer that another engine began, from its text.
+	Continues bool `json:"continues,omitempty"`
 	// Revision is the configuration revision in force.
 	Revision int64 `json:"revision"`
 }
--- /dev/null
+++ b/entry/upstream/ask.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/membership"
+	"lavendermoor.example/routing"
+)
+
+// maxAskBytes bounds the answer to a question; it may carry the result of a call.
+const maxAskBytes = maxFrameBytes
+
+func askBody(ctx context.Context, client *http.Client, address, path string, body []byte, out any) error {
+	url := "http://" + address + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return merry.Wrap(&StatusError{Status: resp.StatusCode})
+	}
+	return merry.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAskBytes)).Decode(out))
+}
+
+// NewProber returns the membership's probe: it asks a server for its load report on a new connection.
+func NewProber(router *routing.Router) membership.Prober {
+	client := newAsker()
+	return func(ctx context.Context, server string) (membership.Report, error) {
+		replica := router.Picker().Replica(server)
+		if replica == nil {
+			return membership.Report{}, &routing.NoReplicaError{}
+		}
+		var l peerapi.Load
+		if err := askBody(ctx, client, replica.Address, peerapi.PathLoad, nil, &l); err != nil {
+			return membership.Report{}, err
+		}
+		return reportOf(&l), nil
+	}
+}
+
+const (
+	// outcomeTries bounds the questions that fail; the answer to the caller must not wait for its deadline.
+	outcomeTries = 2
+	// outcomePause is the time between questions while the call runs.
+	outcomePause = 100 * time.Millisecond
+)
+
+// outcomeOf asks the side process that received a call what became of it. Without an answer the outcome is
+// unknown.
+func (c *Client) outcomeOf(ctx context.Context, replica *routing.Replica, id string) peerapi.OutcomeResponse {
+	for failed := 0; failed < outcomeTries && ctx.Err() == nil; {
+		var out peerapi.OutcomeResponse
+		err := c.ask(ctx, replica.Address, peerapi.PathOutcome, &peerapi.OutcomeRequest{ID: id}, &out)
+		switch {
+		case err != nil:
+			failed++
+		case !out.Running:
+			return out
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(outcomePause):
+		}
+	}
+	return peerapi.OutcomeResponse{Executed: callerapi.ExecutedUnknown}
+}
--- /dev/null
+++ b/entry/upstream/client.go
@@ -0,0 +1,169 @@
+// Package upstream exchanges requests with side processes: it chooses replicas, reads the frames of answers, and
+// repeats or resumes what may be repeated or resumed.
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/membership"
+	"lavendermoor.example/routing"
+)
+
+// Options are the parts of a Client.
+type Options struct {
+	Router  *routing.Router
+	Members *membership.Tracker
+	// Silence is the time without a byte after which a connection is given up; 0 for
+	// membership.ConnectionSilence.
+	Silence time.Duration
+}
+
+// Client may be used by any goroutine.
+type Client struct {
+	opts   Options
+	http   *http.Client
+	fresh  *http.Client
+	conns  conns
+	asks   *http.Client
+	budget routing.Budget
+	hedge  routing.Hedge
+	counts counts
+}
+
+// New returns a client with its own connections.
+func New(opts Options) *Client {
+	if opts.Silence == 0 {
+		opts.Silence = membership.ConnectionSilence
+	}
+	c := &Client{opts: opts, asks: newAsker()}
+	pooled := newTransport(&c.conns)
+	c.http = &http.Client{Transport: pooled}
+	single := pooled.Clone()
+	single.DisableKeepAlives = true
+	c.fresh = &http.Client{Transport: single}
+	return c
+}
+
+// newAsker returns a client that uses a new connection for each call, for questions about a server or a request
+// whose connection has failed.
+func newAsker() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: membership.ProbeTimeout}
+}
+
+// Counts returns what the client has seen since its start.
+func (c *Client) Counts() Counts { return c.counts.snapshot() }
+
+// Picker returns the present picker, for requests that go to servers of the caller's choice.
+func (c *Client) Picker() *routing.Picker { return c.opts.Router.Picker() }
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// noReplicaRetry is how long a caller should wait when no replica can take its request.
+const noReplicaRetry = time.Second
+
+func noReplica(err error) *callerapi.Error {
+	return callerapi.NotRun(callerapi.NoReplica, "%v", err).WithRetryAfter(noReplicaRetry)
+}
+
+func (c *Client) pick(q routing.Query) (*routing.Replica, error) {
+	q.Random, q.Now = rand.Uint64(), time.Now()
+	return c.opts.Router.Picker().Pick(q)
+}
+
+// Call runs a call of a plain service.
+func (c *Client) Call(
+	ctx context.Context, _ *cluster.State, r *peerapi.CallRequest,
+) (*peerapi.CallResult, *callerapi.Error) {
+	c.budget.Request(time.Now())
+	f := c.newCall(r)
+	first, e := f.next()
+	if e != nil {
+		return nil, e
+	}
+	if delay, ok := c.hedge.Delay(&r.Work); ok {
+		return c.hedged(ctx, r, f, first, delay)
+	}
+	return f.run(ctx, first, r)
+}
+
+// CallAt makes one exchange of a call with one replica and repeats nothing. The error says whether the call may
+// have run; sent says whether the side process may have seen it.
+func (c *Client) CallAt(
+	ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest,
+) (result *peerapi.CallResult, e *callerapi.Error, sent bool) {
+	o := c.exchangeCall(ctx, replica, r, false)
+	if o.ok() {
+		return o.result, nil, true
+	}
+	return nil, errorOf(ctx, &o, o.sent && !refusedUnrun(&o)), o.sent
+}
+
+func (c *Client) exchangeCall(
+	ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest, fresh bool,
+) outcome {
+	own := *r
+	own.Server = replica.Name
+	own.DeadlineMs = left(ctx, own.DeadlineMs)
+	a := &attempt{
+		c: c, replica: replica, path: peerapi.PathCall, id: own.ID, body: &own, event: noEvents, fresh: fresh,
+	}
+	o := a.run(ctx)
+	if o.ok() && o.result == nil {
+		o.err = merry.Wrap(&BrokenError{Cause: &MissingResultError{}})
+	}
+	return o
+}
+
+func noEvents([]byte) error { return nil }
+
+// left returns the time until the deadline in milliseconds.
+func left(ctx context.Context, limit int64) int64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return limit
+	}
+	return max(time.Until(deadline).Milliseconds(), 1)
+}
+
+// Token asks a side process of the service for a token. An issued token that nobody uses does no harm, so a
+// failure is repeated elsewhere.
+func (c *Client) Token(
+	ctx context.Context, _ *cluster.State, r *peerapi.TokenRequest,
+) (*peerapi.TokenResponse, *callerapi.Error) {
+	q := routing.Query{Target: routing.Target{Service: r.Service}}
+	c.budget.Request(time.Now())
+	for {
+		replica, err := c.pick(q)
+		if err != nil {
+			return nil, noReplica(err)
+		}
+		var out peerapi.TokenResponse
+		err = c.ask(ctx, replica.Address, peerapi.PathToken, r, &out)
+		if err == nil && out.Token != "" {
+			return &out, nil
+		}
+		q.Tried = append(q.Tried, replica)
+		if ctx.Err() != nil || len(q.Tried) == maxAttempts || !c.mayRetry() {
+			return nil, callerapi.NotRun(callerapi.BackendFailed, "no token: %v", err).WithRetryAfter(noReplicaRetry)
+		}
+	}
+}
+
+// ask makes one small call on a new connection.
+func (c *Client) ask(ctx context.Context, address, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return askBody(ctx, c.asks, address, path, body, out)
+}
--- /dev/null
+++ b/entry/upstream/conns.go
@@ -0,0 +1,107 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds of connections to side processes.
+const (
+	// idleTimeout is how long a connection without an exchange stays open. A connection can go silent while it is
+	// idle, and is not probed.
+	idleTimeout = 15 * time.Second
+	idlePerHost = 64
+	dialTimeout = time.Second
+)
+
+// conns tracks the open connections, so that the idle ones to an address can be closed when another one to it
+// was silent: what silences one connection often silences all that were open at the time.
+type conns struct {
+	mu   sync.Mutex
+	open map[string]map[*conn]bool
+}
+
+// conn is a connection that knows whether an exchange uses it.
+type conn struct {
+	net.Conn
+	address string
+	pool    *conns
+	// user is the exchange that uses the connection, nil while it is idle. It is guarded by the mutex of pool.
+	user *attempt
+}
+
+func newTransport(c *conns) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c.open = map[string]map[*conn]bool{}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			nc, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return c.add(nc, address), nil
+		},
+		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+}
+
+func (c *conns) add(nc net.Conn, address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := &conn{Conn: nc, address: address, pool: c}
+	if c.open[address] == nil {
+		c.open[address] = map[*conn]bool{}
+	}
+	c.open[address][out] = true
+	return out
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.pool.mu.Lock()
+	delete(c.pool.open[c.address], c)
+	if len(c.pool.open[c.address]) == 0 {
+		delete(c.pool.open, c.address)
+	}
+	c.pool.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// take marks a connection as used by an exchange.
+func (c *conns) take(nc net.Conn, user *attempt) {
+	if own, ok := nc.(*conn); ok {
+		c.mu.Lock()
+		own.user = user
+		c.mu.Unlock()
+	}
+}
+
+// leave marks a connection as idle, unless the next exchange uses it already.
+func (c *conns) leave(nc net.Conn, user *attempt) {
+	if own, ok := nc.(*conn); ok {
+		c.mu.Lock()
+		if own.user == user {
+			own.user = nil
+		}
+		c.mu.Unlock()
+	}
+}
+
+// closeIdle closes the idle connections to an address and returns their number.
+func (c *conns) closeIdle(address string) int {
+	c.mu.Lock()
+	var idle []*conn
+	for own := range c.open[address] {
+		if own.user == nil {
+			idle = append(idle, own)
+		}
+	}
+	c.mu.Unlock()
+	for _, own := range idle {
+		_ = own.Close() // It is given up in any case.
+	}
+	return len(idle)
+}
--- /dev/null
+++ b/entry/upstream/counts.go
@@ -0,0 +1,44 @@
+package upstream
+
+import "sync/atomic"
+
+// counts are what a Client has seen since its start.
+type counts struct {
+	crossed, late, gaps, silent, broken      atomic.Int64
+	retried, resumed, continued, hedged      atomic.Int64
+	budgetSpent, staleConnections, abandoned atomic.Int64
+}
+
+// Counts is a copy of the counters of a Client.
+type Counts struct {
+	// Crossed counts frames that carried the ID of another request, Late those with a sequence number already
+	// seen; both are discarded.
+	Crossed int64 `json:"crossed"`
+	Late    int64 `json:"late"`
+	// Gaps counts streams with missing frames, Silent connections without a byte for a second, Broken other
+	// exchanges that ended early.
+	Gaps   int64 `json:"gaps"`
+	Silent int64 `json:"silent"`
+	Broken int64 `json:"broken"`
+	// Retried counts requests sent again, Resumed streams taken up at the same side process, Continued at another
+	// replica, Hedged calls sent a second time while the first ran.
+	Retried   int64 `json:"retried"`
+	Resumed   int64 `json:"resumed"`
+	Continued int64 `json:"continued"`
+	Hedged    int64 `json:"hedged"`
+	// BudgetSpent counts retries and hedges that the budget did not allow.
+	BudgetSpent int64 `json:"budget_spent"`
+	// StaleConnections counts idle connections closed because another one to the same address was silent.
+	StaleConnections int64 `json:"stale_connections"`
+	// Abandoned counts requests whose caller went away or whose deadline passed.
+	Abandoned int64 `json:"abandoned"`
+}
+
+func (c *counts) snapshot() Counts {
+	return Counts{
+		Crossed: c.crossed.Load(), Late: c.late.Load(), Gaps: c.gaps.Load(), Silent: c.silent.Load(),
+		Broken: c.broken.Load(), Retried: c.retried.Load(), Resumed: c.resumed.Load(),
+		Continued: c.continued.Load(), Hedged: c.hedged.Load(), BudgetSpent: c.budgetSpent.Load(),
+		StaleConnections: c.staleConnections.Load(), Abandoned: c.abandoned.Load(),
+	}
+}
--- /dev/null
+++ b/entry/upstream/errors.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"fmt"
+	"time"
+)
+
+// GapError says that frames of an answer are missing.
+type GapError struct {
+	// Want is the sequence number that was due, Got the one that came.
+	Want, Got int64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("frame %d is due, frame %d came", e.Want, e.Got)
+}
+
+// FrameError says that a line is not a frame.
+type FrameError struct{ Cause error }
+
+func (e *FrameError) Error() string { return fmt.Sprintf("frame is not valid: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FrameError) Unwrap() error { return e.Cause }
+
+// BrokenError says that an exchange ended without its last frame.
+type BrokenError struct{ Cause error }
+
+func (e *BrokenError) Error() string { return fmt.Sprintf("answer ended early: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// SilentError says that a connection showed no byte for the given time while an answer was due.
+type SilentError struct{ For time.Duration }
+
+func (e *SilentError) Error() string { return fmt.Sprintf("no byte for %v", e.For) }
+
+// NotSentError says that no connection was made, so that the side process has seen nothing of the request.
+type NotSentError struct{ Cause error }
+
+func (e *NotSentError) Error() string { return fmt.Sprintf("request was not sent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// StatusError says that a side process answered with a status other than 200, which is no answer to the request.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("side process answered with status %d", e.Status)
+}
+
+// CallerGoneError says that an event could not be passed on to the caller.
+type CallerGoneError struct{ Cause error }
+
+func (e *CallerGoneError) Error() string { return fmt.Sprintf("caller has gone: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *CallerGoneError) Unwrap() error { return e.Cause }
+
+// MissingResultError says that the answer of a call ended without a result.
+type MissingResultError struct{}
+
+func (*MissingResultError) Error() string { return "the answer of a call has no result" }
--- /dev/null
+++ b/entry/upstream/frames.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"lavendermoor.example/api/peerapi"
+)
+
+const (
+	// maxFrameBytes bounds one frame: the answer of a plain service, in base64.
+	maxFrameBytes = 96 << 20
+	// frameBuffer holds the frames of a token, which have about 200 bytes.
+	frameBuffer = 4 << 10
+)
+
+// frameReader reads the frames of one answer. It passes on data in order and without gaps, whatever comes.
+type frameReader struct {
+	lines  *bufio.Scanner
+	id     string
+	prefix []byte
+	// next is the sequence number of the data frame that is due.
+	next   int64
+	counts *counts
+}
+
+func newFrameReader(r io.Reader, id string, next int64, c *counts) *frameReader {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, frameBuffer), maxFrameBytes)
+	quoted, _ := json.Marshal(id) // A string always marshals.
+	prefix := append(append([]byte(`{"id":`), quoted...), `,"seq":`...)
+	return &frameReader{lines: lines, id: id, prefix: prefix, next: next, counts: c}
+}
+
+// read returns the data of the next event, or the frame that ends the answer. The data is valid until the next
+// call. It fails with a *GapError, a *FrameError or a *BrokenError, after which nothing more may be read.
+func (f *frameReader) read() (data []byte, last *peerapi.Frame, err error) {
+	for f.lines.Scan() {
+		line := f.lines.Bytes()
+		if seq, data, ok := f.fast(line); ok {
+			if due, err := f.take(seq); due || err != nil {
+				return data, nil, err
+			}
+			continue
+		}
+		frame := new(peerapi.Frame)
+		if err := json.Unmarshal(line, frame); err != nil {
+			return nil, nil, &FrameError{Cause: err}
+		}
+		data, last, err := f.slow(frame)
+		if data != nil || last != nil || err != nil {
+			return data, last, err
+		}
+	}
+	cause := f.lines.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	return nil, nil, &BrokenError{Cause: cause}
+}
+
+var dataField = []byte(`,"data":`)
+
+// fast decodes a data frame in the form that peerapi.Frame encodes to. Every other line is left to slow.
+func (f *frameReader) fast(line []byte) (seq int64, data []byte, ok bool) {
+	rest, ok := bytes.CutPrefix(line, f.prefix)
+	if !ok {
+		return 0, nil, false
+	}
+	digits := bytes.IndexByte(rest, ',')
+	if digits < 1 || !bytes.HasPrefix(rest[digits:], dataField) || rest[len(rest)-1] != '}' {
+		return 0, nil, false
+	}
+	seq, err := strconv.ParseInt(string(rest[:digits]), 10, 64)
+	data = rest[digits+len(dataField) : len(rest)-1]
+	// A field after the data would make it no single JSON value.
+	return seq, data, err == nil && json.Valid(data)
+}
+
+// take says whether a data frame is the one that is due.
+func (f *frameReader) take(seq int64) (due bool, err error) {
+	switch {
+	case seq == f.next:
+		f.next++
+		return true, nil
+	case seq < f.next:
+		f.counts.late.Add(1)
+		return false, nil
+	}
+	f.counts.gaps.Add(1)
+	return false, &GapError{Want: f.next, Got: seq}
+}
+
+func (f *frameReader) slow(frame *peerapi.Frame) (data []byte, last *peerapi.Frame, err error) {
+	switch {
+	case frame.ID != f.id:
+		f.counts.crossed.Add(1)
+		return nil, nil, nil
+	case frame.Error != nil:
+		return nil, frame, nil
+	case frame.End && frame.Seq != f.next:
+		f.counts.gaps.Add(1)
+		return nil, nil, &GapError{Want: f.next, Got: frame.Seq}
+	case frame.End:
+		return nil, frame, nil
+	case len(frame.Data) > 0:
+		due, err := f.take(frame.Seq)
+		if !due {
+			return nil, nil, err
+		}
+		return frame.Data, nil, nil
+	}
+	return nil, nil, nil // a keep-alive
+}
--- /dev/null
+++ b/entry/upstream/frames_test.go
@@ -0,0 +1,171 @@
+package upstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lavendermoor.example/api/peerapi"
+)
+
+// readAll returns the words that a reader passes on.
+func readAll(input string) (text string, last *peerapi.Frame, c *counts, err error) {
+	c = &counts{}
+	f := newFrameReader(strings.NewReader(input), "r1", 0, c)
+	var out strings.Builder
+	for {
+		data, end, err := f.read()
+		if err != nil || end != nil {
+			return out.String(), end, c, err
+		}
+		word, _ := textOf(data)
+		out.Write(word)
+	}
+}
+
+func lineOf(f peerapi.Frame) string {
+	line, _ := json.Marshal(f)
+	return string(line) + "\n"
+}
+
+// Guards against an answer that holds another request's event, an event twice, or misses one: whatever frames
+// come, what is passed on is a prefix of the right answer, and only a whole one ends well.
+func TestOnlyAPrefixOfTheRightAnswerIsPassedOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 8).Draw(t, "events")
+		var input strings.Builder
+		whole, lost := true, false
+		for i := 0; i < n; i++ {
+			f := peerapi.Frame{ID: "r1", Seq: int64(i), Data: eventOf(i)}
+			switch rapid.IntRange(0, 9).Draw(t, "fault") {
+			case 0:
+				input.WriteString(lineOf(peerapi.Frame{ID: "other", Seq: f.Seq, Data: eventOf(90)}))
+			case 1:
+				input.WriteString(lineOf(f)) // doubled
+			case 2:
+				if i > 0 && !lost {
+					input.WriteString(lineOf(peerapi.Frame{ID: "r1", Seq: int64(i - 1), Data: eventOf(91)})) // late
+				}
+			case 3:
+				whole, lost = false, true
+				continue
+			case 4:
+				input.WriteString(lineOf(peerapi.Frame{ID: "r1"})) // keep-alive
+			case 5:
+				input.WriteString(lineOf(peerapi.Frame{ID: "other", Seq: int64(i), End: true})) // crossed end
+			}
+			input.WriteString(lineOf(f))
+		}
+		if rapid.Bool().Draw(t, "ends") {
+			input.WriteString(lineOf(peerapi.Frame{ID: "r1", Seq: int64(n), End: true}))
+		} else {
+			whole = false
+		}
+		text, last, _, err := readAll(input.String())
+		if !strings.HasPrefix(words(n), text) {
+			t.Fatalf("%q is no prefix of the answer", text)
+		}
+		if ended := last != nil && err == nil; ended != whole || (ended && text != words(n)) {
+			t.Fatalf("ended %v, whole %v, text %q", ended, whole, text)
+		}
+	})
+}
+
+// Guards against faults that are dealt with but not seen by anybody.
+func TestDiscardedFramesAreCounted(t *testing.T) {
+	input := lineOf(peerapi.Frame{ID: "other", Seq: 0, Data: eventOf(9)}) +
+		lineOf(peerapi.Frame{ID: "r1", Seq: 0, Data: eventOf(0)}) +
+		lineOf(peerapi.Frame{ID: "r1", Seq: 0, Data: eventOf(0)}) +
+		lineOf(peerapi.Frame{ID: "r1", Seq: 3, Data: eventOf(3)})
+	text, last, c, err := readAll(input)
+	var gap *GapError
+	require.ErrorAs(t, err, &gap)
+	require.Equal(t, GapError{Want: 1, Got: 3}, *gap)
+	require.Nil(t, last)
+	require.Equal(t, word(0), text)
+	require.Equal(t, Counts{Crossed: 1, Late: 1, Gaps: 1}, c.snapshot())
+}
+
+// Guards against the short cut for data frames that reads a line otherwise than the JSON decoder does.
+func TestUnusualLinesAreReadAsJSON(t *testing.T) {
+	for line, want := range map[string]string{
+		`{"seq":0,"id":"r1","data":{"text":"x"}}`:                     "x",
+		`{"id":"r1", "seq":0, "data":{"text":"x"} }`:                  "x",
+		`{"id":"r1","seq":0,"data":{"text":"x"},"unknown":1}`:         "x",
+		`{"id":"r1","seq":0,"data":{"text":"x"},"id":"other"}`:        "",
+		`{"id":"r1","seq":0,"data":{"text":"x"}`:                      "",
+		`{"id":"r1","seq":0,"data":{"text":"x"}}}`:                    "",
+		`{"id":"r1","seq":0,"data":}`:                                 "",
+		`{"id":"r1","seq":99999999999999999999,"data":{"text":"x"}}`:  "",
+		`{"id":"r1x","seq":0,"data":{"text":"x"}}`:                    "",
+		`{"id":"r1","seq":0,"data":{"text":"x"},"error":{"type":""}}`: "",
+	} {
+		text, _, _, err := readAll(line + "\n")
+		require.Equal(t, want, text, line)
+		require.Error(t, errors.Join(err, lastError(line)), line)
+	}
+}
+
+// lastError stands for the error frame in the table above.
+func lastError(line string) error {
+	if strings.Contains(line, "error") {
+		return &FrameError{}
+	}
+	return nil
+}
+
+// Guards against a line without end that takes all memory, and against one above the first buffer that fails.
+func TestLongFrames(t *testing.T) {
+	long := strings.Repeat("x", 3*frameBuffer)
+	data, _ := json.Marshal(map[string]string{"text": long})
+	text, _, _, _ := readAll(lineOf(peerapi.Frame{ID: "r1", Data: data}))
+	require.Equal(t, long, text)
+}
+
+func benchStream(n int) []byte {
+	var b bytes.Buffer
+	for i := range n {
+		b.WriteString(lineOf(peerapi.Frame{ID: "0f1e2d3c-4b5a-6978-8796-a5b4c3d2e1f0", Seq: int64(i), Data: eventOf(i)}))
+	}
+	b.WriteString(lineOf(peerapi.Frame{ID: "0f1e2d3c-4b5a-6978-8796-a5b4c3d2e1f0", Seq: int64(n), End: true}))
+	return b.Bytes()
+}
+
+// BenchmarkFrameReader measures one token: the reader, against decoding each line with encoding/json.
+func BenchmarkFrameReader(b *testing.B) {
+	const tokens = 1000
+	input := benchStream(tokens)
+	b.Run("reader", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			f := newFrameReader(bytes.NewReader(input), "0f1e2d3c-4b5a-6978-8796-a5b4c3d2e1f0", 0, &counts{})
+			for {
+				_, last, err := f.read()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if last != nil {
+					break
+				}
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
+	})
+	b.Run("json", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			for line := range bytes.Lines(input) {
+				var f peerapi.Frame
+				if err := json.Unmarshal(line, &f); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
+	})
+}
--- a/routing/build.go
+++ b/routing/build.go
@@ -42,6 +42,7 @@
 	p := &Picker{Revision: st.Revision, Version: v.Version, pools: map[Target]*pool{}, policy: b.policy}
 	b.used = map[string]*table{}
 	b.refresh(st, v)
+	p.replicas = b.replicas
 	for _, name := range st.ModelNames() {
 		b.model(p, st, v, st.Model(name))
 	}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -10,8 +10,16 @@
 
 	pools  map[Target]*pool
 	policy Policy
+	// replicas are all configured ones by name.
+	replicas map[string]*Replica
 }
 
+// Replica returns a configured replica by the name of its server, or nil. It may be unusable.
+func (p *Picker) Replica(server string) *Replica { return p.replicas[server] }
+
+// Replicas returns all configured replicas by name. The map must not be changed.
+func (p *Picker) Replicas() map[string]*Replica { return p.replicas }
+
 // Pick returns the replica for a query. Its cost does not depend on the number of replicas with the policy
 // NameAffinity. It fails with an *UnknownTargetError or a *NoReplicaError. The caller counts the request with
 // Begin and End of the replica.
