--- a/configsync/feed/wire.go
+++ b/configsync/feed/wire.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"encoding/json"
+
 	"google.golang.org/protobuf/proto"
 
 	"lavendermoor.example/api/operatorv1"
@@ -12,11 +14,15 @@
 type Line struct {
 	// Revision is the one in force at the sender, 0 for none.
 	Revision int64 `json:"revision"`
+	// AgeMs is how long ago the sender's revision was known to be the latest, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
 	// Snapshot is an operatorv1.State in its binary form, when the sender does not keep all changes since the
 	// caller's revision.
 	Snapshot []byte `json:"snapshot,omitempty"`
 	// Changes are operatorv1.Change messages in their binary form, in order, from the caller's revision on.
 	Changes [][]byte `json:"changes,omitempty"`
+	// Attachment is what the caller lacks of the attachment.
+	Attachment json.RawMessage `json:"attachment,omitempty"`
 	// End marks the last line.
 	End bool `json:"end,omitempty"`
 }
