Put routing, membership and upstream in place of the entry's plain choice and exchange

Cause: the entry chose a random configured server, waited for silent connections and repeated nothing.

Change: the entry process runs the membership tracker and the router, passes calls without token or key to upstream.Client, and grants quotas by its share of the live entries. The policy is a setting (routing_policy), so that baselines stay selectable. Side processes declare by engine_continues that their engine continues answers. The question for an outcome moved from the calls with token or key to upstream, with the incarnation that was known before the call was sent. A server's entry in the list now also counts when the list came before the configuration (test seen to fail without it). The dump shows counters and the servers without work, and the metrics the counters.

--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,7 +13,9 @@
 
 	"lavendermoor.example/entry"
 	"lavendermoor.example/entry/operator"
+	"lavendermoor.example/entry/upstream"
 	"lavendermoor.example/platform/instances"
+	"lavendermoor.example/routing"
 	"lavendermoor.example/telemetry"
 )
 
@@ -25,6 +28,9 @@
 	Entry     entry.Dump           `json:"entry"`
 	Refused   string               `json:"refused_configuration,omitempty"`
 	Instances []instances.Instance `json:"instances"`
+	Upstream  upstream.Counts      `json:"upstream"`
+	// Servers are the backend servers that get no work, with the reason.
+	Servers map[string]string `json:"servers,omitempty"`
 }
 
 // Entry runs an entry process until the context ends and its running requests are answered.
@@ -40,8 +46,18 @@
 	if err != nil {
 		return err
 	}
+	policy, err := routing.PolicyByName(s.RoutingPolicy)
+	if err != nil {
+		return err
+	}
+	ctl := upstream.NewControl(c.node, policy, s.FailureDomain, rand.Uint64())
+	client := upstream.New(upstream.Options{Router: ctl.Router, Members: ctl.Members})
+	if err := client.Register(c.meter); err != nil {
+		return err
+	}
 	srv := entry.New(entry.Options{
-		Name: s.Name, FailureDomain: s.FailureDomain, Configuration: c.node, Upstream: entry.NewUpstream(),
+		Name: s.Name, FailureDomain: s.FailureDomain, Configuration: c.node, Upstream: entry.NewUpstream(client),
+		Quota:   &entry.Quota{Buckets: routing.NewQuota(), Entries: func() int { return ctl.Members.View().Entries }},
 		Metrics: metrics, Log: c.log,
 	})
 	callers, err := callerServer(s, c, srv)
@@ -51,14 +67,18 @@
 	peers := mux.NewRouter()
 	c.register(peers, func() bool { return !srv.Ready() })
 	dump := func() any {
-		return entryDump{Entry: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
+		return entryDump{
+			Entry: srv.Dump(), Refused: c.node.Refused(), Instances: c.instances(), Upstream: client.Counts(),
+			Servers: ctl.Members.View().Unusual(),
+		}
 	}
 
 	// Listeners and control path outlive the termination signal until the running requests have ended.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return c.run(serving, func(instances.List) {}) })
+	group.Go(func() error { return c.run(serving, func(l instances.List) { ctl.Listed(serving, l) }) })
+	group.Go(func() error { ctl.Run(serving); return nil })
 	group.Go(func() error { return telemetry.ServeServer(serving, l.Callers, callers, stopGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -53,7 +53,7 @@
 	node := newOnce(ctx, c)
 	srv := side.New(side.Options{
 		Name: s.Name, Incarnation: node.Self().Incarnation, Configuration: c.node, Backend: engine.NewClient(backend),
-		Admission: queue, Calls: node, Log: c.log, Slow: g.slow,
+		Admission: queue, Calls: node, Log: c.log, Slow: g.slow, Continues: s.EngineContinues,
 	})
 	if err := telemetry.Register(c.meter, srv.Instruments()); err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,8 @@
 	FailureDomain string
 	Configuration Configuration
 	Upstream      *Upstream
+	// Quota may be nil, which sets no limit.
+	Quota *Quota
 	// Metrics may be nil.
 	Metrics *Metrics
 	Log     *zap.Logger
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -37,6 +37,8 @@
 	customer *operatorv1.Customer
 	// streaming is set when an event stream has begun, after which errors are sent as events.
 	streaming bool
+	// tokens counts the events that were streamed.
+	tokens int
 }
 
 // prepare checks what every request needs: a configuration, headers within the limit and a known customer.
@@ -120,7 +122,10 @@
 	x.kind = w.Kind
 	left, e := x.deadline(limit)
 	w.DeadlineMs = left.Milliseconds()
-	return w, e
+	if e != nil {
+		return w, e
+	}
+	return w, x.grant()
 }
 
 func isRead(method string) bool { return method == http.MethodGet || method == http.MethodHead }
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -32,6 +32,8 @@
 	}
 	ctx, cancel := x.context(&req.Work)
 	defer cancel()
+	var whole assembler
+	defer func() { x.spent(x.tokens + whole.tokens) }()
 	if stream {
 		e = s.opts.Upstream.Generate(ctx, x.state, req, x.event)
 		if e == nil {
@@ -39,7 +41,6 @@
 		}
 		return e
 	}
-	var whole assembler
 	if e := s.opts.Upstream.Generate(ctx, x.state, req, whole.add); e != nil {
 		return e
 	}
@@ -111,6 +112,7 @@
 		x.w.Header().Set("Cache-Control", "no-cache")
 		x.w.WriteHeader(http.StatusOK)
 	}
+	x.tokens++
 	return x.send(eventStart, data, eventEnd)
 }
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -17,45 +16,19 @@
 	"lavendermoor.example/idempotency"
 )
 
-const (
-	// deadSilence is the time without a byte after which a connection is given up: four keep-alive frames.
-	deadSilence = time.Second
-	// outcomePause is the time between two questions about a call that still runs.
-	outcomePause = 50 * time.Millisecond
-)
+// deadSilence is the time without a byte after which a connection is given up: four keep-alive frames.
+const deadSilence = time.Second
 
 // once delivers the calls that must not be repeated to the servers that can tell whether they have run. It may be used
 // by any goroutine.
 type once struct {
 	client *http.Client
-	// fresh makes a new connection for each request, because the one in use may be silent for good.
-	fresh *http.Client
-	// incarnations holds the newest known incarnation by server.
-	incarnations sync.Map
 }
 
 func newOnce() *once {
 	return &once{
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}},
-		fresh:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-	}
-}
-
-// note remembers the incarnation in the load report of an answer.
-func (o *once) note(h http.Header) {
-	var load peerapi.Load
-	if json.Unmarshal([]byte(h.Get(peerapi.HeaderLoad)), &load) == nil && load.Incarnation > 0 {
-		o.incarnations.Store(load.Server, load.Incarnation)
-	}
-}
-
-// incarnation returns the newest known incarnation of a server, or 0.
-func (o *once) incarnation(server string) int64 {
-	v, ok := o.incarnations.Load(server)
-	if !ok {
-		return 0
 	}
-	return v.(int64)
 }
 
 // delivery is the answer of one server. Broken says that there was none, and sent that the call may have arrived.
@@ -156,7 +129,6 @@
 		return lostDelivery(ctx, err)
 	}
 	defer resp.Body.Close()
-	o.note(resp.Header)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxFrameBytes)
 	for lines.Scan() {
@@ -186,43 +158,6 @@
 	return delivery{err: e, broken: true, sent: true}
 }
 
-// outcome asks, on a new connection, what became of a call without token or key after its exchange broke. The
-// incarnation is the one that was known before the call was sent, or 0.
-func (o *once) outcome(
-	ctx context.Context, address string, r *peerapi.CallRequest, incarnation int64, failure *callerapi.Error,
-) (*peerapi.CallResult, *callerapi.Error) {
-	for {
-		out, err := o.askOutcome(ctx, address, &peerapi.OutcomeRequest{ID: r.ID, Incarnation: incarnation})
-		switch {
-		case err != nil:
-			return nil, failure
-		case out.Result != nil:
-			return out.Result, nil
-		case out.Executed == callerapi.ExecutedNo:
-			return nil, callerapi.NotRun(callerapi.BackendFailed, "the server did not run the call").WithRetryAfter(noReplicaRetry)
-		case !out.Running:
-			return nil, failure
-		}
-		select {
-		case <-time.After(outcomePause):
-		case <-ctx.Done():
-			return nil, failure
-		}
-	}
-}
-
-func (o *once) askOutcome(ctx context.Context, address string, q *peerapi.OutcomeRequest) (*peerapi.OutcomeResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, deadSilence)
-	defer cancel()
-	resp, err := postJSON(ctx, o.fresh, address, peerapi.PathOutcome, q)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	var out peerapi.OutcomeResponse
-	return &out, json.NewDecoder(resp.Body).Decode(&out)
-}
-
 func postJSON(ctx context.Context, client *http.Client, address, path string, in any) (*http.Response, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
@@ -236,9 +171,3 @@
 	req.GetBody = nil // The transport must not repeat a request by itself.
 	return client.Do(req)
 }
-
-// broken says whether an exchange ended without an answer of the side process.
-func broken(e *callerapi.Error) bool {
-	failed := e.Type == callerapi.BackendFailed || e.Type == callerapi.StreamBroken
-	return failed && e.Executed == callerapi.ExecutedUnknown
-}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavendermoor.example/config/settings"
+	"lavendermoor.example/routing"
 )
 
 // Settings are the static settings of an entry process.
@@ -26,7 +27,9 @@
 	TLS *TLS `json:"tls,omitempty"`
 	// BootstrapKeySHA256 is the SHA-256 of an operator key that is accepted while no operator is configured.
 	BootstrapKeySHA256 string `json:"bootstrap_key_sha256,omitempty" validate:"omitempty,len=64,hexadecimal"`
-	LogLevel           string `json:"log_level" validate:"oneof=debug info warn error"`
+	// RoutingPolicy chooses replicas; the others than "affinity" are baselines for comparison.
+	RoutingPolicy string `json:"routing_policy" validate:"oneof=affinity affinity-unbounded round-robin random least-in-flight"`
+	LogLevel      string `json:"log_level" validate:"oneof=debug info warn error"`
 	// DrainTimeout is how long running requests may take after a termination signal.
 	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
 }
@@ -40,10 +43,11 @@
 // Defaults returns the settings that a file need not set.
 func Defaults() Settings {
 	return Settings{
-		Listen:       "127.0.0.1:7100",
-		PeerListen:   "127.0.0.1:7101",
-		Admin:        "127.0.0.1:7102",
-		LogLevel:     "info",
-		DrainTimeout: settings.Duration(10 * time.Minute),
+		Listen:        "127.0.0.1:7100",
+		PeerListen:    "127.0.0.1:7101",
+		Admin:         "127.0.0.1:7102",
+		LogLevel:      "info",
+		RoutingPolicy: routing.NameAffinity,
+		DrainTimeout:  settings.Duration(10 * time.Minute),
 	}
 }
--- a/entry/upstream/ask.go
+++ b/entry/upstream/ask.go
@@ -61,11 +61,14 @@
 )
 
 // outcomeOf asks the side process that received a call what became of it. Without an answer the outcome is
-// unknown.
-func (c *Client) outcomeOf(ctx context.Context, replica *routing.Replica, id string) peerapi.OutcomeResponse {
+// unknown. The incarnation is the one that was known before the call was sent, or 0.
+func (c *Client) outcomeOf(
+	ctx context.Context, replica *routing.Replica, id string, incarnation int64,
+) peerapi.OutcomeResponse {
+	question := &peerapi.OutcomeRequest{ID: id, Incarnation: incarnation}
 	for failed := 0; failed < outcomeTries && ctx.Err() == nil; {
 		var out peerapi.OutcomeResponse
-		err := c.ask(ctx, replica.Address, peerapi.PathOutcome, &peerapi.OutcomeRequest{ID: id}, &out)
+		err := c.ask(ctx, replica.Address, peerapi.PathOutcome, question, &out)
 		switch {
 		case err != nil:
 			failed++
--- a/entry/upstream/client.go
+++ b/entry/upstream/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -75,9 +76,25 @@
 	return callerapi.NotRun(callerapi.NoReplica, "%v", err).WithRetryAfter(noReplicaRetry)
 }
 
-func (c *Client) pick(q routing.Query) (*routing.Replica, error) {
-	q.Random, q.Now = rand.Uint64(), time.Now()
-	return c.opts.Router.Picker().Pick(q)
+// Bounds of the wait for a picker that follows a change of the configuration by a few milliseconds.
+const (
+	pickerTries = 50
+	pickerPause = 2 * time.Millisecond
+)
+
+// pick chooses a replica. The configuration of the request may name a target that the picker does not have yet.
+func (c *Client) pick(q routing.Query, revision int64) (*routing.Replica, error) {
+	q.Random = rand.Uint64()
+	for tries := 0; ; tries++ {
+		q.Now = time.Now()
+		picker := c.opts.Router.Picker()
+		replica, err := picker.Pick(q)
+		var unknown *routing.UnknownTargetError
+		if tries == pickerTries || picker.Revision >= revision || !errors.As(err, &unknown) {
+			return replica, err
+		}
+		time.Sleep(pickerPause)
+	}
 }
 
 // Call runs a call of a plain service.
@@ -138,12 +155,12 @@
 // Token asks a side process of the service for a token. An issued token that nobody uses does no harm, so a
 // failure is repeated elsewhere.
 func (c *Client) Token(
-	ctx context.Context, _ *cluster.State, r *peerapi.TokenRequest,
+	ctx context.Context, st *cluster.State, r *peerapi.TokenRequest,
 ) (*peerapi.TokenResponse, *callerapi.Error) {
 	q := routing.Query{Target: routing.Target{Service: r.Service}}
 	c.budget.Request(time.Now())
 	for {
-		replica, err := c.pick(q)
+		replica, err := c.pick(q, st.Revision)
 		if err != nil {
 			return nil, noReplica(err)
 		}
--- a/entry/upstream/flight.go
+++ b/entry/upstream/flight.go
@@ -13,6 +13,8 @@
 type flight struct {
 	c     *Client
 	query routing.Query
+	// revision is that of the configuration that the request was read with.
+	revision int64
 	// mayHaveRun is set once an attempt may have run the request.
 	mayHaveRun bool
 	attempts   int
@@ -31,7 +33,7 @@
 
 // next returns the replica for the next attempt.
 func (f *flight) next() (*routing.Replica, *callerapi.Error) {
-	replica, err := f.c.pick(f.query)
+	replica, err := f.c.pick(f.query, f.revision)
 	if err != nil {
 		return nil, noReplica(err)
 	}
@@ -62,7 +64,7 @@
 func (f *flight) again() bool { return f.attempts < maxAttempts && f.c.mayRetry() }
 
 func (c *Client) newCall(r *peerapi.CallRequest) *flight {
-	return &flight{c: c, query: routing.Query{Target: routing.Target{Service: r.Service}}}
+	return &flight{c: c, query: routing.Query{Target: routing.Target{Service: r.Service}}, revision: r.Revision}
 }
 
 // run makes attempts of a call until one succeeds or none may follow.
@@ -93,6 +95,7 @@
 func (f *flight) call(
 	ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest,
 ) (result *peerapi.CallResult, o outcome, e *callerapi.Error, again bool) {
+	incarnation := f.c.opts.Members.View().Of(replica.Name).Incarnation
 	o = f.c.exchangeCall(ctx, replica, r, f.sameAgain)
 	if o.ok() {
 		return o.result, o, nil, false
@@ -102,7 +105,7 @@
 	case elsewhere:
 		return nil, o, errorOf(ctx, &o, f.mayHaveRun), true
 	case askOutcome:
-		result, e, again = f.asked(ctx, replica, r, &o)
+		result, e, again = f.asked(ctx, replica, r, incarnation, &o)
 		return result, o, e, again
 	}
 	if ctx.Err() != nil {
@@ -114,13 +117,13 @@
 // asked ends a call that must not be repeated by what the side process says of it. Calls with a token or a key
 // are asked for by repeating them, which their caller may do.
 func (f *flight) asked(
-	ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest, o *outcome,
+	ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest, incarnation int64, o *outcome,
 ) (*peerapi.CallResult, *callerapi.Error, bool) {
 	e := errorOf(ctx, o, true)
 	if r.Token != "" || r.Key != "" {
 		return nil, e, false
 	}
-	said := f.c.outcomeOf(ctx, replica, r.ID)
+	said := f.c.outcomeOf(ctx, replica, r.ID, incarnation)
 	switch {
 	case said.Result != nil:
 		return said.Result, nil, false
--- a/entry/upstream/generate.go
+++ b/entry/upstream/generate.go
@@ -31,7 +31,8 @@
 ) *callerapi.Error {
 	target := routing.Target{Model: r.Model, Adapter: r.Adapter}
 	g := &generation{
-		flight: flight{c: c, query: routing.Query{Target: target, Prompt: r.Prompt}}, request: r, fn: fn,
+		flight:  flight{c: c, query: routing.Query{Target: target, Prompt: r.Prompt}, revision: r.Revision},
+		request: r, fn: fn,
 	}
 	c.budget.Request(time.Now())
 	replica, e := g.flight.next()
@@ -88,13 +89,13 @@
 }
 
 // following returns the replica for the next attempt. A stream that has begun is first taken up at the same side
-// process, then at a replica of the same version whose engine continues answers. One that has not begun goes
+// process, unless that is known to be gone, then at a replica of the same version whose engine continues answers. One that has not begun goes
 // elsewhere.
 func (g *generation) following(last *routing.Replica, o *outcome) (*routing.Replica, *callerapi.Error) {
 	if g.next == 0 {
 		return g.nextOrSame(last, o)
 	}
-	if !g.resumed && !refusedUnrun(o) {
+	if !g.resumed && !refusedUnrun(o) && g.c.opts.Members.View().Of(last.Name).Usable() {
 		g.resumed = true
 		g.c.counts.resumed.Add(1)
 		return last, nil
--- a/membership/state.go
+++ b/membership/state.go
@@ -54,6 +54,8 @@
 	domains []domain
 	byName  map[string]uint16
 
+	// lastList is what the last list shows of side processes; servers configured later start from it.
+	lastList    map[string]listState
 	listVersion int64
 	listRead    time.Time
 	entries     int
@@ -91,13 +93,17 @@
 	}
 	for _, v := range servers {
 		r := s.records[v.Name]
-		if r == nil {
+		known := r != nil
+		if !known {
 			r = &record{}
 			if s.settled {
 				r.upSince = s.stampOf(now)
 			}
 		}
 		r.domain = s.domainOf(v.Domain)
+		if state := s.lastList[v.Name]; !known && state != listAbsent {
+			s.listed(now, r, state)
+		}
 		d := &s.domains[r.domain]
 		d.servers = append(d.servers, v.Name)
 		next[v.Name] = r
@@ -128,7 +134,7 @@
 			s.entries++
 		}
 	}
-	s.entries = max(s.entries, 1)
+	s.entries, s.lastList = max(s.entries, 1), seen
 	for name, r := range s.records {
 		if seen[name] != r.list {
 			s.listed(now, r, seen[name])
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -219,3 +219,13 @@
 func TestRecordSize(t *testing.T) {
 	require.LessOrEqual(t, unsafe.Sizeof(record{}), uintptr(64))
 }
+
+// Guards against a list that came before the configuration, or before a server was added to it, being forgotten.
+func TestListBeforeConfigurationCounts(t *testing.T) {
+	w := &world{now: time.Unix(1_000_000, 0)}
+	w.State = NewState(w.now, 1)
+	w.list(1, instances.Leaving, "a0")
+	w.SetServers(w.now, []Server{{"a0", "a"}, {"a1", "a"}})
+	require.Equal(t, Leaving, w.reasonOf("a0"))
+	require.Equal(t, Usable, w.reasonOf("a1"))
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -73,3 +73,14 @@
 	}
 	return out
 }
+
+// Unusual returns the reasons of the servers that get no work.
+func (v *View) Unusual() map[string]string {
+	out := map[string]string{}
+	for name, s := range v.servers {
+		if !s.Usable() {
+			out[name] = s.Reason.String()
+		}
+	}
+	return out
+}
--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -154,6 +154,7 @@
 	s.Name, s.FailureDomain, s.Backend = name, Domains[i%len(Domains)], backend
 	s.Listen, s.Admin = FreeAddress(d.t), FreeAddress(d.t)
 	s.KeyValue, s.Instances, s.Slots = d.KVURL, d.ListURL, d.plan.Slots
+	s.EngineContinues = true // The stand-in's answers follow from the prompt alone.
 	s.DrainTimeout = settings.Duration(d.plan.DrainTimeout)
 	srv := &Server{Settings: s, Backend: backend}
 	d.runSide(srv)
--- a/side/settings.go
+++ b/side/settings.go
@@ -23,6 +23,9 @@
 	KeyValue string `json:"key_value" validate:"required,url"`
 	// Instances is the URL of the instance list.
 	Instances string `json:"instances" validate:"required,url"`
+	// EngineContinues declares that the engine continues an answer that another engine began, when a request gives
+	// it the text so far ("generated") and the number of tokens in it ("resume_from").
+	EngineContinues bool `json:"engine_continues,omitempty"`
 	// Slots is the number of requests that the backend server runs at once. The concurrency limit begins there
 	// and is then learned from service times.
 	Slots int `json:"slots" validate:"min=1"`
--- a/side/side.go
+++ b/side/side.go
@@ -52,6 +52,8 @@
 	Log           *zap.Logger
 	// Slow says that the group has a rank that stays slow; nil if there is no group.
 	Slow func() bool
+	// Continues declares that the engine continues answers that another engine began.
+	Continues bool
 }
 
 // Server serves the entries' requests for one backend server. Its methods may be called from any goroutine.
@@ -98,6 +100,7 @@
 // Load returns the present load report.
 func (s *Server) Load() peerapi.Load {
 	l := peerapi.Load{Server: s.opts.Name, Incarnation: s.opts.Incarnation, Draining: s.Draining()}
+	l.Continues = s.opts.Continues
 	if st := s.opts.Configuration.State(); st != nil {
 		l.Revision = st.Revision
 	}
