Put the work of customers beyond their share over all kinds behind the rest

Change: while offered work fills 75% of the slots, customers that offer more than 1.2 times their share over a 5 s window lose 8 levels when lanes are compared, so others go first; within a lane the order stays fair.

--- a/admission/config.go
+++ b/admission/config.go
@@ -20,6 +20,8 @@
 	AgingStep     time.Duration
 	// KindBoost is added to the priority when kinds are compared.
 	KindBoost [numKinds]int
+	// ExcessPenalty is taken from the priority of work beyond the customer's share of a full server; 0 is off.
+	ExcessPenalty int
 	// KindWeight is the value of a request of priority 0.
 	KindWeight [numKinds]float64
 	// RefuseUnmeetable refuses on arrival what cannot meet its deadline given the predicted wait.
@@ -40,6 +42,7 @@
 		ReservedShare:    0.25,
 		AgingStep:        AgingStep,
 		KindBoost:        [numKinds]int{Status: 6, Command: 7, Short: 2, Long: 0},
+		ExcessPenalty:    8,
 		KindWeight:       [numKinds]float64{Status: 2, Command: 4, Short: 2, Long: 1},
 		RefuseUnmeetable: true,
 		DropExpired:      true,
@@ -87,3 +90,12 @@
 	}
 	return nil
 }
+
+// laneBoost returns the levels added to the priority of each lane.
+func (c *Config) laneBoost() [numLanes]int {
+	var out [numLanes]int
+	for k, boost := range c.KindBoost {
+		out[k], out[k+numKinds] = boost, boost-c.ExcessPenalty
+	}
+	return out
+}
--- a/admission/item.go
+++ b/admission/item.go
@@ -78,6 +78,8 @@
 	return it.tokens, time.Duration(it.service * float64(time.Second))
 }
 
+func (it *Item) lane() uint8 { return laneOf(it.Kind, it.cust.excess) }
+
 func (r *Request) normalise() {
 	r.Weight = max(r.Weight, 1)
 	r.Priority = min(max(r.Priority, 0), MaxPriority)
--- a/admission/measure/scenario.go
+++ b/admission/measure/scenario.go
@@ -82,6 +82,7 @@
 		{"fair", admission.DefaultConfig()},
 		change("fair, limit fixed at 16", func(c *admission.Config) { c.Limit = fixed }),
 		change("fair, no reserved slots", func(c *admission.Config) { c.ReservedShare = 0 }),
+		change("fair, no share over kinds", func(c *admission.Config) { c.ExcessPenalty = 0 }),
 		change("fair, no early refusal", func(c *admission.Config) { c.RefuseUnmeetable = false }),
 		{"fifo, limit 16", fifo},
 		{"fifo, limit 16, early refusal", fifoRefuse},
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -26,6 +26,8 @@
 	Ahead(it *Item) float64
 	// Passes says that an item of the kind which arrives now and has a slot may start before all waiting ones.
 	Passes(k Kind) bool
+	// SetExcess says whether a customer offers more than its share of a full server.
+	SetExcess(c *customer, excess bool)
 	// Len returns the number of waiting items.
 	Len() int
 }
@@ -85,9 +87,13 @@
 
 func (o *ordered) Passes(Kind) bool { return o.heap.empty() }
 
+// SetExcess has no effect on a fixed order.
+func (o *ordered) SetExcess(*customer, bool) {}
+
 func (o *ordered) Len() int { return len(o.heap.list) }
 
-// flow is the waiting work of one customer and kind.
+// flow is the waiting work of one customer and kind. It is in the lane for work within the share or in the one
+// for excess.
 type flow struct {
 	heap indexedHeap[*Item]
 	// start is the start tag of the first item while the flow has work, else the finish tag of the last one
@@ -96,10 +102,11 @@
 	weight float64
 	work   float64
 	pos    int32
+	lane   uint8
 }
 
-// kindQueue is the start-time fair queue of one kind.
-type kindQueue struct {
+// laneQueue is the start-time fair queue of one lane.
+type laneQueue struct {
 	flows indexedHeap[*flow]
 	// virtual is the start tag of the item that ran last.
 	virtual float64
@@ -109,18 +116,31 @@
 	n      int
 }
 
-// fair serves the kind whose next item has the highest effective priority, and picks that item by start-time
-// fair queueing among customers. Within a customer and kind, items go by effective priority.
+// numLanes is the number of queues of the fair policy: for each kind one for work within the customer's share,
+// then one for its excess.
+const numLanes = 2 * numKinds
+
+func laneOf(k Kind, excess bool) uint8 {
+	if excess {
+		return uint8(k) + numKinds
+	}
+	return uint8(k)
+}
+
+// fair serves the lane whose next item has the highest effective priority, and picks that item by start-time
+// fair queueing among customers. Within a customer and lane, items go by effective priority.
 type fair struct {
-	kinds [numKinds]kindQueue
-	boost [numKinds]int
-	n     int
+	lanes [numLanes]laneQueue
+	boost [numLanes]int
+	// penalty delays the keys of excess work when lanes are compared.
+	penalty time.Duration
+	n       int
 }
 
-func newFair(boost [numKinds]int) *fair {
-	f := &fair{boost: boost}
-	for k := range f.kinds {
-		h := &f.kinds[k].flows
+func newFair(cfg Config) *fair {
+	f := &fair{boost: cfg.laneBoost(), penalty: time.Duration(cfg.ExcessPenalty) * cfg.AgingStep}
+	for k := range f.lanes {
+		h := &f.lanes[k].flows
 		h.pos = func(fl *flow) *int32 { return &fl.pos }
 		h.less = func(a, b *flow) bool {
 			if a.start != b.start {
@@ -140,7 +160,7 @@
 }
 
 func (f *fair) Push(it *Item) {
-	k, fl := &f.kinds[it.Kind], &it.cust.flows[it.Kind]
+	k, fl := f.flowOf(it)
 	f.n++
 	k.n++
 	k.work += it.service
@@ -165,11 +185,11 @@
 
 func (f *fair) Pop(long bool) *Item {
 	best := -1
-	for k := range f.kinds {
-		if f.kinds[k].flows.empty() || (Kind(k) == Long && !long) {
+	for k := range f.lanes {
+		if f.lanes[k].flows.empty() || (k%numKinds == int(Long) && !long) {
 			continue
 		}
-		if best < 0 || earlier(f.head(k), f.head(best)) {
+		if best < 0 || f.before(k, best) {
 			best = k
 		}
 	}
@@ -177,17 +197,38 @@
 		return nil
 	}
 	it := f.head(best)
-	k, fl := &f.kinds[best], &it.cust.flows[best]
+	k, fl := f.flowOf(it)
 	k.virtual = fl.start
 	fl.start += it.service / fl.weight
 	f.Remove(it)
 	return it
 }
 
-func (f *fair) head(k int) *Item { return f.kinds[k].flows.min().heap.min() }
+// before says whether the first item of lane a goes before that of lane b.
+func (f *fair) before(a, b int) bool {
+	x, y := f.head(a), f.head(b)
+	xKey, yKey := x.key, y.key
+	if a >= numKinds {
+		xKey += f.penalty
+	}
+	if b >= numKinds {
+		yKey += f.penalty
+	}
+	if xKey != yKey {
+		return xKey < yKey
+	}
+	return x.seq < y.seq
+}
+
+func (f *fair) flowOf(it *Item) (*laneQueue, *flow) {
+	fl := &it.cust.flows[it.Kind]
+	return &f.lanes[fl.lane], fl
+}
+
+func (f *fair) head(k int) *Item { return f.lanes[k].flows.min().heap.min() }
 
 func (f *fair) Remove(it *Item) {
-	k, fl := &f.kinds[it.Kind], &it.cust.flows[it.Kind]
+	k, fl := f.flowOf(it)
 	f.n--
 	k.n--
 	k.work -= it.service
@@ -202,20 +243,19 @@
 	k.flows.remove(fl)
 }
 
-// Ahead counts all work of preferred kinds, and of the item's own kind what start-time fair queueing lets
+// Ahead counts all work of preferred lanes, and of the item's own lane what start-time fair queueing lets
 // through before the customer's share reaches the item.
 func (f *fair) Ahead(it *Item) float64 {
 	sum := 0.0
-	for k := range f.kinds {
-		if f.boost[k] > f.boost[it.Kind] {
-			sum += f.kinds[k].work
+	for k := range f.lanes {
+		if f.boost[k] > f.boost[it.lane()] {
+			sum += f.lanes[k].work
 		}
 	}
-	k := &f.kinds[it.Kind]
+	k, fl := f.flowOf(it)
 	if k.n == 0 {
 		return max(sum, 0)
 	}
-	fl := &it.cust.flows[it.Kind]
 	own := max(fl.work, 0)
 	distance := max(fl.start-k.virtual, 0) + own/it.cust.weight
 	others := k.weight - it.cust.weight
@@ -228,9 +268,40 @@
 	return max(sum+min(k.work, share), 0)
 }
 
+// SetExcess moves the flows of a customer to the lanes for excess or back. A flow keeps its distance from the
+// virtual time of its lane.
+func (f *fair) SetExcess(c *customer, excess bool) {
+	for kind := range c.flows {
+		fl := &c.flows[kind]
+		to := laneOf(Kind(kind), excess)
+		if fl.heap.less == nil {
+			fl.lane = to
+			continue
+		}
+		if fl.lane != to {
+			f.move(fl, to)
+		}
+	}
+}
+
+func (f *fair) move(fl *flow, to uint8) {
+	old, dst := &f.lanes[fl.lane], &f.lanes[to]
+	active, n := !fl.heap.empty(), len(fl.heap.list)
+	if active {
+		old.flows.remove(fl)
+		old.n, old.work, old.weight = old.n-n, old.work-fl.work, old.weight-fl.weight
+	}
+	fl.start = dst.virtual + max(fl.start-old.virtual, 0)
+	fl.lane = to
+	if active {
+		dst.flows.push(fl)
+		dst.n, dst.work, dst.weight = dst.n+n, dst.work+fl.work, dst.weight+fl.weight
+	}
+}
+
 // Passes lets other kinds pass long work that waits for its own slots.
 func (f *fair) Passes(k Kind) bool {
-	return f.n == 0 || (k != Long && f.n == f.kinds[Long].n)
+	return f.n == 0 || (k != Long && f.n == f.lanes[Long].n+f.lanes[numKinds+Long].n)
 }
 
 func (f *fair) Len() int { return f.n }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -23,7 +23,7 @@
 	marginFactor = 2
 	// maxServiceError bounds one observation of the relative error.
 	maxServiceError = 1
-	// maxCustomers is the number of known customers at which those without waiting work are forgotten.
+	// maxCustomers is the number of known customers at which idle ones are forgotten.
 	maxCustomers = 4096
 )
 
@@ -38,6 +38,7 @@
 	limit     *limiter
 	predict   *predictor
 	shed      *shedder
+	shares    shares
 	deadlines indexedHeap[*Item]
 	customers map[string]*customer
 	sweepAt   int
@@ -53,7 +54,7 @@
 	// serviceError is the running mean of the relative error of predicted service times.
 	serviceError [numKinds]float64
 	// waitBias is the running mean of actual over predicted waits.
-	waitBias [numKinds]float64
+	waitBias [numLanes]float64
 }
 
 // New returns an empty queue. It fails with a *ConfigError.
@@ -69,7 +70,7 @@
 		shed:      newShedder(cfg.KindWeight),
 		customers: map[string]*customer{},
 		sweepAt:   maxCustomers,
-		probe:     Item{Request: Request{Kind: Short}, cust: &customer{weight: 1}},
+		probe:     Item{Request: Request{Kind: Short}, cust: newCustomer(1)},
 	}
 	for k := range q.waitBias {
 		q.waitBias[k] = 1
@@ -81,7 +82,7 @@
 
 func newPolicy(cfg Config) Policy {
 	if cfg.Policy == Fair {
-		return newFair(cfg.KindBoost)
+		return newFair(cfg)
 	}
 	return newOrdered(cfg.Policy == Priority)
 }
@@ -101,7 +102,7 @@
 		return Decision{Verdict: Run, Reason: FreeSlot}
 	}
 	it.predictedWait = q.rawWait(it)
-	wait := seconds(it.predictedWait * q.waitBias[it.Kind])
+	wait := seconds(it.predictedWait * q.waitBias[it.lane()])
 	if q.cfg.RefuseUnmeetable && wait > it.latestStart-now {
 		// Once the excess has drained, the same request would be in time.
 		return q.refuse(it, Unmeetable, wait, wait-(it.latestStart-now))
@@ -129,12 +130,23 @@
 		it.Kind = q.predict.classify(it.tokens, it.Kind)
 	}
 	it.service = q.limit.kinds[it.Kind].unit * max(it.tokens, 1)
-	it.key = levelKey(now, it.Priority+q.cfg.KindBoost[it.Kind], q.cfg.AgingStep)
 	it.latestStart = never
 	if it.Deadline != 0 {
 		it.latestStart = it.Deadline - seconds(it.service*(1+marginFactor*q.serviceError[it.Kind]))
 	}
 	it.cust = q.customer(it)
+	q.shares.offer(it.cust, now, it.service)
+	q.classify(it.cust)
+	it.key = levelKey(now, it.Priority+q.cfg.KindBoost[it.Kind], q.cfg.AgingStep)
+}
+
+// classify decides whether a customer offers more than its share.
+func (q *Queue) classify(c *customer) {
+	excess := q.cfg.ExcessPenalty > 0 && q.shares.excess(c, q.limit.slots())
+	if excess != c.excess {
+		c.excess = excess
+		q.policy.SetExcess(c, excess)
+	}
 }
 
 func (q *Queue) customer(it *Item) *customer {
@@ -143,7 +155,7 @@
 		if len(q.customers) >= q.sweepAt {
 			q.forgetIdle()
 		}
-		c = &customer{weight: float64(it.Weight)}
+		c = newCustomer(float64(it.Weight))
 		q.customers[it.Customer] = c
 	}
 	if c.weight != float64(it.Weight) {
@@ -154,7 +166,7 @@
 
 func (q *Queue) forgetIdle() {
 	for name, c := range q.customers {
-		if c.waiting == 0 {
+		if c.waiting == 0 && !c.demand.active {
 			delete(q.customers, name)
 		}
 	}
@@ -194,7 +206,7 @@
 func (q *Queue) giveUp(it *Item, reason Reason) {
 	q.policy.Remove(it)
 	q.unlink(it)
-	wait := seconds(q.rawWait(it) * q.waitBias[it.Kind])
+	wait := seconds(q.rawWait(it) * q.waitBias[it.lane()])
 	q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: q.refuse(it, reason, wait, wait)})
 }
 
@@ -216,7 +228,7 @@
 		q.learnWait(it, now)
 		q.start(it)
 		q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: Decision{
-			Verdict: Run, Reason: Turn, PredictedWait: seconds(it.predictedWait * q.waitBias[it.Kind]),
+			Verdict: Run, Reason: Turn, PredictedWait: seconds(it.predictedWait * q.waitBias[it.lane()]),
 		}})
 	}
 	if q.totalRunning() >= q.limit.slots() {
@@ -349,7 +361,7 @@
 		return
 	}
 	ratio := it.Wait(now).Seconds() / it.predictedWait
-	b := &q.waitBias[it.Kind]
+	b := &q.waitBias[it.lane()]
 	*b += biasGain * (min(max(ratio, 1.0/biasMax), biasMax) - *b)
 }
 
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -20,9 +20,19 @@
 	waiting int
 	pos     int32
 	flows   [numKinds]flow
+	demand  demand
+	excess  bool
 	classes classList
 }
 
+func newCustomer(weight float64) *customer {
+	c := &customer{weight: weight}
+	for k := range c.flows {
+		c.flows[k].lane = laneOf(Kind(k), false)
+	}
+	return c
+}
+
 // links connect an item to its neighbours in a classList.
 type links struct{ prev, next *Item }
 
