Predict the wait of short and long work from their own slots

Cause: the predicted wait of excess short work counted the whole backlog of long work, which cannot take the reserved slots, so short requests were refused for seconds after a crest. Change: long and other work do not count for each other.

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -244,11 +244,12 @@
 }
 
 // Ahead counts all work of preferred lanes, and of the item's own lane what start-time fair queueing lets
-// through before the customer's share reaches the item.
+// through before the customer's share reaches the item. Long and other work have slots of their own, so
+// neither counts for the other.
 func (f *fair) Ahead(it *Item) float64 {
 	sum := 0.0
 	for k := range f.lanes {
-		if f.boost[k] > f.boost[it.lane()] {
+		if f.boost[k] > f.boost[it.lane()] && (k%numKinds == int(Long)) == (it.Kind == Long) {
 			sum += f.lanes[k].work
 		}
 	}
