Predict that preferred kinds keep overtaking

Cause: the prediction counted only the preferred work that already waited; in a crest more of it arrives all the time, so accepted short work was dropped later. Change: the slots that preferred kinds kept busy over the last second do not count for the others. Tried and rejected: started work over one second (long runs count as several slots at once) and occupancy by lane (a customer that becomes excess counts its own earlier work as overtaking, and is refused without need: TestUnmeetableDeadline fails).

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -104,7 +104,7 @@
 		if d := <-wt.ready; d.Verdict == Refuse {
 			return d, nil
 		}
-		g.queue.Release(&wt.item)
+		g.queue.Release(g.now(), &wt.item)
 	}
 	g.settle(g.now())
 	return Decision{}, &GoneError{ID: wt.item.ID, Cause: ctx.Err()}
@@ -172,7 +172,7 @@
 // Load fills in the queue's part of a load report.
 func (g *Gate) Load(l *peerapi.Load) {
 	g.mu.Lock()
-	s := g.queue.Load()
+	s := g.queue.Load(g.now())
 	g.mu.Unlock()
 	l.Running, l.Waiting, l.Limit = s.Running, s.Waiting, s.Limit
 	l.WaitMs = s.Wait.Milliseconds()
@@ -188,7 +188,7 @@
 // Release ends a run that failed. Nothing is learned from it, since a failure may be much faster or slower
 // than an answer.
 func (t *Ticket) Release() {
-	t.end(func(time.Duration) { t.gate.queue.Release(t.item) })
+	t.end(func(now time.Duration) { t.gate.queue.Release(now, t.item) })
 }
 
 func (t *Ticket) end(give func(now time.Duration)) {
--- a/admission/internal/virtual/run.go
+++ b/admission/internal/virtual/run.go
@@ -98,7 +98,7 @@
 // pass moves the time forward.
 func (r *run) pass(to time.Duration) {
 	for sec := r.now/time.Second + 1; sec*time.Second <= to; sec++ {
-		r.result.Limits = append(r.result.Limits, r.q.Load().Limit)
+		r.result.Limits = append(r.result.Limits, r.q.Load(r.now).Limit)
 	}
 	r.srv.pass(to - r.now)
 	r.now = to
@@ -114,7 +114,7 @@
 // abort cuts off a run at its deadline, as the side process does.
 func (r *run) abort(late *request) {
 	r.srv.remove(late)
-	r.q.Release(&late.item)
+	r.q.Release(r.now, &late.item)
 	r.sample(late, Sample{Aborted: true})
 }
 
--- a/admission/machine_test.go
+++ b/admission/machine_test.go
@@ -230,7 +230,7 @@
 
 // Check compares the counts of the queue and the model.
 func (m *machine) Check(t *rapid.T) {
-	if n := m.q.Load(); n.Waiting != len(m.waiting) || n.Running != len(m.running) {
+	if n := m.q.Load(m.now); n.Waiting != len(m.waiting) || n.Running != len(m.running) {
 		t.Fatalf("queue has %d waiting, %d running; model %d, %d", n.Waiting, n.Running, len(m.waiting), len(m.running))
 	}
 	if len(m.waiting) > m.cfg.MaxWaiting || len(m.running) > m.q.limit.slots() {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -21,6 +21,9 @@
 	// time. Without a margin, half of the runs that start last are cut off at their deadline. Twice the mean
 	// error is the whole range of a uniform distribution and 1.6 standard deviations of a normal one.
 	marginFactor = 2
+	// minShareOfSlots is the part of the slots that the least preferred kind is expected to get, since aging does
+	// not let it starve.
+	minShareOfSlots = 0.05
 	// maxServiceError bounds one observation of the relative error.
 	maxServiceError = 1
 	// maxCustomers is the number of known customers at which idle ones are forgotten.
@@ -51,6 +54,8 @@
 	running [numKinds]int
 	// runningWork is the predicted service time of running work in seconds.
 	runningWork [numKinds]float64
+	// occupied are the slots that each kind kept busy lately.
+	occupied [numKinds]occupancy
 	// serviceError is the running mean of the relative error of predicted service times.
 	serviceError [numKinds]float64
 	// waitBias is the running mean of actual over predicted waits.
@@ -98,17 +103,17 @@
 		if it.Deadline != 0 && now >= it.Deadline {
 			return q.refuse(it, Unmeetable, 0, minRetryAfter)
 		}
-		q.start(it)
+		q.start(now, it)
 		return Decision{Verdict: Run, Reason: FreeSlot}
 	}
-	it.predictedWait = q.rawWait(it)
+	it.predictedWait = q.rawWait(now, it)
 	wait := seconds(it.predictedWait * q.waitBias[it.lane()])
 	if q.cfg.RefuseUnmeetable && wait > it.latestStart-now {
 		// Once the excess has drained, the same request would be in time.
 		return q.refuse(it, Unmeetable, wait, wait-(it.latestStart-now))
 	}
 	if q.policy.Len() >= q.cfg.MaxWaiting {
-		if d, refused := q.makeRoom(it, wait); refused {
+		if d, refused := q.makeRoom(now, it, wait); refused {
 			return d
 		}
 	}
@@ -190,7 +195,7 @@
 }
 
 // makeRoom gives up one request of a full queue. It reports whether that is the newcomer.
-func (q *Queue) makeRoom(it *Item, wait time.Duration) (Decision, bool) {
+func (q *Queue) makeRoom(now time.Duration, it *Item, wait time.Duration) (Decision, bool) {
 	if !q.cfg.ShedByValue {
 		return q.refuse(it, QueueFull, wait, wait), true
 	}
@@ -198,15 +203,15 @@
 	if victim == it {
 		return q.refuse(it, reason, wait, wait), true
 	}
-	q.giveUp(victim, reason)
+	q.giveUp(now, victim, reason)
 	return Decision{}, false
 }
 
 // giveUp refuses a waiting item.
-func (q *Queue) giveUp(it *Item, reason Reason) {
+func (q *Queue) giveUp(now time.Duration, it *Item, reason Reason) {
 	q.policy.Remove(it)
 	q.unlink(it)
-	wait := seconds(q.rawWait(it) * q.waitBias[it.lane()])
+	wait := seconds(q.rawWait(now, it) * q.waitBias[it.lane()])
 	q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: q.refuse(it, reason, wait, wait)})
 }
 
@@ -226,7 +231,7 @@
 		}
 		q.unlink(it)
 		q.learnWait(it, now)
-		q.start(it)
+		q.start(now, it)
 		q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: Decision{
 			Verdict: Run, Reason: Turn, PredictedWait: seconds(it.predictedWait * q.waitBias[it.lane()]),
 		}})
@@ -246,7 +251,7 @@
 	for !q.deadlines.empty() && q.deadlines.min().latestStart < now {
 		it := q.deadlines.min()
 		q.learnWait(it, now)
-		q.giveUp(it, Expired)
+		q.giveUp(now, it, Expired)
 	}
 }
 
@@ -274,7 +279,7 @@
 	if it.state != stateRunning {
 		return
 	}
-	q.Release(it)
+	q.Release(now, it)
 	units := 1.0
 	if it.Kind.Generation() {
 		units = float64(tokens)
@@ -288,16 +293,18 @@
 }
 
 // Release gives back the slot of a request that failed or did not run. Nothing is learned from it.
-func (q *Queue) Release(it *Item) {
+func (q *Queue) Release(now time.Duration, it *Item) {
 	if it.state != stateRunning {
 		return
 	}
+	q.occupied[it.Kind].change(now, -1)
 	it.state = stateDone
 	q.running[it.Kind]--
 	q.runningWork[it.Kind] -= it.service
 }
 
-func (q *Queue) start(it *Item) {
+func (q *Queue) start(now time.Duration, it *Item) {
+	q.occupied[it.Kind].change(now, 1)
 	it.state = stateRunning
 	it.started = true
 	q.running[it.Kind]++
@@ -334,7 +341,7 @@
 
 // rawWait predicts the wait of an item that arrives now, in seconds: the work ahead of it, plus the rest of
 // one running service time, over the slots that its kind can get.
-func (q *Queue) rawWait(it *Item) float64 {
+func (q *Queue) rawWait(now time.Duration, it *Item) float64 {
 	slots, work, n := q.limit.slots(), 0.0, 0
 	if it.Kind == Long {
 		slots = min(q.longSlots(), slots-(q.totalRunning()-q.running[Long]))
@@ -352,7 +359,23 @@
 		}
 	}
 	rest := max(work, 0) / float64(max(n, 1))
-	return (q.policy.Ahead(it) + rest) / float64(max(slots, 1))
+	free := max(float64(slots)-q.overtaking(now, it), minShareOfSlots*float64(max(slots, 1)))
+	return (q.policy.Ahead(it) + rest) / free
+}
+
+// overtaking returns the slots that arrivals of preferred kinds take while the item waits: as many as they took
+// lately. Long work has slots of its own.
+func (q *Queue) overtaking(now time.Duration, it *Item) float64 {
+	if q.cfg.Policy != Fair {
+		return 0
+	}
+	sum := 0.0
+	for k := range q.occupied {
+		if q.cfg.KindBoost[k] > q.cfg.KindBoost[it.Kind] && it.Kind != Long {
+			sum += q.occupied[k].mean(now)
+		}
+	}
+	return sum
 }
 
 // learnWait compares the predicted with the actual wait of an item that leaves the queue.
@@ -374,12 +397,12 @@
 }
 
 // Load returns a snapshot.
-func (q *Queue) Load() Load {
+func (q *Queue) Load(now time.Duration) Load {
 	l := Load{
 		Running: q.totalRunning(), Waiting: q.policy.Len(), Limit: q.limit.slots(), Draining: q.draining,
 	}
 	if l.Waiting > 0 || l.Running >= l.Limit {
-		l.Wait = seconds(q.rawWait(&q.probe) * q.waitBias[Short])
+		l.Wait = seconds(q.rawWait(now, &q.probe) * q.waitBias[Short])
 	}
 	return l
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -144,7 +144,7 @@
 			require.Equal(t, 2*time.Second+1, at)
 			require.Empty(t, q.Advance(2*time.Second))
 		}
-		q.Release(first)
+		q.Release(4*time.Second, first)
 		out := q.Advance(4 * time.Second)
 		require.Len(t, out, 1)
 		require.Same(t, late, out[0].Item)
--- a/admission/share.go
+++ b/admission/share.go
@@ -39,8 +39,29 @@
 	first, last *customer
 }
 
-func decay(work float64, from, to time.Duration) float64 {
-	return work * math.Exp(-float64(to-from)/float64(shareWindow))
+// decay returns what is left of an amount after some time with the given time constant.
+func decay(work float64, from, to, window time.Duration) float64 {
+	return work * math.Exp(-float64(to-from)/float64(window))
+}
+
+// occupancyWindow is the time constant of an occupancy.
+const occupancyWindow = time.Second
+
+// occupancy is the running mean of the slots that a kind keeps busy.
+type occupancy struct {
+	running int
+	value   float64
+	at      time.Duration
+}
+
+func (o *occupancy) mean(now time.Duration) float64 {
+	return float64(o.running) + decay(o.value-float64(o.running), o.at, now, occupancyWindow)
+}
+
+func (o *occupancy) change(now time.Duration, by int) {
+	o.value = o.mean(now)
+	o.at = now
+	o.running += by
 }
 
 // offer counts work that a customer asks for.
@@ -52,9 +73,9 @@
 	for s.first != nil && s.first.demand.at+activeFor < now {
 		s.unlink(s.first)
 	}
-	s.work = decay(s.work, s.at, now) + work
+	s.work = decay(s.work, s.at, now, shareWindow) + work
 	s.at = now
-	d.work = decay(d.work, d.at, now) + work
+	d.work = decay(d.work, d.at, now, shareWindow) + work
 	d.at = now
 	s.link(c)
 }
