Set the penalty for excess work to 5 levels

Cause: with 8 levels, excess status reads stand behind other customers' long work; a small customer with one long request counts as excess for seconds, and single status reads expired long after a crest.

--- a/admission/config.go
+++ b/admission/config.go
@@ -42,7 +42,7 @@
 		ReservedShare:    0.25,
 		AgingStep:        AgingStep,
 		KindBoost:        [numKinds]int{Status: 6, Command: 7, Short: 2, Long: 0},
-		ExcessPenalty:    8,
+		ExcessPenalty:    5,
 		KindWeight:       [numKinds]float64{Status: 2, Command: 4, Short: 2, Long: 1},
 		RefuseUnmeetable: true,
 		DropExpired:      true,
