--- a/configsync/feed/node.go
+++ b/configsync/feed/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -21,14 +22,38 @@
 	"lavendermoor.example/telemetry/invariant"
 )
 
+// Attachment is a versioned document that the feed carries beside the configuration: the instance list. Its methods
+// may be called from any goroutine and must not block.
+type Attachment interface {
+	// Version is that of the present document, 0 before the first.
+	Version() int64
+	// Since returns what a process with the version lacks, nil for nothing.
+	Since(version int64) json.RawMessage
+	// Take takes what Since returned in another process.
+	Take(delta json.RawMessage) error
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// noAttachment is used where Options has none.
+type noAttachment struct{}
+
+func (noAttachment) Version() int64              { return 0 }
+func (noAttachment) Since(int64) json.RawMessage { return nil }
+func (noAttachment) Take(json.RawMessage) error  { return nil }
+func (noAttachment) Changed() <-chan struct{}    { return nil }
+
 // Options are the parts of a Node.
 type Options struct {
 	// Self is this process.
 	Self Peer
-	// Peers returns the known processes; it is called often and must not block.
+	// Peers returns the known processes; it is called often and must not block. A list that has been returned must
+	// not be changed; returning the same list again saves work.
 	Peers func() []Peer
 	// Store is the configuration in the key-value service.
 	Store *store.Store
+	// Attachment is carried beside the configuration; nil for none.
+	Attachment Attachment
 	// Client is used for calls to peers. It must have no timeout of its own.
 	Client *http.Client
 	Log    *zap.Logger
@@ -43,6 +68,8 @@
 	// fallback is the store under the call budget of a process that does not watch.
 	fallback *store.Store
 	state    atomic.Pointer[cluster.State]
+	// lastPlace saves computing the place again.
+	lastPlace atomic.Pointer[placeOf]
 	// overBudget counts the times at which the call budget stopped this process from asking the service.
 	overBudget atomic.Int64
 	stopped    chan struct{}
@@ -63,6 +90,9 @@
 
 // NewNode returns a Node without a configuration; Run obtains one.
 func NewNode(opts Options) *Node {
+	if opts.Attachment == nil {
+		opts.Attachment = noAttachment{}
+	}
 	seed := opts.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
