Bound the gain of a change before it is computed in full

Change: shares and holders are kept, and a change is computed in full only when cheap bounds of its gain beat the best so far. The plans are the same.

--- a/expertmap/search.go
+++ b/expertmap/search.go
@@ -9,6 +9,10 @@
 	// hosts lists the ranks of each expert's replicas.
 	hosts [][]int
 	time  []float64
+	// each is the share of one replica of each expert, held says whether a rank holds an expert (in order of
+	// rank); both follow from slots and hosts, and are kept because the search reads them for each candidate.
+	each []float64
+	held []bool
 }
 
 func newLayer(m *Map, l int, work, speed []float64) *layer {
@@ -17,6 +21,7 @@
 		s: m.Shape, work: work, speed: speed,
 		slots: append([]uint16(nil), m.assign[from:from+m.Shape.Ranks*m.Shape.Slots]...),
 		hosts: make([][]int, m.Shape.Experts), time: make([]float64, m.Shape.Ranks),
+		each: make([]float64, m.Shape.Experts), held: make([]bool, m.Shape.Ranks*m.Shape.Experts),
 	}
 	for i, e := range y.slots {
 		if e != Empty {
@@ -29,10 +34,15 @@
 
 func (y *layer) recompute() {
 	clear(y.time)
+	clear(y.held)
+	for e, hosts := range y.hosts {
+		y.each[e] = y.work[e] / float64(len(hosts))
+	}
 	for i, e := range y.slots {
 		if e != Empty {
 			r := i / y.s.Slots
-			y.time[r] += y.share(e) / y.speed[r]
+			y.time[r] += y.each[e] / y.speed[r]
+			y.held[r*y.s.Experts+int(e)] = true
 		}
 	}
 }
@@ -41,11 +51,11 @@
 	if e == Empty {
 		return 0
 	}
-	return y.work[e] / float64(len(y.hosts[e]))
+	return y.each[e]
 }
 
 func (y *layer) holds(r int, e uint16) bool {
-	return e != Empty && contains(y.slots[r*y.s.Slots:(r+1)*y.s.Slots], e)
+	return e != Empty && y.held[r*y.s.Experts+int(e)]
 }
 
 func (y *layer) slowest() int {
@@ -76,26 +86,52 @@
 // best returns the step that takes the most time off the slowest rank for each expert loaded, without making
 // another rank as slow. It returns false when there is none that takes off at least minGain seconds.
 func (y *layer) best(minGain float64) (step, bool) {
-	slow := y.slowest()
-	var found step
-	bestRate, ok := 0.0, false
-	for a := slow * y.s.Slots; a < (slow+1)*y.s.Slots; a++ {
-		if y.slots[a] == Empty {
+	b := bestStep{y: y, slow: y.slowest(), minGain: minGain}
+	for a := b.slow * y.s.Slots; a < (b.slow+1)*y.s.Slots; a++ {
+		if e := y.slots[a]; e != Empty {
+			b.from(a, e)
+		}
+	}
+	return b.step, b.found
+}
+
+// bestStep is the state of a search for the best step.
+type bestStep struct {
+	y       *layer
+	slow    int
+	minGain float64
+	step    step
+	rate    float64
+	found   bool
+}
+
+// from considers the steps that take work off the expert e in slot a. Bounds of the gain, which are cheap,
+// leave out most candidates.
+func (b *bestStep) from(a int, e uint16) {
+	y := b.y
+	less := y.share(e) - y.work[e]/float64(len(y.hosts[e])+1)
+	for r := range y.s.Ranks {
+		if r == b.slow || y.holds(r, e) {
 			continue
 		}
-		for b := range y.slots {
-			if b/y.s.Slots == slow || y.holds(b/y.s.Slots, y.slots[a]) {
-				continue
+		for s := r * y.s.Slots; s < (r+1)*y.s.Slots; s++ {
+			if less/y.speed[b.slow] > b.rate {
+				b.consider(step{a: a, b: s, replicate: true})
 			}
-			for _, c := range [...]step{{a: a, b: b}, {a: a, b: b, replicate: true}} {
-				gain := y.time[slow] - y.after(c)
-				if rate := gain / float64(y.loads(c)); gain >= minGain && rate > bestRate {
-					found, bestRate, ok = c, rate, true
-				}
+			diff := y.share(e) - y.share(y.slots[s])
+			gain := min(diff/y.speed[b.slow], y.time[b.slow]-y.time[r]-diff/y.speed[r])
+			if gain >= b.minGain && gain > b.rate {
+				b.consider(step{a: a, b: s})
 			}
 		}
 	}
-	return found, ok
+}
+
+func (b *bestStep) consider(c step) {
+	gain := b.y.time[b.slow] - b.y.after(c)
+	if rate := gain / float64(b.y.loads(c)); gain >= b.minGain && rate > b.rate {
+		b.step, b.rate, b.found = c, rate, true
+	}
 }
 
 // after returns the time of the slowest of the ranks that a step changes, or the present slowest time if the
