--- a/side/side.go
+++ b/side/side.go
@@ -24,8 +24,8 @@
 // Admission decides when a request may run.
 type Admission interface {
 	// Acquire waits for a slot. The error is a refusal before the run. The release function is called once, when
-	// the run has ended.
-	Acquire(ctx context.Context, w *peerapi.Work, maxTokens int) (release func(tokens int), err *callerapi.Error)
+	// the run has ended; ok says that it succeeded, so that its time and tokens are learned from.
+	Acquire(ctx context.Context, w *peerapi.Work, maxTokens int) (release func(tokens int, ok bool), err *callerapi.Error)
 	// Drain refuses all further requests.
 	Drain()
 	// Load fills in the queue's part of a load report.
@@ -39,7 +39,7 @@
 }
 
 // RunFunc executes a call once at the backend server.
-type RunFunc func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error)
+type RunFunc = func(ctx context.Context) (*peerapi.CallResult, *callerapi.Error)
 
 // Options are the parts of a Server.
 type Options struct {
