Read only the newest versions when a controller starts

Cause: a restarted controller read every record of its group, up to 16 pages for 1,000 versions. Change: it starts at the version before the highest that a rank knows. The placement trial takes the interval and the budget as flags. Figures: reads of a start with more than 64 versions: 2 before, 1 after (TestRestartReadsTheNewestVersions, seen to fail without the change and with records that keep their content).

--- a/expertmap/controller/controller.go
+++ b/expertmap/controller/controller.go
@@ -218,14 +218,16 @@
 
 // sync reads decided versions at the start, and when a rank knows a version that this controller does not.
 func (c *Controller) sync(ctx context.Context, statuses []rankapi.Status) error {
-	needed := !c.synced
+	top := int64(0)
 	for _, s := range statuses {
-		needed = needed || s.Top > c.newest
+		top = max(top, s.Top)
 	}
-	if !needed {
+	if c.synced && top <= c.newest {
 		return nil
 	}
-	maps, err := c.records.since(ctx, c.newest+1)
+	// The two newest versions have their content. Starting there keeps a restart at one read in place of one
+	// for each page of old records.
+	maps, err := c.records.since(ctx, max(c.newest+1, top-1))
 	if err != nil {
 		return err
 	}
--- a/expertmap/controller/controller_test.go
+++ b/expertmap/controller/controller_test.go
@@ -115,6 +115,22 @@
 	require.Zero(t, w.violations)
 }
 
+// Guards against a restart that reads every old version, and against records that grow without bound.
+func TestRestartReadsTheNewestVersions(t *testing.T) {
+	w := newWorld(t)
+	c := New(w.opts)
+	w.run(t, 200, c)
+	require.Greater(t, c.newest, int64(pageSize))
+	before := w.kv.Counts().Reads
+	again := New(w.opts)
+	require.NoError(t, again.Tick(t.Context()))
+	require.Equal(t, c.newest, again.newest)
+	require.Equal(t, before+1, w.kv.Counts().Reads)
+	maps, err := c.records.since(t.Context(), 1)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(maps), 2)
+}
+
 // Shows what the record in the key-value service prevents: two issuers that give one version two contents make
 // the assertion of P1 fire.
 func TestWithoutTheRecordAVersionHasTwoContents(t *testing.T) {
--- a/standin/experttrial/main.go
+++ b/standin/experttrial/main.go
@@ -17,13 +17,15 @@
 	seeds := flags.Int("seeds", 3, "number of seeds, from 1")
 	steps := flags.Int("steps", 20_000, "placement: steps of each run; stragglers: steps for false alarms")
 	workers := flags.Int("workers", 4, "placement: runs at once")
+	decide := flags.Int("decide", 15, "placement: polls between decisions")
+	budget := flags.Int64("budget", 64, "placement: bound of the GiB moved by one map")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
 	var err error
 	switch *what {
 	case "placement":
-		err = placementTrial(os.Stdout, *seeds, *steps, *workers)
+		err = placementTrial(os.Stdout, placementSize{*seeds, *steps, *workers, *decide, *budget})
 	case "stragglers":
 		err = stragglerTrial(os.Stdout, *seeds, *steps)
 	case "loads":
--- a/standin/experttrial/placement.go
+++ b/standin/experttrial/placement.go
@@ -64,20 +64,28 @@
 	o.kvCalls += p.kvCalls
 }
 
-func placementTrial(w io.Writer, seeds, steps, workers int) error {
-	fmt.Fprintf(w, "64 ranks x 256 experts x 60 layers, 5 slots, %d steps, seeds 1 to %d\n", steps, seeds)
+// placementSize is the size of a placement trial.
+type placementSize struct {
+	seeds, steps, workers int
+	// decide is the number of polls between decisions, budget the bound of the GiB that one map moves.
+	decide int
+	budget int64
+}
+
+func placementTrial(w io.Writer, size placementSize) error {
+	fmt.Fprintf(w, "64 ranks x 256 experts x 60 layers, 5 slots, %+v\n", size)
 	for _, sc := range scenarios {
 		results := make([]outcome, len(policies))
 		var mu sync.Mutex
 		var all errgroup.Group
-		all.SetLimit(workers)
+		all.SetLimit(size.workers)
 		for i, name := range policies {
-			for seed := 1; seed <= seeds; seed++ {
+			for seed := 1; seed <= size.seeds; seed++ {
 				all.Go(func() error {
-					got, err := placementRun(sc, name, uint64(seed), steps)
+					got, err := placementRun(sc, name, uint64(seed), size)
 					mu.Lock()
 					defer mu.Unlock()
-					results[i].add(got, float64(seeds))
+					results[i].add(got, float64(size.seeds))
 					return err
 				})
 			}
@@ -85,7 +93,7 @@
 		if err := all.Wait(); err != nil {
 			return err
 		}
-		printPlacement(w, sc, results, seeds)
+		printPlacement(w, sc, results, size.seeds)
 	}
 	fmt.Fprintf(w, "\nbroken properties: %d\n", invariant.Count())
 	return nil
@@ -116,7 +124,7 @@
 	return d.g.Status(d.i, experts), nil
 }
 
-func placementRun(sc scenario, policy string, seed uint64, steps int) (outcome, error) {
+func placementRun(sc scenario, policy string, seed uint64, size placementSize) (outcome, error) {
 	set := rankgroup.DefaultSettings()
 	set.Seed, set.Drift = seed, sc.drift
 	g := rankgroup.New(set)
@@ -124,6 +132,7 @@
 	var out outcome
 	opts := controller.DefaultOptions()
 	opts.Group, opts.Shape, opts.Store, opts.Log = set.Group, set.Shape, store, zap.NewNop()
+	opts.DecideEvery, opts.Costs.BudgetBytes = size.decide, size.budget<<30
 	decide, err := expertmap.PolicyByName(policy)
 	if err != nil {
 		return out, err
@@ -137,7 +146,7 @@
 		opts.Ranks = append(opts.Ranks, directRank{g, i})
 	}
 	c := controller.New(opts)
-	if err := drive(g, c, sc, steps, &out); err != nil {
+	if err := drive(g, c, sc, size.steps, &out); err != nil {
 		return out, err
 	}
 	d := c.Dump()
