Average expert popularity over 100 steps in place of 500

Cause: under drift the plans followed popularity that was already old. Change: MemorySteps of the controller; the trial takes it, and the policies to run, as flags. The stand-in counts tokens without sampling noise; at 125 tokens for each expert in a step and 390 steps between decisions that noise would be about 0.5%, so it should not matter (not measured).

--- a/expertmap/controller/controller.go
+++ b/expertmap/controller/controller.go
@@ -53,7 +53,7 @@
 		Costs: expertmap.Costs{
 			ExpertBytes: 44 << 20, BudgetBytes: 64 << 30, LoadSeconds: 20e-6, SwitchSeconds: 0.05, LifeSteps: 2000,
 		},
-		Poll: time.Second, DecideEvery: 15, MemorySteps: 500, SlowPolls: 15,
+		Poll: time.Second, DecideEvery: 15, MemorySteps: 100, SlowPolls: 15,
 		Detector: expertmap.DetectorSettings{Weight: 0.3, Slow: 1.15, Normal: 1.08, MaxRatio: 4, MinSteps: 3},
 	}
 }
--- a/standin/experttrial/main.go
+++ b/standin/experttrial/main.go
@@ -7,6 +7,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
+
+	"lavendermoor.example/expertmap/controller"
 )
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -19,13 +22,17 @@
 	workers := flags.Int("workers", 4, "placement: runs at once")
 	decide := flags.Int("decide", 15, "placement: polls between decisions")
 	budget := flags.Int64("budget", 64, "placement: bound of the GiB moved by one map")
+	memory := flags.Float64("memory", controller.DefaultOptions().MemorySteps, "placement: steps over which popularity is averaged")
+	names := flags.String("policies", strings.Join(policies, ","), "placement: policies, the first of which is compared with")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
 	var err error
 	switch *what {
 	case "placement":
-		err = placementTrial(os.Stdout, placementSize{*seeds, *steps, *workers, *decide, *budget})
+		err = placementTrial(os.Stdout, placementSize{
+			*seeds, *steps, *workers, *decide, *budget, *memory, strings.Split(*names, ","),
+		})
 	case "stragglers":
 		err = stragglerTrial(os.Stdout, *seeds, *steps)
 	case "loads":
--- a/standin/experttrial/placement.go
+++ b/standin/experttrial/placement.go
@@ -68,18 +68,20 @@
 type placementSize struct {
 	seeds, steps, workers int
 	// decide is the number of polls between decisions, budget the bound of the GiB that one map moves.
-	decide int
-	budget int64
+	decide   int
+	budget   int64
+	memory   float64
+	policies []string
 }
 
 func placementTrial(w io.Writer, size placementSize) error {
 	fmt.Fprintf(w, "64 ranks x 256 experts x 60 layers, 5 slots, %+v\n", size)
 	for _, sc := range scenarios {
-		results := make([]outcome, len(policies))
+		results := make([]outcome, len(size.policies))
 		var mu sync.Mutex
 		var all errgroup.Group
 		all.SetLimit(size.workers)
-		for i, name := range policies {
+		for i, name := range size.policies {
 			for seed := 1; seed <= size.seeds; seed++ {
 				all.Go(func() error {
 					got, err := placementRun(sc, name, uint64(seed), size)
@@ -93,19 +95,19 @@
 		if err := all.Wait(); err != nil {
 			return err
 		}
-		printPlacement(w, sc, results, size.seeds)
+		printPlacement(w, sc, results, size)
 	}
 	fmt.Fprintf(w, "\nbroken properties: %d\n", invariant.Count())
 	return nil
 }
 
-func printPlacement(w io.Writer, sc scenario, results []outcome, seeds int) {
-	fmt.Fprintf(w, "\n%s\n\n| policy | skew | skew of ranks | GB moved | maps | time, s | against never | longest decision, ms | kv calls/map |\n", sc.name)
+func printPlacement(w io.Writer, sc scenario, results []outcome, size placementSize) {
+	fmt.Fprintf(w, "\n%s\n\n| policy | skew | skew of ranks | GB moved | maps | time, s | against the first | longest decision, ms | kv calls/map |\n", sc.name)
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for i, name := range policies {
+	for i, name := range size.policies {
 		r := results[i]
 		fmt.Fprintf(w, "| %s | %.3f | %.3f | %.0f | %.1f | %.1f | %+.1f%% | %d | %.1f |\n", name, r.layerSkew, r.rankSkew,
-			float64(r.bytes)/1e9, float64(r.maps)/float64(seeds), r.total, 100*(r.total/results[0].total-1),
+			float64(r.bytes)/1e9, float64(r.maps)/float64(size.seeds), r.total, 100*(r.total/results[0].total-1),
 			r.decide.Milliseconds(), float64(r.kvCalls)/float64(max(r.maps, 1)))
 	}
 }
@@ -132,7 +134,7 @@
 	var out outcome
 	opts := controller.DefaultOptions()
 	opts.Group, opts.Shape, opts.Store, opts.Log = set.Group, set.Shape, store, zap.NewNop()
-	opts.DecideEvery, opts.Costs.BudgetBytes = size.decide, size.budget<<30
+	opts.DecideEvery, opts.Costs.BudgetBytes, opts.MemorySteps = size.decide, size.budget<<30, size.memory
 	decide, err := expertmap.PolicyByName(policy)
 	if err != nil {
 		return out, err
