Let attempts that bring an answer forward not count against its bound; log errors without stacks

Cause: a stream that broke four times ended although each resume brought it forward; lines of failed requests carried stacks of several kilobytes.

--- a/entry/upstream/generate.go
+++ b/entry/upstream/generate.go
@@ -12,6 +12,10 @@
 	"lavendermoor.example/telemetry/invariant"
 )
 
+// maxBreaks bounds the attempts of a generation that goes forward each time, so that a request which breaks engines
+// does not go on for ever.
+const maxBreaks = 32
+
 // generation is a generation with all its attempts.
 type generation struct {
 	flight
@@ -20,6 +24,8 @@
 	// next is the sequence number of the first event that the caller does not have.
 	next int64
 	text continuation
+	// breaks counts attempts that did not complete the answer.
+	breaks int
 	// resumed is set while a resume at the same side process has shown no event.
 	resumed bool
 }
@@ -50,7 +56,8 @@
 			return nil
 		}
 		g.note(&o)
-		if judge(ctx, &o, g.request.Idempotent) != elsewhere || !g.again() {
+		g.breaks++
+		if g.breaks == maxBreaks || judge(ctx, &o, g.request.Idempotent) != elsewhere || !g.again() {
 			return g.fail(ctx, &o)
 		}
 		g.c.counts.retried.Add(1)
@@ -84,6 +91,8 @@
 	}
 	g.next++
 	g.resumed = false
+	// An attempt that brought the answer forward does not count against the bound of a request that gets nowhere.
+	g.attempts = 0
 	g.text.add(data)
 	return nil
 }
--- a/entry/upstream/verdict.go
+++ b/entry/upstream/verdict.go
@@ -9,7 +9,8 @@
 	"lavendermoor.example/api/callerapi"
 )
 
-// maxAttempts bounds the attempts of one request, whatever the budget holds.
+// maxAttempts bounds the attempts of one request without an event of the answer in between, whatever the budget
+// holds.
 const maxAttempts = 4
 
 // verdict is what follows an attempt that did not succeed.
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -31,5 +31,38 @@
 	cfg.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
 	cfg.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), lvl)
-	return zap.New(core).With(zap.String("program", program), zap.String("name", name)), lvl, nil
+	return zap.New(&plainErrors{Core: core}).With(zap.String("program", program), zap.String("name", name)), lvl, nil
+}
+
+// plainErrors writes errors without the stack that their type may carry, which would make lines of several
+// kilobytes.
+type plainErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c *plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return &plainErrors{Core: c.Core.With(plain(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c *plainErrors) Check(e zapcore.Entry, to *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return to.AddCore(e, c)
+	}
+	return to
+}
+
+// Write implements zapcore.Core.
+func (c *plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	out := make([]zapcore.Field, len(fields))
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		out[i] = f
+	}
+	return out
 }
