Refuse with a margin for the error of predicted waits

Cause: requests were accepted up to the very limit of their deadline, and many of those were refused late, against the bound of 50 ms for refusals. Change: the predicted wait counts with twice its mean relative error when it is compared with the deadline. The bound is still missed for what arrives in the first second of a crest.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,6 +24,10 @@
 	// minShareOfSlots is the part of the slots that the least preferred kind is expected to get, since aging does
 	// not let it starve.
 	minShareOfSlots = 0.05
+	// waitMargin is the number of mean errors by which a wait may exceed the prediction and the request still be
+	// accepted in time. Without a margin, requests are accepted up to the very limit, and many of those are
+	// refused late.
+	waitMargin = 2
 	// maxServiceError bounds one observation of the relative error.
 	maxServiceError = 1
 	// maxCustomers is the number of known customers at which idle ones are forgotten.
@@ -60,6 +64,8 @@
 	serviceError [numKinds]float64
 	// waitBias is the running mean of actual over predicted waits.
 	waitBias [numLanes]float64
+	// waitError is the running mean of the relative error of the corrected predictions.
+	waitError [numLanes]float64
 }
 
 // New returns an empty queue. It fails with a *ConfigError.
@@ -108,9 +114,10 @@
 	}
 	it.predictedWait = q.rawWait(now, it)
 	wait := seconds(it.predictedWait * q.waitBias[it.lane()])
-	if q.cfg.RefuseUnmeetable && wait > it.latestStart-now {
+	careful := seconds(wait.Seconds() * (1 + waitMargin*q.waitError[it.lane()]))
+	if left := it.latestStart - now; q.cfg.RefuseUnmeetable && careful > left {
 		// Once the excess has drained, the same request would be in time.
-		return q.refuse(it, Unmeetable, wait, wait-(it.latestStart-now))
+		return q.refuse(it, Unmeetable, wait, careful-left)
 	}
 	if q.policy.Len() >= q.cfg.MaxWaiting {
 		if d, refused := q.makeRoom(now, it, wait); refused {
@@ -385,7 +392,10 @@
 	}
 	ratio := it.Wait(now).Seconds() / it.predictedWait
 	b := &q.waitBias[it.lane()]
-	*b += biasGain * (min(max(ratio, 1.0/biasMax), biasMax) - *b)
+	ratio = min(max(ratio, 1.0/biasMax), biasMax)
+	e := &q.waitError[it.lane()]
+	*e += biasGain * (math.Abs(ratio / *b - 1) - *e)
+	*b += biasGain * (ratio - *b)
 }
 
 // Load is a snapshot of the queue.
