Decide on the concurrency limit with means of a known error

Cause: with exponential service times the mean of 32 has an error of 18%, so the limit was cut at random and fell to its minimum. Change: times of a kind are averaged until the standard error is 5% of the mean (32 to 1,024 samples). TestLimitWithstandsNoise fails with 32 samples.

--- a/admission/internal/virtual/server.go
+++ b/admission/internal/virtual/server.go
@@ -51,6 +51,8 @@
 	Phases    []Phase
 	// Parallel is the number of requests that the server runs at full speed; more share that capacity equally.
 	Parallel int
+	// Exponential draws service times from an exponential distribution instead of the uniform one.
+	Exponential bool
 }
 
 // MeanService returns the mean service time over the mix.
@@ -167,6 +169,9 @@
 		}
 	}
 	vary := 0.5 + s.rng.Float64()
+	if s.sc.Exponential {
+		vary = s.rng.ExpFloat64()
+	}
 	s.n++
 	r := &request{class: class, arrived: now, work: class.Service.Seconds() * vary}
 	r.tokens = int(math.Round(float64(class.Tokens) * vary))
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -13,9 +13,12 @@
 }
 
 const (
-	// limitSamples is the number of service times of one kind that are averaged for a decision. The mean of
-	// 32 times that vary by half of their mean has a standard error of 5%.
-	limitSamples = 32
+	// minSamples and maxSamples bound the number of service times of one kind that are averaged for a decision.
+	minSamples = 32
+	maxSamples = 1024
+	// meanError is the standard error, relative to the mean, at which enough times are averaged. With a fixed
+	// number of 32, exponential service times (18% error) made the limit fall to its minimum at 90% load.
+	meanError = 0.05
 	// minCut and maxCut bound the factor of a decrease. A fixed factor of 0.8 cut well below the capacity
 	// whenever the limit had grown slightly beyond it.
 	minCut = 0.5
@@ -36,6 +39,7 @@
 	unit    float64
 	lowest  float64
 	sum     float64
+	squares float64
 	seconds float64
 	n       int
 }
@@ -66,16 +70,28 @@
 	}
 	t.unit += unitGain * (unit - t.unit)
 	t.sum += unit
+	t.squares += unit * unit
 	t.seconds += seconds
 	t.n++
-	if t.n >= limitSamples {
+	if t.settled() {
 		l.decide(now, t)
 	}
 }
 
+// settled says whether the mean of the observed times is accurate enough for a decision.
+func (t *serviceTimes) settled() bool {
+	if t.n < minSamples || t.n >= maxSamples {
+		return t.n >= maxSamples
+	}
+	n := float64(t.n)
+	mean := t.sum / n
+	variance := max(t.squares/n-mean*mean, 0)
+	return variance <= n*meanError*meanError*mean*mean
+}
+
 func (l *limiter) decide(now time.Duration, t *serviceTimes) {
 	mean, seconds := t.sum/float64(t.n), t.seconds/float64(t.n)
-	t.sum, t.seconds, t.n = 0, 0, 0
+	t.sum, t.squares, t.seconds, t.n = 0, 0, 0, 0
 	if t.lowest == 0 {
 		t.lowest = mean
 	}
--- a/admission/measure/main.go
+++ b/admission/measure/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	seeds := flag.Int("seeds", 5, "number of seeds, from 1")
-	only := flag.String("only", "", "one table: blocking, crest, even-crest, share, retry, recovery, memory")
+	only := flag.String("only", "", "one table: blocking, crest, even-crest, share, retry, recovery, spread, memory")
 	flag.Parse()
 	m := &measurement{seeds: *seeds}
 	tables := []struct {
@@ -28,6 +28,7 @@
 		{"share", m.share},
 		{"retry", m.retry},
 		{"recovery", m.recovery},
+		{"spread", m.spreadOfTimes},
 		{"memory", memory},
 	}
 	for _, t := range tables {
@@ -256,3 +257,37 @@
 		}))
 	}
 }
+
+// spreadOfTimes measures the learned limit with exponential service times, whose means are noisy.
+func (m *measurement) spreadOfTimes() {
+	sc := virtual.Scenario{
+		Classes: even(), Customers: tenCustomers(), Parallel: parallel, Exponential: true,
+		Phases: []virtual.Phase{{Length: 60 * time.Second, Load: 0.9}, {Length: 60 * time.Second, Load: 1.5}},
+	}
+	fmt.Printf("\n## Exponential service times without long work: 90%% load, then 1.5 x capacity, %d seeds\n\n", m.seeds)
+	fmt.Println("| order | median limit at 90% | median limit at 150% | in time at 90% | work in time at 150% / capacity |")
+	fmt.Println("| --- | --- | --- | --- | --- |")
+	for _, v := range variants()[:2] {
+		sc.Config = v.config
+		row(v.name, m.each(sc, func(r *virtual.Result) []float64 {
+			low, high := slices.Clone(r.Limits[20:60]), slices.Clone(r.Limits[60:120])
+			slices.Sort(low)
+			slices.Sort(high)
+			good, all, work := 0, 0, 0.0
+			for i := range r.Samples {
+				s := &r.Samples[i]
+				if s.Arrived < 60*time.Second {
+					all++
+					if s.InTime {
+						good++
+					}
+				} else if s.InTime {
+					work += s.Class.Service.Seconds()
+				}
+			}
+			return []float64{
+				float64(low[len(low)/2]), float64(high[len(high)/2]), float64(good) / float64(all), work / parallel / 60,
+			}
+		}))
+	}
+}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
@@ -389,3 +390,14 @@
 	require.InDelta(t, 0.33, share(8), 0.02, "a third of the capacity is within the share of a half")
 	require.Zero(t, share(0), "without the mechanism the test must see the starvation")
 }
+
+// Service times that vary much must not look like a slow server and take the limit down.
+func TestLimitWithstandsNoise(t *testing.T) {
+	lim := newLimiter(LimitConfig{Initial: 16, Min: 2, Max: 16, Tolerance: 1.25})
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 100_000 {
+		lim.used = true
+		lim.observe(time.Duration(i)*3*time.Millisecond, Status, 0.05*rng.ExpFloat64(), 1)
+		require.GreaterOrEqual(t, lim.slots(), 12)
+	}
+}
