--- a/admission/internal/virtual/server.go
+++ b/admission/internal/virtual/server.go
@@ -51,6 +51,8 @@
 	Phases    []Phase
 	// Parallel is the number of requests that the server runs at full speed; more share that capacity equally.
 	Parallel int
+	// PriorityByKind gives requests a priority by kind, as an operator would who has no other order.
+	PriorityByKind bool
 	// Exponential draws service times from an exponential distribution instead of the uniform one.
 	Exponential bool
 }
@@ -69,6 +71,10 @@
 	return float64(s.Parallel) / s.MeanService().Seconds()
 }
 
+var kindPriority = map[admission.Kind]int{
+	admission.Command: 9, admission.Status: 8, admission.Short: 6, admission.Long: 2,
+}
+
 // request is one arrival and what became of it.
 type request struct {
 	item  admission.Item
@@ -178,6 +184,9 @@
 	r.item.Request = admission.Request{
 		Customer: cust.Name, Weight: cust.Weight, Kind: class.Kind, Priority: 4, MaxTokens: class.MaxTokens,
 	}
+	if s.sc.PriorityByKind {
+		r.item.Priority = kindPriority[class.Kind]
+	}
 	if class.Deadline > 0 {
 		r.item.Deadline = now + class.Deadline
 	}
--- a/admission/measure/main.go
+++ b/admission/measure/main.go
@@ -107,7 +107,7 @@
 	sc.Config = variants()[5].config
 	fifo := m.each(sc, figures)
 	for _, v := range variants() {
-		sc.Config = v.config
+		sc.Config, sc.PriorityByKind = v.config, v.config.Policy == admission.Priority
 		f := m.each(sc, figures)
 		for i := range f {
 			by := idle[i].median
@@ -142,7 +142,7 @@
 	fmt.Println("\n| order | goodput | work in time / capacity | recovery of short kinds s | of long work s | p99 age of refusals ms | refused late % |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
 	for _, v := range variants() {
-		sc.Config = v.config
+		sc.Config, sc.PriorityByKind = v.config, v.config.Policy == admission.Priority
 		row(v.name, m.each(sc, func(r *virtual.Result) []float64 {
 			in := r.Select(func(s *virtual.Sample) bool { return s.Ended >= crestFrom && s.Ended < crestEnd && s.InTime })
 			work := 0.0
@@ -199,7 +199,7 @@
 	fmt.Println("| order | steady in time | steady work / capacity | flood work / capacity | steady status p95 ms |")
 	fmt.Println("| --- | --- | --- | --- | --- |")
 	for _, v := range variants() {
-		sc.Config = v.config
+		sc.Config, sc.PriorityByKind = v.config, v.config.Policy == admission.Priority
 		row(v.name, m.each(sc, func(r *virtual.Result) []float64 {
 			all, good := 0, 0
 			work := map[string]float64{}
@@ -247,7 +247,7 @@
 		return float64(good) / float64(len(all))
 	}
 	for _, v := range variants()[:2] {
-		sc.Config = v.config
+		sc.Config, sc.PriorityByKind = v.config, v.config.Policy == admission.Priority
 		row(v.name, m.each(sc, func(r *virtual.Result) []float64 {
 			l := r.Limits
 			return []float64{
@@ -268,7 +268,7 @@
 	fmt.Println("| order | median limit at 90% | median limit at 150% | in time at 90% | work in time at 150% / capacity |")
 	fmt.Println("| --- | --- | --- | --- | --- |")
 	for _, v := range variants()[:2] {
-		sc.Config = v.config
+		sc.Config, sc.PriorityByKind = v.config, v.config.Policy == admission.Priority
 		row(v.name, m.each(sc, func(r *virtual.Result) []float64 {
 			low, high := slices.Clone(r.Limits[20:60]), slices.Clone(r.Limits[60:120])
 			slices.Sort(low)
