Show expert maps and engine orders in the demo, and add the stand-ins' roles weights and ranks

Change: the engine role takes orders; the demo's model groups run on expert maps and load their model by order, and the tour waits for both.

--- a/cmd/lavendermoor-demo/system.go
+++ b/cmd/lavendermoor-demo/system.go
@@ -10,26 +10,32 @@
 	"net/http"
 	"time"
 
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/api/operatorv1"
 	"lavendermoor.example/cmd/internal/daemon"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/entry"
+	"lavendermoor.example/expertmap"
 	"lavendermoor.example/side"
+	"lavendermoor.example/standin/engineorders"
 	"lavendermoor.example/standin/engineserver"
 	"lavendermoor.example/standin/instancelist"
 	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/standin/rankgroup"
 	"lavendermoor.example/standin/serviceserver"
 	"lavendermoor.example/telemetry"
 )
 
 // Names and keys of the demo.
 const (
-	modelName   = "drafter"
-	serviceName = "booking"
-	callerKey   = "demo-caller-key"
-	operatorKey = "demo-operator-key"
+	modelName = "drafter"
+	// modelVersion is what the engines are ordered to load.
+	modelVersion = "1"
+	serviceName  = "booking"
+	callerKey    = "demo-caller-key"
+	operatorKey  = "demo-operator-key"
 )
 
 // Sizes of the demo.
@@ -112,7 +118,7 @@
 
 func (s *system) baseObjects() {
 	s.objects = append(s.objects,
-		&operatorv1.Object{Kind: &operatorv1.Object_Model{Model: &operatorv1.Model{Name: modelName}}},
+		&operatorv1.Object{Kind: &operatorv1.Object_Model{Model: &operatorv1.Model{Name: modelName, Versions: []string{modelVersion}}}},
 		&operatorv1.Object{Kind: &operatorv1.Object_Service{Service: &operatorv1.Service{Name: serviceName}}},
 		&operatorv1.Object{Kind: &operatorv1.Object_Customer{Customer: &operatorv1.Customer{
 			Name: "skimming-crew", Weight: 1, Keys: []*operatorv1.Key{{Id: "demo", Sha256: hash(callerKey)}},
@@ -133,17 +139,48 @@
 }
 
 func (s *system) modelServer(i int) error {
-	backend, err := s.standin(engineserver.New(engineserver.Options{
+	routes := mux.NewRouter()
+	engineorders.New(engineorders.Settings{ChecksFencing: true, LoadTime: 100 * time.Millisecond}).Register(routes)
+	routes.PathPrefix("/").Handler(engineserver.New(engineserver.Options{
 		Slots: slots, PrefillPerKB: 2 * time.Millisecond, TokenTime: 20 * time.Millisecond, DefaultTokens: 24,
 	}).Handler())
+	backend, err := s.standin(routes)
 	if err != nil {
 		return err
 	}
 	name := fmt.Sprintf("drafter-%d", i+1)
 	s.objects = append(s.objects, &operatorv1.Object{Kind: &operatorv1.Object_Group{Group: &operatorv1.Group{
-		Name: name, Model: modelName, Ranks: 8, Experts: 64, Layers: 4,
+		Name: name, Model: modelName, Version: modelVersion,
+		Ranks: int32(groupShape.Ranks), Experts: int32(groupShape.Experts), Layers: int32(groupShape.Layers),
 	}}})
-	return s.side(name, i, backend, &operatorv1.BackendServer{Group: name})
+	experts, err := s.ranks(name, uint64(i))
+	if err != nil {
+		return err
+	}
+	return s.side(name, i, backend, &operatorv1.BackendServer{Group: name, ChecksFencing: true}, func(set *side.Settings) {
+		set.Experts = experts
+		set.Orders = &side.OrderSettings{WeightRate: 1 << 30, LoadBytes: 1 << 20, Parallel: 1, Poll: settings.Duration(50 * time.Millisecond)}
+	})
+}
+
+// groupShape is the size of the demo's groups.
+var groupShape = expertmap.Shape{Ranks: 8, Experts: 64, Layers: 4, Slots: 10}
+
+// ranks starts the ranks of a group and returns the settings of their expert map.
+func (s *system) ranks(group string, seed uint64) (*side.ExpertSettings, error) {
+	set := rankgroup.DefaultSettings()
+	set.Group, set.Seed, set.Shape = group, seed, groupShape
+	g := rankgroup.New(set)
+	base, err := s.standin(g.Handler())
+	if err != nil {
+		return nil, err
+	}
+	s.group.Go(func() error { g.Run(s.ctx, 1); return nil })
+	out := &side.ExpertSettings{Slots: groupShape.Slots, Poll: settings.Duration(100 * time.Millisecond), DecideEvery: 5}
+	for i := range groupShape.Ranks {
+		out.Ranks = append(out.Ranks, fmt.Sprintf("%s/ranks/%d", base, i))
+	}
+	return out, nil
 }
 
 func (s *system) serviceServer(i int) error {
@@ -154,11 +191,13 @@
 	if err != nil {
 		return err
 	}
-	return s.side(name, i, backend, &operatorv1.BackendServer{Service: serviceName})
+	return s.side(name, i, backend, &operatorv1.BackendServer{Service: serviceName}, func(*side.Settings) {})
 }
 
 // side starts a side process and adds its backend server to the configuration.
-func (s *system) side(name string, i int, backend string, object *operatorv1.BackendServer) error {
+func (s *system) side(
+	name string, i int, backend string, object *operatorv1.BackendServer, change func(*side.Settings),
+) error {
 	l, err := daemon.Listen(s.ctx, "", "127.0.0.1:0", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -167,6 +206,7 @@
 	set.Name, set.FailureDomain = name, failureDomains[i%len(failureDomains)]
 	set.Backend, set.KeyValue, set.Instances = backend, s.kv, s.list
 	set.Slots, set.DrainTimeout = slots, drainTimeout
+	change(&set)
 	object.Name, object.FailureDomain, object.Slots = name, set.FailureDomain, slots
 	object.Address = l.Peers.Addr().String()
 	s.objects = append(s.objects, &operatorv1.Object{Kind: &operatorv1.Object_Server{Server: object}})
--- a/cmd/lavendermoor-demo/tour.go
+++ b/cmd/lavendermoor-demo/tour.go
@@ -27,7 +27,7 @@
 // tour makes the demo's calls in order.
 func tour(ctx context.Context, s *system) error {
 	for _, step := range []func(context.Context, *system) error{
-		configure, streamAnswer, bookWithToken, bookWithKey, summary,
+		configure, streamAnswer, bookWithToken, bookWithKey, waitGroups, summary,
 	} {
 		if err := step(ctx, s); err != nil {
 			return err
@@ -188,6 +188,44 @@
 	return resp.Header.Get("Idempotent-Replayed") == "true", json.Unmarshal(raw, out)
 }
 
+// groupDump is the part of a state dump that tells of a model group.
+type groupDump struct {
+	Experts *struct{ Active int64 }
+	Orders  *struct {
+		Have struct{ Model, Version string }
+	}
+}
+
+func (g *groupDump) ready() bool {
+	return g.Experts != nil && g.Experts.Active > 0 && g.Orders != nil && g.Orders.Have.Model != ""
+}
+
+// groupInterval is the time between two looks at a group that is not ready.
+const groupInterval = 50 * time.Millisecond
+
+// waitGroups waits until every model group runs on an expert map and has its model loaded.
+func waitGroups(ctx context.Context, s *system) error {
+	ready := 0
+	for _, admin := range s.admins {
+		for {
+			var group groupDump
+			if _, err := call(ctx, http.MethodGet, admin+"/debug/state", nil, nil, &group); err != nil {
+				return err
+			}
+			if group.Orders == nil {
+				break // Not the side process of a model group.
+			}
+			if group.ready() {
+				ready++
+				break
+			}
+			time.Sleep(groupInterval)
+		}
+	}
+	fmt.Printf("%d model groups run on an expert map with their model loaded\n", ready)
+	return nil
+}
+
 // summary prints a line for each process from its state dump.
 func summary(ctx context.Context, s *system) error {
 	fmt.Println("\nstate of the processes:")
@@ -204,6 +242,7 @@
 				}
 				Served int64
 			}
+			groupDump
 		}
 		if _, err := call(ctx, http.MethodGet, admin+"/debug/state", nil, nil, &dump); err != nil {
 			return err
@@ -214,6 +253,10 @@
 		case dump.Side != nil:
 			fmt.Printf("  %-12s revision %d, %d served\n", dump.Side.Load.Server, dump.Side.Load.Revision, dump.Side.Served)
 		}
+		if dump.ready() {
+			fmt.Printf("  %-12s expert map version %d, model %s version %s loaded\n", "",
+				dump.Experts.Active, dump.Orders.Have.Model, dump.Orders.Have.Version)
+		}
 	}
 	return nil
 }
--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -14,12 +14,16 @@
 	"syscall"
 	"time"
 
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
+	"lavendermoor.example/standin/engineorders"
 	"lavendermoor.example/standin/engineserver"
 	"lavendermoor.example/standin/instancelist"
 	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/standin/rankgroup"
 	"lavendermoor.example/standin/serviceserver"
+	"lavendermoor.example/standin/weightserver"
 	"lavendermoor.example/telemetry"
 )
 
@@ -37,14 +41,22 @@
 	tokenTime    time.Duration
 	tokens       int
 
+	checksFencing bool
+	loadTime      time.Duration
+
 	readTime, writeTime time.Duration
+
+	weights weightserver.Settings
+
+	group string
+	seed  uint64
 }
 
 // roleError says that a role does not exist.
 type roleError struct{ role string }
 
 func (e *roleError) Error() string {
-	return fmt.Sprintf("role %q does not exist (kv, instances, engine, service)", e.role)
+	return fmt.Sprintf("role %q does not exist (kv, instances, engine, service, weights, ranks)", e.role)
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -52,13 +64,20 @@
 func run(args []string) int {
 	var o options
 	flags := flag.NewFlagSet("lavendermoor-standin", flag.ContinueOnError)
-	flags.StringVar(&o.role, "role", "", "what to stand in for: kv, instances, engine, service")
+	flags.StringVar(&o.role, "role", "", "what to stand in for: kv, instances, engine, service, weights, ranks")
 	flags.StringVar(&o.listen, "listen", "127.0.0.1:0", "addresses, separated by commas; the replicas of a service share one state")
 	flags.DurationVar(&o.lag, "lag", time.Second, "instances: delay until a change shows")
 	flags.IntVar(&o.slots, "slots", 16, "engine: requests in a batch")
 	flags.DurationVar(&o.prefillPerKB, "prefill-per-kb", 2*time.Millisecond, "engine: time to read 1,024 bytes of prompt")
 	flags.DurationVar(&o.tokenTime, "token-time", 5*time.Millisecond, "engine: time between tokens")
 	flags.IntVar(&o.tokens, "tokens", 32, "engine: length of an answer without max_tokens")
+	flags.BoolVar(&o.checksFencing, "checks-fencing", true, "engine: refuse orders with an old fencing number")
+	flags.DurationVar(&o.loadTime, "load-time", time.Second, "engine: time to load a model")
+	flags.IntVar(&o.weights.RateBytes, "rate", 1<<30, "weights: bytes/s that all readers share")
+	flags.IntVar(&o.weights.MaxReaders, "readers", 8, "weights: readers at once")
+	flags.IntVar(&o.weights.ModelBytes, "model-bytes", 1<<30, "weights: size of a model version")
+	flags.StringVar(&o.group, "group", "group", "ranks: name of the group, which has 64 ranks")
+	flags.Uint64Var(&o.seed, "seed", 1, "ranks: seed of popularity and noise")
 	flags.DurationVar(&o.readTime, "read-time", time.Millisecond, "service: time of a read")
 	flags.DurationVar(&o.writeTime, "write-time", 5*time.Millisecond, "service: time of a write")
 	if err := flags.Parse(args); err != nil {
@@ -78,11 +97,11 @@
 
 // serve serves the role on each address until the context ends.
 func serve(ctx context.Context, o options) error {
-	next, err := handlers(o)
+	group, ctx := errgroup.WithContext(ctx)
+	next, err := handlers(ctx, o)
 	if err != nil {
 		return err
 	}
-	group, ctx := errgroup.WithContext(ctx)
 	for i, address := range strings.Split(o.listen, ",") {
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
@@ -99,7 +118,7 @@
 }
 
 // handlers returns a function that makes the handler of the listener with the given index.
-func handlers(o options) (func(i int) http.Handler, error) {
+func handlers(ctx context.Context, o options) (func(i int) http.Handler, error) {
 	switch o.role {
 	case "kv":
 		h := kvserver.New().Handler()
@@ -108,12 +127,7 @@
 		h := instancelist.New(o.lag).Handler()
 		return func(int) http.Handler { return h }, nil
 	case "engine":
-		return func(i int) http.Handler {
-			return engineserver.New(engineserver.Options{
-				Name: fmt.Sprintf("engine-%d", i), Slots: o.slots, PrefillPerKB: o.prefillPerKB,
-				TokenTime: o.tokenTime, DefaultTokens: o.tokens,
-			}).Handler()
-		}, nil
+		return func(i int) http.Handler { return engine(i, o) }, nil
 	case "service":
 		store := serviceserver.NewStore()
 		return func(i int) http.Handler {
@@ -121,6 +135,26 @@
 				Name: fmt.Sprintf("service-%d", i), ReadTime: o.readTime, WriteTime: o.writeTime,
 			}, store).Handler()
 		}, nil
+	case "weights":
+		h := weightserver.New(o.weights).Handler()
+		return func(int) http.Handler { return h }, nil
+	case "ranks":
+		set := rankgroup.DefaultSettings()
+		set.Group, set.Seed = o.group, o.seed
+		g := rankgroup.New(set)
+		go g.Run(ctx, 1)
+		return func(int) http.Handler { return g.Handler() }, nil
 	}
 	return nil, &roleError{role: o.role}
 }
+
+// engine returns the handler of an engine that takes orders.
+func engine(i int, o options) http.Handler {
+	r := mux.NewRouter()
+	engineorders.New(engineorders.Settings{ChecksFencing: o.checksFencing, LoadTime: o.loadTime}).Register(r)
+	r.PathPrefix("/").Handler(engineserver.New(engineserver.Options{
+		Name: fmt.Sprintf("engine-%d", i), Slots: o.slots, PrefillPerKB: o.prefillPerKB,
+		TokenTime: o.tokenTime, DefaultTokens: o.tokens,
+	}).Handler())
+	return r
+}
