--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -131,3 +131,31 @@
 		require.Equal(t, checks, err != nil)
 	}
 }
+
+// Guards the calls of the key-value service for each order, which the capacity page builds on.
+func TestCallsOfTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(false)
+		i, l := r.issuer("a", false)
+		expect := func(reads, writes int, fn func() error) {
+			before := []int{r.store.reads, r.store.writes}
+			require.NoError(t, fn())
+			require.Equal(t, []int{reads, writes}, []int{r.store.reads - before[0], r.store.writes - before[1]})
+		}
+		role := func(id string) func() error {
+			return func() error {
+				_, err := i.Issue(t.Context(), orders.Order{ID: id, Kind: orders.SetRole})
+				return err
+			}
+		}
+		expect(2, 1, role("first order, with the floor"))
+		expect(0, 0, role("lease held"))
+		expect(0, 0, func() error { _, err := i.Issue(t.Context(), load("load of a minute")); return err })
+		expect(1, 1, role("lease lapsed"))
+		lose := true
+		r.store.fault = func() writeFault { return writeFault{lose: lose} }
+		expect(1, 1, func() error { return l.Renew(t.Context()) })
+		lose = false
+		expect(0, 1, func() error { return l.Release(t.Context()) })
+	})
+}
--- a/standin/experttrial/placement.go
+++ b/standin/experttrial/placement.go
@@ -31,6 +31,7 @@
 }
 
 var scenarios = []scenario{
+	{name: "no drift", drift: rankgroup.Drift{Sigma: 0.6, MemorySteps: 1}, slowRank: -1},
 	{name: "slow drift", drift: rankgroup.Drift{Sigma: 0.6, MemorySteps: 100_000, Every: 50}, slowRank: -1},
 	{name: "drift", drift: rankgroup.Drift{Sigma: 0.6, MemorySteps: 20_000, Every: 50}, slowRank: -1},
 	{name: "fast drift", drift: rankgroup.Drift{Sigma: 0.6, MemorySteps: 4_000, Every: 50}, slowRank: -1},
--- a/standin/experttrial/trial_test.go
+++ b/standin/experttrial/trial_test.go
@@ -14,7 +14,7 @@
 	last := rules[len(rules)-1]
 	require.Equal(t, simulate(last, 40, 1), simulate(last, 40, 1))
 	run := func() outcome {
-		out, err := placementRun(scenarios[1], expertmap.PolicyImprove, 1, placementSize{steps: 900, decide: 15, budget: 64, memory: 500})
+		out, err := placementRun(scenarios[2], expertmap.PolicyImprove, 1, placementSize{steps: 900, decide: 15, budget: 64, memory: 500})
 		require.NoError(t, err)
 		out.decide = 0
 		return out
