Commit differences only; bound memory, pages and pauses of the configuration feed

Cause: applying a whole file again would have stored 512 KB for each revision at the target size, so that a page of the log exceeded what the client takes and the kept changes exceeded a process's memory; and a watcher's pause grew with every failure since its start. Change: the operator RPC leaves out unchanged objects and refuses an object given twice; kept changes are bounded to 4 MB; a page that cannot be read is read again in smaller ones; a source that worked for 10 s starts its pauses anew. Each test was seen to fail with its mechanism switched off (46 objects committed in place of 1; 4,194,384 bytes kept with a bound of 4,194,304; a change 1 s late after ten broken watches; no load of 100 entries in small pages). Conclusion: applying the example again with one difference commits one object.

--- a/cmd/lavendermoorctl/output.go
+++ b/cmd/lavendermoorctl/output.go
@@ -153,6 +153,9 @@
 		default:
 			printf(w, "committed as revision %d\n", m.GetRevision())
 		}
+		if len(m.GetDifferences()) == 0 && !m.GetRepeatedOperation() {
+			printf(w, "no differences\n")
+		}
 		differenceRows(w, m.GetDifferences())
 	})
 }
--- a/configsync/feed/feed_test.go
+++ b/configsync/feed/feed_test.go
@@ -379,6 +379,40 @@
 	}
 }
 
+// Guards against pauses that grow with every failure since the start of a watcher, however long ago.
+func TestBrokenWatchesDelayLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.startAll()
+		defer f.stopAll()
+		f.inForceWithin(8*time.Second, f.commit(1))
+		for range 10 {
+			time.Sleep(time.Minute)
+			f.server.SetFaults(kvserver.Faults{Down: true})
+			synctest.Wait()
+			f.server.SetFaults(kvserver.Faults{})
+			f.inForceWithin(time.Second, f.commit(1))
+		}
+	})
+}
+
+// Guards against changes of the largest size that fill the memory of every process, and against callers that get
+// changes with a gap because some were dropped.
+func TestKeptChangesAreBounded(t *testing.T) {
+	r := recent{}
+	for i := int64(1); i <= 20; i++ {
+		c := change(i)
+		c.Comment = strings.Repeat("x", 1<<20)
+		r.add(i, c)
+		require.LessOrEqual(t, r.bytes, keptBytes)
+	}
+	_, ok := r.since(10)
+	require.False(t, ok)
+	changes, ok := r.since(18)
+	require.True(t, ok)
+	require.Len(t, changes, 2)
+}
+
 // Guards against processes that go on watching after others have taken their place in the tree.
 func TestWatchersFollowTheListOfProcesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/configsync/feed/node.go
+++ b/configsync/feed/node.go
@@ -254,13 +254,18 @@
 	return errors.As(err, &trimmed) || errors.As(err, &gap) || errors.As(err, &invalid)
 }
 
-// keptChanges is the number of changes that a process keeps for its children; at the average size 128 KB.
-const keptChanges = 256
+// Bounds of the changes that a process keeps for its children; at the average size 256 changes have 128 KB. A caller
+// that lacks more gets a snapshot.
+const (
+	keptChanges = 256
+	keptBytes   = 4 << 20
+)
 
 // recent holds the last changes in their binary form; the last one is that of revision last.
 type recent struct {
 	last     int64
 	encoded  [][]byte
+	bytes    int
 	snapshot []byte
 }
 
@@ -268,17 +273,15 @@
 func (r *recent) add(revision int64, c *operatorv1.Change) {
 	r.snapshot = nil
 	r.last = revision
-	if c == nil {
-		r.encoded = nil
-		return
-	}
 	raw, err := proto.Marshal(c)
-	if err != nil {
-		r.encoded = nil
+	if c == nil || err != nil {
+		r.encoded, r.bytes = nil, 0
 		return
 	}
 	r.encoded = append(r.encoded, raw)
-	if len(r.encoded) > keptChanges {
+	r.bytes += len(raw)
+	for len(r.encoded) > keptChanges || r.bytes > keptBytes {
+		r.bytes -= len(r.encoded[0])
 		r.encoded = r.encoded[1:]
 	}
 }
--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -15,11 +15,13 @@
 
 // Bounds of the pause after a failure. The interval is spread by half of itself, so the longest pause is 30 s.
 const (
-	minPause       = 500 * time.Millisecond
-	maxPause       = 20 * time.Second
-	pauseSpread    = 0.5
-	pauseGrowth    = 2
-	maxWatchPause  = 2 * time.Second
+	minPause      = 500 * time.Millisecond
+	maxPause      = 20 * time.Second
+	pauseSpread   = 0.5
+	pauseGrowth   = 2
+	maxWatchPause = 2 * time.Second
+	// settled is the time after which the failure of a source is not counted with the ones before it.
+	settled        = 10 * time.Second
 	roleCheck      = 5 * time.Second
 	maintainCheck  = 10 * time.Second
 	staleAge       = 7 * time.Second
@@ -95,6 +97,7 @@
 	for ctx.Err() == nil {
 		p := n.place()
 		pauses := poll
+		start := time.Now()
 		var err error
 		if p.watches() {
 			pauses = watch
@@ -103,10 +106,13 @@
 			err = n.pollFrom(ctx, p, failures)
 		}
 		var changed *RoleError
-		if err == nil || errors.As(err, &changed) || ctx.Err() != nil {
+		done := err == nil || errors.As(err, &changed) || ctx.Err() != nil
+		if done || time.Since(start) > settled {
 			failures = 0
 			watch.Reset()
 			poll.Reset()
+		}
+		if done {
 			continue
 		}
 		failures++
--- a/configsync/store/store.go
+++ b/configsync/store/store.go
@@ -13,8 +13,12 @@
 	"lavendermoor.example/platform/kv"
 )
 
-// listLimit is the number of log entries read by one call; at the size of an average change that is 250 KB.
-const listLimit = 500
+// Numbers of log entries read by one call. 500 average changes have 250 KB; 40 changes of the largest size have 53 MB
+// in base64, below the 64 MB that the client takes.
+const (
+	listLimit      = 500
+	listLimitLarge = 40
+)
 
 // Store is the configuration in the key-value service. It may be used by any goroutine.
 type Store struct {
@@ -90,8 +94,13 @@
 
 // eachAfter calls fn for each change of the log after a revision, with the service's revision of its record.
 func (s *Store) eachAfter(ctx context.Context, after int64, fn func(c *operatorv1.Change, mod int64) error) error {
+	limit := listLimit
 	for {
-		entries, err := s.kv.List(ctx, prefixLog, logKey(after+1), listLimit)
+		entries, err := s.kv.List(ctx, prefixLog, logKey(after+1), limit)
+		if tooLarge(err) && limit > listLimitLarge {
+			limit = listLimitLarge
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -105,12 +114,19 @@
 			}
 			after = c.GetRevision()
 		}
-		if len(entries) < listLimit {
+		if len(entries) < limit {
 			return nil
 		}
 	}
 }
 
+// tooLarge says whether a read may have failed because its answer was too large, which the client cannot tell from
+// other answers that it could not read.
+func tooLarge(err error) bool {
+	var unreadable *kv.UnknownOutcomeError
+	return errors.As(err, &unreadable)
+}
+
 // Since calls fn for each change after a revision that the caller has in force. It reads the record of that
 // revision too, as proof that the log continues it, and returns the service's revision of the last record. It
 // fails with a *TrimmedError when the caller has to Load, and with a *LogBehindError when the log does not reach
--- a/configsync/store/store_test.go
+++ b/configsync/store/store_test.go
@@ -292,3 +292,23 @@
 	_, err := newRig().store().Since(t.Context(), state.Revision, func(*operatorv1.Change) error { return nil })
 	require.ErrorAs(t, err, new(*LogBehindError))
 }
+
+// Guards against a log that cannot be read because its changes are large.
+func TestLargeChangesAreReadInSmallerPages(t *testing.T) {
+	r := newRig()
+	want := commitN(t, r.store(), 100)
+	limited := &largeAnswers{Store: r.local}
+	got, err := New(limited).Load(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, want.Revision, got.Revision)
+}
+
+// largeAnswers fails reads of more than listLimitLarge entries, as the client does with too many large ones.
+type largeAnswers struct{ kv.Store }
+
+func (l *largeAnswers) List(ctx context.Context, prefix, from string, limit int) ([]kv.Entry, error) {
+	if limit > listLimitLarge {
+		return nil, &kv.UnknownOutcomeError{Cause: context.DeadlineExceeded}
+	}
+	return l.Store.List(ctx, prefix, from, limit)
+}
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -177,12 +178,47 @@
 	c.Revision = base.Revision + 1
 	c.OperationId, c.Comment = o.operationID, o.comment
 	c.Author, c.TimeUnixMs = callerOf(ctx).name, s.opts.Now().UnixMilli()
+	if err := checkOnce(c); err != nil {
+		return nil, err
+	}
 	if err := cluster.MaintainServices(base, c); err != nil {
 		return nil, err
 	}
+	dropUnchanged(base, c)
 	return c, nil
 }
 
+// checkOnce refuses a change that gives an object twice, of which only one could count.
+func checkOnce(c *operatorv1.Change) error {
+	seen := map[cluster.Ref]bool{}
+	for _, o := range c.GetUpserts() {
+		ref := cluster.RefOf(o)
+		if seen[ref] {
+			return &cluster.ValidationError{Fields: []cluster.FieldError{{
+				Ref: ref, Field: "name", Problem: "the object is given twice in one change",
+			}}}
+		}
+		seen[ref] = true
+	}
+	return nil
+}
+
+// dropUnchanged leaves out what a change does not change, so that applying a whole file again costs the log and every
+// process no more than its differences.
+func dropUnchanged(base *cluster.State, c *operatorv1.Change) {
+	deleted := map[cluster.Ref]bool{}
+	for _, r := range c.GetDeletes() {
+		deleted[cluster.RefFrom(r)] = true
+	}
+	c.Upserts = slices.DeleteFunc(c.GetUpserts(), func(o *operatorv1.Object) bool {
+		ref := cluster.RefOf(o)
+		return !deleted[ref] && base.Object(ref) != nil && proto.Equal(base.Object(ref), o)
+	})
+	c.Deletes = slices.DeleteFunc(c.GetDeletes(), func(r *operatorv1.ObjectRef) bool {
+		return base.Object(cluster.RefFrom(r)) == nil
+	})
+}
+
 // checkExpected fails with a *store.ConflictError that names the first change after the expected revision.
 func (s *Service) checkExpected(ctx context.Context, base *cluster.State, expected int64) error {
 	if expected == 0 || expected == base.Revision {
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -359,3 +359,26 @@
 	}))
 	require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err))
 }
+
+// Guards against a log that grows by the whole file each time that it is applied, and against an object given twice.
+func TestOnlyDifferencesAreCommitted(t *testing.T) {
+	b := newBench(t)
+	b.applyExample(t)
+	f, err := configfile.Read("../../examples/association.jsonc")
+	require.NoError(t, err)
+	f.Upserts[0].GetModel().Adapters = append(f.Upserts[0].GetModel().GetAdapters(), "new")
+	gone := &operatorv1.ObjectRef{Type: "customer", Name: "gone"}
+	_, err = b.as(admin).Apply(t.Context(), connect.NewRequest(&operatorv1.ApplyRequest{
+		Upserts: f.Upserts, Deletes: []*operatorv1.ObjectRef{gone},
+	}))
+	require.NoError(t, err)
+	c, err := b.store.Change(t.Context(), 2)
+	require.NoError(t, err)
+	require.Len(t, c.GetUpserts(), 1)
+	require.Empty(t, c.GetDeletes())
+
+	_, err = b.as(admin).Apply(t.Context(), connect.NewRequest(&operatorv1.ApplyRequest{
+		Upserts: append(f.Upserts, f.Upserts[0]),
+	}))
+	require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err))
+}
