--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -105,7 +105,13 @@
 		Self:  feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain},
 		Peers: c.feedPeers, Store: c.store, Attachment: c.replica, Client: c.client, Log: c.log,
 	})
-	return c.node.Register(c.meter)
+	if err := c.node.Register(c.meter); err != nil {
+		return err
+	}
+	return telemetry.Register(c.meter, []telemetry.Instrument{telemetry.Violations(), {
+		Name: "lavendermoor.instances.version", Description: "Version of the instance list that is known.",
+		Value: c.replica.Version,
+	}})
 }
 
 // countCalls returns the function that counts calls of the key-value service.
--- /dev/null
+++ b/proctest/metrics_test.go
@@ -0,0 +1,40 @@
+package proctest
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	exposedName    = regexp.MustCompile(`(?m)^# HELP (lavendermoor_\w+)`)
+	documentedName = regexp.MustCompile("(?m)^\\| `(lavendermoor_\\w+)`")
+)
+
+func namesIn(pattern *regexp.Regexp, text []byte) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range pattern.FindAllSubmatch(text, -1) {
+		out[string(m[1])] = true
+	}
+	return out
+}
+
+// Guards against a metric that is not in docs/metrics.md, and against one there that no process has.
+func TestMetricsAreDocumented(t *testing.T) {
+	d := small(t)
+	requireWhole(t, d.streams(6, 5)(), 5)
+	page, err := os.ReadFile("../docs/metrics.md")
+	require.NoError(t, err)
+	exposed := map[string]bool{}
+	for _, p := range d.processes() {
+		status, _, body := Do(t, http.MethodGet, "http://"+p.Admin+"/metrics", nil, nil)
+		require.Equal(t, http.StatusOK, status)
+		for name := range namesIn(exposedName, body) {
+			exposed[name] = true
+		}
+	}
+	require.Equal(t, namesIn(documentedName, page), exposed)
+}
