--- a/routing/build.go
+++ b/routing/build.go
@@ -178,6 +178,9 @@
 func (b *builder) loadsOf(t Target) *loads {
 	if b.loads[t] == nil {
 		b.loads[t] = &loads{}
+		if t.Model != "" {
+			b.loads[t].prefixes = &Prefixes{}
+		}
 	}
 	return b.loads[t]
 }
--- a/routing/loads.go
+++ b/routing/loads.go
@@ -10,6 +10,8 @@
 // per request, so that the mean costs the same for any number of replicas. It outlives the pickers.
 type loads struct {
 	inFlight atomic.Int64
+	// prefixes is nil for a service, whose calls have no prompt.
+	prefixes *Prefixes
 
 	mu sync.Mutex
 	// sum and weight make the mean of reported loads, weighted by fade(age).
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -1,6 +1,9 @@
 package routing
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Policy chooses among the live replicas of a pool. Its zero value is not valid; PolicyByName and
 // AffinityPolicy return one.
@@ -37,15 +40,29 @@
 func PolicyByName(name string) (Policy, error) {
 	for _, n := range Names {
 		if n == name {
-			return Policy{name: name, affinity: newAffinity(DefaultBound)}, nil
+			return Policy{name: name, affinity: newAffinity(boundOf(name))}, nil
 		}
 	}
 	return Policy{}, &UnknownPolicyError{Name: name}
 }
 
+func boundOf(name string) Bound {
+	if name == NameAffinityUnbounded {
+		return Bound{Share: math.Inf(1)}
+	}
+	return DefaultBound
+}
+
 // AffinityPolicy returns NameAffinity with another bound.
 func AffinityPolicy(b Bound) Policy { return Policy{name: NameAffinity, affinity: newAffinity(b)} }
 
+// WithPrefix returns the policy with another function from a prompt to the hash of the prefix that affinity follows;
+// docs/measurements/routing.md compares some.
+func (c Policy) WithPrefix(prefix func(prompt []byte) uint64) Policy {
+	c.affinity.prefix = prefix
+	return c
+}
+
 // choose returns nil only when no live replica is left that the request has not tried.
 func (c Policy) choose(p *pool, q *Query) *Replica {
 	switch c.name {
--- a/routing/policy_affinity.go
+++ b/routing/policy_affinity.go
@@ -7,10 +7,14 @@
 	Factor float64
 	// Requests is a slack above the mean in requests, without which affinity never wins at an idle fleet.
 	Requests float64
+	// Share is the largest share of a model's requests that one prefix may lead to a replica, over the share that
+	// each replica has on average. With many entries this is what bounds the load: an entry learns of a load only by
+	// sending a request to the replica, and 1,100 entries that each send one to learn of it are the overload.
+	Share float64
 }
 
-// DefaultBound is the bound of the design page; docs/measurements/routing.md compares others.
-var DefaultBound = Bound{Factor: 1.25, Requests: 1}
+// DefaultBound has the factor of the design page; docs/measurements/routing.md compares others.
+var DefaultBound = Bound{Factor: 1.25, Requests: 1, Share: 0.25}
 
 // tieBand is the difference in load below which two replicas count as equal. Estimates are not better than that.
 const tieBand = 0.02
@@ -19,15 +23,21 @@
 // least loaded of a few candidates.
 type Affinity struct {
 	bound Bound
-	hints Hints
-	// prefix may be replaced by a measurement.
+	// prefix replaces the prefix of Prefixes when it is not nil.
 	prefix func(prompt []byte) uint64
 }
 
-func newAffinity(b Bound) *Affinity {
-	a := &Affinity{bound: b}
-	a.prefix = a.hints.Prefix
-	return a
+func newAffinity(b Bound) *Affinity { return &Affinity{bound: b} }
+
+// hash returns the hash that leads a prompt to its replicas, if it has one.
+func (a *Affinity) hash(p *pool, q *Query) (uint64, bool) {
+	switch {
+	case len(q.Prompt) == 0 || len(p.live) == 0:
+		return 0, false
+	case a.prefix != nil:
+		return a.prefix(q.Prompt), true
+	}
+	return p.loads.prefixes.Hash(q.Prompt, a.bound.Share/float64(len(p.live)))
 }
 
 // candidates are few, so their loads are computed once each.
@@ -40,8 +50,8 @@
 func (a *Affinity) choose(p *pool, q *Query) *Replica {
 	mean, others := p.mean()
 	var best candidate
-	if len(q.Prompt) > 0 {
-		for _, r := range p.affine(a.prefix(q.Prompt)) {
+	if hash, ok := a.hash(p, q); ok {
+		for _, r := range p.affine(hash) {
 			if !p.eligible(q, r) {
 				continue
 			}
--- a/routing/policy_baseline.go
+++ b/routing/policy_baseline.go
@@ -36,10 +36,10 @@
 	return best
 }
 
-// chooseUnbounded follows the ranking whatever the load.
+// chooseUnbounded follows the ranking of the first block whatever the load.
 func (a *Affinity) chooseUnbounded(p *pool, q *Query) *Replica {
-	if len(q.Prompt) > 0 {
-		for _, r := range p.affine(a.prefix(q.Prompt)) {
+	if hash, ok := a.hash(p, q); ok {
+		for _, r := range p.affine(hash) {
 			if r != nil && !q.tried(r) {
 				return r
 			}
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -12,42 +12,66 @@
 	MaxBlocks   = 16
 )
 
-// hintSlots bounds the memory of the hints at 8 bytes each.
-const hintSlots = 1 << 16
-
-// Hints remembers which prefixes this process has seen. Affinity follows the longest prefix that has been seen
-// before: a fixed length either splits prompts that share less, or joins those that share more. Entries agree
-// on popular prefixes without a message. It may be used by any goroutine.
-type Hints struct {
-	seen [hintSlots]atomic.Uint64
+const (
+	// prefixCells bounds the memory of the counts of one model at 256 KiB. With at most MaxBlocks x prefixWindow
+	// counts in them, another prefix adds a half to a count on average.
+	prefixCells = 1 << 16
+	// prefixWindow is the number of requests after which all counts are halved.
+	prefixWindow = 2048
+	// prefixWarmUp is the number of requests from which on counts tell popular prefixes from others.
+	prefixWarmUp = 256
+	// prefixMinimum is the count up to which a prefix is not held to be popular, however few requests there were.
+	// With 2, the loads of 104 replicas behind 1,100 entries differed by half as much again.
+	prefixMinimum = 1
+)
+
+// Prefixes counts the prefixes of one model's prompts that this process has seen lately. The platform's balancer
+// spreads requests over the entries at random, so the share of a prefix here is its share everywhere, and
+// entries agree without a message. It may be used by any goroutine.
+type Prefixes struct {
+	counts  [prefixCells]atomic.Uint32
+	total   atomic.Uint32
+	halving atomic.Bool
+	warm    atomic.Bool
 }
 
-// Prefix returns the hash of the longest prefix of whole blocks that was seen before, and notes all prefixes of
-// the prompt. Without one it returns the hash of the first block, so that the second prompt with the same
-// beginning meets the first one's cache. A prompt shorter than a block hashes as a whole.
-func (h *Hints) Prefix(prompt []byte) uint64 {
-	blocks := min(len(prompt)/PrefixBlock, MaxBlocks)
-	if blocks == 0 {
-		return xxhash.Sum64(prompt)
+// Hash returns the hash of the shortest prefix of whole blocks whose share of the requests is at most the given
+// one, and counts the prompt. A popular beginning, such as a customer's instructions, would overload the replica
+// that it leads to, and is cached on all of them anyway; the first block after it tells conversations apart and
+// stays the same as they grow. A prompt without such a prefix has no affinity, and ok is false. Before the counts
+// mean anything, the longest prefix is taken, because it is the least popular.
+func (p *Prefixes) Hash(prompt []byte, share float64) (hash uint64, ok bool) {
+	most := max(share*float64(p.count()), prefixMinimum)
+	warm := p.warm.Load()
+	if len(prompt) < PrefixBlock {
+		hash = xxhash.Sum64(prompt)
+		return hash, p.see(hash) <= most || !warm
 	}
-	var chain, best uint64
-	for i := range blocks {
+	var chain uint64
+	for i := range min(len(prompt)/PrefixBlock, MaxBlocks) {
 		chain = mix(chain) ^ xxhash.Sum64(prompt[i*PrefixBlock:(i+1)*PrefixBlock])
-		cell := &h.seen[mix(chain)%hintSlots]
-		if cell.Load() == chain || i == 0 {
-			best = chain
-		} else {
-			cell.Store(chain)
+		rare := p.see(chain) <= most
+		if !ok {
+			hash, ok = chain, rare && warm
 		}
 	}
-	return best
+	return hash, ok || !warm
 }
 
-// FixedPrefix returns the hash of up to the given number of leading blocks.
-func FixedPrefix(prompt []byte, blocks int) uint64 {
-	n := min(len(prompt)/PrefixBlock, blocks)
-	if n == 0 {
-		return xxhash.Sum64(prompt)
+func (p *Prefixes) see(hash uint64) float64 { return float64(p.counts[mix(hash)%prefixCells].Add(1)) }
+
+// count counts a request and returns their number, of which the older ones weigh less.
+func (p *Prefixes) count() uint32 {
+	n := p.total.Add(1)
+	if n >= prefixWindow && p.halving.CompareAndSwap(false, true) {
+		for i := range p.counts {
+			p.counts[i].Store(p.counts[i].Load() / 2)
+		}
+		p.total.Store(n / 2)
+		p.halving.Store(false)
+	}
+	if n == prefixWarmUp {
+		p.warm.Store(true)
 	}
-	return xxhash.Sum64(prompt[:n*PrefixBlock])
+	return n
 }
