--- a/admission/queue.go
+++ b/admission/queue.go
@@ -21,9 +21,16 @@
 	// time. Without a margin, half of the runs that start last are cut off at their deadline. Twice the mean
 	// error is the whole range of a uniform distribution and 1.6 standard deviations of a normal one.
 	marginFactor = 2
+	// minShareOfSlots is the part of the slots that the least preferred kind is expected to get, since aging does
+	// not let it starve.
+	minShareOfSlots = 0.05
+	// waitMargin is the number of mean errors by which a wait may exceed the prediction and the request still be
+	// accepted in time. Without a margin, requests are accepted up to the very limit, and many of those are
+	// refused late.
+	waitMargin = 2
 	// maxServiceError bounds one observation of the relative error.
 	maxServiceError = 1
-	// maxCustomers is the number of known customers at which those without waiting work are forgotten.
+	// maxCustomers is the number of known customers at which idle ones are forgotten.
 	maxCustomers = 4096
 )
 
@@ -38,6 +45,7 @@
 	limit     *limiter
 	predict   *predictor
 	shed      *shedder
+	shares    shares
 	deadlines indexedHeap[*Item]
 	customers map[string]*customer
 	sweepAt   int
@@ -50,10 +58,14 @@
 	running [numKinds]int
 	// runningWork is the predicted service time of running work in seconds.
 	runningWork [numKinds]float64
+	// occupied are the slots that each kind kept busy lately.
+	occupied [numKinds]occupancy
 	// serviceError is the running mean of the relative error of predicted service times.
 	serviceError [numKinds]float64
 	// waitBias is the running mean of actual over predicted waits.
-	waitBias [numKinds]float64
+	waitBias [numLanes]float64
+	// waitError is the running mean of the relative error of the corrected predictions.
+	waitError [numLanes]float64
 }
 
 // New returns an empty queue. It fails with a *ConfigError.
@@ -69,7 +81,7 @@
 		shed:      newShedder(cfg.KindWeight),
 		customers: map[string]*customer{},
 		sweepAt:   maxCustomers,
-		probe:     Item{Request: Request{Kind: Short}, cust: &customer{weight: 1}},
+		probe:     Item{Request: Request{Kind: Short}, cust: newCustomer(1)},
 	}
 	for k := range q.waitBias {
 		q.waitBias[k] = 1
@@ -81,7 +93,7 @@
 
 func newPolicy(cfg Config) Policy {
 	if cfg.Policy == Fair {
-		return newFair(cfg.KindBoost)
+		return newFair(cfg)
 	}
 	return newOrdered(cfg.Policy == Priority)
 }
@@ -97,17 +109,18 @@
 		if it.Deadline != 0 && now >= it.Deadline {
 			return q.refuse(it, Unmeetable, 0, minRetryAfter)
 		}
-		q.start(it)
+		q.start(now, it)
 		return Decision{Verdict: Run, Reason: FreeSlot}
 	}
-	it.predictedWait = q.rawWait(it)
-	wait := seconds(it.predictedWait * q.waitBias[it.Kind])
-	if q.cfg.RefuseUnmeetable && wait > it.latestStart-now {
+	it.predictedWait = q.rawWait(now, it)
+	wait := seconds(it.predictedWait * q.waitBias[it.lane()])
+	careful := seconds(wait.Seconds() * (1 + waitMargin*q.waitError[it.lane()]))
+	if left := it.latestStart - now; q.cfg.RefuseUnmeetable && careful > left {
 		// Once the excess has drained, the same request would be in time.
-		return q.refuse(it, Unmeetable, wait, wait-(it.latestStart-now))
+		return q.refuse(it, Unmeetable, wait, careful-left)
 	}
 	if q.policy.Len() >= q.cfg.MaxWaiting {
-		if d, refused := q.makeRoom(it, wait); refused {
+		if d, refused := q.makeRoom(now, it, wait); refused {
 			return d
 		}
 	}
@@ -129,12 +142,23 @@
 		it.Kind = q.predict.classify(it.tokens, it.Kind)
 	}
 	it.service = q.limit.kinds[it.Kind].unit * max(it.tokens, 1)
-	it.key = levelKey(now, it.Priority+q.cfg.KindBoost[it.Kind], q.cfg.AgingStep)
 	it.latestStart = never
 	if it.Deadline != 0 {
 		it.latestStart = it.Deadline - seconds(it.service*(1+marginFactor*q.serviceError[it.Kind]))
 	}
 	it.cust = q.customer(it)
+	q.shares.offer(it.cust, now, it.service)
+	q.classify(it.cust)
+	it.key = levelKey(now, it.Priority+q.cfg.KindBoost[it.Kind], q.cfg.AgingStep)
+}
+
+// classify decides whether a customer offers more than its share.
+func (q *Queue) classify(c *customer) {
+	excess := q.cfg.ExcessPenalty > 0 && q.shares.excess(c, q.limit.slots())
+	if excess != c.excess {
+		c.excess = excess
+		q.policy.SetExcess(c, excess)
+	}
 }
 
 func (q *Queue) customer(it *Item) *customer {
@@ -143,7 +167,7 @@
 		if len(q.customers) >= q.sweepAt {
 			q.forgetIdle()
 		}
-		c = &customer{weight: float64(it.Weight)}
+		c = newCustomer(float64(it.Weight))
 		q.customers[it.Customer] = c
 	}
 	if c.weight != float64(it.Weight) {
@@ -154,7 +178,7 @@
 
 func (q *Queue) forgetIdle() {
 	for name, c := range q.customers {
-		if c.waiting == 0 {
+		if c.waiting == 0 && !c.demand.active {
 			delete(q.customers, name)
 		}
 	}
@@ -178,7 +202,7 @@
 }
 
 // makeRoom gives up one request of a full queue. It reports whether that is the newcomer.
-func (q *Queue) makeRoom(it *Item, wait time.Duration) (Decision, bool) {
+func (q *Queue) makeRoom(now time.Duration, it *Item, wait time.Duration) (Decision, bool) {
 	if !q.cfg.ShedByValue {
 		return q.refuse(it, QueueFull, wait, wait), true
 	}
@@ -186,15 +210,15 @@
 	if victim == it {
 		return q.refuse(it, reason, wait, wait), true
 	}
-	q.giveUp(victim, reason)
+	q.giveUp(now, victim, reason)
 	return Decision{}, false
 }
 
 // giveUp refuses a waiting item.
-func (q *Queue) giveUp(it *Item, reason Reason) {
+func (q *Queue) giveUp(now time.Duration, it *Item, reason Reason) {
 	q.policy.Remove(it)
 	q.unlink(it)
-	wait := seconds(q.rawWait(it) * q.waitBias[it.Kind])
+	wait := seconds(q.rawWait(now, it) * q.waitBias[it.lane()])
 	q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: q.refuse(it, reason, wait, wait)})
 }
 
@@ -214,9 +238,9 @@
 		}
 		q.unlink(it)
 		q.learnWait(it, now)
-		q.start(it)
+		q.start(now, it)
 		q.outcomes = append(q.outcomes, Outcome{Item: it, Decision: Decision{
-			Verdict: Run, Reason: Turn, PredictedWait: seconds(it.predictedWait * q.waitBias[it.Kind]),
+			Verdict: Run, Reason: Turn, PredictedWait: seconds(it.predictedWait * q.waitBias[it.lane()]),
 		}})
 	}
 	if q.totalRunning() >= q.limit.slots() {
@@ -234,7 +258,7 @@
 	for !q.deadlines.empty() && q.deadlines.min().latestStart < now {
 		it := q.deadlines.min()
 		q.learnWait(it, now)
-		q.giveUp(it, Expired)
+		q.giveUp(now, it, Expired)
 	}
 }
 
@@ -262,7 +286,7 @@
 	if it.state != stateRunning {
 		return
 	}
-	q.Release(it)
+	q.Release(now, it)
 	units := 1.0
 	if it.Kind.Generation() {
 		units = float64(tokens)
@@ -276,16 +300,18 @@
 }
 
 // Release gives back the slot of a request that failed or did not run. Nothing is learned from it.
-func (q *Queue) Release(it *Item) {
+func (q *Queue) Release(now time.Duration, it *Item) {
 	if it.state != stateRunning {
 		return
 	}
+	q.occupied[it.Kind].change(now, -1)
 	it.state = stateDone
 	q.running[it.Kind]--
 	q.runningWork[it.Kind] -= it.service
 }
 
-func (q *Queue) start(it *Item) {
+func (q *Queue) start(now time.Duration, it *Item) {
+	q.occupied[it.Kind].change(now, 1)
 	it.state = stateRunning
 	it.started = true
 	q.running[it.Kind]++
@@ -322,7 +348,7 @@
 
 // rawWait predicts the wait of an item that arrives now, in seconds: the work ahead of it, plus the rest of
 // one running service time, over the slots that its kind can get.
-func (q *Queue) rawWait(it *Item) float64 {
+func (q *Queue) rawWait(now time.Duration, it *Item) float64 {
 	slots, work, n := q.limit.slots(), 0.0, 0
 	if it.Kind == Long {
 		slots = min(q.longSlots(), slots-(q.totalRunning()-q.running[Long]))
@@ -340,7 +366,23 @@
 		}
 	}
 	rest := max(work, 0) / float64(max(n, 1))
-	return (q.policy.Ahead(it) + rest) / float64(max(slots, 1))
+	free := max(float64(slots)-q.overtaking(now, it), minShareOfSlots*float64(max(slots, 1)))
+	return (q.policy.Ahead(it) + rest) / free
+}
+
+// overtaking returns the slots that arrivals of preferred kinds take while the item waits: as many as they took
+// lately. Long work has slots of its own.
+func (q *Queue) overtaking(now time.Duration, it *Item) float64 {
+	if q.cfg.Policy != Fair {
+		return 0
+	}
+	sum := 0.0
+	for k := range q.occupied {
+		if q.cfg.KindBoost[k] > q.cfg.KindBoost[it.Kind] && it.Kind != Long {
+			sum += q.occupied[k].mean(now)
+		}
+	}
+	return sum
 }
 
 // learnWait compares the predicted with the actual wait of an item that leaves the queue.
@@ -349,8 +391,11 @@
 		return
 	}
 	ratio := it.Wait(now).Seconds() / it.predictedWait
-	b := &q.waitBias[it.Kind]
-	*b += biasGain * (min(max(ratio, 1.0/biasMax), biasMax) - *b)
+	b := &q.waitBias[it.lane()]
+	ratio = min(max(ratio, 1.0/biasMax), biasMax)
+	e := &q.waitError[it.lane()]
+	*e += biasGain * (math.Abs(ratio / *b - 1) - *e)
+	*b += biasGain * (ratio - *b)
 }
 
 // Load is a snapshot of the queue.
@@ -362,12 +407,12 @@
 }
 
 // Load returns a snapshot.
-func (q *Queue) Load() Load {
+func (q *Queue) Load(now time.Duration) Load {
 	l := Load{
 		Running: q.totalRunning(), Waiting: q.policy.Len(), Limit: q.limit.slots(), Draining: q.draining,
 	}
 	if l.Waiting > 0 || l.Running >= l.Limit {
-		l.Wait = seconds(q.rawWait(&q.probe) * q.waitBias[Short])
+		l.Wait = seconds(q.rawWait(now, &q.probe) * q.waitBias[Short])
 	}
 	return l
 }
