Remove the test of outcome questions from the entry

Package entry/upstream asks for outcomes now; TestALostAnswerIsAskedFor and TestACallThatMustNotBeRepeatedIsSentOnce there cover the same failure.

--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -88,25 +88,6 @@
 	require.Equal(t, []string{ranked[0].Name, ranked[1].Name}, *asked.Load())
 }
 
-// Guards against "unknown" for a call whose connection broke and whose outcome the server can tell.
-func TestOutcomeIsAskedForOnANewConnection(t *testing.T) {
-	var asks atomic.Int64
-	st := peers(t, func(_ string, w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == peerapi.PathCall {
-			panic(http.ErrAbortHandler)
-		}
-		out := peerapi.OutcomeResponse{Executed: callerapi.ExecutedUnknown, Running: true}
-		if asks.Add(1) > 1 {
-			out = peerapi.OutcomeResponse{Executed: callerapi.ExecutedYes, Result: &peerapi.CallResult{Status: 201}}
-		}
-		_ = json.NewEncoder(w).Encode(out)
-	})
-	result, e := NewUpstream().Call(t.Context(), st, callOf(""))
-	require.Nil(t, e)
-	require.Equal(t, 201, result.Status)
-	require.Equal(t, int64(2), asks.Load())
-}
-
 // Guards against a token that is delivered to others before the server that issued it, and against the loss of an
 // outcome that was handed over.
 func TestTokenGoesToItsServerThenInRendezvousOrder(t *testing.T) {
