Measure at-most-once execution; let a refused call be sent again

A call without token or key that was refused before its run had its request ID barred, so a repeat at the same server was answered as unknown. It may run now; a call that ran, runs or was given up still may not.

--- a/idempotency/peer/measure_bench_test.go
+++ b/idempotency/peer/measure_bench_test.go
@@ -26,7 +26,9 @@
 type loopback struct {
 	state *cluster.State
 	nodes []*Node
-	http  *http.Client
+	// handlers are the routes of the nodes; building them takes longer than a message.
+	handlers []http.Handler
+	http     *http.Client
 }
 
 func (l *loopback) State() *cluster.State { return l.state }
@@ -53,6 +55,7 @@
 	require.NoError(b, err)
 	for i, listener := range listeners {
 		l.nodes = append(l.nodes, l.node(i, 1))
+		l.handlers = append(l.handlers, l.nodes[i].Handler())
 		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { l.serve(i, w, r) })}
 		go func() { _ = srv.Serve(listener) }()
 		b.Cleanup(func() { _ = srv.Close() })
@@ -68,7 +71,7 @@
 
 func (l *loopback) serve(i int, w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != peerapi.PathCall {
-		l.nodes[i].Handler().ServeHTTP(w, r)
+		l.handlers[i].ServeHTTP(w, r)
 		return
 	}
 	var in peerapi.CallRequest
@@ -204,7 +207,8 @@
 	for range b.N {
 		l := newLoopback(b, 3)
 		down := 2
-		l.nodes[down] = l.node(down, 2) // It grants nothing until it has copied.
+		l.nodes[down] = l.node(down, 2)
+		l.handlers[down] = l.nodes[down].Handler() // It grants nothing until it has copied.
 		refused, ownerDown, witnessDown := 0, 0, 0
 		view := idempotency.ViewOf(l.state, "shed")
 		for i := range keys {
--- a/idempotency/plain.go
+++ b/idempotency/plain.go
@@ -45,16 +45,24 @@
 }
 
 // Begin says whether a call may run. It may not when its ID is known: it has arrived twice, or its sender was told
-// that it has not run.
+// that it has not run. Only a call that was refused before its run may be sent again.
 func (p *Plain) Begin(now time.Time, id string) bool {
 	p.expire(now)
-	if p.calls[id] != nil {
-		return false
+	if c := p.calls[id]; c != nil {
+		if !c.refused() {
+			return false
+		}
+		c.running, c.outcome = true, nil
+		return true
 	}
 	p.add(now, id, &plainCall{running: true, began: now})
 	return true
 }
 
+func (c *plainCall) refused() bool {
+	return c.outcome != nil && c.outcome.Failure != nil && c.outcome.Failure.Executed == callerapi.ExecutedNo
+}
+
 func (p *Plain) add(now time.Time, id string, c *plainCall) {
 	p.calls[id] = c
 	p.queue = append(p.queue, plainAge{id, now})
--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -15,6 +15,7 @@
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/config/cluster"
 	"lavendermoor.example/idempotency"
+	"lavendermoor.example/standin/kvserver"
 )
 
 // booked is the answer to a booking; it is "run" when the booking was made, or the value of executed.
@@ -177,6 +178,29 @@
 	require.Equal(t, 1, d.count("shed-1"))
 }
 
+// TestRestartDuringOutageGrantsNothing guards against a holder that starts while the key-value service is down and then
+// judges keys, although its successor would take itself for the first incarnation.
+func TestRestartDuringOutageGrantsNothing(t *testing.T) {
+	d := booking(t)
+	first := d.book(d.Entries[0], "shed-1", keyHeader("k1"))
+	require.Equal(t, "run", first.state, "%+v", first.err)
+	d.KVFaults(kvserver.Faults{Down: true})
+	s := d.rank("k1")[0]
+	s.Kill()
+	d.Restart(s)
+	s.Ready()
+	require.Equal(t, first.body, d.book(d.Entries[0], "shed-1", keyHeader("k1")).body)
+	fresh := d.book(d.Entries[0], "shed-2", keyHeader("k2"))
+	require.Equal(t, "run", fresh.state, "%+v", fresh.err)
+	var st onceState
+	require.NoError(t, s.State(&st))
+	require.Equal(t, idempotency.Shards, st.Once.Incomplete)
+	d.KVFaults(kvserver.Faults{})
+	d.copied(s)
+	require.Equal(t, first.body, d.book(d.Entries[1], "shed-1", keyHeader("k1")).body)
+	require.Equal(t, 1, d.count("shed-1"))
+}
+
 // TestChangeOfServersKeepsKeys guards against keys that are forgotten when a server is added, and against a list of
 // previous servers that is never cleared.
 func TestChangeOfServersKeepsKeys(t *testing.T) {
