Measure admission with real processes and do not exceed the engine's slots by default

Cause of the 884 ms: the limit could grow to twice the slots, and the engine queues beyond its slots in the order of arrival.

--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -35,6 +35,8 @@
 	Entries, Models, Services int
 	// Slots of each backend server.
 	Slots int
+	// Policy is the order of waiting work at the side processes; empty for the default.
+	Policy string
 	// EngineArgs and ServiceArgs are further flags of the stand-ins.
 	EngineArgs, ServiceArgs []string
 	// ListLag is the lag of the instance list.
@@ -176,6 +178,9 @@
 	s.Name, s.FailureDomain, s.Backend = name, Domains[i%len(Domains)], backend
 	s.Listen, s.Admin = FreeAddress(d.t), FreeAddress(d.t)
 	s.KeyValue, s.Instances, s.Slots = d.KVURL, d.ListURL, d.plan.Slots
+	if d.plan.Policy != "" {
+		s.Policy = d.plan.Policy
+	}
 	s.EngineContinues = true // The stand-in's answers follow from the prompt alone.
 	s.DrainTimeout = settings.Duration(d.plan.DrainTimeout)
 	srv := &Server{Settings: s, Backend: backend}
--- a/side/queue.go
+++ b/side/queue.go
@@ -13,9 +13,6 @@
 // Queue is the Admission of a side process: an admission.Gate.
 type Queue struct{ gate *admission.Gate }
 
-// defaultMaxSlots is the multiple of Slots up to which the concurrency limit may grow when MaxSlots is not set.
-const defaultMaxSlots = 2
-
 // NewQueue returns a queue as the settings have it. It fails with an *admission.ConfigError.
 func NewQueue(s Settings) (*Queue, error) {
 	cfg := admission.DefaultConfig()
@@ -24,10 +21,8 @@
 	}
 	cfg.Limit.Initial = s.Slots
 	cfg.Limit.Min = min(cfg.Limit.Min, s.Slots)
-	cfg.Limit.Max = s.MaxSlots
-	if s.MaxSlots == 0 {
-		cfg.Limit.Max = defaultMaxSlots * s.Slots
-	}
+	// Beyond its slots an engine queues in the order of arrival, where short work waits behind long work again.
+	cfg.Limit.Max = max(s.Slots, s.MaxSlots)
 	gate, err := admission.NewGate(cfg)
 	if err != nil {
 		return nil, err
--- a/side/settings.go
+++ b/side/settings.go
@@ -29,7 +29,8 @@
 	// Slots is the number of requests that the backend server runs at once. The concurrency limit begins there
 	// and is then learned from service times.
 	Slots int `json:"slots" validate:"min=1"`
-	// MaxSlots bounds the concurrency limit; 0 means twice Slots.
+	// MaxSlots bounds the concurrency limit; 0 means Slots. Set it higher only if the backend server runs more
+	// requests at once by slowing all of them down.
 	MaxSlots int `json:"max_slots,omitempty" validate:"omitempty,gtefield=Slots"`
 	// Policy is the order of waiting work; "fifo" and "priority" are baselines.
 	Policy   string `json:"policy" validate:"oneof=fair fifo priority"`
