--- a/admission/gate.go
+++ b/admission/gate.go
@@ -31,6 +31,15 @@
 	return &Gate{start: time.Now(), queue: q, drained: make(chan struct{})}, nil
 }
 
+// SetSlots changes the number of slots at which the concurrency limit begins and the most that it may reach; both
+// are at least 1. Requests that run go on.
+func (g *Gate) SetSlots(initial, most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.limit.setSlots(initial, most)
+	g.settle(g.now())
+}
+
 // waiter is one call of Acquire.
 type waiter struct {
 	item Item
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -59,6 +59,13 @@
 	return &limiter{cfg: cfg, limit: float64(cfg.Initial)}
 }
 
+// setSlots starts learning again at a new number of slots.
+func (l *limiter) setSlots(initial, most int) {
+	l.cfg.Initial, l.cfg.Max = initial, most
+	l.cfg.Min = min(l.cfg.Min, initial)
+	l.limit = float64(initial)
+}
+
 func (l *limiter) slots() int { return int(l.limit) }
 
 // observe takes the service time of a finished request that consisted of the given number of units.
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -75,6 +75,7 @@
 	drain := func() { srv.Drain(); node.Drain() }
 	leaving := side.NewLeavingWatch(s.Name, l.Peers.Addr().String(), drain)
 	group.Go(func() error { return c.run(serving, leaving.Observe) })
+	group.Go(func() error { queue.FollowSlots(serving, c.node, s.Name); return nil })
 	g.start(serving, group)
 	startOnce(serving, group, c, node)
 	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
--- a/proctest/faults_test.go
+++ b/proctest/faults_test.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lavendermoor.example/standin/engineserver"
 	"lavendermoor.example/standin/kvserver"
 )
 
@@ -231,3 +233,41 @@
 		}
 	}
 }
+
+// Guards against a number of slots that operators change without effect on the side process.
+func TestSlotsFollowTheConfiguration(t *testing.T) {
+	d := small(t)
+	s := d.Models[0]
+	out, code := d.Ctl("get", "server/"+s.Settings.Name)
+	require.Zero(t, code, out)
+	content := fmt.Sprintf(`{"servers": [{"name": %q, "address": %q, "failure_domain": %q, "group": %q, "slots": 3}]}`,
+		s.Settings.Name, s.Settings.Listen, s.Settings.FailureDomain, s.Settings.Name)
+	out, code = d.Apply(content)
+	require.Zero(t, code, out)
+	Eventually(t, "the limit follows", func() bool {
+		var st struct {
+			Side struct{ Load struct{ Limit int } }
+		}
+		return s.State(&st) == nil && st.Side.Load.Limit == 3
+	})
+}
+
+// Guards against work that goes on at the engine after its caller has gone away.
+func TestCallerWhoLeavesCancelsTheGeneration(t *testing.T) {
+	d := small(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ChatCtx(ctx, t, d.Entries[0].URL, "note", 2000, func(n int) {
+		if n == 3 {
+			cancel()
+		}
+	})
+	Eventually(t, "the engine has cancelled the work", func() bool {
+		var cancelled, running int64
+		for _, s := range d.Models {
+			var c engineserver.Counts
+			require.NoError(t, getJSON(s.Backend+"/standin/counts", &c))
+			cancelled, running = cancelled+c.Cancelled, running+c.Running
+		}
+		return cancelled == 1 && running == 0
+	})
+}
--- a/side/queue.go
+++ b/side/queue.go
@@ -11,7 +11,38 @@
 )
 
 // Queue is the Admission of a side process: an admission.Gate.
-type Queue struct{ gate *admission.Gate }
+type Queue struct {
+	gate *admission.Gate
+	// most is MaxSlots of the settings.
+	most int
+}
+
+// WatchedConfiguration is a Configuration that tells when it changes.
+type WatchedConfiguration interface {
+	Configuration
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// FollowSlots takes over the number of slots that the configuration gives a server, until the context ends. A
+// server that is not configured keeps the number of the settings.
+func (q *Queue) FollowSlots(ctx context.Context, c WatchedConfiguration, server string) {
+	var last int
+	for {
+		changed := c.Changed()
+		if st := c.State(); st != nil {
+			if n := int(st.Server(server).GetSlots()); n > 0 && n != last {
+				last = n
+				q.gate.SetSlots(n, max(n, q.most))
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // NewQueue returns a queue as the settings have it. It fails with an *admission.ConfigError.
 func NewQueue(s Settings) (*Queue, error) {
@@ -27,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Queue{gate: gate}, nil
+	return &Queue{gate: gate, most: s.MaxSlots}, nil
 }
 
 // Acquire implements Admission.
