Run a paused, replaced and woken side process of a group as real processes; unload what an earlier one left

Cause: controller and orders had only been tested in one process. Change: a test with real binaries: the side process of a group is stopped by a signal, a second one of the same name takes over, the version of the model changes, the first wakes. Settings for the lease's times; sizes of the stand-in's ranks as flags. Found by the test: a side process that starts while the version changes never unloads the old one, because it knows only what it has ordered itself. It now unloads every other version and adapter that the configuration names for the model; the test failed before.

--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -48,8 +48,7 @@
 
 	weights weightserver.Settings
 
-	group string
-	seed  uint64
+	ranks rankgroup.Settings
 }
 
 // roleError says that a role does not exist.
@@ -76,8 +75,14 @@
 	flags.IntVar(&o.weights.RateBytes, "rate", 1<<30, "weights: bytes/s that all readers share")
 	flags.IntVar(&o.weights.MaxReaders, "readers", 8, "weights: readers at once")
 	flags.IntVar(&o.weights.ModelBytes, "model-bytes", 1<<30, "weights: size of a model version")
-	flags.StringVar(&o.group, "group", "group", "ranks: name of the group, which has 64 ranks")
-	flags.Uint64Var(&o.seed, "seed", 1, "ranks: seed of popularity and noise")
+	o.ranks = rankgroup.DefaultSettings()
+	flags.StringVar(&o.ranks.Group, "group", "group", "ranks: name of the group")
+	flags.Uint64Var(&o.ranks.Seed, "seed", 1, "ranks: seed of popularity and noise")
+	flags.IntVar(&o.ranks.Shape.Ranks, "ranks", 64, "ranks: number of ranks")
+	flags.IntVar(&o.ranks.Shape.Experts, "experts", 256, "ranks: experts in each layer")
+	flags.IntVar(&o.ranks.Shape.Layers, "layers", 60, "ranks: layers")
+	flags.IntVar(&o.ranks.Shape.Slots, "expert-slots", 5, "ranks: experts that a rank holds in each layer")
+	flags.Float64Var(&o.ranks.Drift.MemorySteps, "memory", 20_000, "ranks: steps after which popularity is forgotten")
 	flags.DurationVar(&o.readTime, "read-time", time.Millisecond, "service: time of a read")
 	flags.DurationVar(&o.writeTime, "write-time", 5*time.Millisecond, "service: time of a write")
 	if err := flags.Parse(args); err != nil {
@@ -139,9 +144,10 @@
 		h := weightserver.New(o.weights).Handler()
 		return func(int) http.Handler { return h }, nil
 	case "ranks":
-		set := rankgroup.DefaultSettings()
-		set.Group, set.Seed = o.group, o.seed
-		g := rankgroup.New(set)
+		if err := o.ranks.Shape.Validate(); err != nil {
+			return nil, err
+		}
+		g := rankgroup.New(o.ranks)
 		go g.Run(ctx, 1)
 		return func(int) http.Handler { return g.Handler() }, nil
 	}
--- a/orders/spread_test.go
+++ b/orders/spread_test.go
@@ -31,3 +31,19 @@
 	// 400 balls in 512 bins fill 1 - exp(-400/512) of them.
 	require.InDelta(t, 278, len(used), 25)
 }
+
+// Guards against an engine that is left without a version while another is loaded, and one that keeps what an
+// earlier process had loaded.
+func TestDiffAndOthers(t *testing.T) {
+	have := orders.Want{Model: "m", Version: "1", Adapters: []string{"a", "b"}, Role: "decode"}
+	want := orders.Want{Model: "m", Version: "2", Adapters: []string{"b"}}
+	var got []string
+	for _, o := range append(orders.Diff(have, want), orders.Others(want, []string{"1", "2"}, []string{"a", "b"})...) {
+		got = append(got, fmt.Sprint(o.Kind, " ", o.Version, o.Adapter))
+	}
+	require.Equal(t, []string{
+		"load 2", "load 2b", "set_role ", "unload 1a", "unload 1b", "unload 1",
+		"unload 2a", "unload 1a", "unload 1b", "unload 1",
+	}, got)
+	require.Empty(t, orders.Diff(want, want))
+}
--- a/orders/want.go
+++ b/orders/want.go
@@ -36,3 +36,24 @@
 	}
 	return out
 }
+
+// Others returns the unloads, without IDs, of everything that a model may have and the engine should not, for an
+// engine whose state is not known. An unload of something that is not loaded has no effect.
+func Others(want Want, versions, adapters []string) []Order {
+	var out []Order
+	for _, a := range adapters {
+		if !slices.Contains(want.Adapters, a) {
+			out = append(out, Order{Kind: Unload, Model: want.Model, Version: want.Version, Adapter: a})
+		}
+	}
+	for _, v := range versions {
+		if v == want.Version {
+			continue
+		}
+		for _, a := range adapters {
+			out = append(out, Order{Kind: Unload, Model: want.Model, Version: v, Adapter: a})
+		}
+		out = append(out, Order{Kind: Unload, Model: want.Model, Version: v})
+	}
+	return out
+}
--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	CallerKey   = "caller-key"
 	OtherKey    = "other-caller-key"
 	OperatorKey = "operator-key"
+	// NextVersion is a version of the model beside that of the plan.
+	NextVersion = "2"
 )
 
 // Domains are the failure domains over which processes are spread in turn.
@@ -41,6 +44,10 @@
 	ListLag time.Duration
 	// DrainTimeout of the daemons.
 	DrainTimeout time.Duration
+	// Model, if set, changes the settings of the side process of a model server.
+	Model func(*side.Settings)
+	// Version is the version of the model that groups serve, empty for none.
+	Version string
 }
 
 // Server is one side process with its backend server.
@@ -178,6 +185,9 @@
 	s.KeyValue, s.Instances, s.Slots = d.KVURL, d.ListURL, d.plan.Slots
 	s.EngineContinues = true // The stand-in's answers follow from the prompt alone.
 	s.DrainTimeout = settings.Duration(d.plan.DrainTimeout)
+	if d.plan.Model != nil && strings.HasPrefix(name, Model) {
+		d.plan.Model(&s)
+	}
 	srv := &Server{Settings: s, Backend: backend}
 	d.runSide(srv)
 	return srv
@@ -264,7 +274,11 @@
 		}},
 	}
 	if d.plan.Models > 0 {
-		doc.Models = append(doc.Models, map[string]any{"name": Model})
+		model := map[string]any{"name": Model}
+		if d.plan.Version != "" {
+			model["versions"] = []string{d.plan.Version, NextVersion}
+		}
+		doc.Models = append(doc.Models, model)
 	}
 	if d.plan.Services > 0 {
 		doc.Services = append(doc.Services, map[string]any{"name": Service})
@@ -274,7 +288,7 @@
 	}
 	for _, s := range d.Models {
 		doc.Groups = append(doc.Groups, map[string]any{
-			"name": s.Settings.Name, "model": Model, "ranks": 8, "experts": 64, "layers": 4,
+			"name": s.Settings.Name, "model": Model, "version": d.plan.Version, "ranks": 8, "experts": 64, "layers": 4,
 		})
 		doc.Servers = append(doc.Servers, d.serverObject(s, "group", s.Settings.Name))
 	}
--- a/side/orders.go
+++ b/side/orders.go
@@ -26,6 +26,18 @@
 	Parallel int `json:"parallel" validate:"min=1"`
 	// Poll is the time between two questions for the result of an order.
 	Poll settings.Duration `json:"poll" validate:"min=1"`
+	// LeaseTTL and LeaseMargin are the times of the lease for orders; 0 is the default of the package orders. The
+	// margin has to be longer than an order is on its way to the engine.
+	LeaseTTL    settings.Duration `json:"lease_ttl" validate:"min=0"`
+	LeaseMargin settings.Duration `json:"lease_margin" validate:"min=0,ltefield=LeaseTTL"`
+}
+
+func (s *OrderSettings) lease() orders.LeaseSettings {
+	out := orders.DefaultLease()
+	if s.LeaseTTL > 0 {
+		out = orders.LeaseSettings{TTL: s.LeaseTTL.D(), Margin: s.LeaseMargin.D()}
+	}
+	return out
 }
 
 // DefaultOrderPoll is the usual Poll of OrderSettings.
@@ -60,7 +72,7 @@
 	server string, s OrderSettings, backend *url.URL, c Configuration, store kv.Store, log *zap.Logger,
 ) *Orders {
 	// The holder is new at each start: an earlier process of this server may be paused and not dead.
-	lease := orders.NewLease(store, server, server+"/"+uuid.NewString(), orders.DefaultLease())
+	lease := orders.NewLease(store, server, server+"/"+uuid.NewString(), s.lease())
 	return &Orders{
 		server: server, set: s, configuration: c, lease: lease, store: store, backend: backend, log: log,
 		dump: OrdersDump{Have: orders.Want{Role: roleUnknown}},
@@ -100,7 +112,14 @@
 	if o.issuer == nil {
 		o.issuer = o.newIssuer(st)
 	}
-	for _, order := range orders.Diff(o.Dump().Have, want) {
+	have := o.Dump().Have
+	todo := orders.Diff(have, want)
+	if have.Role == roleUnknown {
+		// An earlier process may have loaded another version.
+		m := st.Model(want.Model)
+		todo = append(todo, orders.Others(want, m.GetVersions(), m.GetAdapters())...)
+	}
+	for _, order := range todo {
 		if err := o.issue(ctx, order); err != nil {
 			o.note(func(d *OrdersDump) { d.LastError = err.Error() })
 			o.log.Warn("order failed", zap.String("kind", string(order.Kind)), zap.Error(err))
--- a/standin/rankgroup/rank.go
+++ b/standin/rankgroup/rank.go
@@ -10,6 +10,7 @@
 
 	"lavendermoor.example/expertmap"
 	"lavendermoor.example/expertmap/rankapi"
+	"lavendermoor.example/telemetry/invariant"
 )
 
 // delayed is an offer that has not arrived yet.
@@ -155,12 +156,31 @@
 	return out
 }
 
-// Handler returns the routes of all ranks, each below "/ranks/<number>", and PUT /standin/ranks/<number>, which
-// takes Faults.
+// Counts are what a group did since its start.
+type Counts struct {
+	Steps int64 `json:"steps"`
+	// Active is the map version of the last step.
+	Active int64 `json:"active"`
+	// Violations counts broken properties in this process.
+	Violations int64 `json:"violations"`
+}
+
+// Counts returns the counts.
+func (g *Group) Counts() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Counts{Steps: g.steps, Active: g.ranks[0].active, Violations: invariant.Count()}
+}
+
+// Handler returns the routes of all ranks, each below "/ranks/<number>", GET /standin/counts, and
+// PUT /standin/ranks/<number>, which takes Faults.
 func (g *Group) Handler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/ranks/{rank:[0-9]+}"+rankapi.PathMap, g.forRank(serveOffer)).Methods(http.MethodPost)
 	m.HandleFunc("/ranks/{rank:[0-9]+}"+rankapi.PathStatus, g.forRank(serveStatus)).Methods(http.MethodGet)
+	m.HandleFunc("/standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(g.Counts())
+	}).Methods(http.MethodGet)
 	m.HandleFunc("/standin/ranks/{rank:[0-9]+}", g.serveFaults).Methods(http.MethodPut)
 	return m
 }
