Check that a change of servers is finished, and describe its members as they are kept

The test of a change of servers accepted a change whose previous servers were never cleared as long as the next one was accepted; it now waits for the end of the last change and requires epoch 3.

--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -239,6 +239,12 @@
 	for shed := range bodies {
 		require.Equal(t, 1, d.count(shed))
 	}
+	Eventually(t, "the previous servers are cleared", func() bool {
+		out, code := d.Ctl("get", "service/"+Service)
+		return code == 0 && strings.Contains(out, `"booking-4"`) && !strings.Contains(out, "previous")
+	})
+	out, _ := d.Ctl("get", "service/"+Service)
+	require.Regexp(t, `"?epoch"?: *"?3`, out)
 }
 
 // TestKeysRunAtMostOnceInAStorm guards against a second run and against false answers while side processes are killed,
