Deliver calls with a token or a key through the upstream client

Cause: they had an exchange of their own, with its own frames, silence rule and connections, that told membership nothing. Change: upstream.CallAt serves both; about 90 lines less.

--- a/entry/once.go
+++ b/entry/once.go
@@ -1,42 +1,19 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"net/http"
-	"syscall"
-	"time"
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/entry/upstream"
 	"lavendermoor.example/idempotency"
+	"lavendermoor.example/routing"
 )
 
-// deadSilence is the time without a byte after which a connection is given up: four keep-alive frames.
-const deadSilence = time.Second
-
 // once delivers the calls that must not be repeated to the servers that can tell whether they have run. It may be used
 // by any goroutine.
-type once struct {
-	client *http.Client
-}
-
-func newOnce() *once {
-	return &once{
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}},
-	}
-}
-
-// delivery is the answer of one server. Broken says that there was none, and sent that the call may have arrived.
-type delivery struct {
-	result       *peerapi.CallResult
-	err          *callerapi.Error
-	broken, sent bool
-}
+type once struct{ client *upstream.Client }
 
 // call delivers a call with a token or a key.
 func (o *once) call(ctx context.Context, st *cluster.State, r *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
@@ -56,14 +33,14 @@
 	lost := false
 	for _, m := range view.SetsOf(idempotency.ShardOf(key)).New {
 		d := o.deliver(ctx, m, r)
-		if d.err == nil {
-			return d.result, nil
+		if d.Err == nil {
+			return d.Result, nil
 		}
-		if !d.broken && !movesOn(d.err) {
-			return nil, afterLost(d.err, lost)
+		if d.Answered && !movesOn(d.Err) {
+			return nil, afterLost(d.Err, lost)
 		}
-		lost = lost || d.sent
-		last = d.err
+		lost = lost || !d.Answered && d.Sent
+		last = d.Err
 		if ctx.Err() != nil {
 			break
 		}
@@ -96,8 +73,8 @@
 	for _, m := range append(append([]cluster.Member{}, view.Servers...), view.Previous...) {
 		if m.Name == token.Server {
 			d := o.deliver(ctx, m, r)
-			if d.err == nil || !d.broken && d.err.Type != callerapi.OutcomeUnknown {
-				return d.result, d.err
+			if d.Err == nil || d.Answered && d.Err.Type != callerapi.OutcomeUnknown {
+				return d.Result, d.Err
 			}
 			break
 		}
@@ -106,68 +83,26 @@
 		if m.Name == token.Server || ctx.Err() != nil {
 			continue
 		}
-		if d := o.deliver(ctx, m, r); d.err == nil || !d.broken && d.err.Type != callerapi.OutcomeUnknown {
-			return d.result, d.err
+		if d := o.deliver(ctx, m, r); d.Err == nil || d.Answered && d.Err.Type != callerapi.OutcomeUnknown {
+			return d.Result, d.Err
 		}
 	}
 	return nil, callerapi.Unknown(callerapi.OutcomeUnknown, "the server that issued the token cannot be asked")
 }
 
 // deliver sends a call to one server and reads its answer.
-func (o *once) deliver(ctx context.Context, m cluster.Member, r *peerapi.CallRequest) delivery {
-	req := *r
-	req.Server = m.Name
-	if deadline, ok := ctx.Deadline(); ok {
-		req.DeadlineMs = max(1, time.Until(deadline).Milliseconds())
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := time.AfterFunc(deadSilence, cancel)
-	defer watch.Stop()
-	resp, err := postJSON(ctx, o.client, m.Address, peerapi.PathCall, &req)
-	if err != nil {
-		return lostDelivery(ctx, err)
+func (o *once) deliver(ctx context.Context, m cluster.Member, r *peerapi.CallRequest) upstream.Delivery {
+	d := o.client.CallAt(ctx, o.replica(m), r)
+	if !d.Answered && d.Sent && d.Err.Type != callerapi.DeadlineExceeded {
+		d.Err = callerapi.Unknown(callerapi.OutcomeUnknown, "%s", d.Err.Message).WithRetryAfter(noReplicaRetry)
 	}
-	defer resp.Body.Close()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxFrameBytes)
-	for lines.Scan() {
-		watch.Reset(deadSilence)
-		var f peerapi.Frame
-		switch {
-		case json.Unmarshal(lines.Bytes(), &f) != nil || f.ID != r.ID:
-			continue
-		case f.Error != nil:
-			return delivery{err: frameError(f.Error)}
-		case f.End && f.Result != nil:
-			return delivery{result: f.Result}
-		}
-	}
-	return lostDelivery(ctx, lines.Err())
-}
-
-func lostDelivery(ctx context.Context, err error) delivery {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		e := callerapi.NotRun(callerapi.NoReplica, "server cannot be reached").WithRetryAfter(noReplicaRetry)
-		return delivery{err: e, broken: true}
-	}
-	e := callerapi.Unknown(callerapi.OutcomeUnknown, "exchange broke: %v", err).WithRetryAfter(noReplicaRetry)
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		e = callerapi.Unknown(callerapi.DeadlineExceeded, "deadline passed before the answer came").WithRetryAfter(noReplicaRetry)
-	}
-	return delivery{err: e, broken: true, sent: true}
+	return d
 }
 
-func postJSON(ctx context.Context, client *http.Client, address, path string, in any) (*http.Response, error) {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return nil, err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
+// replica returns the replica of a server, also of one that is not configured any more.
+func (o *once) replica(m cluster.Member) *routing.Replica {
+	if r := o.client.Picker().Replica(m.Name); r != nil && r.Address == m.Address {
+		return r
 	}
-	req.Header.Set("Content-Type", "application/json")
-	req.GetBody = nil // The transport must not repeat a request by itself.
-	return client.Do(req)
+	return routing.Unlisted(m.Name, m.Address, m.Domain)
 }
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -14,7 +14,10 @@
 	"lavendermoor.example/api/operatorv1"
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/entry/upstream"
 	"lavendermoor.example/idempotency"
+	"lavendermoor.example/membership"
+	"lavendermoor.example/routing"
 )
 
 // peers are side processes that answer every request with the same function; the argument is the server's name.
@@ -32,6 +35,17 @@
 	return st
 }
 
+// onceOf returns a once for the servers of a configuration.
+func onceOf(t *testing.T, st *cluster.State) *once {
+	t.Helper()
+	policy, err := routing.PolicyByName(routing.NameRandom)
+	require.NoError(t, err)
+	router := routing.NewRouter(policy, "a")
+	tracker := membership.NewTracker(1, nil, nil)
+	router.Update(st, tracker.View())
+	return &once{client: upstream.New(upstream.Options{Router: router, Members: tracker})}
+}
+
 func callOf(key string) *peerapi.CallRequest {
 	return &peerapi.CallRequest{Work: peerapi.Work{ID: "id", Customer: "crew", DeadlineMs: 9000}, Service: "shed", Key: key}
 }
@@ -56,11 +70,11 @@
 		}
 		sendFrame(w, peerapi.Frame{Error: &peerapi.FrameError{Type: callerapi.Overloaded, Executed: callerapi.ExecutedNo}})
 	})
-	_, e := newOnce().call(t.Context(), st, callOf("k"))
+	_, e := onceOf(t, st).call(t.Context(), st, callOf("k"))
 	require.Equal(t, callerapi.ExecutedNo, e.Executed)
 	require.Equal(t, int64(3), calls.Swap(0))
 	lose.Store(true)
-	_, e = newOnce().call(t.Context(), st, callOf("k"))
+	_, e = onceOf(t, st).call(t.Context(), st, callOf("k"))
 	require.Equal(t, callerapi.ExecutedUnknown, e.Executed)
 }
 
@@ -82,7 +96,7 @@
 	})
 	ranked := holders(st, "k")
 	first = ranked[0].Name
-	result, e := newOnce().call(t.Context(), st, callOf("k"))
+	result, e := onceOf(t, st).call(t.Context(), st, callOf("k"))
 	require.Nil(t, e)
 	require.Equal(t, 201, result.Status)
 	require.Equal(t, []string{ranked[0].Name, ranked[1].Name}, *asked.Load())
@@ -102,7 +116,7 @@
 	})
 	r := callOf("")
 	r.Token = "b.1.1.AAAA"
-	result, e := newOnce().call(t.Context(), st, r)
+	result, e := onceOf(t, st).call(t.Context(), st, r)
 	require.Nil(t, e)
 	require.Equal(t, 201, result.Status)
 	want := []string{"b"}
@@ -113,6 +127,6 @@
 	}
 	require.Equal(t, want, asked)
 	r.Token = "forged"
-	_, e = newOnce().call(t.Context(), st, r)
+	_, e = onceOf(t, st).call(t.Context(), st, r)
 	require.Equal(t, callerapi.InvalidToken, e.Type)
 }
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -18,20 +18,12 @@
 	once   *once
 }
 
-// Bounds of the connections of calls with a token or a key.
-const (
-	idleTimeout = 15 * time.Second
-	idlePerHost = 64
-	// maxFrameBytes bounds one frame: the answer of a plain service, in base64.
-	maxFrameBytes = 96 << 20
-)
-
 // noReplicaRetry is how long a caller should wait when no replica can take its request.
 const noReplicaRetry = time.Second
 
 // NewUpstream returns an upstream that uses the client for all calls without token or key.
 func NewUpstream(client *upstream.Client) *Upstream {
-	return &Upstream{client: client, once: newOnce()}
+	return &Upstream{client: client, once: &once{client: client}}
 }
 
 func noReplica() *callerapi.Error {
@@ -62,10 +54,3 @@
 ) (*peerapi.TokenResponse, *callerapi.Error) {
 	return u.client.Token(ctx, st, r)
 }
-
-func frameError(f *peerapi.FrameError) *callerapi.Error {
-	return &callerapi.Error{
-		Type: f.Type, Message: f.Message, Executed: f.Executed,
-		RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond,
-	}
-}
--- a/entry/upstream/client.go
+++ b/entry/upstream/client.go
@@ -113,16 +113,24 @@
 	return f.run(ctx, first, r)
 }
 
-// CallAt makes one exchange of a call with one replica and repeats nothing. The error says whether the call may
-// have run; sent says whether the side process may have seen it.
-func (c *Client) CallAt(
-	ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest,
-) (result *peerapi.CallResult, e *callerapi.Error, sent bool) {
+// Delivery is how one exchange of a call ended.
+type Delivery struct {
+	Result *peerapi.CallResult
+	// Err says whether the call may have run; nil with a result.
+	Err *callerapi.Error
+	// Answered says that the side process refused the call, or ran it. Otherwise the exchange broke, and Sent says
+	// whether the side process may have seen the call.
+	Answered, Sent bool
+}
+
+// CallAt makes one exchange of a call with one replica and repeats nothing.
+func (c *Client) CallAt(ctx context.Context, replica *routing.Replica, r *peerapi.CallRequest) Delivery {
 	o := c.exchangeCall(ctx, replica, r, false)
-	if o.ok() {
-		return o.result, nil, true
+	d := Delivery{Result: o.result, Answered: o.err == nil, Sent: o.sent}
+	if !o.ok() {
+		d.Result, d.Err = nil, errorOf(ctx, &o, o.sent && !refusedUnrun(&o))
 	}
-	return nil, errorOf(ctx, &o, o.sent && !refusedUnrun(&o)), o.sent
+	return d
 }
 
 func (c *Client) exchangeCall(
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -39,6 +39,11 @@
 	pooled    *loads
 }
 
+// Unlisted returns a replica for a server that the configuration does not have any more. No picker chooses it.
+func Unlisted(name, address, domain string) *Replica {
+	return &Replica{Name: name, Address: address, Domain: domain, slots: 1, pooled: &loads{}}
+}
+
 // InFlight returns the number of requests of this process at the replica.
 func (r *Replica) InFlight() int64 { return r.inFlight.Load() }
 
