Reserve three tenths of the slots for short work

Cause: with 4 of 16 slots reserved, short work at 90% load (4.0 slots busy) has no slack when long work takes the rest.

--- a/admission/config.go
+++ b/admission/config.go
@@ -39,7 +39,7 @@
 	return Config{
 		Policy:           Fair,
 		MaxWaiting:       MaxWaiting,
-		ReservedShare:    0.25,
+		ReservedShare:    0.3,
 		AgingStep:        AgingStep,
 		KindBoost:        [numKinds]int{Status: 6, Command: 7, Short: 2, Long: 0},
 		ExcessPenalty:    5,
