--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -14,6 +15,9 @@
 	"lavendermoor.example/membership"
 )
 
+// The seed of the random checks is fixed; -rapid.seed chooses another one.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 func affinity() Policy { return AffinityPolicy(DefaultBound) }
 
 func pick(t testing.TB, r *Router, q Query) *Replica {
@@ -66,18 +70,47 @@
 	}
 }
 
-// Guards against prompts that lose their cache because the choice ignores it.
-func TestSamePromptReturnsToTheSameReplicas(t *testing.T) {
+// warmUp sends prompts that are all different, so that the counts of prefixes mean something.
+func warmUp(t testing.TB, r *Router) {
+	for i := range prefixWarmUp {
+		pick(t, r, Query{Prompt: fmt.Appendf(nil, "%0300d", i), Random: uint64(i)})
+	}
+}
+
+// conversation returns a prompt with a beginning that is shared by all, one of its own, and further turns.
+func conversation(id, turns int) []byte {
+	return []byte(strings.Repeat("instructions of the customer...  ", 32) + strings.Repeat(fmt.Sprintf("talk %03d", id), 32+40*turns))
+}
+
+// Guards against conversations that lose their cache as they grow, because the choice ignores it or follows a
+// prefix that changes.
+func TestAConversationReturnsToTheSameReplica(t *testing.T) {
+	r := router(t, newFleet(12), affinity())
+	warmUp(t, r)
+	for i := range 200 {
+		pick(t, r, Query{Prompt: conversation(i, 0), Random: uint64(i)})
+	}
+	for id := 900; id < 910; id++ {
+		for _, replica := range r.builder.replicas {
+			replica.Observe(start, Report{Running: 100, Limit: 200})
+		}
+		first := pick(t, r, Query{Prompt: conversation(id, 0), Random: 1})
+		first.Observe(start, Report{Running: 115, Limit: 200}) // above the mean, within the bound
+		require.Same(t, first, pick(t, r, Query{Prompt: conversation(id, 3), Random: 2}))
+	}
+}
+
+// Guards against a popular beginning of prompts that leads 1,100 entries to one replica. An entry learns of the load
+// there only by its own requests, so the bound on load comes too late.
+func TestPopularPrefixesAreSpread(t *testing.T) {
 	r := router(t, newFleet(100), affinity())
-	prompt := []byte(strings.Repeat("same ", 1000))
-	pick(t, r, Query{Prompt: prompt, Random: 1})
-	first := pick(t, r, Query{Prompt: prompt, Random: 2})
-	for _, replica := range r.builder.replicas {
-		replica.Observe(start, Report{Running: 100, Limit: 200})
+	warmUp(t, r)
+	chosen := map[*Replica]int{}
+	for i := range 1000 {
+		chosen[pick(t, r, Query{Prompt: conversation(i, 0), Random: uint64(i)})]++
 	}
-	first.Observe(start, Report{Running: 115, Limit: 200}) // above the mean, within the bound
-	for i := range 50 {
-		require.Same(t, first, pick(t, r, Query{Prompt: prompt, Random: uint64(i)}))
+	for replica, n := range chosen {
+		require.LessOrEqual(t, n, 40, replica.Name)
 	}
 }
 
@@ -287,3 +320,50 @@
 		_, _ = r.Picker().Pick(q)
 	}))
 }
+
+// Guards against requests that cross to another region while their own can serve them, and against a region whose
+// servers are gone or refuse keeping requests from the other one.
+func TestOwnRegionComesFirst(t *testing.T) {
+	f := newFleet(12)
+	inRegion := func(name, region string) bool {
+		return (f.state(t).Server(name).GetFailureDomain() == domains[2]) == (region == "east")
+	}
+	for _, o := range f.objects {
+		if s := o.GetServer(); s != nil && s.GetFailureDomain() == domains[2] {
+			s.Region = "east"
+		} else if s != nil {
+			s.Region = "west"
+		}
+	}
+	m := f.members()
+	for _, name := range Names {
+		policy, _ := PolicyByName(name)
+		r := NewRouter(policy, domains[0])
+		r.Update(f.state(t), m.View(start))
+		crossed := 0
+		for i := range 200 {
+			q := Query{Random: uint64(i) * 0x9e3779b97f4a7c15, Prompt: fmt.Appendf(nil, "prompt %d", i)}
+			first := pick(t, r, q)
+			require.True(t, inRegion(first.Name, "west"), name)
+			q.Tried = []*Replica{first}
+			second := pick(t, r, q)
+			require.True(t, inRegion(second.Name, "west"), name)
+			q.Tried = append(q.Tried, second)
+			if inRegion(pick(t, r, q).Name, "east") {
+				crossed++
+			}
+		}
+		require.NotZero(t, crossed, name)
+	}
+	for _, s := range f.servers {
+		for range membership.DownAfterFailures {
+			if s.Domain != domains[2] {
+				m.Failed(start, s.Name)
+			}
+		}
+	}
+	policy, _ := PolicyByName(NameAffinity)
+	r := NewRouter(policy, domains[0])
+	r.Update(f.state(t), m.View(start))
+	require.True(t, inRegion(pick(t, r, Query{Prompt: []byte("p")}).Name, "east"))
+}
