--- a/proctest/faults_test.go
+++ b/proctest/faults_test.go
@@ -49,6 +49,7 @@
 			Incarnation, Revision int64
 			Draining              bool
 			Running, Waiting      int
+			Limit                 int
 		}
 		Served int64
 	}
--- a/side/queue.go
+++ b/side/queue.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// limitTolerance is the ratio of observed to lowest service time above which the limit is cut. The limit does not
+// exceed the slots, so it need not be tight: per-token times of a real engine vary by a quarter with load alone.
+const limitTolerance = 2
+
 // NewQueue returns a queue as the settings have it. It fails with an *admission.ConfigError.
 func NewQueue(s Settings) (*Queue, error) {
 	cfg := admission.DefaultConfig()
@@ -51,6 +55,7 @@
 		cfg = admission.BaselineConfig(p)
 	}
 	cfg.Limit.Initial = s.Slots
+	cfg.Limit.Tolerance = limitTolerance
 	cfg.Limit.Min = min(cfg.Limit.Min, s.Slots)
 	// Beyond its slots an engine queues in the order of arrival, where short work waits behind long work again.
 	cfg.Limit.Max = max(s.Slots, s.MaxSlots)
