--- /dev/null
+++ b/routing/measure/main.go
@@ -0,0 +1,79 @@
+// Command measure prints the comparison of routing policies in docs/measurements/routing.md.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"lavendermoor.example/routing"
+	"lavendermoor.example/routing/trial"
+)
+
+// variant is a policy of the comparison.
+type variant struct {
+	name   string
+	policy func() routing.Policy
+}
+
+func main() {
+	size := flag.String("size", "small", "size of the trial: small, large or cold (large, just after the start)")
+	seed := flag.Uint64("seed", 1, "seed of the trial")
+	rate := flag.Float64("rate", 0, "requests per second in place of that of the size")
+	only := flag.String("only", "", "name of the only policy to run")
+	flag.Parse()
+	cold := trial.Large
+	cold.Duration = 80 * time.Second
+	o, ok := map[string]trial.Options{"small": trial.Small, "large": trial.Large, "cold": cold}[*size]
+	if !ok {
+		flag.Usage()
+		os.Exit(2)
+	}
+	o.Seed = *seed
+	if *rate > 0 {
+		o.Rate = *rate
+	}
+	fmt.Println("policy             | cached | load  | first 95% | busy  | requests")
+	for _, v := range variants() {
+		if *only != "" && *only != v.name {
+			continue
+		}
+		r, err := trial.Run(o, v.policy)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Printf("%-18s | %v\n", v.name, r)
+	}
+}
+
+func variants() []variant {
+	var out []variant
+	for _, name := range routing.Names {
+		out = append(out, variant{name, func() routing.Policy {
+			p, _ := routing.PolicyByName(name) // The names are those of the package.
+			return p
+		}})
+	}
+	bound := func(name string, b routing.Bound) {
+		out = append(out, variant{name, func() routing.Policy { return routing.AffinityPolicy(b) }})
+	}
+	for _, f := range []float64{1.1, 1.5, 2} {
+		b := routing.DefaultBound
+		b.Factor = f
+		bound(fmt.Sprint("factor ", f), b)
+	}
+	for _, s := range []float64{0.05, 0.1, 0.5, 1, math.Inf(1)} {
+		b := routing.DefaultBound
+		b.Share = s
+		bound(fmt.Sprint("share ", s), b)
+	}
+	for _, n := range []int{4, 16} {
+		out = append(out, variant{fmt.Sprintf("first %d blocks", n), func() routing.Policy {
+			return routing.AffinityPolicy(routing.DefaultBound).WithPrefix(trial.FixedPrefix(n))
+		}})
+	}
+	return out
+}
--- a/routing/trial/trial.go
+++ b/routing/trial/trial.go
@@ -37,6 +37,18 @@
 	MeanTokens float64
 }
 
+// Small is the size of the association, Large that of one model at the target size.
+var (
+	Small = Options{
+		Seed: 1, Entries: 3, Replicas: 12, Slots: 16, Rate: 22, Duration: 4 * time.Minute, ReportLag: time.Second,
+		Customers: 10, CacheBlocks: 1000, MeanTokens: 200,
+	}
+	Large = Options{
+		Seed: 1, Entries: 1100, Replicas: 104, Slots: 192, Rate: 1857, Duration: 8 * time.Minute,
+		ReportLag: time.Second, Customers: 60, CacheBlocks: 4000, MeanTokens: 211,
+	}
+)
+
 // Times of the fake engine.
 const (
 	blockTime = 4 * time.Millisecond // to read 256 bytes of prompt that are not cached
