Measure an outage of the key-value service as the fleet grows

Cause: the absence of a rush after an outage was shown on a fake clock with 60 processes only. Change: configsync/measure takes the service down and commits a change when it returns.

--- a/configsync/measure/fleet.go
+++ b/configsync/measure/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,7 @@
 	settleTime  = 15 * time.Second
 	idleTime    = 15 * time.Second
 	changePause = 2 * time.Second
+	outageTime  = 45 * time.Second
 	scanPause   = time.Millisecond
 )
 
@@ -39,6 +41,8 @@
 	nodes  []*feed.Node
 	store  *store.Store
 	state  *cluster.State
+	// attempts counts the calls of the processes to the service.
+	attempts atomic.Int64
 }
 
 func newFleet(n int, loop bool) *fleet {
@@ -59,9 +63,13 @@
 }
 
 func (f *fleet) node(p feed.Peer, c *http.Client) *feed.Node {
+	local := kvserver.NewLocal(f.server)
+	local.Fate = func(string, string) kvserver.Fate {
+		f.attempts.Add(1)
+		return kvserver.Normal
+	}
 	n := feed.NewNode(feed.Options{
-		Self: p, Peers: func() []feed.Peer { return f.peers },
-		Store: store.New(kvserver.NewLocal(f.server)), Client: c,
+		Self: p, Peers: func() []feed.Peer { return f.peers }, Store: store.New(local), Client: c,
 	})
 	f.nodes = append(f.nodes, n)
 	return n
@@ -157,12 +165,14 @@
 type sample struct {
 	at    time.Time
 	calls int64
-	sent  []int64
-	cpu   time.Duration
+	// attempts counts the calls that were made, refused ones too, but for those of the commits.
+	attempts int64
+	sent     []int64
+	cpu      time.Duration
 }
 
 func (f *fleet) sample() sample {
-	return sample{at: time.Now(), calls: calls(f.server.Counts()), sent: f.sent(), cpu: processorTime()}
+	return sample{at: time.Now(), calls: calls(f.server.Counts()), attempts: f.attempts.Load(), sent: f.sent(), cpu: processorTime()}
 }
 
 // measureFleet runs a fleet and returns its row of the table.
@@ -188,12 +198,32 @@
 	}
 	busy1 := f.sample()
 	watching := f.server.Counts().Watching
+	outage := f.measureOutage()
 	cancel()
 	wg.Wait()
 	if f.loop != nil {
 		f.loop.close()
 	}
-	return row(n, started, watching, changes, last, idle0, idle1, busy1)
+	return row(n, started, watching, changes, last, idle0, idle1, busy1) + outage
+}
+
+// measureOutage takes the service down and returns the cells of the table for the time without it and for a change
+// committed when it returns.
+func (f *fleet) measureOutage() string {
+	f.server.SetFaults(kvserver.Faults{Down: true})
+	time.Sleep(outageTime)
+	before := f.sample()
+	time.Sleep(outageTime)
+	after := f.sample()
+	d := after.at.Sub(before.at)
+	mean, highest := rates(before.sent, after.sent, d)
+	f.server.SetFaults(kvserver.Faults{})
+	back := f.sample()
+	f.commit()
+	last := f.waitAll(startBound)
+	time.Sleep(max(0, time.Second-time.Since(back.at)))
+	return fmt.Sprintf(" %.1f | %.0f | %.0f | %.2f | %d | %.1f |", float64(after.attempts-before.attempts)/d.Seconds(),
+		mean, highest, (after.cpu-before.cpu).Seconds()/d.Seconds(), f.sample().attempts-back.attempts, last.Seconds())
 }
 
 func row(n int, started time.Duration, watching int64, changes int, last []time.Duration, idle0, idle1, busy1 sample) string {
--- a/configsync/measure/main.go
+++ b/configsync/measure/main.go
@@ -20,8 +20,9 @@
 		measureState()
 	}
 	fmt.Println("| processes | start s | idle calls/s | watches | calls per change | sent B/s idle mean | max | " +
-		"sent B/s busy mean | max | last process ms median | max | cores idle | cores busy |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		"sent B/s busy mean | max | last process ms median | max | cores idle | cores busy | " +
+		"outage calls/s | sent B/s mean | max | cores | calls in 1 s of return | last process s |")
+	fmt.Println(strings.Repeat("| --- ", 19) + "|")
 	for _, text := range strings.Split(*nodes, ",") {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 {
