Let servers that never held keys judge them at once

Cause: side processes that had been restarted before operators made a service answered all of its keyed calls with unknown for the retention time, because each took itself for a holder that had lost its records. Change: the record incarnation/<server> lists the services whose keys any incarnation may have held. A server adds a service before it judges its keys, by compare-and-swap that a replaced process cannot make; a later incarnation that does not find the service there is complete at once. One write for each server and service. Ruled out: one record for each service (the second server to start would find it written by the first), and an inference from the revision of the configuration (a process cannot tell what its predecessors saw). TestServiceMadeAfterRestartsTakesKeys fails before.

--- a/cmd/internal/daemon/once.go
+++ b/cmd/internal/daemon/once.go
@@ -28,8 +28,8 @@
 	number := peer.Incarnation(ctx, c.kv, c.id.name, time.Now)
 	c.log.Info("incarnation taken", zap.Int64("incarnation", number.Incarnation), zap.Bool("recorded", number.Recorded))
 	return peer.New(peer.Options{
-		Self:       peerapi.Peer{Server: c.id.name, Incarnation: number.Incarnation},
-		Unrecorded: !number.Recorded, Configuration: c.node, Log: c.log,
+		Self:   peerapi.Peer{Server: c.id.name, Incarnation: number.Incarnation},
+		Number: number, Configuration: c.node, Log: c.log,
 	})
 }
 
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -62,6 +62,7 @@
 	c.register(peers, srv.Draining)
 	srv.Register(peers)
 	node.Register(peers)
+	ready := func() bool { return srv.Ready() && node.Ready() }
 	dump := func() any {
 		d := sideDump{Side: srv.Dump(), Once: node.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
 		g.dump(&d)
@@ -79,7 +80,7 @@
 	g.start(serving, group)
 	startOnce(serving, group, c, node)
 	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
-	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
+	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, ready), stopGrace) })
 	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
 	select {
 	case <-ctx.Done():
--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -91,7 +91,7 @@
 	}
 	t.settle(now, s)
 	switch {
-	case !s.complete:
+	case !t.judges(k.Service, s):
 		return Start{Kind: StartIncomplete}
 	case t.full():
 		return Start{Kind: StartFull}
@@ -199,7 +199,7 @@
 func (t *Table) verdictAbsent(now time.Time, s *shard, q peerapi.ClaimRequest) peerapi.Verdict {
 	t.settle(now, s)
 	switch {
-	case !s.complete:
+	case !t.judges(q.Key.Service, s):
 		return peerapi.VerdictIncomplete
 	case q.Op == peerapi.ClaimLook || t.full():
 		return peerapi.VerdictFull
--- a/idempotency/peer/incarnation.go
+++ b/idempotency/peer/incarnation.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"lavendermoor.example/platform/kv"
 )
@@ -17,9 +20,11 @@
 const incarnationPrefix = "incarnation/"
 
 // incarnationRecord is the value of incarnation/<server>. Owner tells the writer of a lost answer from another one.
+// Held are the services of which any incarnation so far may have held keys.
 type incarnationRecord struct {
-	Incarnation int64  `json:"incarnation"`
-	Owner       string `json:"owner"`
+	Incarnation int64    `json:"incarnation"`
+	Owner       string   `json:"owner"`
+	Held        []string `json:"held,omitempty"`
 }
 
 const (
@@ -34,6 +39,10 @@
 	Incarnation int64
 	// Recorded says that the key-value service holds the number.
 	Recorded bool
+	// Held are the services of which earlier incarnations may have held keys. It is known only if Recorded.
+	Held []string
+	// owner names the process in the record.
+	owner string
 }
 
 // Incarnation returns the number of a process that starts. The first process of a server gets 1, which proves that it
@@ -42,15 +51,17 @@
 // so that the process takes itself for a restarted holder, and larger than that of its predecessor as long as the
 // clock of the server's instances is not set back.
 func Incarnation(ctx context.Context, store kv.Store, server string, now func() time.Time) Number {
-	owner := uuid.NewString()
+	n := Number{owner: uuid.NewString()}
 	for range incarnationTries {
-		number, err := takeIncarnation(ctx, store, server, incarnationRecord{Incarnation: 1, Owner: owner}, now().UnixMicro())
+		r, err := takeIncarnation(ctx, store, server, incarnationRecord{Incarnation: 1, Owner: n.owner}, now().UnixMicro())
 		if err == nil {
-			return Number{Incarnation: number, Recorded: true}
+			n.Incarnation, n.Recorded, n.Held = r.Incarnation, true, r.Held
+			return n
 		}
 		sleep(ctx, incarnationPause)
 	}
-	return Number{Incarnation: now().UnixMicro()}
+	n.Incarnation = now().UnixMicro()
+	return n
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -62,52 +73,145 @@
 	}
 }
 
+// readIncarnation returns the record of a server and its revision, both zero when there is none.
+func readIncarnation(ctx context.Context, store kv.Store, server string) (incarnationRecord, int64, error) {
+	var last incarnationRecord
+	entry, err := store.Get(ctx, incarnationPrefix+server)
+	var missing *kv.NotFoundError
+	if errors.As(err, &missing) {
+		return last, 0, nil
+	}
+	if err != nil {
+		return last, 0, err
+	}
+	if err := json.Unmarshal(entry.Value, &last); err != nil {
+		return last, 0, merry.Wrap(err)
+	}
+	return last, entry.ModRevision, nil
+}
+
+func writeIncarnation(ctx context.Context, store kv.Store, server string, r incarnationRecord, revision int64) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	_, err = store.Put(ctx, incarnationPrefix+server, value, revision, 0)
+	return err
+}
+
 // takeIncarnation makes one attempt to write the record, whose number is used when the server has none yet. An attempt
 // after a lost answer finds its own record.
 func takeIncarnation(
 	ctx context.Context, store kv.Store, server string, mine incarnationRecord, least int64,
-) (int64, error) {
-	key := incarnationPrefix + server
-	entry, err := store.Get(ctx, key)
-	var missing *kv.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
-		return 0, err
+) (incarnationRecord, error) {
+	last, revision, err := readIncarnation(ctx, store, server)
+	if err != nil || last.Owner == mine.Owner {
+		return last, err
 	}
-	if err == nil {
-		var last incarnationRecord
-		if err := json.Unmarshal(entry.Value, &last); err != nil {
-			return 0, merry.Wrap(err)
-		}
-		if last.Owner == mine.Owner {
-			return last.Incarnation, nil
-		}
+	if revision > 0 {
 		mine.Incarnation = max(last.Incarnation+1, least)
 	}
-	value, err := json.Marshal(mine)
-	if err != nil {
-		return 0, merry.Wrap(err)
-	}
-	_, err = store.Put(ctx, key, value, entry.ModRevision, 0)
-	return mine.Incarnation, err
+	mine.Held = last.Held
+	return mine, writeIncarnation(ctx, store, server, mine, revision)
 }
 
-// Record writes the number of a node that started without one, as soon as the service answers. It ends when the number
-// is recorded, when a later incarnation is found, or with the context.
+// ReplacedError says that a later incarnation of the server has taken its record over.
+type ReplacedError struct{ Incarnation int64 }
+
+func (e *ReplacedError) Error() string {
+	return fmt.Sprintf("incarnation %d of this server has been recorded", e.Incarnation)
+}
+
+// Record keeps the record of this process up to date until the context ends: the number, when the process started
+// without one, and the services that it holds keys of. It ends early when a later incarnation is found.
 func (n *Node) Record(ctx context.Context, store kv.Store) {
-	if !n.opts.Unrecorded {
-		return
-	}
-	self := n.opts.Self
-	mine := incarnationRecord{Incarnation: self.Incarnation, Owner: uuid.NewString()}
-	for wait := recordPause; ctx.Err() == nil; wait = min(2*wait, maxRecordPause) {
-		number, err := takeIncarnation(ctx, store, self.Server, mine, self.Incarnation)
-		if err == nil {
-			n.lock()
-			n.table.SetRecorded(number == self.Incarnation)
-			n.mu.Unlock()
+	for wait := recordPause; ctx.Err() == nil; {
+		err := n.recordRound(ctx, store)
+		var replaced *ReplacedError
+		if errors.As(err, &replaced) {
+			n.opts.Log.Warn("this process has been replaced", zap.Error(err))
 			return
 		}
+		if err == nil {
+			wait = recordPause
+			n.awaitView(ctx)
+			continue
+		}
 		// The pause is random, so that the processes do not all come at once when the service returns.
 		sleep(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, maxRecordPause)
+	}
+}
+
+// awaitView waits until a service may have to be recorded: after a change of servers, or when copies are complete.
+func (n *Node) awaitView(ctx context.Context) {
+	t := time.NewTimer(recordPause)
+	defer t.Stop()
+	select {
+	case <-n.viewed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) recordRound(ctx context.Context, store kv.Store) error {
+	if !n.recorded {
+		if err := n.recordNumber(ctx, store); err != nil {
+			return err
+		}
+	}
+	n.lock()
+	services := n.table.Unrecorded()
+	n.mu.Unlock()
+	if len(services) == 0 {
+		return nil
+	}
+	return n.recordHeld(ctx, store, services)
+}
+
+// recordNumber writes the number of a process that started while the service did not answer.
+func (n *Node) recordNumber(ctx context.Context, store kv.Store) error {
+	self := n.opts.Self
+	last, revision, err := readIncarnation(ctx, store, self.Server)
+	if err != nil {
+		return err
+	}
+	if last.Owner != n.opts.Number.owner {
+		if last.Incarnation >= self.Incarnation {
+			return merry.Wrap(&ReplacedError{Incarnation: last.Incarnation})
+		}
+		mine := incarnationRecord{Incarnation: self.Incarnation, Owner: n.opts.Number.owner, Held: last.Held}
+		if err := writeIncarnation(ctx, store, self.Server, mine, revision); err != nil {
+			return err
+		}
+	}
+	n.recorded = true
+	n.lock()
+	n.table.SetRecorded(true)
+	n.mu.Unlock()
+	return nil
+}
+
+// recordHeld adds services to the record. A process that was replaced cannot, so its successor knows all of them.
+func (n *Node) recordHeld(ctx context.Context, store kv.Store, services []string) error {
+	last, revision, err := readIncarnation(ctx, store, n.opts.Self.Server)
+	if err != nil {
+		return err
+	}
+	if last.Owner != n.opts.Number.owner {
+		return merry.Wrap(&ReplacedError{Incarnation: last.Incarnation})
+	}
+	missing := slices.DeleteFunc(slices.Clone(services), func(s string) bool { return slices.Contains(last.Held, s) })
+	if len(missing) > 0 {
+		last.Held = append(last.Held, missing...)
+		if err := writeIncarnation(ctx, store, n.opts.Self.Server, last, revision); err != nil {
+			return err
+		}
+	}
+	n.lock()
+	defer n.mu.Unlock()
+	for _, s := range services {
+		n.table.Hold(s)
 	}
+	return nil
 }
--- a/idempotency/peer/incarnation_test.go
+++ b/idempotency/peer/incarnation_test.go
@@ -28,11 +28,19 @@
 	s, store := newStore(t)
 	now := func() time.Time { return time.UnixMicro(1000) }
 	s.SetFaults(kvserver.Faults{LoseAnswers: 1})
-	require.Equal(t, Number{1, true}, Incarnation(t.Context(), store, "booking-1", now))
-	require.Equal(t, Number{1000, true}, Incarnation(t.Context(), store, "booking-1", now))
-	require.Equal(t, Number{1001, true}, Incarnation(t.Context(), store, "booking-1", now))
+	take := func(server string) (int64, bool) {
+		n := Incarnation(t.Context(), store, server, now)
+		return n.Incarnation, n.Recorded
+	}
+	for _, want := range []int64{1, 1000, 1001} {
+		number, recorded := take("booking-1")
+		require.Equal(t, want, number)
+		require.True(t, recorded)
+	}
 	s.SetFaults(kvserver.Faults{Down: true})
-	require.Equal(t, Number{1000, false}, Incarnation(t.Context(), store, "booking-2", now))
+	number, recorded := take("booking-2")
+	require.Equal(t, int64(1000), number)
+	require.False(t, recorded)
 }
 
 // TestUnrecordedHolderGrantsNothing guards against a holder whose successor would take itself for the first
@@ -40,15 +48,38 @@
 func TestUnrecordedHolderGrantsNothing(t *testing.T) {
 	_, store := newStore(t)
 	w := newNetwork(t, 3)
-	n := w.start(0, 5000, idempotency.Options{})
-	n.table.SetRecorded(false)
-	n.opts.Unrecorded = true
+	n := w.startAs(0, 5000, Number{Incarnation: 5000, owner: "me"}, idempotency.Options{})
 	n.copyRound(t.Context())
 	require.Equal(t, idempotency.Shards, n.Dump().Incomplete)
-	n.Record(t.Context(), store)
+	require.NoError(t, n.recordRound(t.Context(), store))
 	n.copyRound(t.Context())
 	n.copyRound(t.Context())
+	require.NoError(t, n.recordRound(t.Context(), store))
 	require.Zero(t, n.Dump().Incomplete)
 	next := Incarnation(t.Context(), store, server(0), func() time.Time { return time.UnixMicro(0) })
-	require.Equal(t, Number{5001, true}, next)
+	require.Equal(t, int64(5001), next.Incarnation)
+	require.Equal(t, []string{"shed"}, next.Held)
+}
+
+// TestServerThatNeverHeldKeysIsComplete guards against a service whose keys nobody can judge for the retention time
+// because its servers had been restarted before it was made, and against a server that takes itself for one that never
+// held keys after a predecessor did.
+func TestServerThatNeverHeldKeysIsComplete(t *testing.T) {
+	_, store := newStore(t)
+	now := func() time.Time { return time.UnixMicro(0) }
+	w := newNetwork(t, 3)
+	first := Incarnation(t.Context(), store, server(0), now)
+	second := Incarnation(t.Context(), store, server(0), now)
+	n := w.startAs(0, second.Incarnation, second, idempotency.Options{})
+	require.Equal(t, idempotency.Shards, n.Dump().Incomplete, "nothing is judged before it is recorded")
+	require.NoError(t, n.recordRound(t.Context(), store))
+	require.Zero(t, n.Dump().Incomplete)
+
+	paused := w.startAs(0, first.Incarnation, first, idempotency.Options{})
+	var replaced *ReplacedError
+	require.ErrorAs(t, paused.recordRound(t.Context(), store), &replaced)
+	third := Incarnation(t.Context(), store, server(0), now)
+	n = w.startAs(0, third.Incarnation, third, idempotency.Options{})
+	require.NoError(t, n.recordRound(t.Context(), store))
+	require.Equal(t, idempotency.Shards, n.Dump().Incomplete, "its predecessor may have granted keys")
 }
--- a/idempotency/peer/node.go
+++ b/idempotency/peer/node.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net/http"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,8 +31,9 @@
 // Options are the parts of a Node.
 type Options struct {
 	Self peerapi.Peer
-	// Unrecorded says that the key-value service does not hold the incarnation number yet; see Node.Record.
-	Unrecorded    bool
+	// Number is that of Incarnation. A zero Number stands for a process without records in the key-value service,
+	// as in tests of the protocol alone.
+	Number        Number
 	Configuration Configuration
 	Log           *zap.Logger
 	// Table bounds the records of keyed calls; its retention is replaced by that of the configuration.
@@ -76,6 +78,11 @@
 	state    *cluster.State
 	draining bool
 
+	// viewed wakes Record when a service has new servers.
+	viewed chan struct{}
+	// recorded says that the number is in the key-value service. It is used by Record only.
+	recorded bool
+
 	// sending counts messages and runs that go on after the call that caused them was answered.
 	sending sync.WaitGroup
 	// sent and sentBytes count the messages to peers, for the state dump and for measurements.
@@ -90,15 +97,41 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}
 	}
-	table := idempotency.NewTable(opts.Self, opts.Table, time.Now())
-	table.SetRecorded(!opts.Unrecorded)
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
 	return &Node{
 		opts: opts, client: &http.Client{Transport: transport},
-		table: table, tokens: idempotency.NewTokens(opts.Self, key), plain: idempotency.NewPlain(opts.Self.Incarnation),
+		viewed: make(chan struct{}, 1),
+		table:  newTable(&opts), recorded: opts.Number.Recorded, tokens: idempotency.NewTokens(opts.Self, key), plain: idempotency.NewPlain(opts.Self.Incarnation),
 		keyed: map[int64]chan struct{}{}, tokened: map[int64]chan struct{}{}, views: map[string]idempotency.View{},
 	}
 }
 
+// newTable returns the table of a process. One whose number is not recorded takes itself for a holder of everything.
+func newTable(opts *Options) *idempotency.Table {
+	o := opts.Table
+	number := opts.Number
+	o.RecordHeld = number.owner != ""
+	if number.Recorded {
+		o.HeldBefore = func(service string) bool { return slices.Contains(number.Held, service) }
+	}
+	t := idempotency.NewTable(opts.Self, o, time.Now())
+	t.SetRecorded(number.Recorded || number.owner == "")
+	for _, service := range number.Held {
+		t.Hold(service)
+	}
+	return t
+}
+
+// Ready says whether this server may judge the keys of the shards that it has all records of. A server is not ready
+// until it has recorded, once for each service, that it holds keys.
+func (n *Node) Ready() bool {
+	n.lock()
+	defer n.mu.Unlock()
+	return len(n.table.Unrecorded()) == 0
+}
+
 // Self returns the incarnation of the node.
 func (n *Node) Self() peerapi.Peer { return n.opts.Self }
 
@@ -123,6 +156,10 @@
 		if before, ok := n.views[service]; !ok || !reflect.DeepEqual(before, v) {
 			n.views[service] = v
 			n.table.SetView(time.Now(), v)
+			select {
+			case n.viewed <- struct{}{}:
+			default: // Record is to wake already.
+			}
 		}
 	}
 }
--- a/idempotency/peer/node_test.go
+++ b/idempotency/peer/node_test.go
@@ -81,9 +81,14 @@
 }
 
 func (w *network) start(i int, incarnation int64, opts idempotency.Options) *Node {
+	return w.startAs(i, incarnation, Number{}, opts)
+}
+
+// startAs is start for a process with a record in the key-value service.
+func (w *network) startAs(i int, incarnation int64, number Number, opts idempotency.Options) *Node {
 	n := New(Options{
-		Self: peerapi.Peer{Server: server(i), Incarnation: incarnation}, Configuration: w, Log: zap.NewNop(),
-		Table: opts, Transport: w,
+		Self: peerapi.Peer{Server: server(i), Incarnation: incarnation}, Number: number, Configuration: w,
+		Log: zap.NewNop(), Table: opts, Transport: w,
 	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/idempotency/shard.go
+++ b/idempotency/shard.go
@@ -46,7 +46,7 @@
 		s.sets = sets
 		return
 	}
-	fresh := t.newShard(now, sets, before == nil)
+	fresh := t.newShard(now, id.service, sets, before == nil)
 	if s != nil {
 		fresh.records = s.records
 		t.inherit(s, fresh, before, v)
@@ -67,11 +67,11 @@
 
 // newShard returns the shard as it is for a holder that knows nothing of it yet. In the first view of a process the
 // retention counts from the start of the process, later from the time at which the view came into force.
-func (t *Table) newShard(now time.Time, sets Sets, first bool) *shard {
+func (t *Table) newShard(now time.Time, service string, sets Sets, first bool) *shard {
 	joined := len(sets.Old) > 0 && !has(sets.Old, t.self.Server)
 	s := &shard{
 		sets: sets, records: map[peerapi.CallKey]*record{}, copied: map[string]bool{},
-		restarted: t.self.Incarnation != 1, since: now,
+		restarted: t.self.Incarnation != 1 && t.opts.HeldBefore(service), since: now,
 	}
 	s.complete = !s.restarted && !joined && first && !t.unrecorded
 	if first && !joined {
@@ -134,11 +134,30 @@
 	}
 }
 
+// judges says whether this holder may say that it has granted a key of the shard to nobody.
+func (t *Table) judges(service string, s *shard) bool {
+	return s.complete && (!t.opts.RecordHeld || t.held[service])
+}
+
+// Unrecorded returns the services of which this server has complete shards and that are not recorded as held.
+func (t *Table) Unrecorded() []string {
+	var out []string
+	for id, s := range t.shards {
+		if s.complete && t.opts.RecordHeld && !t.held[id.service] && !slices.Contains(out, id.service) {
+			out = append(out, id.service)
+		}
+	}
+	return out
+}
+
+// Hold notes that a service is recorded as held by this server, by a write that a later incarnation of it will see.
+func (t *Table) Hold(service string) { t.held[service] = true }
+
 // Incomplete returns the number of shards that cannot judge keys yet.
 func (t *Table) Incomplete() int {
 	n := 0
-	for _, s := range t.shards {
-		if !s.complete {
+	for id, s := range t.shards {
+		if !t.judges(id.service, s) {
 			n++
 		}
 	}
@@ -152,7 +171,7 @@
 		return false
 	}
 	for id, s := range t.shards {
-		if id.service == service && !s.complete {
+		if id.service == service && !t.judges(id.service, s) {
 			return false
 		}
 	}
@@ -198,7 +217,7 @@
 		return out
 	}
 	t.settle(now, s)
-	out.Complete = s.complete
+	out.Complete = t.judges(p.Service, s)
 	for _, k := range pageKeys(s, p.Cursor) {
 		if len(out.Records) >= limit {
 			out.Next = cursorOf(out.Records[len(out.Records)-1].Key)
--- a/idempotency/sim_test.go
+++ b/idempotency/sim_test.go
@@ -46,32 +46,59 @@
 	paused  []*process
 	network []message
 	calls   []*simCall
+	// records stand for the records of incarnations in the key-value service.
+	records map[string]*simRecord
 	runs    map[peerapi.CallKey][]string
 	history []porcupine.Operation
 	clock   int64
 }
 
+// simRecord is the record of a server: its newest incarnation, and whether it has held keys.
+type simRecord struct {
+	incarnation int64
+	held        bool
+}
+
 func member(name string) cluster.Member { return cluster.Member{Name: name, Domain: "domain-" + name} }
 
 func newSim(t *rapid.T) *sim {
 	s := &sim{
 		t: t, now: time.Unix(0, 0), live: map[string]*process{}, runs: map[peerapi.CallKey][]string{},
-		views: []View{{Service: "shed", Epoch: 1, Servers: []cluster.Member{member("a"), member("b"), member("c")}}},
+		records: map[string]*simRecord{},
+		views:   []View{{Service: "shed", Epoch: 1, Servers: []cluster.Member{member("a"), member("b"), member("c")}}},
 	}
 	for _, n := range []string{"a", "b", "c", "d"} {
-		s.start(n, 1)
+		s.records[n] = &simRecord{}
+		// Servers may have been restarted before the service was made.
+		s.start(n, rapid.Int64Range(1, 2).Draw(t, "incarnation"))
 	}
 	return s
 }
 
 func (s *sim) start(name string, incarnation int64) {
-	p := &process{table: NewTable(peerapi.Peer{Server: name, Incarnation: incarnation}, Options{}, s.now)}
+	record := s.records[name]
+	record.incarnation = incarnation
+	held := record.held
+	p := &process{table: NewTable(peerapi.Peer{Server: name, Incarnation: incarnation}, Options{
+		HeldBefore: func(string) bool { return held }, RecordHeld: true,
+	}, s.now)}
+	p.table.held["shed"] = held
 	// A process that starts may get an old configuration from a peer that lags.
 	p.view = rapid.IntRange(max(0, len(s.views)-2), len(s.views)-1).Draw(s.t, "view")
 	p.table.SetView(s.now, s.views[p.view])
 	s.live[name] = p
 }
 
+// hold records a service as held, unless a later incarnation has taken the record over.
+func (s *sim) hold() {
+	p := s.anyProcess(s.server())
+	record := s.records[p.table.self.Server]
+	if len(p.table.Unrecorded()) > 0 && record.incarnation == p.table.self.Incarnation {
+		record.held = true
+		p.table.Hold("shed")
+	}
+}
+
 func (s *sim) tick() int64 { s.clock++; return s.clock }
 
 func (s *sim) server() string {
@@ -275,7 +302,7 @@
 	old := s.live[name]
 	for _, p := range s.live {
 		sh := p.table.shards[shardID{"shed", simShard}]
-		if p != old && sh != nil && !sh.complete && rapid.IntRange(0, 7).Draw(s.t, "two at once") > 0 {
+		if p != old && sh != nil && !p.table.judges("shed", sh) && rapid.IntRange(0, 7).Draw(s.t, "two at once") > 0 {
 			return
 		}
 	}
@@ -347,7 +374,7 @@
 func (s *sim) clearPrevious(v View) {
 	for _, m := range v.Servers {
 		table := s.live[m.Name].table
-		if sh := table.shards[shardID{"shed", simShard}]; table.epoch("shed") != v.Epoch || (sh != nil && !sh.complete) {
+		if sh := table.shards[shardID{"shed", simShard}]; table.epoch("shed") != v.Epoch || (sh != nil && !table.judges("shed", sh)) {
 			return
 		}
 	}
@@ -424,6 +451,7 @@
 			"late": func(*rapid.T) { s.lateStep() }, "replace": func(*rapid.T) { s.replace() },
 			"copy1": func(*rapid.T) { s.copyShard() }, "copy2": func(*rapid.T) { s.copyShard() },
 			"change": func(*rapid.T) { s.changeServers() },
+			"hold1":  func(*rapid.T) { s.hold() }, "hold2": func(*rapid.T) { s.hold() },
 			"adopt1": func(*rapid.T) { s.adopt() }, "adopt2": func(*rapid.T) { s.adopt() },
 			"newest1": func(*rapid.T) { s.deliverLast() }, "newest2": func(*rapid.T) { s.deliverLast() },
 			"": s.check,
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -16,6 +16,12 @@
 	MaxRecords int
 	// MaxBodyBytes is the total size of kept outcomes; beyond it, outcomes are kept without their body.
 	MaxBodyBytes int
+	// HeldBefore says whether an earlier incarnation of this server may have held keys of a service; nil stands for
+	// yes. The answer must not change.
+	HeldBefore func(service string) bool
+	// RecordHeld says that a service has to be recorded, and Hold called, before this server judges its keys, so that
+	// HeldBefore of a later incarnation is true.
+	RecordHeld bool
 	// MaxClaimAge is the age at which an attempt may no longer begin. It bounds how long a paused runner can wait
 	// between its claim and its run, so that its grants cannot have expired.
 	MaxClaimAge time.Duration
@@ -44,6 +50,9 @@
 	if o.MaxClaimAge == 0 {
 		o.MaxClaimAge = DefaultMaxClaimAge
 	}
+	if o.HeldBefore == nil {
+		o.HeldBefore = func(string) bool { return true }
+	}
 	return o
 }
 
@@ -103,6 +112,8 @@
 	// unrecorded says that the incarnation number has not been written to the key-value service, so that a successor
 	// could take itself for the first incarnation. Nothing is granted until then.
 	unrecorded bool
+	// held are the services that are recorded as held by this server.
+	held map[string]bool
 	// seen is the newest known incarnation of each server.
 	seen map[string]int64
 }
@@ -111,7 +122,7 @@
 func NewTable(self peerapi.Peer, opts Options, start time.Time) *Table {
 	return &Table{
 		self: self, opts: opts.withDefaults(), base: start,
-		views: map[string]*View{}, shards: map[shardID]*shard{}, claims: map[int64]*Claim{},
+		views: map[string]*View{}, held: map[string]bool{}, shards: map[shardID]*shard{}, claims: map[int64]*Claim{},
 		running: map[peerapi.CallKey]peerapi.Attempt{}, forgotten: map[shardID]int64{},
 		seen: map[string]int64{self.Server: self.Incarnation},
 	}
--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -302,3 +302,25 @@
 	}
 	t.Logf("answers: %v", tally)
 }
+
+// TestServiceMadeAfterRestartsTakesKeys guards against a new service whose keyed calls are answered "unknown" for the
+// retention time because its side processes had been restarted before operators made it.
+func TestServiceMadeAfterRestartsTakesKeys(t *testing.T) {
+	d := small(t)
+	var servers []string
+	for i := range 3 {
+		s := d.startSide(fmt.Sprintf("lights-%d", i+1), i, d.Services[i].Backend)
+		Eventually(t, s.Name+" answers", func() bool { return status("http://"+s.Settings.Admin+"/healthz") == http.StatusOK })
+		s.Kill()
+		d.Restart(s)
+		servers = append(servers, fmt.Sprintf(`{"name": %q, "address": %q, "failure_domain": %q, "service": "lights", "slots": 8}`,
+			s.Settings.Name, s.Settings.Listen, s.Settings.FailureDomain))
+	}
+	out, code := d.Apply(`{"services": [{"name": "lights"}], "servers": [` + strings.Join(servers, ",") + `]}`)
+	require.Zero(t, code, out)
+	Eventually(t, "a keyed call is answered", func() bool {
+		key := http.Header{callerapi.HeaderIdempotencyKey: {fmt.Sprint("key-", time.Now().UnixNano())}}
+		status, _, _ := Do(t, http.MethodPost, d.Entries[0].URL+"/v1/services/lights/lights/l1/commands", key, nil)
+		return status == http.StatusOK
+	})
+}
