--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -15,6 +15,7 @@
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/config/cluster"
 	"lavendermoor.example/idempotency"
+	"lavendermoor.example/standin/kvserver"
 )
 
 // booked is the answer to a booking; it is "run" when the booking was made, or the value of executed.
@@ -116,16 +117,16 @@
 func TestKilledRunnerLeavesUnknown(t *testing.T) {
 	d := Deploy(t, Plan{Entries: 2, Services: 3, Slots: 4, ServiceArgs: []string{"-write-time", "1s"}})
 	done := make(chan booked)
-	go func() { done <- d.book(d.Entries[0], "shed-1", keyHeader("k1")) }()
+	go func() { done <- d.book(d.Entries[0], "shed-1", keyHeader("k3")) }()
 	Eventually(t, "the call runs", func() bool { return d.count("shed-1") == 1 })
-	runner := d.rank("k1")[0]
+	runner := d.rank("k3")[0]
 	runner.Kill()
 	require.Equal(t, "unknown", (<-done).state)
-	require.Equal(t, "unknown", d.book(d.Entries[1], "shed-1", keyHeader("k1")).state)
+	require.Equal(t, "unknown", d.book(d.Entries[1], "shed-1", keyHeader("k3")).state)
 	d.Restart(runner)
 	runner.Ready()
 	d.copied(runner)
-	require.Equal(t, "unknown", d.book(d.Entries[1], "shed-1", keyHeader("k1")).state)
+	require.Equal(t, "unknown", d.book(d.Entries[1], "shed-1", keyHeader("k3")).state)
 	require.Equal(t, 1, d.count("shed-1"))
 	fresh := d.book(d.Entries[1], "shed-2", keyHeader("k2"))
 	require.Equal(t, "run", fresh.state, "%+v", fresh.err)
@@ -177,6 +178,29 @@
 	require.Equal(t, 1, d.count("shed-1"))
 }
 
+// TestRestartDuringOutageGrantsNothing guards against a holder that starts while the key-value service is down and then
+// judges keys, although its successor would take itself for the first incarnation.
+func TestRestartDuringOutageGrantsNothing(t *testing.T) {
+	d := booking(t)
+	first := d.book(d.Entries[0], "shed-1", keyHeader("k1"))
+	require.Equal(t, "run", first.state, "%+v", first.err)
+	d.KVFaults(kvserver.Faults{Down: true})
+	s := d.rank("k1")[0]
+	s.Kill()
+	d.Restart(s)
+	s.Ready()
+	require.Equal(t, first.body, d.book(d.Entries[0], "shed-1", keyHeader("k1")).body)
+	fresh := d.book(d.Entries[0], "shed-2", keyHeader("k2"))
+	require.Equal(t, "run", fresh.state, "%+v", fresh.err)
+	var st onceState
+	require.NoError(t, s.State(&st))
+	require.Equal(t, idempotency.Shards, st.Once.Incomplete)
+	d.KVFaults(kvserver.Faults{})
+	d.copied(s)
+	require.Equal(t, first.body, d.book(d.Entries[1], "shed-1", keyHeader("k1")).body)
+	require.Equal(t, 1, d.count("shed-1"))
+}
+
 // TestChangeOfServersKeepsKeys guards against keys that are forgotten when a server is added, and against a list of
 // previous servers that is never cleared.
 func TestChangeOfServersKeepsKeys(t *testing.T) {
@@ -215,6 +239,12 @@
 	for shed := range bodies {
 		require.Equal(t, 1, d.count(shed))
 	}
+	Eventually(t, "the previous servers are cleared", func() bool {
+		out, code := d.Ctl("get", "service/"+Service)
+		return code == 0 && strings.Contains(out, `"booking-4"`) && !strings.Contains(out, "previous")
+	})
+	out, _ := d.Ctl("get", "service/"+Service)
+	require.Regexp(t, `"?epoch"?: *"?3`, out)
 }
 
 // TestKeysRunAtMostOnceInAStorm guards against a second run and against false answers while side processes are killed,
