--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -29,6 +29,16 @@
 	Orders  *side.OrdersDump `json:"orders,omitempty"`
 }
 
+// sideProcess holds the parts of a side process.
+type sideProcess struct {
+	set     side.Settings
+	control *control
+	group   *groupControl
+	queue   *side.Queue
+	once    *peer.Node
+	server  *side.Server
+}
+
 // Side runs a side process until the context ends and its work is done.
 func Side(ctx context.Context, s side.Settings, l *Listeners, logs io.Writer) error {
 	c, err := newControl(identity{
@@ -38,66 +48,89 @@
 	if err != nil {
 		return err
 	}
-	backend, err := url.Parse(s.Backend)
-	if err != nil {
-		return err
-	}
-	g, err := newGroupControl(s, backend, c)
+	p, err := newSideProcess(ctx, s, c)
 	if err != nil {
 		return err
 	}
-	queue, err := side.NewQueue(s)
-	if err != nil {
-		return err
-	}
-	node := newOnce(ctx, c)
-	srv := side.New(side.Options{
-		Name: s.Name, Incarnation: node.Self().Incarnation, Configuration: c.node, Backend: engine.NewClient(backend),
-		Admission: queue, Calls: node, Log: c.log, Slow: g.slow, Continues: s.EngineContinues,
-	})
-	if err := telemetry.Register(c.meter, srv.Instruments()); err != nil {
-		return err
-	}
-	peers := mux.NewRouter()
-	c.register(peers, srv.Draining)
-	srv.Register(peers)
-	node.Register(peers)
-	ready := func() bool { return srv.Ready() && node.Ready() }
-	dump := func() any {
-		d := sideDump{Side: srv.Dump(), Once: node.Dump(), Refused: c.node.Refused(), Instances: c.instances()}
-		g.dump(&d)
-		return d
-	}
-
 	// Listeners and control path outlive the termination signal until the work is done.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	drain := func() { srv.Drain(); node.Drain() }
-	leaving := side.NewLeavingWatch(s.Name, l.Peers.Addr().String(), drain)
-	group.Go(func() error { return c.run(serving, leaving.Observe) })
-	group.Go(func() error { queue.FollowSlots(serving, c.node, s.Name); return nil })
-	g.start(serving, group)
-	startOnce(serving, group, c, node)
-	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
-	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, ready), stopGrace) })
+	p.start(serving, group, l)
 	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
 	select {
 	case <-ctx.Done():
 	case <-serving.Done():
 		return group.Wait()
 	}
-	drain()
-	c.log.Info("draining")
-	time.Sleep(lameDuck)
-	if !waitIdle(srv.Idle, s.DrainTimeout.D()) {
-		c.log.Warn("drain timeout passed with work running")
-	}
-	handOver(node)
+	p.finish()
 	stop()
 	return group.Wait()
 }
 
+func newSideProcess(ctx context.Context, s side.Settings, c *control) (*sideProcess, error) {
+	p := &sideProcess{set: s, control: c}
+	backend, err := url.Parse(s.Backend)
+	if err != nil {
+		return nil, err
+	}
+	if p.group, err = newGroupControl(s, backend, c); err != nil {
+		return nil, err
+	}
+	if p.queue, err = side.NewQueue(s); err != nil {
+		return nil, err
+	}
+	p.once = newOnce(ctx, c)
+	p.server = side.New(side.Options{
+		Name: s.Name, Incarnation: p.once.Self().Incarnation, Configuration: c.node,
+		Backend: engine.NewClient(backend), Admission: p.queue, Calls: p.once, Log: c.log, Slow: p.group.slow,
+		Continues: s.EngineContinues,
+	})
+	return p, telemetry.Register(c.meter, p.server.Instruments())
+}
+
+// start runs all parts until the context ends.
+func (p *sideProcess) start(ctx context.Context, group *errgroup.Group, l *Listeners) {
+	peers := mux.NewRouter()
+	p.control.register(peers, p.server.Draining)
+	p.server.Register(peers)
+	p.once.Register(peers)
+	leaving := side.NewLeavingWatch(p.set.Name, l.Peers.Addr().String(), p.drain)
+	group.Go(func() error { return p.control.run(ctx, leaving.Observe) })
+	group.Go(func() error { p.queue.FollowSlots(ctx, p.control.node, p.set.Name); return nil })
+	p.group.start(ctx, group)
+	startOnce(ctx, group, p.control, p.once)
+	group.Go(func() error { return telemetry.Serve(ctx, l.Peers, peers, stopGrace) })
+	group.Go(func() error { return telemetry.Serve(ctx, l.Admin, p.control.admin(p.dump, p.ready), stopGrace) })
+}
+
+func (p *sideProcess) ready() bool { return p.server.Ready() && p.once.Ready() }
+
+func (p *sideProcess) dump() any {
+	d := sideDump{
+		Side: p.server.Dump(), Once: p.once.Dump(), Refused: p.control.node.Refused(),
+		Instances: p.control.instances(),
+	}
+	p.group.dump(&d)
+	return d
+}
+
+func (p *sideProcess) drain() {
+	p.server.Drain()
+	p.once.Drain()
+}
+
+// finish drains, waits for the end of the work and hands over what callers may still ask for.
+func (p *sideProcess) finish() {
+	p.drain()
+	p.control.log.Info("draining")
+	time.Sleep(lameDuck)
+	if !waitIdle(p.server.Idle, p.set.DrainTimeout.D()) {
+		p.control.log.Warn("drain timeout passed with work running")
+	}
+	handOver(p.once)
+}
+
 // groupControl holds the parts that act for a whole model group; those that the settings do not enable are nil.
 type groupControl struct {
 	experts *side.Experts
