Unexport the queue order, drop an unused refusal reason

No package outside admission can implement the interface policy, and no code sets the reason Cancelled. The comments on the concurrency limit and on LongSlotsBusy described other conditions than the code.

--- a/admission/decision.go
+++ b/admission/decision.go
@@ -29,7 +29,7 @@
 	Turn
 	// NoSlot: every slot is busy, or other work is ahead.
 	NoSlot
-	// LongSlotsBusy: the free slots are reserved for short work.
+	// LongSlotsBusy: the free slots are reserved for kinds other than Long.
 	LongSlotsBusy
 	// Unmeetable: the deadline cannot be met given the predicted wait.
 	Unmeetable
@@ -43,13 +43,11 @@
 	QueueFull
 	// Draining: the process accepts no new work.
 	Draining
-	// Cancelled: the caller went away.
-	Cancelled
 )
 
 var reasonNames = [...]string{
 	"free_slot", "turn", "no_slot", "long_slots_busy", "deadline_unmeetable", "expired", "shed_value",
-	"shed_share", "queue_full", "draining", "cancelled",
+	"shed_share", "queue_full", "draining",
 }
 
 // String returns the name of the reason.
@@ -61,7 +59,7 @@
 	Reason  Reason
 	// PredictedWait is the wait expected when the decision was made.
 	PredictedWait time.Duration
-	// RetryAfter is set on every refusal but Cancelled: the time after which the same request would be
+	// RetryAfter is set on every refusal: the time after which the same request would be
 	// accepted, as far as the queue can tell.
 	RetryAfter time.Duration
 }
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -4,6 +4,6 @@
 // the time as the duration since a fixed start on a monotonic clock. Gate is the concurrent wrapper that a
 // side process uses.
 //
-// The order of waiting work is a Policy. "fair" serves kinds by level and age, and the customers of one kind
+// PolicyName selects the order of waiting work. "fair" serves kinds by level and age, and the customers of one kind
 // by start-time fair queueing (Goyal, Vin and Cheng, 1996). "fifo" and "priority" are baselines.
 package admission
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -50,7 +50,7 @@
 	cfg   LimitConfig
 	limit float64
 	kinds [numKinds]serviceTimes
-	// used says that the limit held back work since the last decision; otherwise it does not grow.
+	// used says that all slots were busy at some time since the last decision; otherwise the limit does not grow.
 	used     bool
 	notUntil time.Duration
 }
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -12,8 +12,8 @@
 	Priority PolicyName = "priority"
 )
 
-// Policy keeps the waiting items in order. It is used by one goroutine at a time.
-type Policy interface {
+// policy keeps the waiting items in order. It is used by one goroutine at a time.
+type policy interface {
 	// Push adds an item.
 	Push(it *Item)
 	// Pop removes and returns the next item, or nil if none may start. Items of kind Long may start only if
@@ -160,16 +160,16 @@
 }
 
 func (f *fair) Push(it *Item) {
-	k, fl := f.flowOf(it)
+	lane, fl := f.flowOf(it)
 	f.n++
-	k.n++
-	k.work += it.service
+	lane.n++
+	lane.work += it.service
 	fl.work += it.service
 	if !fl.heap.empty() {
-		k.weight += it.cust.weight - fl.weight
+		lane.weight += it.cust.weight - fl.weight
 		fl.weight = it.cust.weight
 		fl.heap.push(it)
-		k.flows.fix(fl)
+		lane.flows.fix(fl)
 		return
 	}
 	if fl.heap.less == nil {
@@ -177,10 +177,10 @@
 		fl.heap.pos = func(it *Item) *int32 { return &it.orderPos }
 	}
 	fl.heap.push(it)
-	fl.start = max(fl.start, k.virtual)
+	fl.start = max(fl.start, lane.virtual)
 	fl.weight = it.cust.weight
-	k.weight += fl.weight
-	k.flows.push(fl)
+	lane.weight += fl.weight
+	lane.flows.push(fl)
 }
 
 func (f *fair) Pop(long bool) *Item {
@@ -197,8 +197,8 @@
 		return nil
 	}
 	it := f.head(best)
-	k, fl := f.flowOf(it)
-	k.virtual = fl.start
+	lane, fl := f.flowOf(it)
+	lane.virtual = fl.start
 	fl.start += it.service / fl.weight
 	f.Remove(it)
 	return it
@@ -228,19 +228,19 @@
 func (f *fair) head(k int) *Item { return f.lanes[k].flows.min().heap.min() }
 
 func (f *fair) Remove(it *Item) {
-	k, fl := f.flowOf(it)
+	lane, fl := f.flowOf(it)
 	f.n--
-	k.n--
-	k.work -= it.service
+	lane.n--
+	lane.work -= it.service
 	fl.work -= it.service
 	fl.heap.remove(it)
 	if !fl.heap.empty() {
-		k.flows.fix(fl)
+		lane.flows.fix(fl)
 		return
 	}
 	fl.work = 0
-	k.weight -= fl.weight
-	k.flows.remove(fl)
+	lane.weight -= fl.weight
+	lane.flows.remove(fl)
 }
 
 // Ahead counts all work of preferred lanes, and of the item's own lane what start-time fair queueing lets
@@ -253,20 +253,20 @@
 			sum += f.lanes[k].work
 		}
 	}
-	k, fl := f.flowOf(it)
-	if k.n == 0 {
+	lane, fl := f.flowOf(it)
+	if lane.n == 0 {
 		return max(sum, 0)
 	}
 	own := max(fl.work, 0)
-	distance := max(fl.start-k.virtual, 0) + own/it.cust.weight
-	others := k.weight - it.cust.weight
-	count := float64(len(k.flows.list) - 1)
+	distance := max(fl.start-lane.virtual, 0) + own/it.cust.weight
+	others := lane.weight - it.cust.weight
+	count := float64(len(lane.flows.list) - 1)
 	if fl.heap.empty() {
-		others, count = k.weight, count+1
+		others, count = lane.weight, count+1
 	}
 	// Every other customer may have begun its turn, which is one mean item each.
-	share := own + distance*max(others, 0) + count*k.work/float64(k.n)
-	return max(sum+min(k.work, share), 0)
+	share := own + distance*max(others, 0) + count*lane.work/float64(lane.n)
+	return max(sum+min(lane.work, share), 0)
 }
 
 // SetExcess moves the flows of a customer to the lanes for excess or back. A flow keeps its distance from the
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -17,10 +17,10 @@
 	// biasFrom is the predicted wait in seconds from which the correction learns. Shorter ones are mostly
 	// the rest of one service time.
 	biasFrom = 0.01
-	// marginFactor is the number of mean errors by which a run may take longer than predicted and still be in
+	// serviceMargin is the number of mean errors by which a run may take longer than predicted and still be in
 	// time. Without a margin, half of the runs that start last are cut off at their deadline. Twice the mean
 	// error is the whole range of a uniform distribution and 1.6 standard deviations of a normal one.
-	marginFactor = 2
+	serviceMargin = 2
 	// minShareOfSlots is the part of the slots that the least preferred kind is expected to get, since aging does
 	// not let it starve.
 	minShareOfSlots = 0.05
@@ -41,7 +41,7 @@
 // durations since a fixed start and must not decrease from call to call.
 type Queue struct {
 	cfg       Config
-	policy    Policy
+	policy    policy
 	limit     *limiter
 	predict   *predictor
 	shed      *shedder
@@ -91,7 +91,7 @@
 	return q, nil
 }
 
-func newPolicy(cfg Config) Policy {
+func newPolicy(cfg Config) policy {
 	if cfg.Policy == Fair {
 		return newFair(cfg)
 	}
@@ -144,7 +144,7 @@
 	it.service = q.limit.kinds[it.Kind].unit * max(it.tokens, 1)
 	it.latestStart = never
 	if it.Deadline != 0 {
-		it.latestStart = it.Deadline - seconds(it.service*(1+marginFactor*q.serviceError[it.Kind]))
+		it.latestStart = it.Deadline - seconds(it.service*(1+serviceMargin*q.serviceError[it.Kind]))
 	}
 	it.cust = q.customer(it)
 	q.shares.offer(it.cust, now, it.service)
