Count only present servers and monotonic times for a partition

Failures of servers that had left a failure domain still counted towards a partition. Successes were timed by the wall clock; after a step back of it they would hide a partition until the clock caught up. The attempt numbers and the longest pause of probes get names.

--- a/membership/domain.go
+++ b/membership/domain.go
@@ -21,11 +21,11 @@
 }
 
 func (s *State) domainOf(name string) uint16 {
-	if i, ok := s.byName[name]; ok {
+	if i, ok := s.domainIndex[name]; ok {
 		return i
 	}
 	i := uint16(len(s.domains))
-	s.byName[name] = i
+	s.domainIndex[name] = i
 	s.domains = append(s.domains, domain{name: name, failing: map[string]bool{}})
 	return i
 }
@@ -85,7 +85,7 @@
 				due = append(due, name)
 			}
 		}
-		d.pause = min(2*d.pause, maxProbePause/6)
+		d.pause = min(2*d.pause, maxPartitionPause)
 		d.probeAt = now.Add(d.pause)
 	}
 	return due
--- a/membership/state.go
+++ b/membership/state.go
@@ -25,6 +25,10 @@
 	// leavingOverruledAfter is the time after which a server that still reports that it is not draining
 	// outweighs a list that shows it as leaving. A server reads the same list, within a few seconds.
 	leavingOverruledAfter = 30 * time.Second
+	// The attempt numbers whose probePause is taken for a server that drains or leaves: about 2 s before the first
+	// probe for its next incarnation and about 8 s before each further one.
+	firstDrainedProbe = 2
+	laterDrainedProbe = 4
 	// partitionServers is how many servers of a domain must fail without a success in between before the whole
 	// domain is held to be cut off; all of them in a smaller domain, and never a single one.
 	partitionServers = 3
@@ -32,6 +36,8 @@
 	partitionWindow = 10 * time.Second
 	// partitionProbes is the number of servers of a cut-off domain that are probed at a time.
 	partitionProbes = 2
+	// maxPartitionPause is the longest pause between two rounds of these probes.
+	maxPartitionPause = 5 * time.Second
 )
 
 // Server is a server of the accepted configuration.
@@ -52,7 +58,8 @@
 	seed    uint64
 	records map[string]*record
 	domains []domain
-	byName  map[string]uint16
+	// domainIndex is the position in domains by the name of the failure domain.
+	domainIndex map[string]uint16
 
 	// lastList is what the last list shows of side processes; servers configured later start from it.
 	lastList    map[string]listState
@@ -69,7 +76,7 @@
 // NewState returns a state without servers. The seed spreads the probes of processes.
 func NewState(now time.Time, seed uint64) *State {
 	return &State{
-		start: now, seed: seed, records: map[string]*record{}, byName: map[string]uint16{}, entries: 1,
+		start: now, seed: seed, records: map[string]*record{}, domainIndex: map[string]uint16{}, entries: 1,
 	}
 }
 
@@ -109,10 +116,23 @@
 		next[v.Name] = r
 	}
 	s.records = next
+	s.forgetFailures()
 	s.settled, s.dirty = true, true
 	s.version++
 }
 
+// forgetFailures removes servers that have left a failure domain from its failing ones, so that they do not count
+// towards a partition.
+func (s *State) forgetFailures() {
+	for i := range s.domains {
+		for name := range s.domains[i].failing {
+			if r := s.records[name]; r == nil || int(r.domain) != i {
+				delete(s.domains[i].failing, name)
+			}
+		}
+	}
+}
+
 // ApplyList takes an answer of the instance list. A version older than the last one is ignored. The list can
 // take a server out; it never brings back one that drains or that does not answer.
 func (s *State) ApplyList(now time.Time, l instances.List) {
@@ -275,7 +295,7 @@
 	s.reached(now, r.domain)
 	s.Report(now, rep)
 	if r.draining() || r.leaving() {
-		r.probeAt = s.stampOf(now.Add(probePause(s.seed, rep.Server, 4)))
+		r.probeAt = s.stampOf(now.Add(probePause(s.seed, rep.Server, laterDrainedProbe)))
 	}
 	s.changed(now, r, before)
 }
@@ -315,7 +335,7 @@
 		s.goDown(now, name, r)
 	}
 	if r.probeAt == 0 && !r.probing && (r.draining() || r.leaving()) {
-		r.probeAt = s.stampOf(now.Add(probePause(s.seed, name, 2)))
+		r.probeAt = s.stampOf(now.Add(probePause(s.seed, name, firstDrainedProbe)))
 	}
 	if s.reason(r) != before {
 		s.changed(now, r, before)
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -229,3 +229,16 @@
 	require.Equal(t, Leaving, w.reasonOf("a0"))
 	require.Equal(t, Usable, w.reasonOf("a1"))
 }
+
+// Guards against a partition that is concluded from failures of servers that are no longer configured.
+func TestFailuresOfRemovedServersDoNotCountTowardsAPartition(t *testing.T) {
+	w := newWorld("a")
+	w.Failed(w.now, "a0")
+	w.Failed(w.now, "a1")
+	w.SetServers(w.now, []Server{{"a0", "b"}, {"a2", "a"}, {"a3", "a"}, {"a4", "a"}})
+	w.Failed(w.now, "a2")
+	require.False(t, w.View(w.now).Partitioned("a"))
+	w.Failed(w.now, "a3")
+	w.Failed(w.now, "a4")
+	require.True(t, w.View(w.now).Partitioned("a"))
+}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -30,8 +30,10 @@
 	notify func(*View)
 	view   atomic.Pointer[View]
 	events chan func(time.Time)
-	// okTimes holds the time of the last success for each failure domain, in nanoseconds. Traffic writes it
-	// directly, so that a success costs no message to the owner.
+	start  time.Time
+	// okTimes holds the time of the last success for each failure domain, in nanoseconds since start. Traffic writes
+	// it directly, so that a success costs no message to the owner. The monotonic clock is used, because after a step
+	// back of the wall clock the last success would outlast all later failures and hide a partition.
 	okTimes sync.Map
 	lost    atomic.Int64
 	done    chan struct{}
@@ -42,7 +44,7 @@
 func NewTracker(seed uint64, probe Prober, notify func(*View)) *Tracker {
 	now := time.Now()
 	t := &Tracker{
-		state: NewState(now, seed), probe: probe, notify: notify,
+		state: NewState(now, seed), probe: probe, notify: notify, start: now,
 		events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}),
 	}
 	t.view.Store(t.state.View(now))
@@ -89,15 +91,15 @@
 	s := t.View().Of(rep.Server)
 	fresh := rep.Incarnation > s.Incarnation
 	drains := rep.Draining && s.Reason != Draining
-	unless := s.Reason == Leaving && !rep.Draining
-	if fresh || drains || unless || rep.Slow != s.Slow {
+	contradictsList := s.Reason == Leaving && !rep.Draining
+	if fresh || drains || contradictsList || rep.Slow != s.Slow {
 		t.offer(func(now time.Time) { t.state.Report(now, rep) })
 	}
 }
 
 // Connected passes on a successful exchange.
 func (t *Tracker) Connected(server, domain string) {
-	now := time.Now().UnixNano()
+	now := int64(time.Since(t.start))
 	if cell, ok := t.okTimes.Load(domain); ok {
 		cell.(*atomic.Int64).Store(now)
 	} else {
@@ -161,9 +163,9 @@
 
 func (t *Tracker) foldSuccesses() {
 	t.okTimes.Range(func(name, cell any) bool {
-		if i, ok := t.state.byName[name.(string)]; ok {
+		if i, ok := t.state.domainIndex[name.(string)]; ok {
 			d := &t.state.domains[i]
-			if at := time.Unix(0, cell.(*atomic.Int64).Load()); at.After(d.lastOK) {
+			if at := t.start.Add(time.Duration(cell.(*atomic.Int64).Load())); at.After(d.lastOK) {
 				d.lastOK = at
 			}
 		}
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -44,3 +44,15 @@
 		cancel()
 	})
 }
+
+// Guards against successes on the wall clock: after a step back of that clock they would hide a partition.
+func TestSuccessesAreTimedByTheMonotonicClock(t *testing.T) {
+	tr := NewTracker(1, nil, nil)
+	tr.state.SetServers(time.Now(), []Server{{"s", "a"}})
+	tr.Connected("s", "a")
+	tr.foldSuccesses()
+	ok := tr.state.domains[tr.state.domainIndex["a"]].lastOK
+	require.False(t, ok.IsZero())
+	// Round(0) removes the monotonic reading, where there is one.
+	require.NotEqual(t, ok.Round(0).String(), ok.String())
+}
