Fix stale replicas, ignored load reports and a leak in routing

A replica kept its failure domain when its server moved to another one at the same address. A load report newer than the time of a query got a wrapped age of 49 days and did not count. Loads and turns of removed models stayed for the life of the process. WithPrefix changed the policy that it was called on.

--- a/routing/build.go
+++ b/routing/build.go
@@ -25,7 +25,11 @@
 	turns    map[Target]*atomic.Uint64
 	// tables are kept while the members stay, because a table costs a hash for each slot and replica.
 	tables map[string]*table
-	used   map[string]*table
+	// The used maps hold what the picker being built refers to. They replace the maps above at its end, so that what
+	// belongs to removed models and services is freed; the loads of one model take 256 KiB.
+	usedLoads  map[Target]*loads
+	usedTurns  map[Target]*atomic.Uint64
+	usedTables map[string]*table
 }
 
 func newBuilder(policy Policy, domain string) *builder {
@@ -42,7 +46,7 @@
 
 func (b *builder) build(st *cluster.State, v *membership.View) *Picker {
 	p := &Picker{Revision: st.Revision, Version: v.Version, pools: map[Target]*pool{}, policy: b.policy}
-	b.used = map[string]*table{}
+	b.usedLoads, b.usedTurns, b.usedTables = map[Target]*loads{}, map[Target]*atomic.Uint64{}, map[string]*table{}
 	b.region = regionOf(st, b.domain)
 	b.refresh(st, v)
 	p.replicas = b.replicas
@@ -50,7 +54,7 @@
 		b.model(p, st, v, st.Model(name))
 	}
 	b.services(p, st, v)
-	b.tables = b.used
+	b.loads, b.turns, b.tables = b.usedLoads, b.usedTurns, b.usedTables
 	return p
 }
 
@@ -73,7 +77,8 @@
 		group := st.Group(s.GetGroup())
 		pooled := b.loadsOf(Target{Model: group.GetModel(), Service: s.GetService()})
 		r := b.replicas[name]
-		if r == nil || r.Address != s.GetAddress() || r.Version != group.GetVersion() || r.pooled != pooled {
+		if r == nil || r.Address != s.GetAddress() || r.Domain != s.GetFailureDomain() ||
+			r.Version != group.GetVersion() || r.pooled != pooled {
 			r = &Replica{
 				Name: name, Address: s.GetAddress(), Domain: s.GetFailureDomain(), Version: group.GetVersion(),
 				slots: float64(max(s.GetSlots(), 1)), hash: hashOf(name), pooled: pooled,
@@ -206,20 +211,16 @@
 }
 
 func (b *builder) loadsOf(t Target) *loads {
-	if b.loads[t] == nil {
-		b.loads[t] = &loads{}
-		if t.Model != "" {
-			b.loads[t].prefixes = &Prefixes{}
+	return keep(b.usedLoads, b.loads, t, func() *loads {
+		if t.Model == "" {
+			return &loads{}
 		}
-	}
-	return b.loads[t]
+		return &loads{prefixes: &Prefixes{}}
+	})
 }
 
 func (b *builder) turnOf(t Target) *atomic.Uint64 {
-	if b.turns[t] == nil {
-		b.turns[t] = new(atomic.Uint64)
-	}
-	return b.turns[t]
+	return keep(b.usedTurns, b.turns, t, func() *atomic.Uint64 { return new(atomic.Uint64) })
 }
 
 // tableOf returns the table of a list of replicas, which all pools with the same members share.
@@ -229,13 +230,18 @@
 		key.WriteString(r.Name)
 		key.WriteByte(0)
 	}
-	t := b.used[key.String()]
-	if t == nil {
-		t = b.tables[key.String()]
+	return keep(b.usedTables, b.tables, key.String(), func() *table { return newTable(replicas) })
+}
+
+// keep returns the value of a key in used. A missing one is taken over from the previous build, or else made.
+func keep[K comparable, V any](used, previous map[K]*V, key K, create func() *V) *V {
+	if v := used[key]; v != nil {
+		return v
 	}
-	if t == nil {
-		t = newTable(replicas)
+	v := previous[key]
+	if v == nil {
+		v = create()
 	}
-	b.used[key.String()] = t
-	return t
+	used[key] = v
+	return v
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -59,7 +59,9 @@
 // WithPrefix returns the policy with another function from a prompt to the hash of the prefix that affinity follows;
 // docs/measurements/routing.md compares some.
 func (c Policy) WithPrefix(prefix func(prompt []byte) uint64) Policy {
-	c.affinity.prefix = prefix
+	affinity := *c.affinity
+	affinity.prefix = prefix
+	c.affinity = &affinity
 	return c
 }
 
--- a/routing/policy_baseline.go
+++ b/routing/policy_baseline.go
@@ -36,7 +36,7 @@
 	return best
 }
 
-// chooseUnbounded follows the ranking of the first block whatever the load.
+// chooseUnbounded follows the ranking of the prompt's prefix whatever the load.
 func (a *Affinity) chooseUnbounded(p *pool, q *Query) *Replica {
 	if hash, ok := a.hash(p, q); ok {
 		for _, r := range p.affine(hash) {
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -13,6 +13,8 @@
 	RampUp = 10 * time.Second
 	// minRamp is the share that a new server starts with; without any it would never report its load.
 	minRamp = 0.05
+	// maxReportLead is how much newer than the time of a query a report may be; a larger lead is taken for a wrapped age.
+	maxReportLead = time.Minute
 	// refusedLoad is the load that a refusal stands for, in units of the replica's limit.
 	refusedLoad = 1.5
 )
@@ -110,11 +112,19 @@
 		return mean
 	}
 	last := float64(math.Float32frombits(uint32(packed >> 32)))
-	age := time.Duration(uint32(now.UnixMilli())-uint32(packed)) * time.Millisecond
-	w := fade(age)
+	w := fade(reportAge(uint32(now.UnixMilli()), uint32(packed)))
 	return w*last + (1-w)*mean
 }
 
+// reportAge returns the age of a report from two times in ms, which wrap after 49.7 days. A report may be slightly
+// newer than now, because a query takes its time before another request brings the report; its age is then 0.
+func reportAge(now, reported uint32) time.Duration {
+	if lead := time.Duration(reported-now) * time.Millisecond; lead <= maxReportLead {
+		return 0
+	}
+	return time.Duration(now-reported) * time.Millisecond
+}
+
 // load estimates the replica's load in units of its limit: what others cause and what this process has there.
 func (r *Replica) load(now time.Time, mean float64) float64 {
 	return r.others(now, mean) + float64(r.inFlight.Load())/r.capacity()
--- /dev/null
+++ b/routing/replica_test.go
@@ -0,0 +1,16 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a report that is ignored because it came a moment after a query had taken its time.
+func TestReportNewerThanTheQueryCounts(t *testing.T) {
+	r := router(t, newFleet(1), affinity()).replica("m-s0000")
+	r.Observe(start.Add(time.Millisecond), Report{Running: 16, Limit: 16})
+	require.InDelta(t, 1, r.others(start, 0), 1e-6)
+	require.Less(t, r.others(start.Add(25*24*time.Hour), 0), 1e-6, "an old report must not count as new")
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -35,26 +35,26 @@
 	n := 1 << bits.Len(uint(max(slotsPerReplica*len(replicas)-1, 0)))
 	n = min(max(n, minSlots), maxSlots)
 	t := &table{ranks: make([][rankDepth]int32, n)}
-	taken := make([]int, len(replicas))
+	led := make([]int, len(replicas))
 	most := int(math.Ceil(slotSlack * float64(n) / float64(max(len(replicas), 1))))
 	for i := range t.ranks {
 		t.ranks[i] = rank(mix(uint64(i)+1), replicas)
-		levelled(&t.ranks[i], taken, most)
+		limitLead(&t.ranks[i], led, most)
 	}
 	return t
 }
 
-// levelled moves the first replica of a slot's ranking that does not lead its share of slots yet to the front; the
-// order of the others stays.
-func levelled(ranks *[rankDepth]int32, taken []int, most int) {
+// limitLead moves to the front of a slot's ranking the first replica that leads fewer than most slots; the order of
+// the others stays. led holds the number of slots that each replica leads so far.
+func limitLead(ranks *[rankDepth]int32, led []int, most int) {
 	for j, i := range ranks {
 		if i == noReplica {
 			return
 		}
-		if taken[i] < most {
+		if led[i] < most {
 			copy(ranks[1:j+1], ranks[:j])
 			ranks[0] = i
-			taken[i]++
+			led[i]++
 			return
 		}
 	}
--- a/routing/trial/callers.go
+++ b/routing/trial/callers.go
@@ -86,7 +86,7 @@
 	return ask{prompt: prompt, blocks: blocks}
 }
 
-// FixedPrefix returns a prefix function that hashes up to n leading blocks, for comparison with routing.Hints.
+// FixedPrefix returns a prefix function that hashes up to n leading blocks, for comparison with routing.Prefixes.
 func FixedPrefix(n int) func(prompt []byte) uint64 {
 	return func(prompt []byte) uint64 {
 		return xxhash.Sum64(prompt[:min(len(prompt), n*routing.PrefixBlock)])
