Fix two faults of retention in the idempotency state

A copied outcome that replaced a grant was never removed, because its queue entry did not have the time of its record. A call without token or key that ran for longer than 10 minutes, or began again after a refusal, was removed and then said not to have run.

--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -338,7 +338,7 @@
 		// The server has left the shard during the run; the other holders still need the outcome.
 		return peerapi.KeyRecord{Key: c.Key, Digest: c.Digest, Attempt: c.Attempt, Outcome: trim(o, MaxKeptBody)}
 	}
-	t.setDone(now, c.Key, r, o)
+	t.setDone(now, c.Key, r, o, 0)
 	return t.message(now, c.Key, r)
 }
 
--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/config/cluster"
 )
@@ -230,3 +231,40 @@
 	require.True(t, a.Begin(start, second))
 	require.False(t, a.Begin(start, second), "a doubled grant")
 }
+
+// Guards against a copied outcome that replaces a grant and is then kept for ever, because its queue entry does not
+// match its age.
+func TestCopiedOutcomeOverGrantExpires(t *testing.T) {
+	a, b := tableOf("a", 1, oldView), tableOf("b", 1, oldView)
+	c := claimAt(t, a)
+	grant(a, b, c)
+	require.True(t, a.Begin(start, c))
+	ended := start.Add(time.Second)
+	record := a.Done(ended, c, peerapi.Outcome{Result: &peerapi.CallResult{Status: 201}})
+	record.AgeMs = time.Minute.Milliseconds()
+	b.Store(ended.Add(time.Minute), record)
+	b.Expire(ended.Add(DefaultRetention))
+	require.Equal(t, 1, b.Len())
+	b.Expire(ended.Add(DefaultRetention + time.Minute + 1))
+	require.Zero(t, b.Len())
+}
+
+// Guards against a call that outlasts the retention, or that was refused and begun again, and is then said not to
+// have run.
+func TestPlainKeepsRunningCalls(t *testing.T) {
+	p := NewPlain(7)
+	require.True(t, p.Begin(start, "long"))
+	require.True(t, p.Begin(start, "again"))
+	p.End("again", peerapi.Outcome{Failure: &peerapi.FrameError{Executed: callerapi.ExecutedNo}})
+	second := start.Add(plainRetention)
+	require.True(t, p.Begin(second, "again"))
+	p.End("again", peerapi.Outcome{Result: &peerapi.CallResult{Status: 201}})
+	late := start.Add(plainRetention + 1)
+	require.Equal(t, peerapi.OutcomeResponse{Executed: callerapi.ExecutedUnknown, Running: true}, p.Outcome(late, "long", 7))
+	require.Equal(t, callerapi.ExecutedYes, p.Outcome(late, "again", 7).Executed)
+	p.End("long", peerapi.Outcome{Result: &peerapi.CallResult{Status: 201}})
+	require.Equal(t, callerapi.ExecutedYes, p.Outcome(late, "long", 7).Executed)
+	p.expire(late.Add(3 * plainRetention))
+	require.Empty(t, p.calls)
+	require.Empty(t, p.queue)
+}
--- a/idempotency/plain.go
+++ b/idempotency/plain.go
@@ -20,12 +20,14 @@
 	// barred says that the outcome was asked for before the call arrived, and that it was said not to have run.
 	barred  bool
 	outcome *peerapi.Outcome
-	began   time.Time
+	// began is the time of the last Begin, or that of the question for a barred call.
+	began time.Time
 }
 
-type plainAge struct {
-	id    string
-	began time.Time
+// plainExpiry is an entry of the queue of calls in order of their time.
+type plainExpiry struct {
+	id string
+	at time.Time
 }
 
 // Plain keeps the outcomes of the calls that have neither token nor key and must not be repeated, by request ID. It is
@@ -33,9 +35,9 @@
 type Plain struct {
 	incarnation int64
 	calls       map[string]*plainCall
-	queue       []plainAge
+	queue       []plainExpiry
 	bytes       int
-	// forgot is the last time at which a call was removed before its retention had passed.
+	// forgot is the last time at which a call was removed before its retention had passed, to keep to maxPlain.
 	forgot time.Time
 }
 
@@ -52,7 +54,7 @@
 		if !c.refused() {
 			return false
 		}
-		c.running, c.outcome = true, nil
+		c.running, c.outcome, c.began = true, nil, now
 		return true
 	}
 	p.add(now, id, &plainCall{running: true, began: now})
@@ -65,7 +67,7 @@
 
 func (p *Plain) add(now time.Time, id string, c *plainCall) {
 	p.calls[id] = c
-	p.queue = append(p.queue, plainAge{id, now})
+	p.queue = append(p.queue, plainExpiry{id, now})
 }
 
 // End notes the outcome of a call that had begun.
@@ -79,21 +81,26 @@
 	p.bytes += bodyBytes(c.outcome)
 }
 
+// expire removes the calls whose retention has passed, and the oldest ones beyond maxPlain. A call that runs, or that
+// has begun again since, is kept: once removed, it would be said not to have run.
 func (p *Plain) expire(now time.Time) {
 	for len(p.queue) > 0 {
 		oldest := p.queue[0]
-		early := now.Sub(oldest.began) <= plainRetention
+		early := now.Sub(oldest.at) <= plainRetention
 		if early && len(p.queue) < maxPlain {
 			return
 		}
+		p.queue = p.queue[1:]
+		c := p.calls[oldest.id]
+		if !early && (c.running || now.Sub(c.began) <= plainRetention) {
+			p.queue = append(p.queue, plainExpiry{oldest.id, now})
+			continue
+		}
 		if early {
 			p.forgot = now
 		}
-		if c := p.calls[oldest.id]; c != nil {
-			p.bytes -= bodyBytes(c.outcome)
-			delete(p.calls, oldest.id)
-		}
-		p.queue = p.queue[1:]
+		p.bytes -= bodyBytes(c.outcome)
+		delete(p.calls, oldest.id)
 	}
 }
 
--- a/idempotency/shard.go
+++ b/idempotency/shard.go
@@ -314,8 +314,7 @@
 	t.checkNotRunning(r, m)
 	r.digest = m.Digest
 	r.attempt = m.Attempt
-	t.setDone(now, m.Key, r, *m.Outcome)
-	r.changed -= age
+	t.setDone(now, m.Key, r, *m.Outcome, age)
 }
 
 func (r *record) addAttempt(a peerapi.Attempt) {
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -85,7 +85,8 @@
 	shard   int
 }
 
-// expiry is an entry of the queue of records in order of their last change.
+// expiry is an entry of the queue of records in order of arrival. It is void once the record has changed again. A copied
+// record has an older change than the entries before it and so is kept for longer, but at most twice the retention.
 type expiry struct {
 	key     peerapi.CallKey
 	changed time.Duration
@@ -266,11 +267,12 @@
 	return &peerapi.Outcome{Result: &short, Failure: o.Failure}
 }
 
-func (t *Table) setDone(now time.Time, k peerapi.CallKey, r *record, o peerapi.Outcome) {
+// setDone stores the outcome of a run that ended the given time ago.
+func (t *Table) setDone(now time.Time, k peerapi.CallKey, r *record, o peerapi.Outcome, age time.Duration) {
 	t.bytes -= len(r.outcome)
 	r.outcome = t.encode(o)
 	t.bytes += len(r.outcome)
 	r.state = stateDone
 	r.also = nil
-	t.touch(now, k, r, 0)
+	t.touch(now, k, r, age)
 }
