Report an order as unknown when only its repeat was refused

The first request may have taken effect. The transport may also read the body after it has returned, so the body is now closed before the result of the attempt is decided, and reads of it no longer race with that.

--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -102,8 +102,8 @@
 
 // Issue sends an order and waits for its result. A lost answer is resolved by repeating the order with the
 // same ID for as long as the lease is held. It fails with an *InvalidError, *LapsedError, *StaleError,
-// *FloorUnknownError, *RefusedError or an error of Lease.Ensure (no effect by this call), a *FailedError, or an
-// *UnknownError.
+// *FloorUnknownError, *RefusedError or an error of Lease.Ensure (no effect by this call), that of the context (nothing
+// was sent, or it was refused), a *FailedError, or an *UnknownError.
 func (i *Issuer) Issue(ctx context.Context, o Order) (Result, error) {
 	o.Server = i.opts.Server
 	if err := o.Validate(); err != nil {
@@ -113,11 +113,11 @@
 		i.count(func(c *Counts) { c.Withheld++ })
 		return Result{}, err
 	}
-	sent := false
+	unresolved := false
 	result, err := backoff.Retry(ctx, func() (Result, error) {
-		return i.attempt(ctx, o, &sent)
+		return i.attempt(ctx, o, &unresolved)
 	}, backoff.WithBackOff(retryTimes()))
-	return i.finish(ctx, o, result, err, sent)
+	return i.finish(ctx, o, result, err, unresolved)
 }
 
 func retryTimes() backoff.BackOff {
@@ -138,18 +138,23 @@
 	return i.gate.Learn(ctx, i.opts.Store)
 }
 
-// attempt sends the order once. Errors after which a repeat is pointless are marked as permanent.
-func (i *Issuer) attempt(ctx context.Context, o Order, sent *bool) (Result, error) {
+// attempt sends the order once, and sets unresolved when it may have taken effect without an answer. Errors after which
+// a repeat is pointless are marked as permanent.
+func (i *Issuer) attempt(ctx context.Context, o Order, unresolved *bool) (Result, error) {
 	fence, err := i.allowed()
 	if err != nil {
 		i.count(func(c *Counts) { c.Withheld++ })
 		return Result{}, backoff.Permanent(err)
 	}
 	o.Fence = fence
-	result, err := i.post(ctx, o, sent)
+	result, sent, err := i.post(ctx, o)
 	var refused *RefusedError
+	isRefused := errors.As(err, &refused)
+	if sent && err != nil && !isRefused {
+		*unresolved = true
+	}
 	var lapsed *LapsedError
-	if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError || errors.As(err, &lapsed) {
+	if isRefused && refused.Status < http.StatusInternalServerError || errors.As(err, &lapsed) {
 		return Result{}, backoff.Permanent(err)
 	}
 	return result, err
@@ -164,13 +169,15 @@
 	return fence, i.gate.Admit(fence)
 }
 
-func (i *Issuer) finish(ctx context.Context, o Order, r Result, err error, sent bool) (Result, error) {
+// finish waits for the end of a running order. A refusal of a repeat does not resolve an earlier request whose answer
+// was lost.
+func (i *Issuer) finish(ctx context.Context, o Order, r Result, err error, unresolved bool) (Result, error) {
 	for err == nil && r.State == Running {
+		unresolved = true
 		r, err = i.await(ctx, o.ID, r)
 	}
-	var refused *RefusedError
 	switch {
-	case err != nil && sent && !errors.As(err, &refused):
+	case err != nil && unresolved:
 		return Result{}, merry.Wrap(&UnknownError{ID: o.ID, Cause: err})
 	case err != nil:
 		return Result{}, err
@@ -196,7 +203,7 @@
 	r, err := i.roundTrip(req)
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
-		return last, merry.Wrap(&UnknownError{ID: id, Cause: err}) // The engine has restarted.
+		return last, err // The engine has restarted and forgotten the order.
 	}
 	if err != nil {
 		r = last
@@ -205,52 +212,67 @@
 }
 
 // checkedBody is the body of an order. The transport reads it after it has a connection, so the lease is checked
-// once more at the last moment, after any wait for the connection.
+// once more at the last moment, after any wait for the connection. The transport may still read after it has returned
+// an error, from another goroutine.
 type checkedBody struct {
 	lease *Lease
 	fence int64
+
+	mu    sync.Mutex
 	body  *bytes.Reader
-	begun func()
-	err   error
+	begun bool
+	// err ends the body: the failed check of the lease, or io.ErrClosedPipe after end.
+	err error
 }
 
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
-	if b.begun != nil {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.begun && b.err == nil {
 		fence, err := b.lease.Check()
 		if err == nil && fence != b.fence {
 			err = merry.Wrap(&LapsedError{Fence: b.fence})
 		}
-		if err != nil {
-			b.err = err
-			return 0, err
-		}
-		b.begun()
-		b.begun = nil
+		b.begun, b.err = err == nil, err
+	}
+	if b.err != nil {
+		return 0, b.err
 	}
 	return b.body.Read(p)
 }
 
-func (i *Issuer) post(ctx context.Context, o Order, sent *bool) (Result, error) {
+// end stops the body, so that nothing more is sent. It returns whether any of it was sent, and the error of the check
+// of the lease.
+func (b *checkedBody) end() (sent bool, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	err = b.err
+	b.err = io.ErrClosedPipe
+	return b.begun, err
+}
+
+// post sends the order and returns whether any of it was sent.
+func (i *Issuer) post(ctx context.Context, o Order) (Result, bool, error) {
 	raw, err := json.Marshal(o)
 	if err != nil {
-		return Result{}, merry.Wrap(err)
-	}
-	begun := func() {
-		*sent = true
-		i.count(func(c *Counts) { c.Sent++ })
+		return Result{}, false, merry.Wrap(err)
 	}
-	body := &checkedBody{lease: i.opts.Lease, fence: o.Fence, body: bytes.NewReader(raw), begun: begun}
+	body := &checkedBody{lease: i.opts.Lease, fence: o.Fence, body: bytes.NewReader(raw)}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, i.opts.Engine.JoinPath(PathOrders).String(), io.NopCloser(body))
 	if err != nil {
-		return Result{}, merry.Wrap(err)
+		return Result{}, false, merry.Wrap(err)
 	}
 	req.ContentLength = int64(len(raw))
 	r, err := i.roundTrip(req)
-	if body.err != nil {
-		return Result{}, body.err
+	sent, checkErr := body.end()
+	if sent {
+		i.count(func(c *Counts) { c.Sent++ })
+	}
+	if checkErr != nil {
+		return Result{}, false, checkErr
 	}
-	return r, err
+	return r, sent, err
 }
 
 // maxResultBytes bounds the answer to an order.
--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -1,6 +1,9 @@
 package orders_test
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"testing"
@@ -159,3 +162,58 @@
 		expect(0, 1, func() error { return l.Release(t.Context()) })
 	})
 }
+
+// roundTripper is a transport made of a function.
+type roundTripper func(r *http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func issuerOver(r *rig, transport http.RoundTripper) *orders.Issuer {
+	return orders.NewIssuer(orders.IssuerOptions{
+		Server: "s", Lease: orders.NewLease(r.store, "s", "a", short), Store: r.store, Engine: r.base, ChecksFencing: true,
+		HTTP: &http.Client{Transport: transport}, Poll: time.Second,
+	})
+}
+
+// Guards against an order that is reported as without effect because its repeat was refused, although the first
+// request, whose answer was lost, may have taken effect.
+func TestRefusedRepeatLeavesTheFirstUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(true)
+		r.engine.SetFaults(engineorders.Faults{LoseAnswers: 1})
+		requests := 0
+		i := issuerOver(r, roundTripper(func(q *http.Request) (*http.Response, error) {
+			if requests++; requests > 1 {
+				_, _ = io.Copy(io.Discard, q.Body)
+				return &http.Response{StatusCode: http.StatusConflict, Body: http.NoBody}, nil
+			}
+			return r.wire.RoundTrip(q)
+		}))
+		_, err := i.Issue(t.Context(), orders.Order{ID: "1", Kind: orders.SetRole, Role: "decode"})
+		var unknown *orders.UnknownError
+		require.ErrorAs(t, err, &unknown)
+		var refused *orders.RefusedError
+		require.ErrorAs(t, err, &refused, "the cause")
+	})
+}
+
+// Guards against an order that is sent after it was reported as not sent: a transport may read the body after it has
+// returned.
+func TestBodyIsNotReadAfterTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(true)
+		var body io.Reader
+		i := issuerOver(r, roundTripper(func(q *http.Request) (*http.Response, error) {
+			body = q.Body
+			return nil, errors.New("connection refused")
+		}))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := i.Issue(ctx, load("1"))
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		n, err := body.Read(make([]byte, 1))
+		require.Error(t, err)
+		require.Zero(t, n)
+		require.Zero(t, i.Counts().Sent)
+	})
+}
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -222,8 +222,8 @@
 	return r, entry.ModRevision, nil
 }
 
-// Renew extends a held lease. It fails with a *LapsedError when the lease has ended or another process has
-// taken it, an *UnresolvedError, or an error of kv.Store; the lease then lasts for as long as it did.
+// Renew extends a held lease. It fails with a *LapsedError when the lease has ended, a *HeldError when another process
+// has taken it, an *UnresolvedError, or an error of kv.Store; after the last two the lease lasts for as long as it did.
 func (l *Lease) Renew(ctx context.Context) error {
 	l.calls.Lock()
 	defer l.calls.Unlock()
