--- a/idempotency/peer/change.go
+++ b/idempotency/peer/change.go
@@ -66,7 +66,12 @@
 			Name: v.Service, Epoch: v.Epoch, Servers: before.GetServers(),
 		}}}},
 	})
-	n.opts.Log.Info("previous servers cleared", zap.String("service", v.Service), zap.Int64("epoch", v.Epoch), zap.Error(err))
+	fields := []zap.Field{zap.String("service", v.Service), zap.Int64("epoch", v.Epoch)}
+	if err != nil {
+		n.opts.Log.Warn("previous servers not cleared", append(fields, zap.Error(err))...)
+		return
+	}
+	n.opts.Log.Info("previous servers cleared", fields...)
 }
 
 func (n *Node) ready(ctx context.Context, m cluster.Member, v idempotency.View) bool {
