--- a/expertmap/straggler.go
+++ b/expertmap/straggler.go
@@ -100,15 +100,3 @@
 	}
 	return out
 }
-
-// MaxExcludedPercent is the part of a model's groups that may be excluded because of slow ranks, in percent.
-const MaxExcludedPercent = 20
-
-// Excluded returns which of a model's groups with a slow rank are left out of the choice of replica: at most
-// MaxExcludedPercent of all, rounded down, in order of name so that every process with the same reports leaves
-// out the same ones.
-func Excluded(groups int, slow []string) []string {
-	sorted := slices.Clone(slow)
-	slices.Sort(sorted)
-	return sorted[:min(len(sorted), groups*MaxExcludedPercent/100)]
-}
--- a/expertmap/straggler_test.go
+++ b/expertmap/straggler_test.go
@@ -38,11 +38,3 @@
 	observe(100, 1)
 	require.Empty(t, d.Slow())
 }
-
-// Guards against a rule that excludes too many groups, or other ones in each process.
-func TestExcludedAtMostAFifth(t *testing.T) {
-	require.Empty(t, Excluded(4, []string{"a"}))
-	require.Equal(t, []string{"a"}, Excluded(5, []string{"b", "a"}))
-	require.Equal(t, []string{"a", "b"}, Excluded(12, []string{"c", "b", "a"}))
-	require.Equal(t, []string{"c"}, Excluded(12, []string{"c"}))
-}
