Remove Lease.Keep and mend names and comments

Keep had no user: the lease is taken when an order is to be sent, so the comment on DefaultLease named renewals that nobody makes. slices.Contains and slices.Clone replace local copies.

--- a/expertmap/map.go
+++ b/expertmap/map.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // Empty marks a slot that holds no expert.
@@ -94,7 +95,7 @@
 			if int(e) >= m.Shape.Experts {
 				return &ContentError{Layer: l, Problem: fmt.Sprintf("expert %d does not exist", e)}
 			}
-			if contains(slots[:i], e) {
+			if slices.Contains(slots[:i], e) {
 				return &ContentError{Layer: l, Problem: fmt.Sprintf("rank %d holds expert %d twice", r, e)}
 			}
 			held[e] = true
@@ -108,15 +109,6 @@
 	return nil
 }
 
-func contains(slots []uint16, e uint16) bool {
-	for _, s := range slots {
-		if s == e {
-			return true
-		}
-	}
-	return false
-}
-
 // Slots returns the experts that a rank holds in a layer. The caller must not change them.
 func (m *Map) Slots(layer, rank int) []uint16 {
 	from := (layer*m.Shape.Ranks + rank) * m.Shape.Slots
@@ -198,7 +190,7 @@
 		for r := range to.Shape.Ranks {
 			old := from.Slots(l, r)
 			for _, e := range to.Slots(l, r) {
-				if e != Empty && !contains(old, e) {
+				if e != Empty && !slices.Contains(old, e) {
 					loads[r]++
 				}
 			}
--- a/expertmap/plan.go
+++ b/expertmap/plan.go
@@ -1,6 +1,9 @@
 package expertmap
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // Costs decide which moves are worth making.
 type Costs struct {
@@ -104,7 +107,7 @@
 		y.apply(c)
 		loads = append(loads, total)
 		times = append(times, y.time[y.slowest()])
-		path = append(path, append([]uint16(nil), y.slots...))
+		path = append(path, slices.Clone(y.slots))
 	}
 	return envelope(l, start, loads, times), path
 }
@@ -153,7 +156,7 @@
 }
 
 func assemble(current *Map, paths [][][]uint16, upTo map[int]int) (*Map, error) {
-	assign := append([]uint16(nil), current.assign...)
+	assign := slices.Clone(current.assign)
 	size := current.Shape.Ranks * current.Shape.Slots
 	for l, n := range upTo {
 		copy(assign[l*size:], paths[l][n-1])
--- a/expertmap/policy.go
+++ b/expertmap/policy.go
@@ -33,7 +33,7 @@
 	case PolicyFull:
 		return replaceWith(Balanced), nil
 	case PolicyLongestFirst:
-		return replaceWith(LongestFirst), nil
+		return replaceWith(longestFirst), nil
 	}
 	return nil, &PolicyError{Name: name}
 }
--- a/expertmap/replace.go
+++ b/expertmap/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sort"
 )
 
@@ -12,8 +13,8 @@
 	return fill(version, load, speed, true)
 }
 
-// LongestFirst is Balanced without replicas: spare slots stay empty.
-func LongestFirst(version int64, load *Load, speed []float64) (*Map, error) {
+// longestFirst is Balanced without replicas: spare slots stay empty.
+func longestFirst(version int64, load *Load, speed []float64) (*Map, error) {
 	return fill(version, load, speed, false)
 }
 
@@ -128,7 +129,7 @@
 func (b *bins) place(e uint16, share float64) {
 	best := -1
 	for r := range b.s.Ranks {
-		if b.used[r] == b.s.Slots || contains(b.rank(r)[:b.used[r]], e) {
+		if b.used[r] == b.s.Slots || slices.Contains(b.rank(r)[:b.used[r]], e) {
 			continue
 		}
 		if best < 0 || b.time[r]+share/b.speed[r] < b.time[best]+share/b.speed[best] {
--- a/expertmap/search.go
+++ b/expertmap/search.go
@@ -1,5 +1,7 @@
 package expertmap
 
+import "slices"
+
 // layer is one layer of a map during the local search. It is changed in place.
 type layer struct {
 	s     Shape
@@ -9,19 +11,19 @@
 	// hosts lists the ranks of each expert's replicas.
 	hosts [][]int
 	time  []float64
-	// each is the share of one replica of each expert, held says whether a rank holds an expert (in order of
+	// shares is the share of one replica of each expert, held says whether a rank holds an expert (in order of
 	// rank); both follow from slots and hosts, and are kept because the search reads them for each candidate.
-	each []float64
-	held []bool
+	shares []float64
+	held   []bool
 }
 
 func newLayer(m *Map, l int, work, speed []float64) *layer {
 	from := l * m.Shape.Ranks * m.Shape.Slots
 	y := &layer{
 		s: m.Shape, work: work, speed: speed,
-		slots: append([]uint16(nil), m.assign[from:from+m.Shape.Ranks*m.Shape.Slots]...),
+		slots: slices.Clone(m.assign[from : from+m.Shape.Ranks*m.Shape.Slots]),
 		hosts: make([][]int, m.Shape.Experts), time: make([]float64, m.Shape.Ranks),
-		each: make([]float64, m.Shape.Experts), held: make([]bool, m.Shape.Ranks*m.Shape.Experts),
+		shares: make([]float64, m.Shape.Experts), held: make([]bool, m.Shape.Ranks*m.Shape.Experts),
 	}
 	for i, e := range y.slots {
 		if e != Empty {
@@ -36,12 +38,12 @@
 	clear(y.time)
 	clear(y.held)
 	for e, hosts := range y.hosts {
-		y.each[e] = y.work[e] / float64(len(hosts))
+		y.shares[e] = y.work[e] / float64(len(hosts))
 	}
 	for i, e := range y.slots {
 		if e != Empty {
 			r := i / y.s.Slots
-			y.time[r] += y.each[e] / y.speed[r]
+			y.time[r] += y.shares[e] / y.speed[r]
 			y.held[r*y.s.Experts+int(e)] = true
 		}
 	}
@@ -51,7 +53,7 @@
 	if e == Empty {
 		return 0
 	}
-	return y.each[e]
+	return y.shares[e]
 }
 
 func (y *layer) holds(r int, e uint16) bool {
--- a/expertmap/straggler.go
+++ b/expertmap/straggler.go
@@ -22,7 +22,8 @@
 }
 
 // Detector finds ranks that stay slow: an exponentially weighted moving average (Roberts, 1959) of the ratio of
-// a rank's step time to the group's median, bounded as Winsor's means are, with hysteresis. It is not safe for concurrent use.
+// a rank's step time to the group's median, with each ratio bounded by MaxRatio and with hysteresis. It is not safe for
+// concurrent use.
 type Detector struct {
 	set     DetectorSettings
 	ratio   []float64
--- a/idempotency/peer/keyed.go
+++ b/idempotency/peer/keyed.go
@@ -255,11 +255,11 @@
 
 // look asks the other holders for an outcome when the runner cannot tell it.
 func (c *keyedCall) look(ctx context.Context) answer {
-	o, _, again := c.survey(ctx)
+	o, _, otherRequest := c.survey(ctx)
 	switch {
 	case o != nil:
 		return kept(o)
-	case again:
+	case otherRequest:
 		return reused()
 	}
 	return failed(unknown("the server that may have run the call cannot be asked"))
@@ -268,11 +268,11 @@
 // refuse returns a refusal of a call that this server cannot run. It asks the other holders first, because only a
 // majority of them can say that the key has not run.
 func (c *keyedCall) refuse(ctx context.Context, t callerapi.ErrorType, message string) answer {
-	o, absent, again := c.survey(ctx)
+	o, absent, otherRequest := c.survey(ctx)
 	switch {
 	case o != nil:
 		return kept(o)
-	case again:
+	case otherRequest:
 		return reused()
 	case absent:
 		return failed(callerapi.NotRun(t, "%s", message).WithRetryAfter(retryAfter))
@@ -280,8 +280,9 @@
 	return failed(callerapi.Unknown(t, "%s", message).WithRetryAfter(retryAfter))
 }
 
-// survey collects the verdicts of the holders without a claim.
-func (c *keyedCall) survey(ctx context.Context) (o *peerapi.Outcome, absent, other bool) {
+// survey collects the verdicts of the holders without a claim: the outcome if one has it, whether a majority proves that
+// the key had not run, and whether the key belongs to another request.
+func (c *keyedCall) survey(ctx context.Context) (o *peerapi.Outcome, absent, otherRequest bool) {
 	n := c.n
 	n.lock()
 	claim := n.table.Look(time.Now(), c.key, c.digest)
@@ -296,11 +297,11 @@
 			if r.Verdict == peerapi.VerdictDone {
 				return r.Outcome, false, false
 			}
-			other = other || r.Verdict == peerapi.VerdictReused
+			otherRequest = otherRequest || r.Verdict == peerapi.VerdictReused
 		case <-ctx.Done():
 		}
 	}
 	n.lock()
 	defer n.mu.Unlock()
-	return nil, n.table.Absent(claim), other
+	return nil, n.table.Absent(claim), otherRequest
 }
--- a/idempotency/peer/token.go
+++ b/idempotency/peer/token.go
@@ -132,7 +132,7 @@
 	var targets []string
 	for _, v := range n.views {
 		if memberOf(v, n.opts.Self.Server) {
-			targets = append(targets, heirs(v, n.opts.Self.Server)...)
+			targets = append(targets, successors(v, n.opts.Self.Server)...)
 		}
 	}
 	n.mu.Unlock()
@@ -152,7 +152,8 @@
 	return false
 }
 
-func heirs(v idempotency.View, server string) []string {
+// successors returns the other servers of the service in the order in which they are offered the handover.
+func successors(v idempotency.View, server string) []string {
 	var out []string
 	for _, m := range idempotency.Ranked(server, v.Servers) {
 		if m.Name != server {
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -83,7 +83,8 @@
 	Margin time.Duration
 }
 
-// DefaultLease lets a holder that renews at a third of the TTL survive one failed renewal.
+// DefaultLease returns the usual times: orders may be sent for 8 s after the lease was taken, and another process may take
+// it over 10 s after it has seen the record.
 func DefaultLease() LeaseSettings {
 	return LeaseSettings{TTL: 10 * time.Second, Margin: 2 * time.Second}
 }
@@ -306,27 +307,3 @@
 	}
 	return l.write(ctx, Record{Fence: fence, Nonce: uuid.NewString()}, l.mod)
 }
-
-// Keep acquires the lease and renews it until the context ends, then releases it. It waits a third of the TTL
-// between calls, so an outage of the service costs no more calls than normal operation.
-func (l *Lease) Keep(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := l.Renew(ctx)
-		var lapsed *LapsedError
-		if errors.As(err, &lapsed) {
-			err = l.Acquire(ctx)
-		}
-		wait := l.set.TTL / 3
-		var held *HeldError
-		if errors.As(err, &held) {
-			wait = max(held.Wait, time.Millisecond)
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-		}
-	}
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.set.Margin)
-	defer cancel()
-	_ = l.Release(end) // The lease ends by itself if the service cannot be reached.
-}
