--- a/expertmap/map.go
+++ b/expertmap/map.go
@@ -167,6 +167,9 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return err
 	}
+	if len(w.Assign)%2 != 0 {
+		return &ContentError{Problem: fmt.Sprintf("assignment has %d bytes, an odd number", len(w.Assign))}
+	}
 	assign := make([]uint16, len(w.Assign)/2)
 	for i := range assign {
 		assign[i] = binary.LittleEndian.Uint16(w.Assign[2*i:])
--- a/expertmap/placement_test.go
+++ b/expertmap/placement_test.go
@@ -181,3 +181,13 @@
 		require.NoError(b, err)
 	}
 }
+
+// Guards against a map with half a slot at its end that is taken for the map without it.
+func TestMapJSONRefusesHalfASlot(t *testing.T) {
+	m, err := NewMap(1, Shape{Ranks: 1, Experts: 1, Layers: 1, Slots: 1}, []uint16{0})
+	require.NoError(t, err)
+	raw, err := json.Marshal(wireMap{Version: 1, Shape: m.Shape, Assign: []byte{0, 0, 0}, Digest: m.Digest()})
+	require.NoError(t, err)
+	var content *ContentError
+	require.ErrorAs(t, json.Unmarshal(raw, new(Map)), &content)
+}
