--- a/idempotency/peer/incarnation.go
+++ b/idempotency/peer/incarnation.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// RecordError says that an incarnation key holds something else than a record.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string { return fmt.Sprintf("incarnation record %q: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
 // readIncarnation returns the record of a server and its revision, both zero when there is none.
 func readIncarnation(ctx context.Context, store kv.Store, server string) (incarnationRecord, int64, error) {
 	var last incarnationRecord
@@ -85,7 +96,7 @@
 		return last, 0, err
 	}
 	if err := json.Unmarshal(entry.Value, &last); err != nil {
-		return last, 0, merry.Wrap(err)
+		return last, 0, merry.Wrap(&RecordError{Key: entry.Key, Cause: err})
 	}
 	return last, entry.ModRevision, nil
 }
