--- a/configsync/store/snapshot.go
+++ b/configsync/store/snapshot.go
@@ -261,7 +261,7 @@
 	ctx context.Context, prefix string, revisionOf func(string) (int64, error), old func(int64) bool,
 ) error {
 	for {
-		entries, err := s.kv.List(ctx, prefix, prefix, 64)
+		entries, err := s.kv.List(ctx, prefix, prefix, listLimitLarge)
 		if err != nil || len(entries) == 0 {
 			return err
 		}
--- a/configsync/store/store_test.go
+++ b/configsync/store/store_test.go
@@ -303,6 +303,22 @@
 	require.Equal(t, want.Revision, got.Revision)
 }
 
+// Guards against a log of large changes that is never trimmed, because its keys cannot be listed in pages of the
+// usual size.
+func TestLogOfLargeChangesIsTrimmed(t *testing.T) {
+	r := newRig()
+	want := commitN(t, r.store(), 100)
+	s := New(&largeAnswers{Store: r.local})
+	s.sleep = func(context.Context, time.Duration) bool { return true }
+	s.bounds = bounds{every: 10, kept: 0, partBytes: 512 << 10}
+	newest, err := s.Maintain(t.Context(), want)
+	require.NoError(t, err)
+	require.Equal(t, want.Revision, newest)
+	left, err := r.local.List(t.Context(), prefixLog, "", 0)
+	require.NoError(t, err)
+	require.Empty(t, left)
+}
+
 // largeAnswers fails reads of more than listLimitLarge entries, as the client does with too many large ones.
 type largeAnswers struct{ kv.Store }
 
