--- a/cmd/lavendermoorctl/output.go
+++ b/cmd/lavendermoorctl/output.go
@@ -70,14 +70,14 @@
 		printf(c.stderr, "lavendermoorctl %s: %v\n", name, err)
 		return exitFailed
 	}
-	if c.reportDetails(err, rpc) {
-		return exitByCode[rpc.Code()]
-	}
-	printf(c.stderr, "lavendermoorctl %s: %s: %s\n", name, rpc.Code(), rpc.Message())
 	code, ok := exitByCode[rpc.Code()]
 	if !ok {
-		return exitFailed
+		code = exitFailed
 	}
+	if c.reportDetails(err, rpc) {
+		return code
+	}
+	printf(c.stderr, "lavendermoorctl %s: %s: %s\n", name, rpc.Code(), rpc.Message())
 	// An error made on this side says nothing of the outcome, unless the connection was refused.
 	if code == exitUnavailable && !connect.IsWireError(err) && !errors.Is(err, syscall.ECONNREFUSED) && c.operation != "" {
 		code = exitUnknown
