--- a/config/cluster/configfile/configfile.go
+++ b/config/cluster/configfile/configfile.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/tailscale/hujson"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"lavendermoor.example/api/operatorv1"
@@ -73,9 +72,9 @@
 
 // Parse is Read for text that has been read already; name is used in errors.
 func Parse(name string, raw []byte) (*File, error) {
-	std, err := hujson.Standardize(bytes.Clone(raw))
+	std, err := settings.Standardize(name, raw)
 	if err != nil {
-		return nil, &settings.Error{File: name, Line: lineIn(err.Error()), Problem: err.Error()}
+		return nil, err
 	}
 	p := &parser{
 		file: &File{Name: name, lines: map[cluster.Ref]place{}},
@@ -225,13 +224,3 @@
 	}
 	return p.fail(line, field, text)
 }
-
-func lineIn(text string) int {
-	var line int
-	if i := strings.Index(text, "line "); i >= 0 {
-		if _, err := fmt.Sscanf(text[i:], "line %d", &line); err == nil {
-			return line
-		}
-	}
-	return 0
-}
--- a/config/cluster/member.go
+++ b/config/cluster/member.go
@@ -9,8 +9,8 @@
 	Name, Domain, Address string
 }
 
-// MemberOf returns the member that stands for a server.
-func MemberOf(s *operatorv1.BackendServer) Member {
+// memberOf returns the member that stands for a server.
+func memberOf(s *operatorv1.BackendServer) Member {
 	return Member{Name: s.GetName(), Domain: s.GetFailureDomain(), Address: s.GetAddress()}
 }
 
@@ -32,7 +32,7 @@
 	servers = s.members(svc.GetServers())
 	if len(servers) == 0 {
 		for _, v := range s.byService[service] {
-			servers = append(servers, MemberOf(v))
+			servers = append(servers, memberOf(v))
 		}
 	}
 	return servers, s.members(svc.GetPrevious())
--- a/config/cluster/services.go
+++ b/config/cluster/services.go
@@ -66,7 +66,7 @@
 	}
 	for _, server := range servers {
 		if _, ok := services[server.GetService()]; ok {
-			services[server.GetService()] = append(services[server.GetService()], MemberOf(server).proto())
+			services[server.GetService()] = append(services[server.GetService()], memberOf(server).proto())
 		}
 	}
 	for _, list := range services {
@@ -119,11 +119,7 @@
 			refs[r] = true
 		}
 	}
-	sorted := make([]Ref, 0, len(refs))
-	for r := range refs {
-		sorted = append(sorted, r)
-	}
-	SortRefs(sorted)
+	sorted := sortedRefs(refs)
 	out := make([]Difference, len(sorted))
 	for i, r := range sorted {
 		out[i] = Difference{Ref: r, Before: before.objects[r], After: after.objects[r]}
--- a/config/cluster/state.go
+++ b/config/cluster/state.go
@@ -1,10 +1,13 @@
 package cluster
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -183,11 +186,7 @@
 
 // Objects returns all objects, sorted by type and name.
 func (s *State) Objects() []*operatorv1.Object {
-	refs := make([]Ref, 0, len(s.objects))
-	for r := range s.objects {
-		refs = append(refs, r)
-	}
-	SortRefs(refs)
+	refs := sortedRefs(s.objects)
 	out := make([]*operatorv1.Object, len(refs))
 	for i, r := range refs {
 		out[i] = s.objects[r]
@@ -195,13 +194,10 @@
 	return out
 }
 
-// SortRefs sorts references by type and name.
-func SortRefs(refs []Ref) {
-	sort.Slice(refs, func(i, j int) bool {
-		if refs[i].Type != refs[j].Type {
-			return refs[i].Type < refs[j].Type
-		}
-		return refs[i].Name < refs[j].Name
+// sortedRefs returns the keys of a map, sorted by type and name.
+func sortedRefs[T any](m map[Ref]T) []Ref {
+	return slices.SortedFunc(maps.Keys(m), func(a, b Ref) int {
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Name, b.Name))
 	})
 }
 
--- a/config/cluster/validate.go
+++ b/config/cluster/validate.go
@@ -51,12 +51,7 @@
 
 func validate(objects map[Ref]*operatorv1.Object) error {
 	v := &validator{objects: objects, keys: map[string]Ref{}}
-	refs := make([]Ref, 0, len(objects))
-	for r := range objects {
-		refs = append(refs, r)
-	}
-	SortRefs(refs)
-	for _, r := range refs {
+	for _, r := range sortedRefs(objects) {
 		v.object(r, objects[r])
 	}
 	if len(v.fields) > 0 {
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -75,9 +75,9 @@
 
 // Parse is Load for text that has been read already; file is used in errors only.
 func Parse(file string, raw []byte, dst any) error {
-	std, err := hujson.Standardize(bytes.Clone(raw))
+	std, err := Standardize(file, raw)
 	if err != nil {
-		return &Error{File: file, Line: hujsonLine(err), Problem: err.Error()}
+		return err
 	}
 	dec := json.NewDecoder(bytes.NewReader(std))
 	dec.DisallowUnknownFields()
@@ -90,11 +90,22 @@
 	return validateFields(file, std, dst)
 }
 
+// Standardize returns JSON with comments as JSON with the same line breaks. Every failure is an *Error; file is used in
+// errors only.
+func Standardize(file string, raw []byte) ([]byte, error) {
+	std, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return nil, &Error{File: file, Line: hujsonLine(err), Problem: err.Error()}
+	}
+	return std, nil
+}
+
+// hujsonLine returns the line that an error of hujson names in its text, 0 when it names none.
 func hujsonLine(err error) int {
-	var line, col int
+	var line int
 	text := err.Error()
 	if i := strings.Index(text, "line "); i >= 0 {
-		if _, scanErr := fmt.Sscanf(text[i:], "line %d, column %d", &line, &col); scanErr == nil {
+		if _, scanErr := fmt.Sscanf(text[i:], "line %d", &line); scanErr == nil {
 			return line
 		}
 	}
