--- a/configsync/feed/errors.go
+++ b/configsync/feed/errors.go
@@ -28,7 +28,9 @@
 
 func (e *SilentError) Error() string { return "connection is silent" }
 
-// RoleError says that this process does not watch the service any more.
-type RoleError struct{}
+// NotWatcherError says that this process has stopped being a watcher of the key-value service.
+type NotWatcherError struct{}
 
-func (e *RoleError) Error() string { return "this process is no watcher any more" }
+func (e *NotWatcherError) Error() string {
+	return "this process no longer watches the key-value service"
+}
--- a/configsync/feed/poll.go
+++ b/configsync/feed/poll.go
@@ -63,9 +63,9 @@
 // cause returns why this package cancelled the context, in place of the error that followed from it.
 func cause(ctx context.Context, err error) error {
 	var silent *SilentError
-	var role *RoleError
+	var notWatcher *NotWatcherError
 	why := context.Cause(ctx)
-	if err != nil && (errors.As(why, &silent) || errors.As(why, &role)) {
+	if err != nil && (errors.As(why, &silent) || errors.As(why, &notWatcher)) {
 		return why
 	}
 	return err
--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -105,8 +105,8 @@
 		} else {
 			err = n.pollFrom(ctx, p, failures)
 		}
-		var changed *RoleError
-		done := err == nil || errors.As(err, &changed) || ctx.Err() != nil
+		var notWatcher *NotWatcherError
+		done := err == nil || errors.As(err, &notWatcher) || ctx.Err() != nil
 		if done || time.Since(start) > settled {
 			failures = 0
 			watch.Reset()
@@ -145,12 +145,12 @@
 	return cause(ctx, n.opts.Store.FollowConfirmed(ctx, state, n.AcceptChange, n.confirmNow))
 }
 
-// watchRole ends the context with a *RoleError when this process is no watcher any more.
+// watchRole ends the context with a *NotWatcherError when this process is no watcher any more.
 func (n *Node) watchRole(ctx context.Context, cancel context.CancelCauseFunc) {
 	for ctx.Err() == nil {
 		sleep(ctx, roleCheck)
 		if !n.place().watches() {
-			cancel(&RoleError{})
+			cancel(&NotWatcherError{})
 			return
 		}
 	}
--- a/configsync/feed/tree.go
+++ b/configsync/feed/tree.go
@@ -81,9 +81,6 @@
 		}
 		n -= p.position
 	}
-	if len(p.others) == 0 {
-		return Peer{}, false
-	}
 	if n >= len(p.others) {
 		return Peer{}, false
 	}
--- a/configsync/store/snapshot.go
+++ b/configsync/store/snapshot.go
@@ -59,12 +59,7 @@
 	Snapshot int64 `json:"snapshot"`
 }
 
-// Head returns the revision of the newest snapshot as far as the hint tells, 0 for none.
-func (s *Store) Head(ctx context.Context) (int64, error) {
-	h, _, err := s.readHead(ctx)
-	return h.Snapshot, err
-}
-
+// readHead returns the hint at the newest snapshot, zero for none, and the service's revision of its record.
 func (s *Store) readHead(ctx context.Context) (head, int64, error) {
 	entry, err := s.kv.Get(ctx, keyHead)
 	var none *kv.NotFoundError
@@ -98,7 +93,8 @@
 	_, err = s.kv.Put(ctx, keyHead, raw, mod, 0)
 	var raced *kv.ConflictError
 	if errors.As(err, &raced) {
-		return s.Head(ctx) // Another process has written a snapshot; it trims.
+		h, _, err = s.readHead(ctx) // Another process has written a snapshot; it trims.
+		return h.Snapshot, err
 	}
 	if err != nil {
 		return h.Snapshot, err
