End a watch that the key-value service has canceled

etcd cancels a watch that starts before its oldest kept revision and keeps the connection open, so the client waited for good and changes came only with the reads every 2 s.

--- a/configsync/store/follow.go
+++ b/configsync/store/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lavendermoor.example/api/operatorv1"
@@ -133,13 +134,20 @@
 		case <-ctx.Done():
 		}
 	}
-	err := f.store.kv.Watch(ctx, prefixLog, mod, func(e kv.Event) {
+	report := func(e kv.Event) {
 		if e.Deleted {
 			return
 		}
 		c, err := decodeChange(e.Entry)
 		send(eventOrError{change: c, err: err})
-	})
+	}
+	err := f.store.kv.Watch(ctx, prefixLog, mod, report)
+	var compacted *kv.CompactedError
+	if errors.As(err, &compacted) {
+		// The last change is older than what the service keeps. The reads at intervals find a change made between the
+		// last read and the oldest kept revision.
+		err = f.store.kv.Watch(ctx, prefixLog, compacted.Oldest-1, report)
+	}
 	if err == nil {
 		err = &kv.UnavailableError{Cause: context.Canceled}
 	}
--- a/configsync/store/store_test.go
+++ b/configsync/store/store_test.go
@@ -328,3 +328,35 @@
 	}
 	return l.Store.List(ctx, prefix, from, limit)
 }
+
+// Guards against a process without a working watch because the service has compacted the revision of the last change.
+func TestFollowAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		first := commitN(t, r.store(), 3)
+		last, err := r.local.Put(t.Context(), "other", nil, kv.Absent, 0)
+		require.NoError(t, err)
+		oldest := last + 1
+		ctx, cancel := context.WithCancel(t.Context())
+		revisions, failed := follow(ctx, New(&compacted{Store: r.local, oldest: oldest}), first)
+		synctest.Wait()
+		commitN(t, r.store(), 1)
+		synctest.Wait()
+		require.Len(t, revisions, 1)
+		cancel()
+		require.ErrorIs(t, <-failed, context.Canceled)
+	})
+}
+
+// compacted refuses watches that start before its oldest revision.
+type compacted struct {
+	kv.Store
+	oldest int64
+}
+
+func (c *compacted) Watch(ctx context.Context, prefix string, after int64, fn func(kv.Event)) error {
+	if after+1 < c.oldest {
+		return &kv.CompactedError{Oldest: c.oldest}
+	}
+	return c.Store.Watch(ctx, prefix, after, fn)
+}
