--- a/config/cluster/validate.go
+++ b/config/cluster/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"regexp"
 	"strings"
@@ -139,6 +140,16 @@
 	}
 }
 
+// amount refuses negative numbers, and NaN and infinity, which the JSON form of the messages can carry.
+func (v *validator) amount(r Ref, field string, x float64) {
+	switch {
+	case x < 0:
+		v.fail(r, field, "is negative")
+	case math.IsNaN(x) || math.IsInf(x, 0):
+		v.fail(r, field, "is not a finite number")
+	}
+}
+
 func (v *validator) server(r Ref, s *operatorv1.BackendServer) {
 	if _, err := netip.ParseAddrPort(s.GetAddress()); err != nil {
 		v.fail(r, "address", "%q is not an IP address and port", s.GetAddress())
@@ -172,12 +183,8 @@
 
 func (v *validator) customer(r Ref, c *operatorv1.Customer) {
 	v.between(r, "weight", int64(c.GetWeight()), 1, 1_000_000)
-	if c.GetRequestsPerSecond() < 0 {
-		v.fail(r, "requests_per_second", "is negative")
-	}
-	if c.GetTokensPerSecond() < 0 {
-		v.fail(r, "tokens_per_second", "is negative")
-	}
+	v.amount(r, "requests_per_second", c.GetRequestsPerSecond())
+	v.amount(r, "tokens_per_second", c.GetTokensPerSecond())
 	for _, k := range c.GetKeys() {
 		v.key(r, "keys", k)
 	}
@@ -210,9 +217,7 @@
 	if u.GetDeadlineMs() < 0 {
 		v.fail(r, "deadline_ms", "is negative")
 	}
-	if u.GetValue() < 0 {
-		v.fail(r, "value", "is negative")
-	}
+	v.amount(r, "value", u.GetValue())
 }
 
 func (v *validator) operator(r Ref, o *operatorv1.Operator) {
