--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -142,7 +142,7 @@
 	if state == nil {
 		state = cluster.Empty()
 	}
-	return cause(ctx, n.opts.Store.FollowConfirmed(ctx, state, n.AcceptChange, n.confirmNow))
+	return cause(ctx, n.opts.Store.Follow(ctx, state, n.AcceptChange, n.confirmNow))
 }
 
 // watchRole ends the context with a *NotWatcherError when this process is no watcher any more.
--- a/configsync/store/follow.go
+++ b/configsync/store/follow.go
@@ -25,14 +25,9 @@
 
 // Follow calls fn for each change after from, in order and without gaps, until the context ends, fn fails or the
 // service fails; it returns the cause. Besides the watch it reads the log at intervals, so that a silent watch
-// delays changes by no more than that. It fails with a *TrimmedError when the caller has to Load.
-func (s *Store) Follow(ctx context.Context, from *cluster.State, fn func(*operatorv1.Change) error) error {
-	return s.FollowConfirmed(ctx, from, fn, func(time.Time) {})
-}
-
-// FollowConfirmed is Follow with a function that is told of times at which the log had no change that was not
-// delivered.
-func (s *Store) FollowConfirmed(
+// delays changes by no more than that. It calls confirmed with times at which the log had no change that was not
+// delivered. It fails with a *TrimmedError when the caller has to Load.
+func (s *Store) Follow(
 	ctx context.Context, from *cluster.State, fn func(*operatorv1.Change) error, confirmed func(time.Time),
 ) error {
 	f := &follower{store: s, at: from.Revision, fn: fn, confirmed: confirmed}
--- a/configsync/store/store_test.go
+++ b/configsync/store/store_test.go
@@ -244,7 +244,7 @@
 		errs <- s.Follow(ctx, from, func(c *operatorv1.Change) error {
 			out <- c.GetRevision()
 			return nil
-		})
+		}, func(time.Time) {})
 	}()
 	return out, errs
 }
