--- a/configsync/store/store_test.go
+++ b/configsync/store/store_test.go
@@ -244,7 +244,7 @@
 		errs <- s.Follow(ctx, from, func(c *operatorv1.Change) error {
 			out <- c.GetRevision()
 			return nil
-		})
+		}, func(time.Time) {})
 	}()
 	return out, errs
 }
@@ -303,6 +303,22 @@
 	require.Equal(t, want.Revision, got.Revision)
 }
 
+// Guards against a log of large changes that is never trimmed, because its keys cannot be listed in pages of the
+// usual size.
+func TestLogOfLargeChangesIsTrimmed(t *testing.T) {
+	r := newRig()
+	want := commitN(t, r.store(), 100)
+	s := New(&largeAnswers{Store: r.local})
+	s.sleep = func(context.Context, time.Duration) bool { return true }
+	s.bounds = bounds{every: 10, kept: 0, partBytes: 512 << 10}
+	newest, err := s.Maintain(t.Context(), want)
+	require.NoError(t, err)
+	require.Equal(t, want.Revision, newest)
+	left, err := r.local.List(t.Context(), prefixLog, "", 0)
+	require.NoError(t, err)
+	require.Empty(t, left)
+}
+
 // largeAnswers fails reads of more than listLimitLarge entries, as the client does with too many large ones.
 type largeAnswers struct{ kv.Store }
 
@@ -312,3 +328,35 @@
 	}
 	return l.Store.List(ctx, prefix, from, limit)
 }
+
+// Guards against a process without a working watch because the service has compacted the revision of the last change.
+func TestFollowAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		first := commitN(t, r.store(), 3)
+		last, err := r.local.Put(t.Context(), "other", nil, kv.Absent, 0)
+		require.NoError(t, err)
+		oldest := last + 1
+		ctx, cancel := context.WithCancel(t.Context())
+		revisions, failed := follow(ctx, New(&compacted{Store: r.local, oldest: oldest}), first)
+		synctest.Wait()
+		commitN(t, r.store(), 1)
+		synctest.Wait()
+		require.Len(t, revisions, 1)
+		cancel()
+		require.ErrorIs(t, <-failed, context.Canceled)
+	})
+}
+
+// compacted refuses watches that start before its oldest revision.
+type compacted struct {
+	kv.Store
+	oldest int64
+}
+
+func (c *compacted) Watch(ctx context.Context, prefix string, after int64, fn func(kv.Event)) error {
+	if after+1 < c.oldest {
+		return &kv.CompactedError{Oldest: c.oldest}
+	}
+	return c.Store.Watch(ctx, prefix, after, fn)
+}
