Stop keep-alives after the last frame of an answer

The ticker may fire while the last frame is written; the keep-alive then used the response after its handler had returned.

--- a/side/frames.go
+++ b/side/frames.go
@@ -11,9 +11,9 @@
 	"lavendermoor.example/api/peerapi"
 )
 
-// KeepAlive is the longest time without a frame while a request runs. Entries give up a connection that has
-// been silent for four times as long.
-const KeepAlive = 250 * time.Millisecond
+// keepAliveInterval is the time without a frame after which a keep-alive frame is sent. Entries give up a connection
+// that has been silent for four times as long.
+const keepAliveInterval = 250 * time.Millisecond
 
 // frameWriter sends the frames of one answer. Its methods may be called from any goroutine.
 type frameWriter struct {
@@ -25,7 +25,9 @@
 	next int64
 	// sent is true when a frame was sent since the last tick.
 	sent bool
-	stop chan struct{}
+	// ended is set by the last frame. After it the handler returns, and the response must not be written to.
+	ended bool
+	stop  chan struct{}
 }
 
 // newFrameWriter starts an answer. The load report goes out in the header, at once, so that the entry learns
@@ -46,7 +48,7 @@
 }
 
 func (f *frameWriter) keepAlive() {
-	t := time.NewTicker(KeepAlive)
+	t := time.NewTicker(keepAliveInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -61,6 +63,9 @@
 func (f *frameWriter) tick() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.ended {
+		return
+	}
 	if !f.sent {
 		_ = f.writeLocked(peerapi.Frame{}) // A failed write shows in the next frame.
 	}
@@ -98,8 +103,11 @@
 			Type: e.Type, Message: e.Message, Executed: e.Executed, RetryAfterMs: e.RetryAfter.Milliseconds(),
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
 	// A failed write means that the entry has gone; it learns the outcome by asking for it.
-	_ = f.write(frame)
+	_ = f.writeLocked(frame)
 }
 
 // asCallerError returns the *callerapi.Error in err, or def.
--- a/side/settings.go
+++ b/side/settings.go
@@ -27,8 +27,7 @@
 	// it the text so far ("generated") and the number of tokens in it ("resume_from").
 	EngineContinues bool `json:"engine_continues,omitempty"`
 	// Slots is the number of requests that the backend server runs at once, until the configuration gives another
-	// number. The concurrency limit begins there
-	// and is then learned from service times.
+	// number. It is the initial concurrency limit, which is then learned from service times.
 	Slots int `json:"slots" validate:"min=1"`
 	// MaxSlots bounds the concurrency limit; 0 means Slots. Set it higher only if the backend server runs more
 	// requests at once by slowing all of them down.
