--- a/side/group_test.go
+++ b/side/group_test.go
@@ -116,3 +116,32 @@
 		})
 	}
 }
+
+// Guards against an issuer that keeps the first value of checksFencing: to an engine that ignores fencing numbers, no
+// order may be sent before the floor is learned from the key-value service.
+func TestOrdersFollowChecksFencing(t *testing.T) {
+	engine := engineorders.New(engineorders.Settings{})
+	r := mux.NewRouter()
+	engine.Register(r)
+	srv := httptest.NewServer(r)
+	defer srv.Close()
+	backend, err := url.Parse(srv.URL)
+	require.NoError(t, err)
+	conf := groupState(t, "1")
+	conf.st.Server("s").ChecksFencing = true
+	store := kvserver.New()
+	set := OrderSettings{WeightRate: 1 << 30, LoadBytes: 1, Parallel: 1, Poll: settings.Duration(time.Millisecond)}
+	o := NewOrders("s", set, backend, conf, kvserver.NewLocal(store), zap.NewNop())
+	o.update(t.Context())
+	require.Empty(t, o.Dump().LastError)
+
+	store.SetFaults(kvserver.Faults{Down: true})
+	*conf = *groupState(t, "2")
+	o.update(t.Context())
+	require.NotEmpty(t, o.Dump().LastError)
+	require.Equal(t, []string{"m@1:"}, engine.Dump().Loaded)
+
+	store.SetFaults(kvserver.Faults{})
+	o.update(t.Context())
+	require.Equal(t, []string{"m@2:"}, engine.Dump().Loaded)
+}
--- a/side/orders.go
+++ b/side/orders.go
@@ -51,6 +51,8 @@
 	configuration Configuration
 	lease         *orders.Lease
 	issuer        *orders.Issuer
+	// checksFencing is the value that the issuer was made with.
+	checksFencing bool
 	store         kv.Store
 	backend       *url.URL
 	log           *zap.Logger
@@ -62,7 +64,8 @@
 // OrdersDump is the state dump of orders.
 type OrdersDump struct {
 	// Have is the state that the engine has reached by orders of this process.
-	Have      orders.Want   `json:"have"`
+	Have orders.Want `json:"have"`
+	// Counts are those of the present issuer, which is replaced when checksFencing of the server changes.
 	Counts    orders.Counts `json:"counts"`
 	LastError string        `json:"last_error,omitempty"`
 }
@@ -109,8 +112,8 @@
 	if !ok {
 		return
 	}
-	if o.issuer == nil {
-		o.issuer = o.newIssuer(st)
+	if checks := st.Server(o.server).GetChecksFencing(); o.issuer == nil || o.checksFencing != checks {
+		o.issuer, o.checksFencing = o.newIssuer(checks), checks
 	}
 	have := o.Dump().Have
 	todo := orders.Diff(have, want)
@@ -139,10 +142,10 @@
 	}, g.GetVersion() != ""
 }
 
-func (o *Orders) newIssuer(st *cluster.State) *orders.Issuer {
+func (o *Orders) newIssuer(checksFencing bool) *orders.Issuer {
 	return orders.NewIssuer(orders.IssuerOptions{
 		Server: o.server, Lease: o.lease, Store: o.store, Engine: o.backend, Poll: o.set.Poll.D(),
-		ChecksFencing: st.Server(o.server).GetChecksFencing(), HTTP: &http.Client{Timeout: orderTimeout},
+		ChecksFencing: checksFencing, HTTP: &http.Client{Timeout: orderTimeout},
 	})
 }
 
