--- a/entry/call.go
+++ b/entry/call.go
@@ -82,7 +82,10 @@
 // result sends the answer of a plain service.
 func (x *exchange) result(r *peerapi.CallResult) {
 	h := x.w.Header()
-	for name, values := range passedOn(r.Header) {
+	from := passedOn(r.Header)
+	from.Del(headerReplayed) // Only this system knows whether the answer is a replay or was truncated.
+	from.Del(headerTruncated)
+	for name, values := range from {
 		h[name] = values
 	}
 	h.Set(callerapi.HeaderRequestID, x.id)
