--- a/entry/once.go
+++ b/entry/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
@@ -66,28 +67,37 @@
 func (o *once) callToken(ctx context.Context, st *cluster.State, r *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
 	token, ok := idempotency.ParseToken(r.Token)
 	if !ok {
-		return nil, callerapi.NotRun(callerapi.InvalidToken, "the token has not the form of a token")
+		return nil, callerapi.NotRun(callerapi.InvalidToken, "the token is malformed")
 	}
-	view := idempotency.ViewOf(st, r.Service)
-	order := idempotency.Ranked(token.Server, view.Servers)
-	for _, m := range append(append([]cluster.Member{}, view.Servers...), view.Previous...) {
-		if m.Name == token.Server {
-			d := o.deliver(ctx, m, r)
-			if d.Err == nil || d.Answered && d.Err.Type != callerapi.OutcomeUnknown {
-				return d.Result, d.Err
-			}
+	for _, m := range tokenTargets(idempotency.ViewOf(st, r.Service), token.Server) {
+		d := o.deliver(ctx, m, r)
+		if d.Err == nil || d.Answered && d.Err.Type != callerapi.OutcomeUnknown {
+			return d.Result, d.Err
+		}
+		if ctx.Err() != nil {
 			break
 		}
 	}
-	for _, m := range order {
-		if m.Name == token.Server || ctx.Err() != nil {
-			continue
+	return nil, callerapi.Unknown(callerapi.OutcomeUnknown, "the server that issued the token cannot be asked").
+		WithRetryAfter(noReplicaRetry)
+}
+
+// tokenTargets returns the server that issued a token, if it is known, then the others in the order in which it
+// would hand over its outcomes.
+func tokenTargets(view idempotency.View, issuer string) []cluster.Member {
+	var out []cluster.Member
+	for _, m := range slices.Concat(view.Servers, view.Previous) {
+		if m.Name == issuer {
+			out = append(out, m)
+			break
 		}
-		if d := o.deliver(ctx, m, r); d.Err == nil || d.Answered && d.Err.Type != callerapi.OutcomeUnknown {
-			return d.Result, d.Err
+	}
+	for _, m := range idempotency.Ranked(issuer, view.Servers) {
+		if m.Name != issuer {
+			out = append(out, m)
 		}
 	}
-	return nil, callerapi.Unknown(callerapi.OutcomeUnknown, "the server that issued the token cannot be asked")
+	return out
 }
 
 // deliver sends a call to one server and reads its answer.
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -130,3 +130,17 @@
 	_, e = onceOf(t, st).call(t.Context(), st, r)
 	require.Equal(t, callerapi.InvalidToken, e.Type)
 }
+
+// Guards against an unknown outcome of a token that does not tell the caller when to ask again.
+func TestUnknownTokenOutcomeHasRetryAfter(t *testing.T) {
+	st := peers(t, func(_ string, w http.ResponseWriter, _ *http.Request) {
+		f := peerapi.Frame{Error: &peerapi.FrameError{Type: callerapi.OutcomeUnknown, Executed: callerapi.ExecutedUnknown}}
+		sendFrame(w, f)
+	})
+	r := callOf("")
+	r.Token = "b.1.1.AAAA"
+	_, e := onceOf(t, st).call(t.Context(), st, r)
+	require.Equal(t, callerapi.OutcomeUnknown, e.Type)
+	require.Equal(t, callerapi.ExecutedUnknown, e.Executed)
+	require.Positive(t, e.RetryAfter)
+}
