--- a/entry/upstream/call_test.go
+++ b/entry/upstream/call_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/config/cluster"
 )
 
 func call(t *testing.T, c *Client, r *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
@@ -138,3 +141,21 @@
 	require.Same(t, unknown, weaker(unknown, no))
 	require.Same(t, no, weaker(nil, no))
 }
+
+// Guards against "no token: <nil>" as the message when a side process answers without a token.
+func TestAnswerWithoutATokenIsNamedInTheError(t *testing.T) {
+	var sides []*side
+	for i := range maxAttempts {
+		s := newSide(t, fmt.Sprintf("s%d", i))
+		s.server.Config.Handler.(*http.ServeMux).HandleFunc(peerapi.PathToken, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("{}"))
+		})
+		sides = append(sides, s)
+	}
+	st, err := cluster.New(1, nil)
+	require.NoError(t, err)
+	_, e := client(t, sides...).Token(t.Context(), st, &peerapi.TokenRequest{Customer: "crew", Service: "s"})
+	require.Equal(t, callerapi.BackendFailed, e.Type)
+	require.Equal(t, callerapi.ExecutedNo, e.Executed)
+	require.Equal(t, "no token: the answer has no token", e.Message)
+}
--- a/entry/upstream/client.go
+++ b/entry/upstream/client.go
@@ -172,10 +172,9 @@
 		if err != nil {
 			return nil, noReplica(err)
 		}
-		var out peerapi.TokenResponse
-		err = c.ask(ctx, replica.Address, peerapi.PathToken, r, &out)
-		if err == nil && out.Token != "" {
-			return &out, nil
+		out, err := c.tokenAt(ctx, replica, r)
+		if err == nil {
+			return out, nil
 		}
 		q.Tried = append(q.Tried, replica)
 		if ctx.Err() != nil || len(q.Tried) == maxAttempts || !c.mayRetry() {
@@ -184,6 +183,19 @@
 	}
 }
 
+func (c *Client) tokenAt(
+	ctx context.Context, replica *routing.Replica, r *peerapi.TokenRequest,
+) (*peerapi.TokenResponse, error) {
+	var out peerapi.TokenResponse
+	if err := c.ask(ctx, replica.Address, peerapi.PathToken, r, &out); err != nil {
+		return nil, err
+	}
+	if out.Token == "" {
+		return nil, merry.Wrap(&MissingTokenError{})
+	}
+	return &out, nil
+}
+
 // ask makes one small call on a new connection.
 func (c *Client) ask(ctx context.Context, address, path string, in, out any) error {
 	body, err := json.Marshal(in)
--- a/entry/upstream/errors.go
+++ b/entry/upstream/errors.go
@@ -63,3 +63,8 @@
 type MissingResultError struct{}
 
 func (*MissingResultError) Error() string { return "the answer of a call has no result" }
+
+// MissingTokenError says that a side process answered a request for a token without one.
+type MissingTokenError struct{}
+
+func (*MissingTokenError) Error() string { return "the answer has no token" }
--- a/entry/upstream/generate.go
+++ b/entry/upstream/generate.go
@@ -97,9 +97,9 @@
 	return nil
 }
 
-// following returns the replica for the next attempt. A stream that has begun is first taken up at the same side
-// process, unless that is known to be gone, then at a replica of the same version whose engine continues answers. One that has not begun goes
-// elsewhere.
+// following returns the replica for the next attempt. A stream that has begun is first resumed at the same side
+// process, unless that is known to be gone, then at a replica of the same version whose engine continues answers. A
+// stream that has not begun goes to another replica.
 func (g *generation) following(last *routing.Replica, o *outcome) (*routing.Replica, *callerapi.Error) {
 	if g.next == 0 {
 		return g.nextOrSame(last, o)
--- a/entry/upstream/verdict.go
+++ b/entry/upstream/verdict.go
@@ -25,7 +25,7 @@
 	askOutcome
 )
 
-// retriable are the refusals that another replica may not repeat.
+// retriable holds the types of refusals after which another replica may accept the request.
 var retriable = map[callerapi.ErrorType]bool{
 	callerapi.Overloaded: true, callerapi.Draining: true, callerapi.NoReplica: true, callerapi.BackendFailed: true,
 	callerapi.StreamBroken: true,
