Serve the faults of stand-ins in one place

The copies in engineserver and kvserver held the mutex while they wrote. In engineorders, a load that ended after its result was dropped added it again for good, and a broken load was reported as "200 OK".

--- a/standin/engineorders/engineorders.go
+++ b/standin/engineorders/engineorders.go
@@ -14,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"lavendermoor.example/orders"
+	"lavendermoor.example/standin/internal/faultapi"
 )
 
 // Settings describe an engine.
@@ -87,7 +88,7 @@
 	r.HandleFunc("/standin/orders", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(e.Dump())
 	}).Methods(http.MethodGet)
-	r.HandleFunc("/standin/order-faults", e.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/standin/order-faults", faultapi.Handler(e.Faults, e.SetFaults)).Methods(http.MethodPut)
 }
 
 // SetFaults replaces the faults.
@@ -97,6 +98,13 @@
 	e.faults = f
 }
 
+// Faults returns the faults in force.
+func (e *Engine) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 // Dump returns the state.
 func (e *Engine) Dump() Dump {
 	e.mu.Lock()
@@ -111,15 +119,6 @@
 	return d
 }
 
-func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	e.SetFaults(f)
-}
-
 func refuse(w http.ResponseWriter, status int, r orders.Refusal) {
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(r)
@@ -225,7 +224,10 @@
 	if state == orders.Done {
 		e.apply(o)
 	}
-	e.results[o.ID] = orders.Result{ID: o.ID, State: state, Detail: detail}
+	// A result that was dropped while the load ran stays dropped: remember would not remove it a second time.
+	if _, ok := e.results[o.ID]; ok {
+		e.results[o.ID] = orders.Result{ID: o.ID, State: state, Detail: detail}
+	}
 }
 
 // maxLoadTime bounds a load from the weight store.
@@ -251,9 +253,12 @@
 	if resp.StatusCode == http.StatusTooManyRequests {
 		return orders.Throttled, "weight store is busy"
 	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+	if resp.StatusCode != http.StatusOK {
 		return orders.Failed, "weight store: " + resp.Status
 	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return orders.Failed, "weight store: " + err.Error()
+	}
 	return orders.Done, ""
 }
 
--- /dev/null
+++ b/standin/engineorders/engineorders_test.go
@@ -0,0 +1,40 @@
+package engineorders
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/orders"
+)
+
+// Guards against results beyond MaxOrders: a load that ends after its result was dropped must not add it again.
+func TestEndedLoadDoesNotExceedMaxOrders(t *testing.T) {
+	e := New(Settings{MaxOrders: 1})
+	load := orders.Order{ID: "load", Kind: orders.Load, Model: "m", Version: "1"}
+	e.remember("load")
+	e.results["load"] = orders.Result{ID: "load", State: orders.Running}
+	_, stale := e.Take(orders.Order{ID: "role", Kind: orders.SetRole, Role: "prefill"})
+	require.Nil(t, stale)
+	e.load(load)
+	require.Len(t, e.results, 1)
+	require.Contains(t, e.results, "role")
+	require.Equal(t, []string{"m@1:"}, e.Dump().Loaded)
+}
+
+// Guards against a failed load that is reported with the status "200 OK" of a response that broke off.
+func TestBrokenLoadReportsTheReadError(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = w.Write([]byte("1"))
+	}))
+	defer srv.Close()
+	weights, err := url.Parse(srv.URL)
+	require.NoError(t, err)
+	state, detail := New(Settings{Weights: weights}).fetch(orders.Order{Model: "m", Version: "1"})
+	require.Equal(t, orders.Failed, state)
+	require.Contains(t, detail, "unexpected EOF")
+}
--- a/standin/engineserver/engine.go
+++ b/standin/engineserver/engine.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"lavendermoor.example/standin/internal/faultapi"
 )
 
 // Options describe the engine. Times are per request at an idle engine.
@@ -67,7 +69,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/chat/completions", s.generate).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", s.generate).Methods(http.MethodPost)
-	r.HandleFunc("/standin/faults", s.serveFaults).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/standin/faults", faultapi.Handler(s.Faults, s.SetFaults)).Methods(http.MethodGet, http.MethodPut)
 	r.HandleFunc("/standin/counts", s.serveCounts).Methods(http.MethodGet)
 	return r
 }
@@ -79,25 +81,18 @@
 	s.faults = f
 }
 
-// Counts returns what the engine has done since the start.
-func (s *Server) Counts() Counts {
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counts
+	return s.faults
 }
 
-func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.SetFaults(f)
-	}
+// Counts returns what the engine has done since the start.
+func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.faults)
+	return s.counts
 }
 
 func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
--- a/standin/kvserver/kvserver.go
+++ b/standin/kvserver/kvserver.go
@@ -14,13 +14,14 @@
 	"github.com/gorilla/mux"
 
 	"lavendermoor.example/platform/kv"
+	"lavendermoor.example/standin/internal/faultapi"
 )
 
 // Faults are the failures that the stand-in brings about. The zero value has none.
 type Faults struct {
 	// Down refuses every call.
 	Down bool `json:"down"`
-	// Delay is added to every call, in milliseconds.
+	// DelayMs is added to every call.
 	DelayMs int64 `json:"delay_ms"`
 	// LoseAnswers is the number of writes to come whose answer is lost after they take effect.
 	LoseAnswers int `json:"lose_answers"`
@@ -76,7 +77,7 @@
 	r.HandleFunc(kv.PathKeepAlive, handle(s, s.keepAlive)).Methods(http.MethodPost)
 	r.HandleFunc(kv.PathRevoke, handle(s, s.revoke)).Methods(http.MethodPost)
 	r.HandleFunc(kv.PathWatch, s.watch).Methods(http.MethodPost)
-	r.HandleFunc("/standin/faults", s.serveFaults).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/standin/faults", faultapi.Handler(s.Faults, s.SetFaults)).Methods(http.MethodGet, http.MethodPut)
 	r.HandleFunc("/standin/counts", s.serveCounts).Methods(http.MethodGet)
 	return r
 }
@@ -89,25 +90,18 @@
 	s.wake()
 }
 
-// Counts returns the calls since the start.
-func (s *Server) Counts() Counts {
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counts
+	return s.faults
 }
 
-func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			writeError(w, http.StatusBadRequest, err.Error())
-			return
-		}
-		s.SetFaults(f)
-	}
+// Counts returns the calls since the start.
+func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.faults)
+	return s.counts
 }
 
 func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
