--- a/standin/serviceserver/service.go
+++ b/standin/serviceserver/service.go
@@ -111,50 +111,76 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	b.ID = fmt.Sprintf("b%d", len(s.store.bookings)+1)
-	s.store.bookings = append(s.store.bookings, b)
-	reply(w, http.StatusCreated, b)
+	reply(w, http.StatusCreated, s.store.book(b))
 }
 
 func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
 	time.Sleep(s.opts.ReadTime)
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	reply(w, http.StatusOK, append([]Booking{}, s.store.bookings...))
+	reply(w, http.StatusOK, s.store.list())
 }
 
 func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(s.opts.ReadTime)
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	for _, b := range s.store.bookings {
-		if b.ID == mux.Vars(r)["id"] {
-			reply(w, http.StatusOK, b)
-			return
-		}
+	b, ok := s.store.booking(mux.Vars(r)["id"])
+	if !ok {
+		http.Error(w, "no such booking", http.StatusNotFound)
+		return
 	}
-	http.Error(w, "no such booking", http.StatusNotFound)
+	reply(w, http.StatusOK, b)
 }
 
 func (s *Server) command(w http.ResponseWriter, r *http.Request) {
 	s.record(r)
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	l := s.store.light(mux.Vars(r)["id"])
-	l.On = !l.On
-	l.Toggles++
-	reply(w, http.StatusOK, l)
+	reply(w, http.StatusOK, s.store.toggle(mux.Vars(r)["id"]))
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(s.opts.ReadTime)
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	reply(w, http.StatusOK, s.store.light(mux.Vars(r)["id"]))
+	reply(w, http.StatusOK, s.store.status(mux.Vars(r)["id"]))
+}
+
+// book stores a booking under a new ID.
+func (s *Store) book(b Booking) Booking {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.ID = fmt.Sprintf("b%d", len(s.bookings)+1)
+	s.bookings = append(s.bookings, b)
+	return b
+}
+
+func (s *Store) list() []Booking {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Booking{}, s.bookings...)
+}
+
+func (s *Store) booking(id string) (Booking, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.bookings {
+		if b.ID == id {
+			return b, true
+		}
+	}
+	return Booking{}, false
+}
+
+func (s *Store) toggle(id string) Light {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.light(id)
+	l.On = !l.On
+	l.Toggles++
+	return *l
+}
+
+func (s *Store) status(id string) Light {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.light(id)
 }
 
+// light returns a light, which is off until its first command. The caller holds the mutex.
 func (s *Store) light(id string) *Light {
 	l, ok := s.lights[id]
 	if !ok {
