--- a/standin/experttrial/stragglers.go
+++ b/standin/experttrial/stragglers.go
@@ -30,14 +30,14 @@
 	repeats = 200
 )
 
-// watch is a detector and the number of steps over which its times are averaged.
-type watch struct {
-	name  string
-	set   expertmap.DetectorSettings
-	every int
+// observation is a detector and the number of steps over which the times that it observes are averaged.
+type observation struct {
+	name     string
+	detector expertmap.DetectorSettings
+	every    int
 }
 
-// draw returns the mean times of one observation of a watch.
+// draw sets times to the mean step times of the ranks over the given number of steps.
 func (n noise) draw(rng *rand.Rand, times []float64, every int) {
 	clear(times)
 	for range every {
@@ -52,29 +52,29 @@
 }
 
 func stragglerTrial(w io.Writer, seeds, steps int) error {
-	for _, v := range []watch{
+	for _, v := range []observation{
 		{"each step", expertmap.DefaultDetector(), 1},
 		{"each poll of the controller", controller.DefaultOptions().Detector, stepsPerPoll},
 	} {
-		if err := watchTrial(w, v, seeds, steps); err != nil {
+		if err := observationTrial(w, v, seeds, steps); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func watchTrial(w io.Writer, set watch, seeds, steps int) error {
+func observationTrial(w io.Writer, o observation, seeds, steps int) error {
 	fmt.Fprintf(w, "\n%s (%d steps): 64 ranks, detector %+v, seeds 1 to %d, %d steps for false alarms\n\n",
-		set.name, set.every, set.set, seeds, steps)
+		o.name, o.every, o.detector, seeds, steps)
 	fmt.Fprintln(w, "| noise | speed | delay p50, steps | p95 | max | missed | false alarms per million steps |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
 	for _, n := range noises {
-		alarms, err := falseAlarms(n, set, seeds, steps)
+		alarms, err := falseAlarms(n, o, seeds, steps)
 		if err != nil {
 			return err
 		}
 		for _, speed := range []float64{0.5, 0.7, 0.8, 0.9} {
-			delays, missed, err := delaysOf(n, set, speed, seeds)
+			delays, missed, err := delaysOf(n, o, speed, seeds)
 			if err != nil {
 				return err
 			}
@@ -87,15 +87,15 @@
 }
 
 // falseAlarms returns the number of healthy ranks that came to count as slow, per million steps of the group.
-func falseAlarms(n noise, set watch, seeds, steps int) (float64, error) {
+func falseAlarms(n noise, o observation, seeds, steps int) (float64, error) {
 	count := 0
 	times := make([]float64, trialRanks)
 	for seed := 1; seed <= seeds; seed++ {
 		rng := rand.New(rand.NewPCG(uint64(seed), 1))
-		d := expertmap.NewDetector(trialRanks, set.set)
+		d := expertmap.NewDetector(trialRanks, o.detector)
 		before := 0
-		for range steps / set.every {
-			n.draw(rng, times, set.every)
+		for range steps / o.every {
+			n.draw(rng, times, o.every)
 			if err := d.Observe(times); err != nil {
 				return 0, err
 			}
@@ -107,16 +107,16 @@
 	return float64(count) * 1e6 / float64(seeds*steps), nil
 }
 
-func delaysOf(n noise, set watch, speed float64, seeds int) ([]int, int, error) {
+func delaysOf(n noise, o observation, speed float64, seeds int) ([]int, int, error) {
 	var delays []int
 	missed := 0
 	times := make([]float64, trialRanks)
 	for i := range seeds * repeats {
 		rng := rand.New(rand.NewPCG(uint64(i/repeats+1), uint64(i%repeats+2)))
-		d := expertmap.NewDetector(trialRanks, set.set)
+		d := expertmap.NewDetector(trialRanks, o.detector)
 		delay := -warmSteps
-		for ; delay < maxDelay; delay += set.every {
-			n.draw(rng, times, set.every)
+		for ; delay < maxDelay; delay += o.every {
+			n.draw(rng, times, o.every)
 			if delay >= 0 {
 				times[3] /= speed
 			}
@@ -130,7 +130,7 @@
 		if delay >= maxDelay {
 			missed++
 		}
-		delays = append(delays, delay+set.every)
+		delays = append(delays, delay+o.every)
 	}
 	slices.Sort(delays)
 	return delays, missed, nil
--- a/telemetry/invariant/invariant.go
+++ b/telemetry/invariant/invariant.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"sync/atomic"
 )
 
@@ -33,14 +32,11 @@
 var (
 	count   atomic.Int64
 	handler atomic.Pointer[func(*ViolationError)]
-	mu      sync.Mutex
 )
 
 // OnViolation sets the function that receives violations, called from the goroutine that found one, and
 // returns a function that restores the one before. The default does nothing.
 func OnViolation(fn func(*ViolationError)) (restore func()) {
-	mu.Lock()
-	defer mu.Unlock()
 	before := handler.Swap(&fn)
 	return func() { handler.Store(before) }
 }
