--- a/entry/upstream/ask.go
+++ b/entry/upstream/ask.go
@@ -37,8 +37,8 @@
 	return merry.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAskBytes)).Decode(out))
 }
 
-// NewProber returns the membership's probe: it asks a server for its load report on a new connection.
-func NewProber(router *routing.Router) membership.Prober {
+// newProber returns the membership's probe: it asks a server for its load report on a new connection.
+func newProber(router *routing.Router) membership.Prober {
 	client := newAsker()
 	return func(ctx context.Context, server string) (membership.Report, error) {
 		replica := router.Picker().Replica(server)
--- a/entry/upstream/control.go
+++ b/entry/upstream/control.go
@@ -27,7 +27,7 @@
 // NewControl returns the control of a process in the failure domain. The seed spreads probes.
 func NewControl(feed Feed, policy routing.Policy, domain string, seed uint64) *Control {
 	c := &Control{Router: routing.NewRouter(policy, domain), feed: feed, moved: make(chan struct{}, 1)}
-	c.Members = membership.NewTracker(seed, NewProber(c.Router), func(*membership.View) {
+	c.Members = membership.NewTracker(seed, newProber(c.Router), func(*membership.View) {
 		select {
 		case c.moved <- struct{}{}:
 		default: // An update is due already.
--- a/side/orders.go
+++ b/side/orders.go
@@ -40,9 +40,6 @@
 	return out
 }
 
-// DefaultOrderPoll is the usual Poll of OrderSettings.
-const DefaultOrderPoll = settings.Duration(2 * time.Second)
-
 // Orders brings the engine to the state that the configuration asks for. Its methods may be called from any
 // goroutine.
 type Orders struct {
