Mend faults that the read-through found

A service made again after its deletion started at an epoch that processes had seen, and was ignored by them; the first epoch is now the revision of the change. A full engine (429) was reported as a fault of the request, so that no other replica was tried; a request that the entry had given up as passed deadline; refusals of tokens had no Retry-After; a controller kept every map that others decided; a rule's deadline had no bound. Each has a test that fails without the change, but for Retry-After.

--- a/config/cluster/services.go
+++ b/config/cluster/services.go
@@ -75,6 +75,16 @@
 	return services
 }
 
+// nextEpoch returns the epoch of a service after a change of its servers. The first one is the revision of the change,
+// which is above every epoch of an earlier service with the same name: processes that knew that service keep its
+// records and judge no key by them until the retention has passed.
+func nextEpoch(base *State, before *operatorv1.Service) int64 {
+	if before.GetEpoch() == 0 {
+		return base.Revision + 1
+	}
+	return before.GetEpoch() + 1
+}
+
 func maintainService(base *State, c *operatorv1.Change, name string, servers []*operatorv1.ServiceMember) error {
 	before := base.Service(name)
 	next := &operatorv1.Service{
@@ -84,7 +94,7 @@
 		if len(before.GetPrevious()) > 0 {
 			return &ServersChangingError{Service: name, Epoch: before.GetEpoch()}
 		}
-		next.Epoch, next.Servers, next.Previous = before.GetEpoch()+1, servers, before.GetServers()
+		next.Epoch, next.Servers, next.Previous = nextEpoch(base, before), servers, before.GetServers()
 	}
 	found := false
 	for _, o := range c.GetUpserts() {
--- a/config/cluster/services_test.go
+++ b/config/cluster/services_test.go
@@ -8,9 +8,9 @@
 	"lavendermoor.example/api/operatorv1"
 )
 
-func serverOf(name, service string) *operatorv1.Object {
+func serverOf(name string) *operatorv1.Object {
 	return &operatorv1.Object{Kind: &operatorv1.Object_Server{Server: &operatorv1.BackendServer{
-		Name: name, Service: service, Address: "127.0.0.1:1", FailureDomain: "a", Slots: 1,
+		Name: name, Service: "b", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 1,
 	}}}
 }
 
@@ -40,7 +40,7 @@
 // servers change, previous servers that are forgotten, and a second change before the first has ended.
 func TestMaintainServices(t *testing.T) {
 	s := step(t, Empty(), &operatorv1.Change{Upserts: []*operatorv1.Object{
-		serverOf("s2", "b"), serverOf("s1", "b"), service(&operatorv1.Service{Name: "b", Epoch: 9, Servers: membersOf("x")}),
+		serverOf("s2"), serverOf("s1"), service(&operatorv1.Service{Name: "b", Epoch: 9, Servers: membersOf("x")}),
 	}})
 	require.Equal(t, int64(1), s.Service("b").GetEpoch(), "what an operator writes in these fields is replaced")
 	require.Equal(t, []string{"s1", "s2"}, memberNames(s.Service("b").GetServers()))
@@ -48,7 +48,7 @@
 
 	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{service(&operatorv1.Service{Name: "b"})}})
 	require.Equal(t, int64(1), s.Service("b").GetEpoch(), "the same servers are no new epoch")
-	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{serverOf("s3", "b")}})
+	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{serverOf("s3")}})
 	require.Equal(t, int64(2), s.Service("b").GetEpoch())
 	require.Equal(t, []string{"s1", "s2"}, memberNames(s.Service("b").GetPrevious()))
 
@@ -66,3 +66,20 @@
 	require.Equal(t, []string{"s2", "s3"}, memberNames(s.Service("b").GetServers()))
 	require.Equal(t, []string{"s1", "s2", "s3"}, memberNames(s.Service("b").GetPrevious()))
 }
+
+// Guards against a service that is deleted and made again with epochs that processes have seen before, so that they
+// ignore its servers.
+func TestServiceMadeAgainHasANewEpoch(t *testing.T) {
+	s := step(t, Empty(), &operatorv1.Change{Upserts: []*operatorv1.Object{
+		serverOf("s1"), service(&operatorv1.Service{Name: "b"}),
+	}})
+	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{serverOf("s2")}})
+	last := s.Service("b").GetEpoch()
+	s = step(t, s, &operatorv1.Change{Deletes: []*operatorv1.ObjectRef{
+		{Type: "service", Name: "b"}, {Type: "server", Name: "s1"}, {Type: "server", Name: "s2"},
+	}})
+	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{service(&operatorv1.Service{Name: "b"})}})
+	s = step(t, s, &operatorv1.Change{Upserts: []*operatorv1.Object{serverOf("s3")}})
+	require.Greater(t, s.Service("b").GetEpoch(), last)
+	require.Empty(t, s.Service("b").GetPrevious())
+}
--- a/config/cluster/state_test.go
+++ b/config/cluster/state_test.go
@@ -56,3 +56,13 @@
 	require.Equal(t, Ref{TypeGroup, "g"}, invalid.Fields[0].Ref)
 	require.Equal(t, "model", invalid.Fields[0].Field)
 }
+
+// Guards against a deadline that overflows when it is turned into a duration.
+func TestDeadlineOfARuleIsBounded(t *testing.T) {
+	_, err := New(1, []*operatorv1.Object{{Kind: &operatorv1.Object_Rule{Rule: &operatorv1.Rule{
+		Name: "r", Kind: operatorv1.WorkKind_WORK_KIND_SHORT, DeadlineMs: 1 << 60,
+	}}}})
+	var invalid *ValidationError
+	require.ErrorAs(t, err, &invalid)
+	require.Equal(t, "deadline_ms", invalid.Fields[0].Field)
+}
--- a/config/cluster/validate.go
+++ b/config/cluster/validate.go
@@ -15,6 +15,8 @@
 	maxRanks    = 64
 	maxExperts  = 256
 	maxPriority = 9
+	// maxDeadlineMs is one hour.
+	maxDeadlineMs = 3_600_000
 )
 
 var (
@@ -214,9 +216,7 @@
 		v.fail(r, "kind", "is required")
 	}
 	v.between(r, "priority", int64(u.GetPriority()), 0, maxPriority)
-	if u.GetDeadlineMs() < 0 {
-		v.fail(r, "deadline_ms", "is negative")
-	}
+	v.between(r, "deadline_ms", u.GetDeadlineMs(), 0, maxDeadlineMs)
 	v.amount(r, "value", u.GetValue())
 }
 
@@ -231,6 +231,6 @@
 	v.between(r, "max_body_bytes", l.GetMaxBodyBytes(), 0, 64<<20)
 	v.between(r, "max_header_bytes", l.GetMaxHeaderBytes(), 0, 1<<20)
 	v.between(r, "read_timeout_ms", l.GetReadTimeoutMs(), 0, 600_000)
-	v.between(r, "default_deadline_ms", l.GetDefaultDeadlineMs(), 0, 3_600_000)
+	v.between(r, "default_deadline_ms", l.GetDefaultDeadlineMs(), 0, maxDeadlineMs)
 	v.between(r, "key_retention_s", l.GetKeyRetentionS(), 0, 7*24*3600)
 }
--- a/expertmap/controller/controller.go
+++ b/expertmap/controller/controller.go
@@ -238,8 +238,13 @@
 	return nil
 }
 
+// keptMaps is the number of decided maps that a controller remembers. A rank takes versions in order and lags by few;
+// one that lags by more takes the newest after a restart.
+const keptMaps = 16
+
 func (c *Controller) learn(m *expertmap.Map) {
 	c.maps[m.Version] = m
+	delete(c.maps, m.Version-keptMaps)
 	if m.Version > c.newest {
 		c.newest = m.Version
 		c.switchedAt = c.steps
--- a/expertmap/controller/controller_test.go
+++ b/expertmap/controller/controller_test.go
@@ -251,3 +251,12 @@
 		require.Zero(rt, w.violations)
 	})
 }
+
+// Guards against a controller whose memory grows with the maps that other controllers decide.
+func TestLearnedMapsAreBounded(t *testing.T) {
+	c := New(Options{})
+	for v := int64(1); v <= 10*keptMaps; v++ {
+		c.learn(&expertmap.Map{Version: v})
+	}
+	require.Len(t, c.maps, keptMaps)
+}
--- a/idempotency/peer/token.go
+++ b/idempotency/peer/token.go
@@ -62,9 +62,10 @@
 	case idempotency.UseInvalid:
 		return nil, callerapi.NotRun(callerapi.InvalidToken, "the token was not issued for this customer and service")
 	case idempotency.UseDraining:
-		return nil, callerapi.NotRun(callerapi.Draining, "server is draining and will not run the token")
+		return nil, callerapi.NotRun(callerapi.Draining, "server is draining and will not run the token").
+			WithRetryAfter(retryAfter)
 	}
-	return nil, callerapi.Unknown(callerapi.OutcomeUnknown, "nothing is known of the token, and it will not be run")
+	return nil, unknown("nothing is known of the token, and it will not be run")
 }
 
 func (n *Node) runToken(ctx context.Context, seq int64, ended chan struct{}, run Run) (*peerapi.CallResult, *callerapi.Error) {
--- /dev/null
+++ b/side/failure_test.go
@@ -0,0 +1,37 @@
+package side
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/api/callerapi"
+	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/platform/engine"
+)
+
+// Guards against a refusal of a full engine that looks like a fault of the request, so that no other replica is tried,
+// and against "deadline passed" for a request that the entry has given up.
+func TestFailuresOfTheBackendServer(t *testing.T) {
+	s := New(Options{Log: zap.NewNop()})
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, c := range []struct {
+		ctx      context.Context
+		err      error
+		want     callerapi.ErrorType
+		executed callerapi.Executed
+	}{
+		{t.Context(), &engine.StatusError{Status: http.StatusTooManyRequests}, callerapi.Overloaded, callerapi.ExecutedNo},
+		{t.Context(), &engine.StatusError{Status: http.StatusBadRequest}, callerapi.InvalidRequest, callerapi.ExecutedNo},
+		{t.Context(), &engine.StatusError{Status: http.StatusBadGateway}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
+		{gone, &engine.BrokenError{Cause: context.Canceled}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
+	} {
+		e := s.failure(c.ctx, &peerapi.Work{}, c.err)
+		require.Equal(t, c.want, e.Type, "%v", c.err)
+		require.Equal(t, c.executed, e.Executed, "%v", c.err)
+	}
+}
--- a/side/work.go
+++ b/side/work.go
@@ -121,8 +121,12 @@
 		return callerapi.NotRun(callerapi.BackendFailed, "%v", err).WithRetryAfter(drainRetry)
 	case errors.As(err, &body):
 		return callerapi.NotRun(callerapi.InvalidRequest, "%v", err)
+	case errors.As(err, &status) && status.Status == http.StatusTooManyRequests:
+		return callerapi.NotRun(callerapi.Overloaded, "%v", err).WithRetryAfter(drainRetry)
 	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
 		return callerapi.NotRun(callerapi.InvalidRequest, "%v", err)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return callerapi.Unknown(callerapi.BackendFailed, "the entry has given the request up")
 	case ctx.Err() != nil:
 		return callerapi.Unknown(callerapi.DeadlineExceeded, "deadline passed while the request ran")
 	}
