--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go build -o out/ ./cmd/...
 
 test:
-	go test work
+	go test -count=1 work
 
 tools: $(BIN)/golangci-lint $(BIN)/gofumpt
 
--- a/configsync/feed/run.go
+++ b/configsync/feed/run.go
@@ -21,14 +21,14 @@
 	pauseGrowth   = 2
 	maxWatchPause = 2 * time.Second
 	// settled is the time after which the failure of a source is not counted with the ones before it.
-	settled        = 10 * time.Second
-	roleCheck      = 5 * time.Second
-	maintainCheck  = 10 * time.Second
-	staleAge       = 7 * time.Second
-	scoutCheck     = time.Second
-	scoutTries     = 3
-	scoutTimeout   = 2 * time.Second
-	scoutFirstWait = 100 * time.Millisecond
+	settled          = 10 * time.Second
+	roleCheck        = 5 * time.Second
+	maintainCheck    = 10 * time.Second
+	staleAge         = 7 * time.Second
+	refreshCheck     = time.Second
+	refreshTries     = 3
+	refreshTimeout   = 2 * time.Second
+	refreshFirstWait = 100 * time.Millisecond
 	// fallbackInterval and fallbackBurst are the call budget of a process that does not watch. One Load makes up to
 	// four calls while no more than one snapshot and 500 changes are read.
 	fallbackInterval = 10 * time.Second
@@ -54,7 +54,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer n.stopOnce.Do(func() { close(n.stopped) })
 	var g errgroup.Group
-	for _, loop := range []func(context.Context){n.sourceLoop, n.scoutLoop, n.maintainLoop} {
+	for _, loop := range []func(context.Context){n.sourceLoop, n.refreshLoop, n.maintainLoop} {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
@@ -156,34 +156,34 @@
 	}
 }
 
-// scoutLoop asks other peers while the configuration in force has not been confirmed for some time: when the
+// refreshLoop asks other peers while the configuration in force has not been confirmed for some time: when the
 // source is itself cut off, silent or wrong. During an outage of the service no peer can confirm anything, so the
 // pauses grow.
-func (n *Node) scoutLoop(ctx context.Context) {
+func (n *Node) refreshLoop(ctx context.Context) {
 	pauses := newBackoff(maxPause)
-	sleep(ctx, scoutFirstWait)
+	sleep(ctx, refreshFirstWait)
 	for ctx.Err() == nil {
 		if n.State() != nil && n.Age() <= staleAge {
 			pauses.Reset()
-			sleep(ctx, scoutCheck)
+			sleep(ctx, refreshCheck)
 			continue
 		}
-		n.scout(ctx)
+		n.refresh(ctx)
 		sleep(ctx, pauses.NextBackOff())
 	}
 }
 
-// scout asks a few peers at random without waiting for changes, and the service when none of them answers and the
+// refresh asks a few peers at random without waiting for changes, and the service when none of them answers and the
 // budget allows it.
-func (n *Node) scout(ctx context.Context) {
+func (n *Node) refresh(ctx context.Context) {
 	p := n.place()
 	answered := false
-	for range scoutTries {
+	for range refreshTries {
 		peer, ok := n.randomPeer(p)
 		if !ok || ctx.Err() != nil {
 			break
 		}
-		callCtx, cancel := context.WithTimeout(ctx, scoutTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
 		err := n.poll(callCtx, peer, 0)
 		cancel()
 		answered = answered || err == nil
--- a/proctest/faults_test.go
+++ b/proctest/faults_test.go
@@ -62,21 +62,25 @@
 	return st.Side.Served
 }
 
+// longStream is the number of tokens of a stream that outlasts all fixed times of a shutdown: at 5 ms a token, 5 s
+// against 1 s of refusals and 2 s for the listeners.
+const longStream = 1000
+
 // Guards against a graceful shutdown of a side process that cuts off running work (P6).
 func TestTerminatedSideFinishesItsStreams(t *testing.T) {
 	d := small(t)
-	wait := d.streams(12, 200)
+	wait := d.streams(12, longStream)
 	d.Models[0].Terminate()
-	requireWhole(t, wait(), 200)
+	requireWhole(t, wait(), longStream)
 	require.NoError(t, d.Models[0].Wait(patience))
 }
 
 // Guards against a graceful shutdown of an entry that cuts off its callers (P6).
 func TestTerminatedEntryFinishesItsStreams(t *testing.T) {
 	d := small(t)
-	wait := d.streams(12, 200)
+	wait := d.streams(12, longStream)
 	d.Entries[1].Terminate()
-	requireWhole(t, wait(), 200)
+	requireWhole(t, wait(), longStream)
 	require.NoError(t, d.Entries[1].Wait(patience))
 }
 
