--- a/entry/once.go
+++ b/entry/once.go
@@ -38,7 +38,7 @@
 			return d.Result, nil
 		}
 		if d.Answered && !movesOn(d.Err) {
-			return nil, afterLost(d.Err, lost)
+			return nil, final(d.Err, lost)
 		}
 		lost = lost || !d.Answered && d.Sent
 		last = d.Err
@@ -46,7 +46,7 @@
 			break
 		}
 	}
-	return nil, afterLost(last, lost)
+	return nil, final(last, lost)
 }
 
 // movesOn says whether another holder may be able to run what this one refused.
@@ -54,9 +54,12 @@
 	return e.Type == callerapi.NoReplica || e.Type == callerapi.Draining || e.Type == callerapi.Overloaded
 }
 
-// afterLost makes a refusal as not run unknown when an earlier delivery of the call may still run.
-func afterLost(e *callerapi.Error, lost bool) *callerapi.Error {
-	if !lost || e.Executed != callerapi.ExecutedNo || e.Type == callerapi.KeyReused {
+// final returns what the caller is told. A refusal as not run becomes unknown when an earlier delivery of the call may
+// still run. A refusal of the last holder that does not know whether the call ran has no other type than that.
+func final(e *callerapi.Error, lost bool) *callerapi.Error {
+	undecided := e.Executed == callerapi.ExecutedUnknown && movesOn(e)
+	overtaken := lost && e.Executed == callerapi.ExecutedNo && e.Type != callerapi.KeyReused
+	if !undecided && !overtaken {
 		return e
 	}
 	return callerapi.Unknown(callerapi.OutcomeUnknown, "%s", e.Message).WithRetryAfter(noReplicaRetry)
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -78,6 +78,16 @@
 	require.Equal(t, callerapi.ExecutedUnknown, e.Executed)
 }
 
+// Guards against a refusal whose type says that no replica takes the call while nobody knows whether it ran.
+func TestUndecidedKeyIsOutcomeUnknown(t *testing.T) {
+	st := peers(t, func(_ string, w http.ResponseWriter, _ *http.Request) {
+		sendFrame(w, peerapi.Frame{Error: &peerapi.FrameError{Type: callerapi.NoReplica, Executed: callerapi.ExecutedUnknown}})
+	})
+	_, e := onceOf(t, st).call(t.Context(), st, callOf("k"))
+	require.Equal(t, callerapi.OutcomeUnknown, e.Type)
+	require.Positive(t, e.RetryAfter)
+}
+
 // Guards against calls that wait for a silent holder instead of going to the next one, and against another order than
 // that of the ranks.
 func TestSilentHolderIsPassedOver(t *testing.T) {
