--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -7,9 +7,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -151,6 +154,22 @@
 	return out
 }
 
+// processes returns every process that should exist: this one, those in the instance list, and the side processes of
+// the configured servers, which the list may lack. They are sorted by name.
+func (c *control) processes() []feed.Peer {
+	byName := map[string]feed.Peer{}
+	if st := c.node.State(); st != nil {
+		for name, s := range st.Servers() {
+			byName[name] = feed.Peer{Name: name, Address: s.GetAddress(), FailureDomain: s.GetFailureDomain()}
+		}
+	}
+	for _, p := range c.feedPeers() {
+		byName[p.Name] = p
+	}
+	byName[c.id.name] = feed.Peer{Name: c.id.name, Address: c.id.peerAddress, FailureDomain: c.id.failureDomain}
+	return slices.SortedFunc(maps.Values(byName), func(a, b feed.Peer) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // run keeps instance list and configuration up to date until the context ends. It calls seen with each new list.
 func (c *control) run(ctx context.Context, seen func(instances.List)) error {
 	go c.list.Run(ctx, c.replica, c.listInterval, func(err error) {
--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -101,7 +101,7 @@
 func callerServer(s entry.Settings, c *control, srv *entry.Server) (*http.Server, error) {
 	r := mux.NewRouter().UseEncodedPath()
 	path, rpc := operator.New(operator.Options{
-		Store: c.store, Node: c.node, BootstrapKeySHA256: s.BootstrapKeySHA256, Processes: c.feedPeers,
+		Store: c.store, Node: c.node, BootstrapKeySHA256: s.BootstrapKeySHA256, Processes: c.processes,
 		Client: c.client, Log: c.log,
 	})
 	r.PathPrefix(path).Handler(rpc)
--- a/proctest/faults_test.go
+++ b/proctest/faults_test.go
@@ -276,3 +276,18 @@
 		return cancelled == 1 && running == 0
 	})
 }
+
+// Guards against a status that leaves out the entry which answers it, or a configured server that the instance list
+// does not show.
+func TestStatusListsEveryProcess(t *testing.T) {
+	d := small(t)
+	out, code := d.Apply(`{"models": [{"name": "m2"}], "groups": [{"name": "g2", "model": "m2", "ranks": 1}],
+		"servers": [{"name": "absent", "address": "127.0.0.1:1", "failure_domain": "lahti", "group": "g2", "slots": 1}]}`)
+	require.Zero(t, code, out)
+	out, code = d.Ctl("status")
+	require.Zero(t, code, out)
+	require.Contains(t, out, "absent")
+	for _, p := range d.processes() {
+		require.Contains(t, out, p.Name)
+	}
+}
