--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -1,6 +1,7 @@
 package idempotency
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -268,3 +269,18 @@
 	require.Empty(t, p.calls)
 	require.Empty(t, p.queue)
 }
+
+// Guards against "not run" for a call that has been running for a long time while many others came and went.
+func TestPlainKeepsRunningCallsWhenFull(t *testing.T) {
+	p := NewPlain(7)
+	require.True(t, p.Begin(start, "long"))
+	for i := range 2 * maxPlain {
+		id := fmt.Sprint(i)
+		require.True(t, p.Begin(start, id))
+		p.End(id, peerapi.Outcome{Result: &peerapi.CallResult{Status: 200}})
+	}
+	late := start.Add(3 * plainRetention)
+	require.True(t, p.Begin(late, "next"))
+	require.True(t, p.Outcome(late, "long", 7).Running)
+	require.LessOrEqual(t, len(p.calls), maxPlain+1)
+}
--- a/idempotency/plain.go
+++ b/idempotency/plain.go
@@ -84,7 +84,7 @@
 // expire removes the calls whose retention has passed, and the oldest ones beyond maxPlain. A call that runs, or that
 // has begun again since, is kept: once removed, it would be said not to have run.
 func (p *Plain) expire(now time.Time) {
-	for len(p.queue) > 0 {
+	for range len(p.queue) {
 		oldest := p.queue[0]
 		early := now.Sub(oldest.at) <= plainRetention
 		if early && len(p.queue) < maxPlain {
@@ -92,7 +92,7 @@
 		}
 		p.queue = p.queue[1:]
 		c := p.calls[oldest.id]
-		if !early && (c.running || now.Sub(c.began) <= plainRetention) {
+		if c.running || !early && now.Sub(c.began) <= plainRetention {
 			p.queue = append(p.queue, plainExpiry{oldest.id, now})
 			continue
 		}
