--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -34,6 +34,9 @@
 	buildOut  []byte
 )
 
+// raceEnv is the environment variable that makes the harness build the programs with the race detector.
+const raceEnv = "LAVENDERMOOR_RACE"
+
 // Binary returns the path of a program, built once in each test run.
 func Binary(t testing.TB, program string) string {
 	t.Helper()
@@ -43,6 +46,9 @@
 			return
 		}
 		args := []string{"build", "-o", buildDir + "/"}
+		if os.Getenv(raceEnv) != "" {
+			args = append(args, "-race")
+		}
 		for _, p := range Programs {
 			args = append(args, "lavendermoor.example/cmd/"+p)
 		}
--- a/proctest/soak_test.go
+++ b/proctest/soak_test.go
@@ -337,6 +337,7 @@
 	for _, p := range s.d.ended() {
 		require.NotContains(t, p.Output(), "invariant violated", p.Name)
 		require.NotContains(t, p.Output(), "panic", p.Name)
+		require.NotContains(t, p.Output(), "DATA RACE", p.Name)
 	}
 	require.NotZero(t, s.counts["stream complete"])
 	require.NotZero(t, s.counts["call answered"])
