Keep a slow group slow while it reports so

Repeated reports were not passed on, so a slow group that still had traffic counted as normal for a moment every 15 s. The test fails without the change.

--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -35,8 +35,10 @@
 	// it directly, so that a success costs no message to the owner. The monotonic clock is used, because after a step
 	// back of the wall clock the last success would outlast all later failures and hide a partition.
 	okTimes sync.Map
-	lost    atomic.Int64
-	done    chan struct{}
+	// slowTimes holds, by server, when a report of a slow rank was last passed on, in nanoseconds since start.
+	slowTimes sync.Map
+	lost      atomic.Int64
+	done      chan struct{}
 }
 
 // NewTracker returns a tracker; notify, if not nil, is called from the goroutine of Run with every view whose
@@ -92,11 +94,26 @@
 	fresh := rep.Incarnation > s.Incarnation
 	drains := rep.Draining && s.Reason != Draining
 	contradictsList := s.Reason == Leaving && !rep.Draining
-	if fresh || drains || contradictsList || rep.Slow != s.Slow {
+	if fresh || drains || contradictsList || rep.Slow != s.Slow || t.slowIsDue(rep) {
 		t.offer(func(now time.Time) { t.state.Report(now, rep) })
 	}
 }
 
+// slowIsDue says whether a repeated report of a slow rank has to be passed on, so that the group does not count as
+// normal for a moment each time SlowFor has passed.
+func (t *Tracker) slowIsDue(rep Report) bool {
+	if !rep.Slow {
+		return false
+	}
+	now := int64(time.Since(t.start))
+	last, ok := t.slowTimes.Load(rep.Server)
+	if ok && now-last.(int64) < int64(SlowFor/3) {
+		return false
+	}
+	t.slowTimes.Store(rep.Server, now)
+	return true
+}
+
 // Connected passes on a successful exchange.
 func (t *Tracker) Connected(server, domain string) {
 	now := int64(time.Since(t.start))
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -56,3 +56,30 @@
 	// Round(0) removes the monotonic reading, where there is one.
 	require.NotEqual(t, ok.Round(0).String(), ok.String())
 }
+
+// Guards against a slow group that still gets traffic and counts as normal for a moment every SlowFor.
+func TestRepeatedSlowReportsKeepAGroupSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		normal := 0
+		tr := NewTracker(1, nil, func(v *View) {
+			if !v.Of("s").Slow {
+				normal++
+			}
+		})
+		go tr.Run(ctx)
+		tr.SetServers(ctx, []Server{{"s", "a"}})
+		synctest.Wait()
+		tr.Report(Report{Server: "s", Incarnation: 1, Slow: true})
+		synctest.Wait()
+		before := normal
+		for range 4 * int(SlowFor/time.Second) {
+			time.Sleep(time.Second)
+			tr.Report(Report{Server: "s", Incarnation: 1, Slow: true})
+			synctest.Wait()
+		}
+		require.Equal(t, before, normal)
+		require.True(t, tr.View().Of("s").Slow)
+		cancel()
+	})
+}
