--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -108,7 +108,7 @@
 	srv.Register(r)
 	callers := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	if s.TLS != nil {
-		cfg, err := entry.ServerTLS(*s.TLS)
+		cfg, err := entry.ServerTLS(*s.TLS, c.log)
 		if err != nil {
 			return nil, err
 		}
--- a/entry/tls.go
+++ b/entry/tls.go
@@ -5,6 +5,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // keyPairCheck is the time between two looks at the files of a key pair.
@@ -14,6 +16,7 @@
 // one before in use.
 type keyPair struct {
 	files TLS
+	log   *zap.Logger
 
 	mu      sync.Mutex
 	cert    *tls.Certificate
@@ -21,9 +24,10 @@
 	checked time.Time
 }
 
-// ServerTLS returns a TLS configuration for the key pair, which must load now.
-func ServerTLS(files TLS) (*tls.Config, error) {
-	p := &keyPair{files: files}
+// ServerTLS returns a TLS configuration for the key pair, which must load now. A later pair that does not load is
+// logged at each look.
+func ServerTLS(files TLS, log *zap.Logger) (*tls.Config, error) {
+	p := &keyPair{files: files, log: log}
 	if err := p.load(); err != nil {
 		return nil, err
 	}
@@ -41,12 +45,21 @@
 	if now.Sub(p.checked) >= keyPairCheck {
 		p.checked = now
 		if p.modified().After(p.modTime) {
-			_ = p.load() // The old pair stays in use.
+			p.reload()
 		}
 	}
 	return p.cert
 }
 
+// reload takes over a changed pair; the old one stays in use when that fails.
+func (p *keyPair) reload() {
+	if err := p.load(); err != nil {
+		p.log.Error("key pair not reloaded", zap.String("cert_file", p.files.CertFile), zap.Error(err))
+		return
+	}
+	p.log.Info("key pair reloaded", zap.String("cert_file", p.files.CertFile))
+}
+
 func (p *keyPair) modified() time.Time {
 	var last time.Time
 	for _, name := range []string{p.files.CertFile, p.files.KeyFile} {
