--- a/routing/trial/trial_test.go
+++ b/routing/trial/trial_test.go
@@ -60,3 +60,15 @@
 	t.Logf("chosen %v; least in flight %v", chosen, least)
 	require.LessOrEqual(t, chosen.FirstToken95, 2*least.FirstToken95)
 }
+
+// Guards against a policy that gives up cache hits where there is room for affinity. Above 65% use of the slots affinity
+// gives way on purpose, so the smaller margin of TestChosenPolicyKeepsCacheAndBalance cannot guard against it.
+func TestAffinityKeepsItsMarginBelowHighLoad(t *testing.T) {
+	o := Small
+	o.Rate = 18
+	chosen := run(t, o, byName(t, routing.NameAffinity))
+	robin := run(t, o, byName(t, routing.NameRoundRobin))
+	t.Logf("chosen %v; round robin %v", chosen, robin)
+	require.Greater(t, chosen.HitShare, robin.HitShare+0.12)
+	require.LessOrEqual(t, chosen.FirstToken95, robin.FirstToken95)
+}
