Run and drain both daemons by one function; drop an ignored parameter and a doubled constant

The sequence of starting the parts, waiting for the signal, draining and stopping stood in both daemons. The upstream client took the configuration and did not use it, and the time after which to try again was defined in two packages. Behaviour and assertions are unchanged; tests pass one argument less.

--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/configsync/feed"
@@ -260,6 +261,32 @@
 	}
 }
 
+// runUntilDone starts the parts of a process and waits for the termination signal, which ends ctx, or for a part that
+// fails. The parts outlive the signal until finish returns, so that running work is answered.
+func runUntilDone(ctx context.Context, start func(context.Context, *errgroup.Group), finish func()) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	start(serving, group)
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return group.Wait()
+	}
+	finish()
+	stop()
+	return group.Wait()
+}
+
+// awaitIdle gives others the time to notice the drain, then waits for the running work, up to the timeout.
+func (c *control) awaitIdle(idle func() bool, timeout time.Duration) {
+	c.log.Info("draining")
+	time.Sleep(lameDuck)
+	if !waitIdle(idle, timeout) {
+		c.log.Warn("drain timeout passed with work running")
+	}
+}
+
 // waitIdle waits until idle returns true, or for the timeout.
 func waitIdle(idle func() bool, timeout time.Duration) bool {
 	const interval = 20 * time.Millisecond
--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -73,29 +73,18 @@
 		}
 	}
 
-	// Listeners and control path outlive the termination signal until the running requests have ended.
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return c.run(serving, func(l instances.List) { ctl.Listed(serving, l) }) })
-	group.Go(func() error { ctl.Run(serving); return nil })
-	group.Go(func() error { return telemetry.ServeServer(serving, l.Callers, callers, stopGrace) })
-	group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
-	group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
-	c.log.Info("entry started", zap.Stringer("listen", l.Callers.Addr()))
-	select {
-	case <-ctx.Done():
-	case <-serving.Done():
-		return group.Wait()
+	start := func(serving context.Context, group *errgroup.Group) {
+		group.Go(func() error { return c.run(serving, func(l instances.List) { ctl.Listed(serving, l) }) })
+		group.Go(func() error { ctl.Run(serving); return nil })
+		group.Go(func() error { return telemetry.ServeServer(serving, l.Callers, callers, stopGrace) })
+		group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, stopGrace) })
+		group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
+		c.log.Info("entry started", zap.Stringer("listen", l.Callers.Addr()))
 	}
-	srv.Drain()
-	c.log.Info("draining")
-	time.Sleep(lameDuck)
-	if !waitIdle(srv.Idle, s.DrainTimeout.D()) {
-		c.log.Warn("drain timeout passed with requests running")
-	}
-	stop()
-	return group.Wait()
+	return runUntilDone(ctx, start, func() {
+		srv.Drain()
+		c.awaitIdle(srv.Idle, s.DrainTimeout.D())
+	})
 }
 
 func callerServer(s entry.Settings, c *control, srv *entry.Server) (*http.Server, error) {
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/url"
-	"time"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
@@ -52,20 +51,11 @@
 	if err != nil {
 		return err
 	}
-	// Listeners and control path outlive the termination signal until the work is done.
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, serving := errgroup.WithContext(serving)
-	p.start(serving, group, l)
-	c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
-	select {
-	case <-ctx.Done():
-	case <-serving.Done():
-		return group.Wait()
+	start := func(serving context.Context, group *errgroup.Group) {
+		p.start(serving, group, l)
+		c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
 	}
-	p.finish()
-	stop()
-	return group.Wait()
+	return runUntilDone(ctx, start, p.finish)
 }
 
 func newSideProcess(ctx context.Context, s side.Settings, c *control) (*sideProcess, error) {
@@ -123,11 +113,7 @@
 // finish drains, waits for the end of the work and hands over what callers may still ask for.
 func (p *sideProcess) finish() {
 	p.drain()
-	p.control.log.Info("draining")
-	time.Sleep(lameDuck)
-	if !waitIdle(p.server.Idle, p.set.DrainTimeout.D()) {
-		p.control.log.Warn("drain timeout passed with work running")
-	}
+	p.control.awaitIdle(p.server.Idle, p.set.DrainTimeout.D())
 	handOver(p.once)
 }
 
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -35,13 +35,13 @@
 	var whole assembler
 	defer func() { x.spent(x.tokens + whole.tokens) }()
 	if stream {
-		e = s.opts.Upstream.Generate(ctx, x.state, req, x.event)
+		e = s.opts.Upstream.Generate(ctx, req, x.event)
 		if e == nil {
 			e = x.done()
 		}
 		return e
 	}
-	if e := s.opts.Upstream.Generate(ctx, x.state, req, whole.add); e != nil {
+	if e := s.opts.Upstream.Generate(ctx, req, whole.add); e != nil {
 		return e
 	}
 	x.json(whole.answer(x.id, req.Model, time.Now()))
--- a/entry/once.go
+++ b/entry/once.go
@@ -62,7 +62,7 @@
 	if !undecided && !overtaken {
 		return e
 	}
-	return callerapi.Unknown(callerapi.OutcomeUnknown, "%s", e.Message).WithRetryAfter(noReplicaRetry)
+	return callerapi.Unknown(callerapi.OutcomeUnknown, "%s", e.Message).WithRetryAfter(upstream.NoReplicaRetry)
 }
 
 // callToken delivers a call to the server that issued its token. When that incarnation is gone, the outcome may have
@@ -82,7 +82,7 @@
 		}
 	}
 	return nil, callerapi.Unknown(callerapi.OutcomeUnknown, "the server that issued the token cannot be asked").
-		WithRetryAfter(noReplicaRetry)
+		WithRetryAfter(upstream.NoReplicaRetry)
 }
 
 // tokenTargets returns the server that issued a token, if it is known, then the others in the order in which it
@@ -107,7 +107,7 @@
 func (o *once) deliver(ctx context.Context, m cluster.Member, r *peerapi.CallRequest) upstream.Delivery {
 	d := o.client.CallAt(ctx, o.replica(m), r)
 	if !d.Answered && d.Sent && d.Err.Type != callerapi.DeadlineExceeded {
-		d.Err = callerapi.Unknown(callerapi.OutcomeUnknown, "%s", d.Err.Message).WithRetryAfter(noReplicaRetry)
+		d.Err = callerapi.Unknown(callerapi.OutcomeUnknown, "%s", d.Err.Message).WithRetryAfter(upstream.NoReplicaRetry)
 	}
 	return d
 }
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
@@ -18,24 +17,21 @@
 	once   *once
 }
 
-// noReplicaRetry is how long a caller should wait when no replica can take its request.
-const noReplicaRetry = time.Second
-
 // NewUpstream returns an upstream that uses the client for all calls without token or key.
 func NewUpstream(client *upstream.Client) *Upstream {
 	return &Upstream{client: client, once: &once{client: client}}
 }
 
 func noReplica() *callerapi.Error {
-	return callerapi.NotRun(callerapi.NoReplica, "no replica takes the request").WithRetryAfter(noReplicaRetry)
+	return callerapi.NotRun(callerapi.NoReplica, "no replica takes the request").WithRetryAfter(upstream.NoReplicaRetry)
 }
 
 // Generate runs a generation and calls fn for each event in order. It returns nil only after the complete
 // answer.
 func (u *Upstream) Generate(
-	ctx context.Context, st *cluster.State, r *peerapi.GenerateRequest, fn func(json.RawMessage) error,
+	ctx context.Context, r *peerapi.GenerateRequest, fn func(json.RawMessage) error,
 ) *callerapi.Error {
-	return u.client.Generate(ctx, st, r, fn)
+	return u.client.Generate(ctx, r, fn)
 }
 
 // Call runs a call of a plain service.
@@ -45,7 +41,7 @@
 	if r.Token != "" || r.Key != "" {
 		return u.once.call(ctx, st, r)
 	}
-	return u.client.Call(ctx, st, r)
+	return u.client.Call(ctx, r)
 }
 
 // Token asks a side process of the service for a token.
--- a/entry/upstream/call_test.go
+++ b/entry/upstream/call_test.go
@@ -18,7 +18,7 @@
 func call(t *testing.T, c *Client, r *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	return c.Call(ctx, nil, r)
+	return c.Call(ctx, r)
 }
 
 // Guards against a call that is sent twice although it may have run.
--- a/entry/upstream/client.go
+++ b/entry/upstream/client.go
@@ -69,11 +69,11 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// noReplicaRetry is how long a caller should wait when no replica can take its request.
-const noReplicaRetry = time.Second
+// NoReplicaRetry is how long a caller should wait when no replica can take its request.
+const NoReplicaRetry = time.Second
 
 func noReplica(err error) *callerapi.Error {
-	return callerapi.NotRun(callerapi.NoReplica, "%v", err).WithRetryAfter(noReplicaRetry)
+	return callerapi.NotRun(callerapi.NoReplica, "%v", err).WithRetryAfter(NoReplicaRetry)
 }
 
 // Bounds of the wait for a picker that follows a change of the configuration by a few milliseconds.
@@ -98,9 +98,7 @@
 }
 
 // Call runs a call of a plain service.
-func (c *Client) Call(
-	ctx context.Context, _ *cluster.State, r *peerapi.CallRequest,
-) (*peerapi.CallResult, *callerapi.Error) {
+func (c *Client) Call(ctx context.Context, r *peerapi.CallRequest) (*peerapi.CallResult, *callerapi.Error) {
 	c.budget.Request(time.Now())
 	f := c.newCall(r)
 	first, e := f.next()
@@ -178,7 +176,7 @@
 		}
 		q.Tried = append(q.Tried, replica)
 		if ctx.Err() != nil || len(q.Tried) == maxAttempts || !c.mayRetry() {
-			return nil, callerapi.NotRun(callerapi.BackendFailed, "no token: %v", err).WithRetryAfter(noReplicaRetry)
+			return nil, callerapi.NotRun(callerapi.BackendFailed, "no token: %v", err).WithRetryAfter(NoReplicaRetry)
 		}
 	}
 }
--- a/entry/upstream/generate.go
+++ b/entry/upstream/generate.go
@@ -7,7 +7,6 @@
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
-	"lavendermoor.example/config/cluster"
 	"lavendermoor.example/routing"
 	"lavendermoor.example/telemetry/invariant"
 )
@@ -33,7 +32,7 @@
 // Generate runs a generation and calls fn for each event in order; the event is valid during the call only. It
 // returns nil only after the complete answer. An error of fn means that the caller has gone.
 func (c *Client) Generate(
-	ctx context.Context, _ *cluster.State, r *peerapi.GenerateRequest, fn func(json.RawMessage) error,
+	ctx context.Context, r *peerapi.GenerateRequest, fn func(json.RawMessage) error,
 ) *callerapi.Error {
 	target := routing.Target{Model: r.Model, Adapter: r.Adapter}
 	g := &generation{
--- a/entry/upstream/generate_test.go
+++ b/entry/upstream/generate_test.go
@@ -208,7 +208,7 @@
 	c.opts.Silence = time.Hour // Only the caller may end the exchange.
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &peerapi.GenerateRequest{Work: peerapi.Work{ID: "r1", Idempotent: true}, Model: "m", Body: json.RawMessage(`{}`)}
-	e := c.Generate(ctx, nil, r, func(json.RawMessage) error { cancel(); return nil })
+	e := c.Generate(ctx, r, func(json.RawMessage) error { cancel(); return nil })
 	require.Equal(t, callerapi.ExecutedUnknown, e.Executed)
 	<-cancelled
 	require.Len(t, a.generations(), 1)
--- a/entry/upstream/side_test.go
+++ b/entry/upstream/side_test.go
@@ -205,7 +205,7 @@
 		Work:  peerapi.Work{ID: "r1", Idempotent: true, DeadlineMs: 20_000, Kind: peerapi.KindShort},
 		Model: "m", Body: json.RawMessage(`{}`),
 	}
-	a.e = c.Generate(ctx, nil, r, func(data json.RawMessage) error {
+	a.e = c.Generate(ctx, r, func(data json.RawMessage) error {
 		text, ok := textOf(data)
 		require.True(t, ok)
 		a.text.Write(text)
--- a/entry/upstream/slopes_bench_test.go
+++ b/entry/upstream/slopes_bench_test.go
@@ -77,7 +77,7 @@
 					Work:  peerapi.Work{ID: "0f1e2d3c-4b5a-6978-8796-a5b4c3d2e1f0", Idempotent: true, DeadlineMs: 60_000},
 					Model: "m", Path: "/v1/chat/completions", Body: body,
 				}
-				if e := c.Generate(context.Background(), nil, r, func(json.RawMessage) error { return nil }); e != nil {
+				if e := c.Generate(context.Background(), r, func(json.RawMessage) error { return nil }); e != nil {
 					b.Fatal(e)
 				}
 			}
--- a/entry/upstream/verdict.go
+++ b/entry/upstream/verdict.go
@@ -84,5 +84,5 @@
 	if ctx.Err() != nil {
 		return callerapi.NotRun(callerapi.DeadlineExceeded, "deadline passed or caller left: %v", ctx.Err())
 	}
-	return callerapi.NotRun(callerapi.BackendFailed, "exchange failed: %v", o.err).WithRetryAfter(noReplicaRetry)
+	return callerapi.NotRun(callerapi.BackendFailed, "exchange failed: %v", o.err).WithRetryAfter(NoReplicaRetry)
 }
