--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -17,10 +17,6 @@
 	RetryAfter time.Duration
 }
 
-func (f *Failure) Error() string {
-	return fmt.Sprintf("%s (status %d): %s", f.Reason, f.Status, f.Detail)
-}
-
 // Reasons of failures.
 const (
 	reasonNoCatalog   = "no_configuration"
