Roll expert maps out under hold, planned by one rank process of each group

lavendermoor-rank stands beside each replica. One of a group's processes holds a lease with a fencing number, estimates the demand for experts from the counts of all ranks every 150 ms, prepares a better map when it pays, and switches it: hold, arm everywhere, release. expertmap.Improve takes a bound on the experts of a layer that a rank may load at once.

--- /dev/null
+++ b/cmd/internal/rankd/rankd.go
@@ -0,0 +1,187 @@
+// Package rankd wires a rank process together: it stands beside one model replica, gives the planner of the replica's
+// group access to it, and is that planner while it holds the group's lease.
+package rankd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/expertmap/rollout"
+	"lavendermoor.example/expertmap/rollout/agent"
+	"lavendermoor.example/orders"
+	"lavendermoor.example/platform"
+	"lavendermoor.example/telemetry"
+)
+
+const (
+	// memoryShare of the allowed memory is the garbage collector's soft limit.
+	memoryShare   = 0.6
+	listenerGrace = 300 * time.Millisecond
+	// idleTimeout ends idle connections between processes.
+	idleTimeout = 20 * time.Second
+	dialTimeout = 250 * time.Millisecond
+)
+
+// process holds the parts of a rank process.
+type process struct {
+	set   Settings
+	log   *zap.Logger
+	store *platform.Store
+	http  *http.Client
+	own   *platform.Rank
+	agent *agent.Agent
+	admin *telemetry.Admin
+	// leading says that this process plans for its group.
+	leading atomic.Bool
+	dump    atomic.Pointer[Dump]
+}
+
+// Dump is the state dump of a rank process.
+type Dump struct {
+	Group   string `json:"group"`
+	Leading bool   `json:"leading"`
+	Fence   int64  `json:"fence"`
+	Epoch   int64  `json:"epoch"`
+	Version int64  `json:"version"`
+	Pass    int64  `json:"pass"`
+	Error   string `json:"error,omitempty"`
+}
+
+// Run runs a rank process until the context ends.
+func Run(ctx context.Context, s Settings, logs io.Writer) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	out := telemetry.NewBoundedWriter(logs)
+	flushing, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
+	flushed := make(chan struct{})
+	go func() { out.Run(flushing); close(flushed) }()
+	defer func() { stopLogs(); <-flushed }()
+	p, err := build(s, out)
+	if err != nil {
+		return err
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
+	if err != nil {
+		return err
+	}
+	group, serving := errgroup.WithContext(ctx)
+	group.Go(func() error { return telemetry.Serve(serving, l, p.handler(), listenerGrace) })
+	group.Go(func() error { p.campaign(serving); return nil })
+	p.log.Info("started", zap.Stringer("listen", l.Addr()), zap.String("replica", s.Replica))
+	err = group.Wait()
+	p.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func build(s Settings, out *telemetry.BoundedWriter) (*process, error) {
+	log, level, err := telemetry.NewLogger(out, "rank", s.Name, s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	meter, registry, err := telemetry.Meter("rank")
+	if err != nil {
+		return nil, err
+	}
+	count, err := telemetry.CountCalls(meter, "lavendermoor.store.calls", "Calls to the platform's store.")
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}
+	p := &process{set: s, log: log, http: client, store: platform.NewStore(s.Store, count)}
+	p.own = platform.NewRank(s.Replica, client)
+	p.agent = agent.New(p.own, log)
+	p.dump.Store(&Dump{})
+	err = telemetry.Register(meter, []telemetry.Instrument{
+		{
+			Name: "lavendermoor.log.dropped", Unit: "{line}", Counter: true, Value: out.Dropped,
+			Description: "Log lines dropped because of the bounds on their volume or a reader that is behind.",
+		},
+		{
+			Name: "lavendermoor.rank.map_version", Description: "Version of the group's expert map, at its planner.",
+			Value: func() int64 { return p.dump.Load().Version },
+		},
+	})
+	p.admin = &telemetry.Admin{
+		State: func() any { return p.dump.Load() }, Ready: func() bool { return true }, Registry: registry, Level: level,
+		Log: log,
+	}
+	return p, err
+}
+
+func (p *process) handler() http.Handler {
+	r := mux.NewRouter()
+	p.agent.Register(r)
+	r.PathPrefix("/").Handler(p.admin.Handler())
+	return r
+}
+
+// leaseTimes lets another process take over soon after the planner has died: a group that it has left in the middle
+// of a switch stands still until then.
+func leaseTimes() orders.LeaseSettings {
+	return orders.LeaseSettings{TTL: 3 * time.Second, Margin: 700 * time.Millisecond}
+}
+
+const (
+	renewEvery = 800 * time.Millisecond
+	retryPause = 500 * time.Millisecond
+	// maxWait bounds how long a process that waits for the lease goes without looking at it.
+	maxWait = 3 * time.Second
+	// tickEvery is the time between two looks at the group.
+	tickEvery = 150 * time.Millisecond
+)
+
+// campaign tries to become the planner of the replica's group, and plans while it is.
+func (p *process) campaign(ctx context.Context) {
+	var lease *orders.Lease
+	group := ""
+	for ctx.Err() == nil {
+		s, err := p.own.State(ctx, rollout.Want{})
+		if err != nil || s.Group == "" {
+			pause(ctx, retryPause)
+			continue
+		}
+		if s.Group != group {
+			group = s.Group
+			// The name of the instance is enough: it runs one process, and a new one takes over from the last at once.
+			lease = orders.NewLease(p.store, "rank/"+group, p.set.Name+"@"+p.set.IP, leaseTimes())
+		}
+		if wait := p.acquire(ctx, lease); wait > 0 {
+			pause(ctx, wait)
+			continue
+		}
+		p.lead(ctx, lease, group)
+	}
+}
+
+// acquire takes the lease, or returns how long to wait before the next attempt.
+func (p *process) acquire(ctx context.Context, lease *orders.Lease) time.Duration {
+	err := lease.Acquire(ctx)
+	if err == nil {
+		return 0
+	}
+	if wait, held := heldFor(err); held {
+		return min(max(wait, 20*time.Millisecond), maxWait)
+	}
+	p.log.Debug("lease not taken", zap.Error(err))
+	return retryPause
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/internal/rankd/settings.go
@@ -0,0 +1,22 @@
+package rankd
+
+// Settings are the static settings of a rank process.
+type Settings struct {
+	Name string `json:"name" validate:"required"`
+	// IP is that of the instance.
+	IP string `json:"ip" validate:"required,ip"`
+	// PeerPort serves the processes of other ranks, metrics and the state dump. It is the same on all instances.
+	PeerPort int `json:"peer_port" validate:"gt=0,lt=65536"`
+	// Replica is the address of the model replica on this instance.
+	Replica string `json:"replica" validate:"required,hostname_port"`
+	// Service is the one that the replica belongs to.
+	Service string `json:"service" validate:"required"`
+	// Store is the address of the platform's store.
+	Store string `json:"store" validate:"required,hostname_port"`
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int64  `json:"memory_mb" validate:"gt=0"`
+	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// Defaults returns the settings that a file need not give.
+func Defaults() Settings { return Settings{MemoryMB: 128, LogLevel: "info"} }
--- /dev/null
+++ b/cmd/lavendermoor-rank/main.go
@@ -0,0 +1,17 @@
+// Command lavendermoor-rank stands beside one model replica and keeps the expert map of the replica's group balanced.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lavendermoor.example/cmd/internal/rankd"
+	"lavendermoor.example/cmd/internal/start"
+)
+
+func main() {
+	s := rankd.Defaults()
+	os.Exit(start.Main("lavendermoor-rank", os.Args[1:], &s, func(ctx context.Context) error {
+		return rankd.Run(ctx, s, os.Stdout)
+	}))
+}
--- a/expertmap/placement_test.go
+++ b/expertmap/placement_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -69,7 +70,7 @@
 	load := skewedLoad(wide, 3, 1)
 	m, err := Balanced(1, skewedLoad(wide, 4, 1), even(64))
 	require.NoError(t, err)
-	y := newLayer(m, 0, load.Layer(0), even(64))
+	y := newLayer(m, 0, load.Layer(0), even(64), 0)
 	for range 40 {
 		c, ok := y.best(0)
 		if !ok {
@@ -191,3 +192,36 @@
 	var content *ContentError
 	require.ErrorAs(t, json.Unmarshal(raw, new(Map)), &content)
 }
+
+// Guards against a map that a rank refuses because it would have to load more experts of a layer than it can.
+func TestImproveKeepsTheBoundOfNewExperts(t *testing.T) {
+	s := Shape{Ranks: 12, Experts: 72, Layers: 4, Slots: 8}
+	rng := rand.New(rand.NewPCG(3, 5))
+	for range 20 {
+		load := NewLoad(s)
+		for i := range load.Seconds {
+			load.Seconds[i] = math.Exp(1.5 * rng.NormFloat64())
+		}
+		current, err := Balanced(1, load, even(s.Ranks))
+		require.NoError(t, err)
+		for i := range load.Seconds {
+			load.Seconds[i] = math.Exp(1.5 * rng.NormFloat64())
+		}
+		for _, most := range []int{1, 2, 3} {
+			plan, err := Improve(current, load, even(s.Ranks), Costs{BudgetBytes: 1 << 60, LifeSteps: 1, MaxNew: most})
+			require.NoError(t, err)
+			require.NotNil(t, plan.Map)
+			for l := range s.Layers {
+				for r := range s.Ranks {
+					fresh := 0
+					for _, e := range plan.Map.Slots(l, r) {
+						if e != Empty && !slices.Contains(current.Slots(l, r), e) {
+							fresh++
+						}
+					}
+					require.LessOrEqual(t, fresh, most)
+				}
+			}
+		}
+	}
+}
--- a/expertmap/plan.go
+++ b/expertmap/plan.go
@@ -17,6 +17,8 @@
 	SwitchSeconds float64
 	// LifeSteps is the number of steps for which the new map is expected to be of use.
 	LifeSteps float64
+	// MaxNew bounds the experts of one layer that a rank loads for one new map, 0 for no bound.
+	MaxNew int
 }
 
 // Plan is the outcome of a decision.
@@ -63,7 +65,7 @@
 	paths := make([][][]uint16, current.Shape.Layers)
 	for l := range current.Shape.Layers {
 		var segments []segment
-		segments, paths[l] = searchLayer(current, l, load.Layer(l), speed)
+		segments, paths[l] = searchLayer(current, l, load.Layer(l), speed, costs.MaxNew)
 		all = append(all, segments...)
 	}
 	chosen := choose(all, costs)
@@ -91,8 +93,8 @@
 }
 
 // searchLayer returns the useful runs of changes of a layer, best first, and the slots after each change.
-func searchLayer(m *Map, l int, work, speed []float64) ([]segment, [][]uint16) {
-	y := newLayer(m, l, work, speed)
+func searchLayer(m *Map, l int, work, speed []float64, maxNew int) ([]segment, [][]uint16) {
+	y := newLayer(m, l, work, speed, maxNew)
 	start := y.time[y.slowest()]
 	var loads []int
 	var times []float64
--- /dev/null
+++ b/expertmap/rollout/agent/agent.go
@@ -0,0 +1,188 @@
+// Package agent gives the process that plans a group's expert maps access to the ranks on other instances: each
+// instance's process passes on the state of its own rank and the orders to it.
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/expertmap/rollout"
+)
+
+// Paths of an agent.
+const (
+	PathState = "/peer/v1/rank/state"
+	PathOrder = "/peer/v1/rank/order"
+)
+
+// Queries of PathState.
+const (
+	queryCounts  = "counts"
+	queryExperts = "experts"
+)
+
+// refusal is the body of an answer to an order that the rank refused.
+type refusal struct {
+	Fenced bool   `json:"fenced"`
+	Detail string `json:"detail"`
+}
+
+// Agent serves one rank. Its methods may be called from any goroutine.
+type Agent struct {
+	rank rollout.Rank
+	log  *zap.Logger
+
+	mu sync.Mutex
+	// floor is the highest fencing number seen. Not every rank checks the number by itself.
+	floor int64
+}
+
+// New returns an agent of a rank.
+func New(rank rollout.Rank, log *zap.Logger) *Agent { return &Agent{rank: rank, log: log} }
+
+// Register adds the agent's routes.
+func (a *Agent) Register(r *mux.Router) {
+	r.HandleFunc(PathState, a.state).Methods(http.MethodGet)
+	r.HandleFunc(PathOrder, a.order).Methods(http.MethodPost)
+}
+
+func (a *Agent) state(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s, err := a.rank.State(r.Context(), rollout.Want{Counts: q.Has(queryCounts), Experts: q.Has(queryExperts)})
+	if err != nil {
+		a.log.Debug("rank gave no state", zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	a.answer(w, http.StatusOK, s)
+}
+
+func (a *Agent) order(w http.ResponseWriter, r *http.Request) {
+	var o rollout.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err := a.Order(r.Context(), o)
+	var refused *rollout.RefusedError
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusOK)
+	case errors.As(err, &refused):
+		a.answer(w, http.StatusConflict, refusal{Fenced: refused.Fenced, Detail: refused.Detail})
+	default:
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+	}
+}
+
+func (a *Agent) answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		a.log.Debug("answer to a peer not delivered", zap.Error(err))
+	}
+}
+
+// State implements rollout.Rank.
+func (a *Agent) State(ctx context.Context, want rollout.Want) (rollout.State, error) {
+	return a.rank.State(ctx, want)
+}
+
+// Order implements rollout.Rank.
+func (a *Agent) Order(ctx context.Context, o rollout.Order) error {
+	a.mu.Lock()
+	if o.Fence < a.floor {
+		floor := a.floor
+		a.mu.Unlock()
+		detail := fmt.Sprintf("fencing number %d is below %d", o.Fence, floor)
+		return merry.Wrap(&rollout.RefusedError{Operation: o.Operation, Fenced: true, Detail: detail})
+	}
+	a.floor = o.Fence
+	a.mu.Unlock()
+	err := a.rank.Order(ctx, o)
+	if err != nil {
+		a.log.Info("order not confirmed", zap.String("operation", string(o.Operation)), zap.Int64("version", o.Version),
+			zap.Int64("pass", o.Pass), zap.Int64("fence", o.Fence), zap.Error(err))
+	}
+	return err
+}
+
+// Client is a rank behind an agent on another instance. It may be used by any goroutine.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the agent at an address, IP and port.
+func NewClient(address string, h *http.Client) *Client {
+	return &Client{base: "http://" + address, http: h}
+}
+
+// StatusError says that an agent answered with an error status.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("agent answered status %d", e.Status) }
+
+// State implements rollout.Rank.
+func (c *Client) State(ctx context.Context, want rollout.Want) (rollout.State, error) {
+	path := PathState + "?"
+	if want.Counts {
+		path += queryCounts + "&"
+	}
+	if want.Experts {
+		path += queryExperts
+	}
+	var s rollout.State
+	resp, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, merry.Wrap(&StatusError{Status: resp.StatusCode})
+	}
+	return s, merry.Wrap(json.NewDecoder(resp.Body).Decode(&s))
+}
+
+// Order implements rollout.Rank.
+func (c *Client) Order(ctx context.Context, o rollout.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	resp, err := c.do(ctx, http.MethodPost, PathOrder, body)
+	if err != nil {
+		return merry.Wrap(&rollout.UnansweredError{Operation: o.Operation, Cause: err})
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		var r refusal
+		if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+			return merry.Wrap(&rollout.UnansweredError{Operation: o.Operation, Cause: err})
+		}
+		return merry.Wrap(&rollout.RefusedError{Operation: o.Operation, Fenced: r.Fenced, Detail: r.Detail})
+	}
+	return merry.Wrap(&rollout.UnansweredError{Operation: o.Operation, Cause: &StatusError{Status: resp.StatusCode}})
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport does not repeat an order by itself.
+	req.GetBody = nil
+	return c.http.Do(req)
+}
--- /dev/null
+++ b/expertmap/rollout/agent/fallback.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"lavendermoor.example/expertmap/rollout"
+)
+
+// peerTimeout bounds the wait for an agent, so that time is left to ask the rank itself.
+const peerTimeout = 120 * time.Millisecond
+
+// Fallback reaches a rank through the agent beside it, and directly while the agent does not answer. Calls from other
+// instances cost the rank more, so a direct state has no counts. Its methods may be called from any goroutine.
+type Fallback struct {
+	agent, direct rollout.Rank
+	// failing says that the agent did not answer the last question.
+	failing atomic.Bool
+}
+
+// NewFallback returns the access to a rank.
+func NewFallback(agent, direct rollout.Rank) *Fallback { return &Fallback{agent: agent, direct: direct} }
+
+// State implements rollout.Rank.
+func (f *Fallback) State(ctx context.Context, want rollout.Want) (rollout.State, error) {
+	peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	s, err := f.agent.State(peerCtx, want)
+	cancel()
+	f.failing.Store(err != nil)
+	if err == nil {
+		return s, nil
+	}
+	want.Counts = false
+	return f.direct.State(ctx, want)
+}
+
+// Order implements rollout.Rank.
+func (f *Fallback) Order(ctx context.Context, o rollout.Order) error {
+	if f.failing.Load() {
+		return f.direct.Order(ctx, o)
+	}
+	err := f.agent.Order(ctx, o)
+	var refused *rollout.RefusedError
+	if err != nil && !errors.As(err, &refused) {
+		f.failing.Store(true)
+	}
+	return err
+}
--- /dev/null
+++ b/expertmap/rollout/group.go
@@ -0,0 +1,434 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+)
+
+// Times of orders.
+const (
+	stateTimeout = 300 * time.Millisecond
+	orderTimeout = 120 * time.Millisecond
+	// passesAhead is how far before its pass a switch is ordered; orders that arrive in time then delay no pass.
+	passesAhead = 2
+	// holdAttempts bounds the passes that are tried when each has begun before the hold arrived.
+	holdAttempts = 3
+	// armAttempts and undoAttempts bound the repeats of an order that gets no answer. A group that is held stands still,
+	// so arming gives up early, and what undoes it does not.
+	armAttempts  = 4
+	undoAttempts = 20
+)
+
+// Group is a group of ranks under one issuer of orders. It is used by one goroutine.
+type Group struct {
+	ranks []Rank
+	// self is the index of the rank on the issuer's own instance, whose orders travel least.
+	self  int
+	fence func() (int64, error)
+	log   *zap.Logger
+
+	// states are those of the last poll, in order of rank.
+	states []State
+	epoch  int64
+	// fenced is the fencing number that every rank has seen in this epoch.
+	fenced int64
+	// suspects holds, by rank, the version of an order to arm that got no answer and may be carried out later.
+	suspects map[int]int64
+	// highest is the highest version that any rank may have had.
+	highest int64
+	// lastPass is the last pass that a hold was ordered for. No other hold is for the same pass, so that an order to
+	// release it which is carried out late cannot release another.
+	lastPass int64
+}
+
+// NewGroup returns a group of the ranks in order of rank. The fence function returns the fencing number, or an error
+// when the lease is not held any more; it is asked before each order.
+func NewGroup(ranks []Rank, self int, fence func() (int64, error), log *zap.Logger) *Group {
+	return &Group{ranks: ranks, self: self, fence: fence, log: log, suspects: map[int]int64{}}
+}
+
+// States returns the states of the last complete poll, in order of rank.
+func (g *Group) States() []State { return g.states }
+
+// IncompleteError says that not every rank of a group answered in the same open epoch, so that no map can change.
+type IncompleteError struct {
+	Ranks, Answered int
+	Detail          string
+}
+
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("%d of %d ranks answered: %s", e.Answered, e.Ranks, e.Detail)
+}
+
+// Poll asks every rank for its state. It fails with an *IncompleteError.
+func (g *Group) Poll(ctx context.Context, want Want) error {
+	states := make([]State, len(g.ranks))
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		states[i], errs[i] = g.ranks[i].State(callCtx, want)
+	})
+	answered := 0
+	for _, err := range errs {
+		if err == nil {
+			answered++
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return merry.Wrap(&IncompleteError{Ranks: len(g.ranks), Answered: answered, Detail: err.Error()})
+	}
+	for i, s := range states {
+		if !s.Open || s.Epoch != states[0].Epoch || s.Rank != i || s.Size != len(g.ranks) {
+			detail := fmt.Sprintf("rank %d: open %t, epoch %d, rank %d of %d", i, s.Open, s.Epoch, s.Rank, s.Size)
+			return merry.Wrap(&IncompleteError{Ranks: len(g.ranks), Answered: answered, Detail: detail})
+		}
+		g.highest = max(g.highest, s.Version, s.Prepared)
+		if s.Armed != nil {
+			g.highest = max(g.highest, s.Armed.Version)
+		}
+	}
+	if states[0].Epoch != g.epoch {
+		// Orders carry the epoch, so those of the one before are dead.
+		g.epoch, g.fenced, g.lastPass = states[0].Epoch, 0, 0
+		clear(g.suspects)
+	}
+	g.states = states
+	return nil
+}
+
+// each calls a function for all ranks at once.
+func (g *Group) each(fn func(i int)) {
+	var all sync.WaitGroup
+	for i := range g.ranks {
+		all.Go(func() { fn(i) })
+	}
+	all.Wait()
+}
+
+// order gives an order once. Errors are those of Rank.Order and of the fence function.
+func (g *Group) order(ctx context.Context, rank int, o Order) error {
+	fence, err := g.fence()
+	if err != nil {
+		return err
+	}
+	o.Fence, o.Epoch = fence, g.epoch
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return g.ranks[rank].Order(callCtx, o)
+}
+
+// persist repeats an order until it is answered, and returns the last error.
+func (g *Group) persist(ctx context.Context, rank int, o Order, attempts int) error {
+	return g.repeat(ctx, rank, o, attempts).err
+}
+
+// outcome is what became of an order that was repeated.
+type outcome struct {
+	err error
+	// pending says that an attempt got no answer and may be carried out later, whatever the last one got.
+	pending bool
+}
+
+func (g *Group) repeat(ctx context.Context, rank int, o Order, attempts int) (out outcome) {
+	for range attempts {
+		out.err = g.order(ctx, rank, o)
+		var refused *RefusedError
+		if out.err == nil || errors.As(out.err, &refused) {
+			return out
+		}
+		if _, lapsed := g.fence(); lapsed != nil {
+			out.pending, out.err = true, lapsed
+			return out
+		}
+		out.pending = true
+		if ctx.Err() != nil {
+			return out
+		}
+	}
+	return out
+}
+
+// Fence makes the present fencing number known to every rank, after which no order of an earlier issuer is carried
+// out. It does nothing when they know it.
+func (g *Group) Fence(ctx context.Context) error {
+	fence, err := g.fence()
+	if err != nil || fence == g.fenced {
+		return err
+	}
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		errs[i] = g.persist(ctx, i, Order{Operation: Release, Pass: 0}, undoAttempts)
+	})
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	g.fenced = fence
+	return nil
+}
+
+// Unfinished says whether a switch was begun and neither finished nor undone.
+func (g *Group) Unfinished() bool {
+	if len(g.suspects) > 0 {
+		return true
+	}
+	for _, s := range g.states {
+		if s.Armed != nil || s.Held != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Resolve finishes a switch for which every rank is armed, and undoes any other. It needs states that were polled after
+// Fence, so that no order of another issuer can interfere.
+func (g *Group) Resolve(ctx context.Context) error {
+	if !g.allArmedAlike() {
+		g.log.Warn("unfinished switch of an expert map is undone", zap.Int64("epoch", g.epoch),
+			zap.Int64("fence", g.fenced))
+		if err := g.undo(ctx); err != nil {
+			return err
+		}
+	}
+	return g.releaseAll(ctx)
+}
+
+func (g *Group) allArmedAlike() bool {
+	first := g.states[0].Armed
+	if first == nil {
+		return false
+	}
+	for _, s := range g.states {
+		if s.Armed == nil || *s.Armed != *first {
+			return false
+		}
+	}
+	return true
+}
+
+// undo disarms every rank that is armed, and makes sure that no order to arm which got no answer is carried out later.
+func (g *Group) undo(ctx context.Context) error {
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		if armed := g.states[i].Armed; armed != nil {
+			errs[i] = g.disarm(ctx, i, armed.Version)
+		}
+	})
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	return g.clearSuspects(ctx)
+}
+
+func (g *Group) disarm(ctx context.Context, rank int, version int64) error {
+	return g.persist(ctx, rank, Order{Operation: Disarm, Version: version}, undoAttempts)
+}
+
+// clearSuspects prepares the map in use once more under a higher version at each suspect. A rank has one prepared
+// version, so that a late order to arm an older one is refused.
+func (g *Group) clearSuspects(ctx context.Context) error {
+	if len(g.suspects) == 0 {
+		return nil
+	}
+	content, err := g.content(ctx)
+	if err != nil {
+		return err
+	}
+	g.highest++
+	o := Order{Operation: Prepare, Version: g.highest, Experts: content}
+	for rank, version := range g.suspects {
+		if err := g.disarm(ctx, rank, version); err != nil {
+			return err
+		}
+		if err := g.supersede(ctx, rank, o); err != nil {
+			return err
+		}
+		delete(g.suspects, rank)
+	}
+	return nil
+}
+
+// supersede prepares a map at one rank. A refusal is fine when an earlier attempt was carried out after all.
+func (g *Group) supersede(ctx context.Context, rank int, o Order) error {
+	err := g.persist(ctx, rank, o, undoAttempts)
+	if err == nil {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	s, stateErr := g.ranks[rank].State(callCtx, Want{})
+	if stateErr == nil && s.Epoch == g.epoch && s.Prepared == o.Version && s.Armed == nil {
+		return nil
+	}
+	return errors.Join(err, stateErr)
+}
+
+// content returns the map in use, by layer and rank.
+func (g *Group) content(ctx context.Context) ([][][]uint16, error) {
+	experts := make([][][]uint16, len(g.ranks))
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		s, err := g.ranks[i].State(callCtx, Want{Experts: true})
+		experts[i], errs[i] = s.Experts, err
+	})
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	var out [][][]uint16
+	for layer := range experts[0] {
+		row := make([][]uint16, len(g.ranks))
+		for r := range experts {
+			if layer >= len(experts[r]) {
+				return nil, merry.Wrap(&IncompleteError{Ranks: len(g.ranks), Answered: r, Detail: "a rank lists fewer layers"})
+			}
+			row[r] = experts[r][layer]
+		}
+		out = append(out, row)
+	}
+	return out, nil
+}
+
+// releaseAll releases every pass that is held.
+func (g *Group) releaseAll(ctx context.Context) error {
+	for i, s := range g.states {
+		if s.Held == nil {
+			continue
+		}
+		if err := g.persist(ctx, i, Order{Operation: Release, Pass: *s.Held}, undoAttempts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Content returns the map in use, by layer and rank.
+func (g *Group) Content(ctx context.Context) ([][][]uint16, error) { return g.content(ctx) }
+
+// Prepare makes every rank load a map and returns its version. Ranks that did not answer may load it all the same.
+func (g *Group) Prepare(ctx context.Context, experts [][][]uint16) (int64, error) {
+	g.highest++
+	version := g.highest
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		errs[i] = g.persist(ctx, i, Order{Operation: Prepare, Version: version, Experts: experts}, armAttempts)
+		var refused *RefusedError
+		if errors.As(errs[i], &refused) && !refused.Fenced {
+			// An attempt that got no answer may have been carried out; the next poll tells.
+			errs[i] = nil
+		}
+	})
+	return version, errors.Join(errs...)
+}
+
+// Prepared says whether every rank has loaded a version, by the last poll.
+func (g *Group) Prepared(version int64) bool {
+	for _, s := range g.states {
+		if s.Prepared != version {
+			return false
+		}
+	}
+	return true
+}
+
+// SwitchError says that a switch was given up; the old map stays in use.
+type SwitchError struct {
+	Version, Pass int64
+	Cause         error
+}
+
+func (e *SwitchError) Error() string {
+	return fmt.Sprintf("switch to version %d at pass %d was given up: %v", e.Version, e.Pass, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SwitchError) Unwrap() error { return e.Cause }
+
+// Switch brings a version that every rank has prepared into force. It fails with a *SwitchError; when the switch could
+// neither be finished nor undone, Unfinished says so after the next poll.
+func (g *Group) Switch(ctx context.Context, version int64) error {
+	pass, err := g.hold(ctx)
+	if err != nil {
+		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
+	}
+	armed := make([]outcome, len(g.ranks))
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		armed[i] = g.repeat(ctx, i, Order{Operation: Arm, Version: version, Pass: pass}, armAttempts)
+		errs[i] = armed[i].err
+	})
+	if err := errors.Join(errs...); err != nil {
+		undone := g.abort(ctx, version, pass, armed)
+		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: errors.Join(err, undone)})
+	}
+	if err := g.release(ctx, pass); err != nil {
+		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
+	}
+	return nil
+}
+
+// hold holds the group before a pass that has not begun, and returns the pass.
+func (g *Group) hold(ctx context.Context) (int64, error) {
+	var err error
+	pass := int64(0)
+	for attempt := range holdAttempts {
+		var s State
+		if s, err = g.ownState(ctx); err != nil {
+			return pass, err
+		}
+		pass = max(s.Pass+passesAhead+int64(attempt), g.lastPass+1)
+		g.lastPass = pass
+		err = g.order(ctx, g.self, Order{Operation: Hold, Pass: pass})
+		var refused *RefusedError
+		if err == nil {
+			return pass, nil
+		}
+		if !errors.As(err, &refused) {
+			// The hold may be in force, or come later; releasing it now ends the first case, and a poll finds the second.
+			return pass, errors.Join(err, g.release(ctx, pass))
+		}
+		if refused.Fenced {
+			return pass, err
+		}
+	}
+	return pass, err
+}
+
+func (g *Group) ownState(ctx context.Context) (State, error) {
+	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	return g.ranks[g.self].State(callCtx, Want{})
+}
+
+func (g *Group) release(ctx context.Context, pass int64) error {
+	return g.persist(ctx, g.self, Order{Operation: Release, Pass: pass}, undoAttempts)
+}
+
+// abort undoes a switch that was armed with the outcomes given by rank, and lets the group go on.
+func (g *Group) abort(ctx context.Context, version, pass int64, armed []outcome) error {
+	for i, o := range armed {
+		if o.pending {
+			g.suspects[i] = version
+		}
+	}
+	failed := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		if armed[i].err == nil {
+			failed[i] = g.disarm(ctx, i, version)
+		}
+	})
+	if err := errors.Join(failed...); err != nil {
+		return err
+	}
+	if err := g.clearSuspects(ctx); err != nil {
+		return err
+	}
+	return g.release(ctx, pass)
+}
--- a/expertmap/search.go
+++ b/expertmap/search.go
@@ -15,12 +15,17 @@
 	// rank); both follow from slots and hosts, and are kept because the search reads them for each candidate.
 	shares []float64
 	held   []bool
+	// had says which experts each rank held at the start, fresh counts those that it holds now and did not hold then,
+	// and maxFresh bounds them; 0 is no bound.
+	had      []bool
+	fresh    []int
+	maxFresh int
 }
 
-func newLayer(m *Map, l int, work, speed []float64) *layer {
+func newLayer(m *Map, l int, work, speed []float64, maxFresh int) *layer {
 	from := l * m.Shape.Ranks * m.Shape.Slots
 	y := &layer{
-		s: m.Shape, work: work, speed: speed,
+		s: m.Shape, work: work, speed: speed, maxFresh: maxFresh, fresh: make([]int, m.Shape.Ranks),
 		slots: slices.Clone(m.assign[from : from+m.Shape.Ranks*m.Shape.Slots]),
 		hosts: make([][]int, m.Shape.Experts), time: make([]float64, m.Shape.Ranks),
 		shares: make([]float64, m.Shape.Experts), held: make([]bool, m.Shape.Ranks*m.Shape.Experts),
@@ -31,6 +36,7 @@
 		}
 	}
 	y.recompute()
+	y.had = slices.Clone(y.held)
 	return y
 }
 
@@ -60,6 +66,32 @@
 	return e != Empty && y.held[r*y.s.Experts+int(e)]
 }
 
+// isFresh says whether an expert would be new to a rank.
+func (y *layer) isFresh(r int, e uint16) bool {
+	return e != Empty && !y.had[r*y.s.Experts+int(e)]
+}
+
+// allows says whether a rank may take an expert into a slot.
+func (y *layer) allows(slot int, e uint16) bool {
+	r := slot / y.s.Slots
+	if y.maxFresh == 0 || !y.isFresh(r, e) || y.isFresh(r, y.slots[slot]) {
+		return true
+	}
+	return y.fresh[r] < y.maxFresh
+}
+
+// exchange puts an expert into a slot and counts what is new to the rank.
+func (y *layer) exchange(slot int, e uint16) {
+	r := slot / y.s.Slots
+	if y.isFresh(r, y.slots[slot]) {
+		y.fresh[r]--
+	}
+	if y.isFresh(r, e) {
+		y.fresh[r]++
+	}
+	y.slots[slot] = e
+}
+
 func (y *layer) slowest() int {
 	slow := 0
 	for r, t := range y.time {
@@ -130,8 +162,12 @@
 }
 
 func (b *bestStep) consider(c step) {
-	gain := b.y.time[b.slow] - b.y.after(c)
-	if rate := gain / float64(b.y.loads(c)); gain >= b.minGain && rate > b.rate {
+	y := b.y
+	if !y.allows(c.b, y.slots[c.a]) || (!c.replicate && !y.allows(c.a, y.slots[c.b])) {
+		return
+	}
+	gain := y.time[b.slow] - y.after(c)
+	if rate := gain / float64(y.loads(c)); gain >= b.minGain && rate > b.rate {
 		b.step, b.rate, b.found = c, rate, true
 	}
 }
@@ -186,11 +222,12 @@
 	if c.replicate {
 		y.drop(eb, rb)
 		y.hosts[ea] = append(y.hosts[ea], rb)
-		y.slots[c.b] = ea
+		y.exchange(c.b, ea)
 	} else {
 		y.move(ea, ra, rb)
 		y.move(eb, rb, ra)
-		y.slots[c.a], y.slots[c.b] = eb, ea
+		y.exchange(c.a, eb)
+		y.exchange(c.b, ea)
 	}
 	// Computed anew so that rounding errors do not add up over many steps.
 	y.recompute()
