--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -15,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/config/settings"
 	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/ingress"
@@ -45,7 +47,7 @@
 
 // gateway holds the parts of the process.
 type gateway struct {
-	set     Settings
+	set     atomic.Pointer[Settings]
 	log     *zap.Logger
 	srv     *ingress.Server
 	fleet   *balance.Fleet
@@ -55,9 +57,9 @@
 	admin   *telemetry.Admin
 }
 
-// Run runs a gateway until the context ends and its requests are answered.
-func Run(ctx context.Context, s Settings, logs io.Writer) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+// Run runs a gateway until the context ends and its requests are answered. Changes of the settings file are taken up.
+func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
 	out := telemetry.NewBoundedWriter(logs)
 	flushing, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
 	flushed := make(chan struct{})
@@ -71,13 +73,15 @@
 	if err != nil {
 		return err
 	}
+	go settings.Watch(flushing, file, Defaults, g.reload, g.log)
 	err = g.run(ctx, listeners)
 	g.log.Info("stopped", zap.Error(err))
 	return err
 }
 
 func build(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
-	g := &gateway{set: s, peers: mirror.NewPeers(&http.Client{}, s.Peers)}
+	g := &gateway{peers: mirror.NewPeers(&http.Client{}, s.Peers)}
+	g.set.Store(&s)
 	log, level, err := telemetry.NewLogger(out, "gateway", s.Name, s.LogLevel)
 	if err != nil {
 		return nil, err
@@ -124,12 +128,24 @@
 )
 
 func (g *gateway) retryBounds() routing.Bounds {
+	s := g.set.Load()
 	return routing.Bounds{
-		Share: budgetShare * g.set.RetryRatio, Floor: slackShare * g.set.RetrySlack,
-		WindowSeconds: g.set.RetryWindowSeconds,
+		Share: budgetShare * s.RetryRatio, Floor: slackShare * s.RetrySlack, WindowSeconds: s.RetryWindowSeconds,
 	}
 }
 
+// reload takes up settings that can change while the process runs. Addresses stay as they were at the start.
+func (g *gateway) reload(s Settings) {
+	g.set.Store(&s)
+	g.peers.Set(s.Peers)
+	if err := g.admin.Level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		g.log.Warn("log level not changed", zap.Error(err))
+	}
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
+}
+
+func memoryLimit(megabytes int64) int64 { return int64(memoryShare * float64(megabytes<<20)) }
+
 // follow makes the mirrors of the configuration and of the servers.
 func (g *gateway) follow(store *platform.Store) {
 	g.config = mirror.New(mirror.Options{
@@ -186,10 +202,11 @@
 func (g *gateway) listen(ctx context.Context) (listeners, error) {
 	var l listeners
 	var lc net.ListenConfig
+	s := g.set.Load()
 	for _, p := range []struct {
 		address string
 		to      *net.Listener
-	}{{g.set.Listen, &l.callers}, {g.set.ReadyListen, &l.ready}, {g.set.ControlListen, &l.control}} {
+	}{{s.Listen, &l.callers}, {s.ReadyListen, &l.ready}, {s.ControlListen, &l.control}} {
 		opened, err := lc.Listen(ctx, "tcp", p.address)
 		if err != nil {
 			return l, err
@@ -230,7 +247,7 @@
 	started := time.Now()
 	g.log.Info("stopping", zap.Int64("active", g.srv.Active()))
 	time.Sleep(stayAfterStop)
-	last := started.Add(time.Duration(g.set.GraceSeconds*float64(time.Second)) - stopMargin)
+	last := started.Add(time.Duration(g.set.Load().GraceSeconds*float64(time.Second)) - stopMargin)
 	for g.srv.Active() > 0 && time.Now().Before(last) {
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -158,7 +158,9 @@
 // NoEngineError says that the configuration has no engine with expert maps for the service.
 type NoEngineError struct{ Service string }
 
-func (e *NoEngineError) Error() string { return "service " + e.Service + " has no engine with expert maps" }
+func (e *NoEngineError) Error() string {
+	return "service " + e.Service + " has no engine with expert maps"
+}
 
 func (p *process) engine(ctx context.Context) (*catalog.Engine, error) {
 	entries, err := p.read(ctx, platform.ConfigPrefix)
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lavendermoor.example/config/settings"
 	"lavendermoor.example/expertmap/rollout"
 	"lavendermoor.example/expertmap/rollout/agent"
 	"lavendermoor.example/orders"
@@ -57,9 +58,9 @@
 	Error   string `json:"error,omitempty"`
 }
 
-// Run runs a rank process until the context ends.
-func Run(ctx context.Context, s Settings, logs io.Writer) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+// Run runs a rank process until the context ends. Changes of the settings file are taken up.
+func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
 	out := telemetry.NewBoundedWriter(logs)
 	flushing, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
 	flushed := make(chan struct{})
@@ -74,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	go settings.Watch(flushing, file, Defaults, p.reload, p.log)
 	group, serving := errgroup.WithContext(ctx)
 	group.Go(func() error { return telemetry.Serve(serving, l, p.handler(), listenerGrace) })
 	group.Go(func() error { p.campaign(serving); return nil })
@@ -121,6 +123,16 @@
 	return p, err
 }
 
+// reload takes up settings that can change while the process runs. Addresses stay as they were at the start.
+func (p *process) reload(s Settings) {
+	if err := p.admin.Level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		p.log.Warn("log level not changed", zap.Error(err))
+	}
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
+}
+
+func memoryLimit(megabytes int64) int64 { return int64(memoryShare * float64(megabytes<<20)) }
+
 func (p *process) handler() http.Handler {
 	r := mux.NewRouter()
 	p.agent.Register(r)
--- a/cmd/internal/start/start.go
+++ b/cmd/internal/start/start.go
@@ -32,6 +32,11 @@
 // and calls run with a context that ends at SIGTERM or SIGINT. Settings errors end with code 2 before run is
 // called.
 func Main(name string, args []string, s any, run func(context.Context) error) int {
+	return MainWithFile(name, args, s, func(ctx context.Context, _ string) error { return run(ctx) })
+}
+
+// MainWithFile is Main for a daemon that watches its settings file.
+func MainWithFile(name string, args []string, s any, run func(ctx context.Context, file string) error) int {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	file := flags.String("config", os.Getenv(settingsVariable),
 		"settings `FILE`, JSON with comments; the default comes from "+settingsVariable)
@@ -59,7 +64,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx); err != nil {
+	if err := run(ctx, *file); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return exitFailed
 	}
--- a/cmd/lavendermoor-rank/main.go
+++ b/cmd/lavendermoor-rank/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	s := rankd.Defaults()
-	os.Exit(start.Main("lavendermoor-rank", os.Args[1:], &s, func(ctx context.Context) error {
-		return rankd.Run(ctx, s, os.Stdout)
+	os.Exit(start.MainWithFile("lavendermoor-rank", os.Args[1:], &s, func(ctx context.Context, file string) error {
+		return rankd.Run(ctx, s, file, os.Stdout)
 	}))
 }
--- a/configsync/mirror/peer.go
+++ b/configsync/mirror/peer.go
@@ -93,6 +93,13 @@
 	return &Peers{client: client, addresses: addresses}
 }
 
+// Set replaces the addresses.
+func (p *Peers) Set(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addresses = addresses
+}
+
 // Ask returns the snapshot of one peer drawn at random, or nil when it is not newer than the revision.
 func (p *Peers) Ask(ctx context.Context, prefix string, after int64) (*Snapshot, error) {
 	p.mu.Lock()
--- a/expertmap/rollout/agent/fallback.go
+++ b/expertmap/rollout/agent/fallback.go
@@ -21,7 +21,9 @@
 }
 
 // NewFallback returns the access to a rank.
-func NewFallback(agent, direct rollout.Rank) *Fallback { return &Fallback{agent: agent, direct: direct} }
+func NewFallback(agent, direct rollout.Rank) *Fallback {
+	return &Fallback{agent: agent, direct: direct}
+}
 
 // State implements rollout.Rank.
 func (f *Fallback) State(ctx context.Context, want rollout.Want) (rollout.State, error) {
