Remove a server at once when its entry goes while the list is sound

A server is now kept only if its entry goes within 0.7 s of the return, at most until 1.7 s after it, and only as the last choice. Ruled out: the poll of the list was not late (0.6 s old).

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -150,11 +150,11 @@
 func (g *gateway) follow(store *platform.Store) {
 	g.config = mirror.New(mirror.Options{
 		Source: store, Prefix: platform.ConfigPrefix, Wait: configWait, Pause: configPause, Peer: g.peers.Ask,
-		Changed: func(s *mirror.Snapshot, _ bool) { g.configChanged(s) }, Log: g.log,
+		Changed: func(s *mirror.Snapshot, _ time.Time) { g.configChanged(s) }, Log: g.log,
 	})
 	g.servers = mirror.New(mirror.Options{
 		Source: store, Prefix: platform.ServersPrefix, Wait: serversWait, Pause: serversPause, Peer: g.peers.Ask,
-		Changed: func(s *mirror.Snapshot, settled bool) { g.serversChanged(s.Entries, settled) }, Log: g.log,
+		Changed: func(s *mirror.Snapshot, keepUntil time.Time) { g.serversChanged(s.Entries, keepUntil) }, Log: g.log,
 	})
 }
 
@@ -170,30 +170,32 @@
 	}
 }
 
-func (g *gateway) serversChanged(entries map[string]kv.Entry, settled bool) {
+func (g *gateway) serversChanged(entries map[string]kv.Entry, keepUntil time.Time) {
 	servers, failed := platform.DecodeServers(entries)
 	for _, err := range failed {
 		g.log.Debug("entry of the servers list left out", zap.Error(err))
 	}
-	for _, c := range g.fleet.Update(servers, settled, time.Now()) {
+	g.logChanges(g.fleet.Update(servers, keepUntil, time.Now()))
+}
+
+func (g *gateway) logChanges(changes []balance.Change) {
+	for _, c := range changes {
 		g.log.Info("backend server "+c.What, zap.String("server", c.Server.ID),
 			zap.String("service", c.Server.Service), zap.String("address", c.Server.Address),
-			zap.Duration("list_age", g.servers.Age()), zap.Bool("settled", settled))
+			zap.Duration("list_age", g.servers.Age()))
 	}
 }
 
-// settle repeats the last list while servers are kept that it lacks, until the context ends.
+// settle removes servers whose entries did not come back after an outage, until the context ends.
 func (g *gateway) settle(ctx context.Context) {
-	const every = 200 * time.Millisecond
+	const every = 100 * time.Millisecond
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(every):
 		}
-		if g.fleet.Unsettled() && g.servers.Age() < serversWait+serversPause+every {
-			g.serversChanged(g.servers.Snapshot().Entries, true)
-		}
+		g.logChanges(g.fleet.Settle(time.Now()))
 	}
 }
 
--- /dev/null
+++ b/configsync/mirror/mirror_test.go
@@ -0,0 +1,216 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/clients/kv"
+)
+
+// service is a store in memory whose faults a test sets.
+type service struct {
+	mu       sync.Mutex
+	revision int64
+	oldest   int64
+	entries  map[string]kv.Entry
+	history  []kv.Event
+	// down fails all calls, deaf lets waiting calls hear nothing.
+	down, deaf bool
+	reads      int
+}
+
+func newService() *service { return &service{revision: 1, entries: map[string]kv.Entry{}} }
+
+func (s *service) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e := kv.Entry{Key: key, Value: []byte(value), ModRevision: s.revision}
+	s.entries[key] = e
+	s.history = append(s.history, kv.Event{Entry: e})
+}
+
+func (s *service) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.history = append(s.history, kv.Event{Entry: kv.Entry{Key: key, ModRevision: s.revision}, Deleted: true})
+}
+
+func (s *service) set(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
+func (s *service) Read(context.Context, string) ([]kv.Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+	}
+	s.reads++
+	var out []kv.Entry
+	for _, e := range s.entries {
+		out = append(out, e)
+	}
+	return out, s.revision, nil
+}
+
+func (s *service) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	end := time.Now().Add(wait)
+	for {
+		events, revision, err := s.since(after)
+		if err != nil || len(events) > 0 || !time.Now().Before(end) {
+			return events, revision, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, merry.Wrap(&kv.UnavailableError{Cause: ctx.Err()})
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (s *service) since(after int64) ([]kv.Event, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+	case s.deaf:
+		return nil, after, nil
+	case after < s.oldest:
+		return nil, 0, merry.Wrap(&kv.CompactedError{Oldest: s.oldest})
+	}
+	var out []kv.Event
+	for _, e := range s.history {
+		if e.ModRevision > after {
+			out = append(out, e)
+		}
+	}
+	return out, s.revision, nil
+}
+
+// change is one call of Options.Changed.
+type change struct {
+	values map[string]string
+	keep   time.Duration
+}
+
+// follow runs a mirror of the service in the bubble of a test and returns its changes.
+func follow(t *testing.T, s *service, opts Options) (*Mirror, func() []change) {
+	t.Helper()
+	var mu sync.Mutex
+	var changes []change
+	opts.Source, opts.Prefix, opts.Log = s, "p/", zap.NewNop()
+	opts.Wait, opts.Pause = time.Second, 20*time.Millisecond
+	opts.Changed = func(s *Snapshot, keepUntil time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		c := change{values: map[string]string{}}
+		for k, e := range s.Entries {
+			c.values[k] = string(e.Value)
+		}
+		if !keepUntil.IsZero() {
+			c.keep = time.Until(keepUntil)
+		}
+		changes = append(changes, c)
+	}
+	m := New(opts)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { m.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return m, func() []change {
+		mu.Lock()
+		defer mu.Unlock()
+		return changes
+	}
+}
+
+// Guards against a change that stays unknown because the watch heard nothing while the history was dropped (CONFIG in
+// the trial of a plain proxy: a revoked key was used for 4.4 s).
+func TestChangeIsSeenAlthoughHistoryIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		s.put("p/a", "1")
+		m, _ := follow(t, s, Options{})
+		time.Sleep(100 * time.Millisecond)
+		s.set(func() { s.deaf = true })
+		s.put("p/a", "2")
+		time.Sleep(500 * time.Millisecond)
+		s.set(func() { s.oldest, s.deaf = s.revision, false })
+		time.Sleep(1100 * time.Millisecond)
+		require.Equal(t, "2", string(m.Snapshot().Entries["p/a"].Value))
+	})
+}
+
+// Guards against a removal in an outage that counts at once, and against one after the return that is held back.
+func TestRemovalsAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		s.put("p/a", "1")
+		s.put("p/b", "1")
+		s.put("p/c", "1")
+		_, changes := follow(t, s, Options{})
+		time.Sleep(100 * time.Millisecond)
+		s.remove("p/c")
+		time.Sleep(100 * time.Millisecond)
+		require.Zero(t, changes()[len(changes())-1].keep, "without an outage a removal counts at once")
+		s.set(func() { s.down = true })
+		s.remove("p/a")
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down = false })
+		time.Sleep(900 * time.Millisecond)
+		last := changes()[len(changes())-1]
+		require.NotContains(t, last.values, "p/a")
+		require.Greater(t, last.keep, time.Second)
+		time.Sleep(3 * time.Second)
+		s.remove("p/b")
+		time.Sleep(100 * time.Millisecond)
+		last = changes()[len(changes())-1]
+		require.NotContains(t, last.values, "p/b")
+		require.Zero(t, last.keep)
+	})
+}
+
+// Guards against a process that the service turns away and that serves by an old configuration, and against a peer that
+// takes it back.
+func TestPeersHelpWhileTheServiceTurnsThisProcessAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		s.put("p/a", "1")
+		given := &Snapshot{Revision: 40, Entries: map[string]kv.Entry{"p/a": {Key: "p/a", Value: []byte("9"), ModRevision: 40}}}
+		m, changes := follow(t, s, Options{Peer: func(context.Context, string, int64) (*Snapshot, error) { return given, nil }})
+		time.Sleep(100 * time.Millisecond)
+		s.set(func() { s.down = true })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "9", string(m.Snapshot().Entries["p/a"].Value))
+		n := len(changes())
+		given = &Snapshot{Revision: 3, Entries: map[string]kv.Entry{}}
+		time.Sleep(2 * time.Second)
+		require.Len(t, changes(), n, "an older snapshot is not taken")
+	})
+}
+
+// Guards against an event that takes an entry back: a read may contain changes after the revision it returns.
+func TestEventsOfAReadAreNotRepeated(t *testing.T) {
+	s := newSnapshot([]kv.Entry{{Key: "a", Value: []byte("new"), ModRevision: 9}}, 5)
+	next, changed := s.apply([]kv.Event{
+		{Entry: kv.Entry{Key: "a", Value: []byte("old"), ModRevision: 7}},
+		{Entry: kv.Entry{Key: "a", ModRevision: 8}, Deleted: true},
+		{Entry: kv.Entry{Key: "gone", ModRevision: 8}, Deleted: true},
+	}, 9)
+	require.False(t, changed)
+	require.Equal(t, "new", string(next.Entries["a"].Value))
+	require.EqualValues(t, 9, next.Revision)
+}
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -36,9 +36,10 @@
 	Pause time.Duration
 	// Peer asks another process for a snapshot that is newer than a revision; nil when there is none to ask.
 	Peer func(ctx context.Context, prefix string, after int64) (*Snapshot, error)
-	// Changed is called from the goroutine of Run with each snapshot that differs from the one before. Settled is false
-	// while the service has just come back, when entries under leases may be missing that live.
-	Changed func(s *Snapshot, settled bool)
+	// Changed is called from the goroutine of Run with each snapshot that differs from the one before. Entries that are
+	// newly missing may have run out in an outage although their owners live; they count as removed from keepUntil on,
+	// which is zero when there was no outage.
+	Changed func(s *Snapshot, keepUntil time.Time)
 	Log     *zap.Logger
 }
 
@@ -53,8 +54,8 @@
 	lost     bool
 	lastRead time.Time
 	backoff  time.Duration
-	// settleAt is the time until which removals may be due to leases that ran out in an outage.
-	settleAt time.Time
+	// regained is when the service has answered again after an outage.
+	regained time.Time
 }
 
 // New returns a mirror that knows nothing.
@@ -134,32 +135,52 @@
 
 func (m *Mirror) publish(s *Snapshot) {
 	m.current.Store(s)
-	m.opts.Changed(s, time.Now().After(m.settleAt))
+	m.opts.Changed(s, m.keepUntil(time.Now()))
 }
 
-// settleTime is how long after an outage the entries of living servers may be missing.
-const settleTime = 2200 * time.Millisecond
+const (
+	// returnTime is how long after an outage the entries of living owners may be missing, less the time in which a
+	// removal has to be noticed.
+	returnTime = 1700 * time.Millisecond
+	// lapseTime is how long after an outage entries may still run out because of it.
+	lapseTime = 700 * time.Millisecond
+	// outage is the time without an answer after which leases may have run out.
+	outage = 1200 * time.Millisecond
+)
+
+// keepUntil returns until when entries that are newly missing are kept.
+func (m *Mirror) keepUntil(now time.Time) time.Time {
+	switch {
+	case m.lost:
+		// The snapshot comes from a peer, which may just have regained the service.
+		return now.Add(returnTime)
+	case now.Sub(m.regained) < lapseTime:
+		return m.regained.Add(returnTime)
+	}
+	return time.Time{}
+}
 
 func (m *Mirror) answered() {
+	if m.Age() > outage && m.Snapshot().Revision > 0 {
+		m.regained = time.Now()
+	}
+	if m.lost {
+		m.lost = false
+		m.opts.Log.Info("key-value service regained", zap.String("prefix", m.opts.Prefix),
+			zap.Duration("after", m.Age()), zap.Int64("revision", m.Snapshot().Revision))
+	}
 	m.contact.Store(int64(time.Since(m.start)))
 	m.backoff = 0
 }
 
-// note logs the loss and the return of the service once each.
+// note logs the loss of the service once.
 func (m *Mirror) note(err error) {
-	if err != nil && !m.lost {
-		m.lost = true
-		m.opts.Log.Warn("key-value service lost", zap.String("prefix", m.opts.Prefix),
-			zap.Int64("revision", m.Snapshot().Revision), zap.Error(err))
-	}
-	if err != nil {
-		m.settleAt = time.Now().Add(settleTime)
-	}
-	if err == nil && m.lost {
-		m.lost = false
-		m.opts.Log.Info("key-value service regained", zap.String("prefix", m.opts.Prefix),
-			zap.Int64("revision", m.Snapshot().Revision))
+	if err == nil || m.lost {
+		return
 	}
+	m.lost = true
+	m.opts.Log.Warn("key-value service lost", zap.String("prefix", m.opts.Prefix),
+		zap.Int64("revision", m.Snapshot().Revision), zap.Error(err))
 }
 
 func (m *Mirror) nextBackoff() time.Duration {
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -50,10 +50,12 @@
 type Backend struct {
 	Pool *exchange.Pool
 
-	mu       sync.Mutex
-	server   catalog.Server
-	listed   time.Time
-	removed  bool
+	mu      sync.Mutex
+	server  catalog.Server
+	listed  time.Time
+	removed bool
+	// missing says that the list lacks the server, which is kept for a while.
+	missing  bool
 	inFlight int
 	tokens   int
 	// failures is the mean of recent outcomes, 0 to 1.
@@ -128,8 +130,9 @@
 
 // status is what a choice needs to know of a backend, as of one moment.
 type status struct {
-	backend  *Backend
-	usable   bool
+	backend *Backend
+	usable  bool
+	// ejected servers get requests only when no other can.
 	ejected  bool
 	slots    int
 	inFlight int
@@ -143,7 +146,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return status{
-		backend: b, usable: !b.removed && !b.server.Draining, ejected: now.Before(b.until), slots: b.server.Slots,
+		backend: b, usable: !b.removed && !b.server.Draining, ejected: b.missing || now.Before(b.until), slots: b.server.Slots,
 		inFlight: b.inFlight, tokens: b.tokens, failures: b.failures, latency: b.latency,
 		local: b.server.Domain == domain,
 	}
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -8,14 +9,12 @@
 	"lavendermoor.example/gateway/exchange"
 )
 
-// removalDelay is how long a server that is missing after an outage of the list is kept, because its entry may have
-// run out although it lives.
-const removalDelay = 2200 * time.Millisecond
-
-// Fleet holds the backends of all services. Update is called by one goroutine; the other methods by any.
+// Fleet holds the backends of all services. Its methods may be called from any goroutine.
 type Fleet struct {
 	dialect exchange.Dialect
 	domain  string
+	// updates is held by the one change in progress.
+	updates sync.Mutex
 	current atomic.Pointer[view]
 }
 
@@ -23,14 +22,18 @@
 type view struct {
 	byID      map[string]*Backend
 	byService map[string][]*Backend
-	// missing holds since when a listed server is missing in unsettled lists.
+	// missing holds until when servers are kept that the list lacks.
 	missing map[string]time.Time
 }
 
+func newView() *view {
+	return &view{byID: map[string]*Backend{}, byService: map[string][]*Backend{}, missing: map[string]time.Time{}}
+}
+
 // NewFleet returns a fleet without backends for a process in a failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
 	f := &Fleet{dialect: dialect, domain: domain}
-	f.current.Store(&view{byID: map[string]*Backend{}, byService: map[string][]*Backend{}})
+	f.current.Store(newView())
 	return f
 }
 
@@ -41,11 +44,13 @@
 	What string
 }
 
-// Update takes the servers listed. While the list is not settled, a server that is missing is kept for a while. It
+// Update takes the servers listed. A server that is newly missing is kept until a time, zero for not at all, and gets
+// requests only when no other server of its service can; its entry may have run out in an outage although it lives. It
 // returns what has changed.
-func (f *Fleet) Update(servers []catalog.Server, settled bool, now time.Time) []Change {
-	old := f.current.Load()
-	next := &view{byID: map[string]*Backend{}, byService: map[string][]*Backend{}, missing: map[string]time.Time{}}
+func (f *Fleet) Update(servers []catalog.Server, keepUntil, now time.Time) []Change {
+	f.updates.Lock()
+	defer f.updates.Unlock()
+	old, next := f.current.Load(), newView()
 	var changes []Change
 	for _, s := range servers {
 		b, known := old.byID[s.ID]
@@ -65,8 +70,13 @@
 		if _, listed := next.byID[id]; listed {
 			continue
 		}
-		if since, keep := old.mayReturn(id, settled, now); keep {
-			next.missing[id] = since
+		until, missing := old.missing[id]
+		if !missing {
+			until = keepUntil
+		}
+		if now.Before(until) {
+			next.missing[id] = until
+			b.setMissing(true)
 			next.add(id, b)
 			continue
 		}
@@ -77,18 +87,30 @@
 	return changes
 }
 
-// mayReturn says whether a missing server is kept, and since when it is missing.
-func (v *view) mayReturn(id string, settled bool, now time.Time) (time.Time, bool) {
-	since, missing := v.missing[id]
-	if !missing {
-		return now, !settled
+// Settle removes the servers that the list lacks and whose time has passed. It returns what has changed.
+func (f *Fleet) Settle(now time.Time) []Change {
+	f.updates.Lock()
+	defer f.updates.Unlock()
+	old, next := f.current.Load(), newView()
+	var changes []Change
+	for id, b := range old.byID {
+		until, missing := old.missing[id]
+		if missing && !now.Before(until) {
+			b.remove()
+			changes = append(changes, Change{Server: b.Server(), What: "removed"})
+			continue
+		}
+		if missing {
+			next.missing[id] = until
+		}
+		next.add(id, b)
+	}
+	if len(changes) > 0 {
+		f.current.Store(next)
 	}
-	return since, now.Sub(since) < removalDelay
+	return changes
 }
 
-// Unsettled says that servers are kept which the list lacks, so that Update has to be called again.
-func (f *Fleet) Unsettled() bool { return len(f.current.Load().missing) > 0 }
-
 func (v *view) add(id string, b *Backend) {
 	service := b.Server().Service
 	v.byID[id] = b
@@ -102,12 +124,18 @@
 	b.Pool.Close()
 }
 
+func (b *Backend) setMissing(missing bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.missing = missing
+}
+
 // relist takes the server's new entry and says whether it has begun to drain.
 func (b *Backend) relist(s catalog.Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	began := s.Draining && !b.server.Draining
-	b.server = s
+	b.server, b.missing = s, false
 	return began
 }
 
--- /dev/null
+++ b/gateway/balance/fleet_test.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/catalog"
+	"lavendermoor.example/gateway/exchange"
+)
+
+type noDialect struct{}
+
+func (noDialect) Response(int, http.Header) exchange.Verdict { return exchange.Verdict{} }
+
+func server(id string) catalog.Server {
+	return catalog.Server{ID: id, Service: "s", Address: id + ":80", Domain: "d", Slots: 4}
+}
+
+func pickID(t *testing.T, f *Fleet, now time.Time, tried ...*Backend) string {
+	t.Helper()
+	b, err := f.Pick(Query{Service: "s", Random: func() float64 { return 0.5 }, Now: now, Tried: tried})
+	if err != nil {
+		return ""
+	}
+	return b.Server().ID
+}
+
+// Guards against new work at a server whose entry was removed while the list is sound: such a server leaves.
+func TestRemovedServerGetsNoWork(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b")}, time.Time{}, now)
+	changes := f.Update([]catalog.Server{server("a")}, time.Time{}, now)
+	require.Len(t, changes, 1)
+	require.Equal(t, "removed", changes[0].What)
+	require.Equal(t, "a", pickID(t, f, now))
+	require.Empty(t, pickID(t, f, now, f.Backends("s")[0]))
+}
+
+// Guards against losing all servers because their entries ran out in an outage of the store, and against using one
+// longer than its entry may take to come back (DRAIN on a hunted day: 2,115 ms).
+func TestServerMissingAfterOutageIsTheLastChoice(t *testing.T) {
+	now := time.Now()
+	until := now.Add(time.Second)
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b")}, time.Time{}, now)
+	require.Empty(t, f.Update([]catalog.Server{server("a")}, until, now))
+	a := f.Backends("s")[0]
+	for range 5 {
+		a.Begin(1000)
+	}
+	require.Equal(t, "a", pickID(t, f, now), "a listed server goes first, however loaded")
+	require.Equal(t, "b", pickID(t, f, now, a))
+	require.Empty(t, f.Settle(until.Add(-time.Millisecond)))
+	changes := f.Settle(until)
+	require.Len(t, changes, 1)
+	require.Empty(t, pickID(t, f, until, a))
+}
+
+// Guards against a kept server that is removed for good although its entry came back.
+func TestServerThatReturnsIsListedAgain(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a")}, time.Time{}, now)
+	f.Update(nil, now.Add(time.Second), now)
+	require.Equal(t, "a", pickID(t, f, now))
+	f.Update([]catalog.Server{server("a")}, time.Time{}, now)
+	require.Empty(t, f.Settle(now.Add(time.Hour)))
+	require.Equal(t, "a", pickID(t, f, now))
+}
+
+// Guards against work at a server that drains, and at another one at the address of a server that has gone.
+func TestDrainingAndMovedServers(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b")}, time.Time{}, now)
+	leaving := server("a")
+	leaving.Draining = true
+	changes := f.Update([]catalog.Server{leaving, server("b")}, time.Time{}, now)
+	require.Len(t, changes, 1)
+	require.Equal(t, "draining", changes[0].What)
+	for range 10 {
+		require.Equal(t, "b", pickID(t, f, now))
+	}
+	old := f.Backends("s")
+	moved := server("b")
+	moved.Address = "other:80"
+	f.Update([]catalog.Server{leaving, moved}, time.Time{}, now)
+	for _, b := range f.Backends("s") {
+		require.NotContains(t, old[1:], b, "connections to the old address must not be used")
+	}
+}
