--- a/configsync/mirror/mirror_test.go
+++ b/configsync/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -189,14 +190,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newService()
 		s.put("p/a", "1")
-		given := &Snapshot{Revision: 40, Entries: map[string]kv.Entry{"p/a": {Key: "p/a", Value: []byte("9"), ModRevision: 40}}}
-		m, changes := follow(t, s, Options{Peer: func(context.Context, string, int64) (*Snapshot, error) { return given, nil }})
+		var given atomic.Pointer[Snapshot]
+		given.Store(&Snapshot{Revision: 40, Entries: map[string]kv.Entry{"p/a": {Key: "p/a", Value: []byte("9"), ModRevision: 40}}})
+		m, changes := follow(t, s, Options{Peer: func(context.Context, string, int64) (*Snapshot, error) { return given.Load(), nil }})
 		time.Sleep(100 * time.Millisecond)
 		s.set(func() { s.down = true })
 		time.Sleep(2 * time.Second)
 		require.Equal(t, "9", string(m.Snapshot().Entries["p/a"].Value))
 		n := len(changes())
-		given = &Snapshot{Revision: 3, Entries: map[string]kv.Entry{}}
+		given.Store(&Snapshot{Revision: 3, Entries: map[string]kv.Entry{}})
 		time.Sleep(2 * time.Second)
 		require.Len(t, changes(), n, "an older snapshot is not taken")
 	})
--- /dev/null
+++ b/expertmap/rollout/fake_test.go
@@ -0,0 +1,235 @@
+package rollout
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// fakeGroup is a group of ranks in memory, as the users' platform has them: ranks switch at an armed pass, one prepared
+// version and one hold at a time, and orders may be lost, answered or not, and carried out late.
+type fakeGroup struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	ranks []*fakeRank
+	pass  int64
+	epoch int64
+	// lost is the share of orders that get no answer and are carried out late, mute that of orders which are carried out
+	// at once and get no answer.
+	lost, mute float64
+	// idle groups begin no pass.
+	idle bool
+	// down ranks answer nothing.
+	down map[int]bool
+	// split is set when a pass began with two versions.
+	split    bool
+	switches int
+	orders   []Order
+	// copying is how long a rank takes to prepare.
+	copying time.Duration
+}
+
+type fakeRank struct {
+	version, top  int64
+	prepared      int64
+	preparedAt    time.Time
+	content, next [][][]uint16
+	armed         *Armed
+	held          *int64
+	fence         int64
+	counts        []uint16
+}
+
+func newFakeGroup(n int, content [][][]uint16, seed uint64) *fakeGroup {
+	g := &fakeGroup{
+		rng: rand.New(rand.NewPCG(seed, 77)), pass: 10, epoch: 1, down: map[int]bool{}, copying: 300 * time.Millisecond,
+	}
+	for range n {
+		g.ranks = append(g.ranks, &fakeRank{content: content})
+	}
+	return g
+}
+
+// run begins passes until the context ends.
+func (g *fakeGroup) run(ctx context.Context) {
+	const passTime = 60 * time.Millisecond
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(passTime):
+			g.begin()
+		}
+	}
+}
+
+func (g *fakeGroup) begin() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := g.pass + 1
+	for _, r := range g.ranks {
+		if g.idle || (r.held != nil && *r.held == next) {
+			return
+		}
+	}
+	g.pass = next
+	before := g.ranks[0].version
+	for _, r := range g.ranks {
+		if r.armed != nil && r.armed.Pass <= next {
+			r.version, r.content = r.armed.Version, r.next
+			r.armed, r.prepared = nil, 0
+		}
+	}
+	for _, r := range g.ranks {
+		g.split = g.split || r.version != g.ranks[0].version
+	}
+	if g.ranks[0].version != before {
+		g.switches++
+	}
+}
+
+// reform breaks the group and opens it again in a new epoch.
+func (g *fakeGroup) reform(content [][][]uint16) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch++
+	for i := range g.ranks {
+		g.ranks[i] = &fakeRank{content: content, fence: g.ranks[i].fence}
+	}
+}
+
+func (g *fakeGroup) rank(i int) Rank { return &fakeAccess{g: g, i: i} }
+
+func (g *fakeGroup) access() []Rank {
+	out := make([]Rank, len(g.ranks))
+	for i := range out {
+		out[i] = g.rank(i)
+	}
+	return out
+}
+
+// fakeAccess is the access to one rank of a fakeGroup.
+type fakeAccess struct {
+	g *fakeGroup
+	i int
+}
+
+func (a *fakeAccess) State(ctx context.Context, want Want) (State, error) {
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	if ctx.Err() != nil || a.g.down[a.i] {
+		return State{}, merry.Wrap(&UnansweredError{})
+	}
+	r := a.g.ranks[a.i]
+	s := State{
+		Group: "g", Epoch: a.g.epoch, Rank: a.i, Size: len(a.g.ranks), Open: true, Pass: a.g.pass, Version: r.version, Pace: 1,
+	}
+	if r.prepared != 0 && !time.Now().Before(r.preparedAt) {
+		s.Prepared = r.prepared
+	}
+	if r.armed != nil {
+		armed := *r.armed
+		s.Armed = &armed
+	}
+	if r.held != nil {
+		held := *r.held
+		s.Held = &held
+	}
+	if want.Counts {
+		s.Counts = slices.Clone(r.counts)
+	}
+	if want.Experts {
+		for _, layer := range r.content {
+			s.Experts = append(s.Experts, layer[a.i])
+		}
+	}
+	return s, nil
+}
+
+func (a *fakeAccess) Order(ctx context.Context, o Order) error {
+	a.g.mu.Lock()
+	a.g.orders = append(a.g.orders, o)
+	draw, late := a.g.rng.Float64(), time.Duration(2000+a.g.rng.IntN(10000))*time.Millisecond
+	down := a.g.down[a.i]
+	a.g.mu.Unlock()
+	switch {
+	case down:
+	case draw < a.g.lost:
+		time.AfterFunc(late, func() { _ = a.g.carryOut(a.i, o) })
+	case draw < a.g.lost+a.g.mute:
+		_ = a.g.carryOut(a.i, o)
+	default:
+		return a.g.carryOut(a.i, o)
+	}
+	<-ctx.Done()
+	return merry.Wrap(&UnansweredError{Operation: o.Operation, Cause: ctx.Err()})
+}
+
+func (g *fakeGroup) carryOut(i int, o Order) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[i]
+	refuse := func(fenced bool, why string) error {
+		return merry.Wrap(&RefusedError{Operation: o.Operation, Fenced: fenced, Detail: why})
+	}
+	if o.Fence < r.fence {
+		return refuse(true, "fence")
+	}
+	if o.Epoch != g.epoch {
+		return refuse(false, "epoch")
+	}
+	switch o.Operation {
+	case Prepare:
+		if r.armed != nil || o.Version <= r.top {
+			return refuse(false, "armed, or not a higher version")
+		}
+		r.top, r.prepared, r.next = o.Version, o.Version, o.Experts
+		r.preparedAt = time.Now().Add(g.copying)
+	case Arm:
+		if r.prepared != o.Version || time.Now().Before(r.preparedAt) || o.Pass <= g.pass {
+			return refuse(false, "not prepared, or the pass has begun")
+		}
+		r.armed = &Armed{Version: o.Version, Pass: o.Pass}
+	case Disarm:
+		if r.version == o.Version {
+			return refuse(false, "in use")
+		}
+		if r.armed != nil && r.armed.Version == o.Version {
+			r.armed = nil
+		}
+	case Hold:
+		if o.Pass <= g.pass || (r.held != nil && *r.held != o.Pass) {
+			return refuse(false, "the pass has begun, or another is held")
+		}
+		pass := o.Pass
+		r.held = &pass
+	case Release:
+		if r.held != nil && *r.held == o.Pass {
+			r.held = nil
+		}
+	}
+	r.fence = o.Fence
+	return nil
+}
+
+// heldNow says whether the group stands still.
+func (g *fakeGroup) heldNow() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.ranks {
+		if r.held != nil && *r.held == g.pass+1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *fakeGroup) set(fn func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	fn()
+}
--- /dev/null
+++ b/expertmap/rollout/group_test.go
@@ -0,0 +1,361 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/expertmap"
+)
+
+var smallShape = expertmap.Shape{Ranks: 4, Experts: 8, Layers: 2, Slots: 3}
+
+// inTurn is the map of a new group.
+func inTurn(t *testing.T) *expertmap.Map {
+	t.Helper()
+	var assign []uint16
+	for range smallShape.Layers {
+		for r := range smallShape.Ranks {
+			assign = append(assign, uint16(r), uint16(r+smallShape.Ranks), expertmap.Empty)
+		}
+	}
+	m, err := expertmap.NewMap(0, smallShape, assign)
+	require.NoError(t, err)
+	return m
+}
+
+// lapsedError is the end of a lease.
+type lapsedError struct{}
+
+func (lapsedError) Error() string { return "lapsed" }
+
+// issuer is a process that plans for a group while it lives.
+type issuer struct {
+	fence int64
+	ends  time.Time
+}
+
+func (i *issuer) check() (int64, error) {
+	if !time.Now().Before(i.ends) {
+		return 0, merry.Wrap(lapsedError{})
+	}
+	return i.fence, nil
+}
+
+// drift gives the ranks counts of changing demand.
+func (g *fakeGroup) drift(ctx context.Context, rng *rand.Rand) {
+	weights := make([]float64, smallShape.Layers*smallShape.Experts)
+	for round := 0; ctx.Err() == nil; round++ {
+		if round%20 == 0 {
+			for i := range weights {
+				weights[i] = rng.ExpFloat64() * rng.ExpFloat64()
+			}
+		}
+		g.set(func() {
+			for _, r := range g.ranks {
+				if r.counts == nil {
+					r.counts = make([]uint16, len(weights))
+				}
+				for i, w := range weights {
+					r.counts[i] += uint16(200 * w)
+				}
+			}
+		})
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Guards against a pass that begins with two maps (MAP), whatever orders are lost or carried out late, and whenever the
+// process that plans dies and another takes over; and against a group that stands still for good.
+func TestNoPassBeginsWithTwoMaps(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playGroup(t, seed) })
+		})
+	}
+}
+
+func playGroup(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	first := toContent(inTurn(t))
+	g := newFakeGroup(smallShape.Ranks, first, seed)
+	ctx, stop := context.WithCancel(t.Context())
+	go g.run(ctx)
+	go g.drift(ctx, rand.New(rand.NewPCG(seed, 6)))
+	for fence := int64(1); fence <= 12; fence++ {
+		g.set(func() {
+			g.lost, g.mute = 0.3*rng.Float64(), 0.1*rng.Float64()
+			g.idle = rng.IntN(4) == 0
+		})
+		life := time.Duration(200+rng.IntN(6000)) * time.Millisecond
+		lead(ctx, g, int(fence)%smallShape.Ranks, &issuer{fence: fence, ends: time.Now().Add(life)}, rng)
+		require.False(t, g.split, "a pass began with two maps")
+		if rng.IntN(6) == 0 {
+			g.reform(first)
+		}
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	}
+	// In calm, a new issuer brings the group on and changes its map.
+	g.set(func() { g.lost, g.mute, g.idle = 0, 0, false })
+	time.Sleep(13 * time.Second) // Every late order has been carried out.
+	before := g.pass
+	lead(ctx, g, 0, &issuer{fence: 100, ends: time.Now().Add(20 * time.Second)}, rng)
+	require.False(t, g.split)
+	require.False(t, g.heldNow())
+	require.Greater(t, g.pass, before+100, "the group stands still")
+	require.Positive(t, g.switches, "no map was ever changed")
+	stop()
+	synctest.Wait()
+}
+
+// lead plans for a group until the lease has ended.
+func lead(ctx context.Context, g *fakeGroup, self int, i *issuer, rng *rand.Rand) {
+	ctx, cancel := context.WithDeadline(ctx, i.ends)
+	defer cancel()
+	group := NewGroup(g.access(), self, i.check, zap.NewNop())
+	p := NewPlanner(DefaultSettings(smallShape, 2, 100*time.Millisecond), group, zap.NewNop())
+	for ctx.Err() == nil {
+		_ = p.Tick(ctx, time.Now()) // Failures are what the test is about; the next tick goes on.
+		select {
+		case <-time.After(150*time.Millisecond + time.Duration(rng.IntN(20))*time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Guards against a switch that goes on although a rank could not be armed, and against a late order to arm that takes
+// effect after the switch was undone.
+func TestSwitchIsUndoneWhenARankIsNotArmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		g := newFakeGroup(smallShape.Ranks, first, 1)
+		go g.run(ctx)
+		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
+		ranks := g.access()
+		late := &lateArm{Rank: ranks[2], g: g, i: 2}
+		ranks[2] = late
+		group := NewGroup(ranks, 0, i.check, zap.NewNop())
+		require.NoError(t, group.Poll(ctx, Want{}))
+		require.NoError(t, group.Fence(ctx))
+		version, err := group.Prepare(ctx, first)
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		require.NoError(t, group.Poll(ctx, Want{}))
+		require.True(t, group.Prepared(version))
+		g.set(func() { g.idle = true })
+		var failed *SwitchError
+		require.ErrorAs(t, group.Switch(ctx, version), &failed)
+		time.Sleep(5 * time.Second)
+		require.Positive(t, late.carriedOut, "the late orders were carried out")
+		g.set(func() { g.idle = false })
+		time.Sleep(2 * time.Second)
+		require.False(t, g.split)
+		require.Zero(t, g.ranks[0].version, "the old map stays in use")
+		require.False(t, g.heldNow())
+		stop()
+		synctest.Wait()
+	})
+}
+
+// lateArm carries out orders to arm two seconds late and answers none of them.
+type lateArm struct {
+	Rank
+	g          *fakeGroup
+	i          int
+	carriedOut int
+}
+
+func (l *lateArm) Order(ctx context.Context, o Order) error {
+	if o.Operation != Arm {
+		return l.Rank.Order(ctx, o)
+	}
+	time.AfterFunc(2*time.Second, func() {
+		_ = l.g.carryOut(l.i, o)
+		l.g.set(func() { l.carriedOut++ })
+	})
+	<-ctx.Done()
+	return merry.Wrap(&UnansweredError{Operation: o.Operation, Cause: ctx.Err()})
+}
+
+// Guards against a new issuer that undoes a switch which its predecessor has already released.
+func TestNewIssuerFinishesASwitchThatIsArmedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		g := newFakeGroup(smallShape.Ranks, first, 1)
+		pass := g.pass + 1
+		for i, r := range g.ranks {
+			r.prepared, r.top, r.next, r.armed = 7, 7, first, &Armed{Version: 7, Pass: pass}
+			if i == 1 {
+				r.held = &pass
+			}
+		}
+		go g.run(ctx)
+		lead(ctx, g, 3, &issuer{fence: 2, ends: time.Now().Add(2 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
+		require.False(t, g.split)
+		require.False(t, g.heldNow())
+		require.GreaterOrEqual(t, g.ranks[0].version, int64(7))
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Guards against orders of an issuer whose lease has ended.
+func TestNoOrderAfterTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(smallShape.Ranks, toContent(inTurn(t)), 1)
+		group := NewGroup(g.access(), 0, (&issuer{fence: 1, ends: time.Now()}).check, zap.NewNop())
+		require.NoError(t, group.Poll(t.Context(), Want{}))
+		_, err := group.Prepare(t.Context(), nil)
+		require.ErrorAs(t, err, &lapsedError{})
+		require.ErrorAs(t, group.Switch(t.Context(), 1), &lapsedError{})
+		require.Empty(t, g.orders)
+	})
+}
+
+// Guards against a plan that keeps an overloaded rank although a better map exists, and against moving experts for
+// nothing.
+func TestPlannerBalancesAndThenRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		g := newFakeGroup(smallShape.Ranks, toContent(inTurn(t)), 1)
+		go g.run(ctx)
+		go func() {
+			for ctx.Err() == nil {
+				g.set(func() {
+					for _, r := range g.ranks {
+						if r.counts == nil {
+							r.counts = make([]uint16, smallShape.Layers*smallShape.Experts)
+						}
+						for i := range r.counts {
+							r.counts[i] += 10
+							if i%smallShape.Experts == 0 {
+								r.counts[i] += 60
+							}
+						}
+					}
+				})
+				select {
+				case <-time.After(100 * time.Millisecond):
+				case <-ctx.Done():
+				}
+			}
+		}()
+		lead(ctx, g, 0, &issuer{fence: 1, ends: time.Now().Add(8 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
+		require.False(t, g.split)
+		switches := g.switches
+		require.Positive(t, switches)
+		holders := 0
+		for _, experts := range g.ranks[0].content[0] {
+			for _, e := range experts {
+				if e == 0 {
+					holders++
+				}
+			}
+		}
+		require.Greater(t, holders, 1, "the popular expert has replicas")
+		lead(ctx, g, 0, &issuer{fence: 2, ends: time.Now().Add(8 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
+		require.LessOrEqual(t, g.switches, switches+1, "the demand has not changed")
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Guards against an order of an earlier issuer that is carried out after a new one has undone its switch.
+func TestLateOrderOfAnEarlierIssuerIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		g := newFakeGroup(smallShape.Ranks, first, 1)
+		g.idle = true
+		pass := g.pass + 1
+		for i, r := range g.ranks {
+			r.prepared, r.top, r.next, r.fence = 7, 7, first, 1
+			if i != 2 {
+				r.armed = &Armed{Version: 7, Pass: pass}
+			}
+		}
+		g.ranks[1].held = &pass
+		go g.run(ctx)
+		late := Order{Operation: Arm, Version: 7, Pass: pass, Epoch: g.epoch, Fence: 1}
+		time.AfterFunc(3*time.Second, func() { _ = g.carryOut(2, late) })
+		lead(ctx, g, 3, &issuer{fence: 2, ends: time.Now().Add(2 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
+		time.Sleep(2 * time.Second)
+		g.set(func() { g.idle = false })
+		time.Sleep(time.Second)
+		require.False(t, g.split)
+		require.False(t, g.heldNow())
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Guards against an order to release a pass that is carried out once more, late, and releases the hold of the next
+// switch before every rank is armed.
+func TestLateReleaseDoesNotEndTheNextHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		g := newFakeGroup(smallShape.Ranks, first, 1)
+		g.idle = true
+		go g.run(ctx)
+		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
+		ranks := g.access()
+		ranks[0] = &twiceReleased{Rank: ranks[0], g: g}
+		slow := &slowArm{Rank: ranks[3]}
+		ranks[3] = slow
+		group := NewGroup(ranks, 0, i.check, zap.NewNop())
+		require.NoError(t, group.Poll(ctx, Want{}))
+		require.NoError(t, group.Fence(ctx))
+		// The first version is prepared nowhere, so that the switch is undone.
+		require.Error(t, group.Switch(ctx, 1))
+		version, err := group.Prepare(ctx, first)
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		slow.pause = 3 * time.Second
+		time.AfterFunc(2*time.Second, func() { g.set(func() { g.idle = false }) })
+		require.NoError(t, group.Switch(ctx, version))
+		time.Sleep(time.Second)
+		require.False(t, g.split)
+		require.Equal(t, version, g.ranks[3].version)
+		stop()
+		synctest.Wait()
+	})
+}
+
+// twiceReleased carries out each order to release a pass a second time, two seconds late.
+type twiceReleased struct {
+	Rank
+	g *fakeGroup
+}
+
+func (r *twiceReleased) Order(ctx context.Context, o Order) error {
+	if o.Operation == Release && o.Pass > 0 {
+		time.AfterFunc(2*time.Second, func() { _ = r.g.carryOut(0, o) })
+	}
+	return r.Rank.Order(ctx, o)
+}
+
+// slowArm takes its time for orders to arm, whatever the issuer's patience.
+type slowArm struct {
+	Rank
+	pause time.Duration
+}
+
+func (r *slowArm) Order(_ context.Context, o Order) error {
+	if o.Operation == Arm {
+		time.Sleep(r.pause)
+	}
+	return r.Rank.Order(context.Background(), o)
+}
