Stop planning while ranks are armed, give slow maps up early, move fewer experts

Ruled out: more new experts than Spare (1 of 3 seen), another map in use than the planner's (compared, equal). Second cause: callers give deadlines of all lengths, so a short one does not show a caller that came back; such callers were queued for up to a fifth of their deadline and answered late. All callers now wait for as long as they can be in time.

--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -173,6 +173,30 @@
 	return nil
 }
 
+// Switching says whether a switch is under way that needs no further order: every rank that has not switched yet is armed
+// for the same pass, and nothing holds it.
+func (g *Group) Switching() bool {
+	var armed *Armed
+	for _, s := range g.states {
+		if s.Held != nil {
+			return false
+		}
+		if s.Armed != nil {
+			armed = s.Armed
+		}
+	}
+	if armed == nil || len(g.suspects) > 0 {
+		return false
+	}
+	for _, s := range g.states {
+		switched := s.Version == armed.Version && s.Pass >= armed.Pass
+		if !switched && (s.Armed == nil || *s.Armed != *armed) {
+			return false
+		}
+	}
+	return true
+}
+
 // Unfinished says whether a switch was begun and neither finished nor undone.
 func (g *Group) Unfinished() bool {
 	if len(g.suspects) > 0 {
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -31,7 +31,7 @@
 func DefaultSettings(s expertmap.Shape, maxNew int, copyTime time.Duration) Settings {
 	return Settings{
 		Shape: s, MaxNew: maxNew, CopyTime: copyTime, Memory: 700 * time.Millisecond, Horizon: 3 * time.Second,
-		MinGain: 0.03, PrepareTimeout: 2 * time.Second,
+		MinGain: 0.03, PrepareTimeout: 400 * time.Millisecond,
 	}
 }
 
@@ -73,7 +73,7 @@
 	}
 	states := p.group.States()
 	p.demand.Observe(states, now)
-	if err := p.settle(ctx); err != nil || p.current == nil {
+	if settled, err := p.settle(ctx); err != nil || !settled {
 		return err
 	}
 	if p.next != nil {
@@ -83,28 +83,31 @@
 }
 
 // settle makes sure that this process is the only issuer, that no switch is unfinished, and that the map in use is
-// known.
-func (p *Planner) settle(ctx context.Context) error {
+// known. It returns false when a later tick has to go on.
+func (p *Planner) settle(ctx context.Context) (bool, error) {
 	fenced := p.group.fenced
 	if err := p.group.Fence(ctx); err != nil {
-		return err
+		return false, err
 	}
 	if fenced != p.group.fenced {
 		// What was polled before may have been changed by an earlier issuer since.
 		p.current, p.next = nil, nil
 		if err := p.group.Poll(ctx, Want{}); err != nil {
-			return err
+			return false, err
 		}
 	}
 	states := p.group.States()
+	if p.group.Switching() {
+		return false, nil
+	}
 	if p.group.Unfinished() {
 		p.next = nil
-		return p.group.Resolve(ctx)
+		return false, p.group.Resolve(ctx)
 	}
 	if p.current != nil && states[0].Epoch == p.epoch && p.current.Version == states[0].Version {
-		return nil
+		return true, nil
 	}
-	return p.learn(ctx)
+	return true, p.learn(ctx)
 }
 
 // learn reads the map in use from the ranks.
@@ -234,7 +237,7 @@
 }
 
 // minLoadGain is what one loaded expert has to save, as a part of the work of a layer.
-const minLoadGain = 0.0002
+const minLoadGain = 0.004
 
 func (p *Planner) judge(plan expertmap.Plan) candidate {
 	most := 0
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -173,21 +173,9 @@
 // patience is how long the request may wait for a place: as long as its first event can still come in time, and a
 // share of what is left for one that is late already.
 func (c *call) patience(q *limit.Queue) time.Duration {
-	if c.returning() {
-		return time.Duration(returningPatience * float64(time.Until(c.expires)))
-	}
 	return q.Patience(c.route.Objective)
 }
 
-// returningPatience is the share of its time left for which a request that was refused before may wait.
-const returningPatience = 0.2
-
-// returning says whether the caller has come back: it then waits for less than the route allows.
-func (c *call) returning() bool {
-	const margin = 0.97
-	return c.meta.HasDeadline && float64(c.meta.Deadline) < margin*float64(c.route.Timeout)
-}
-
 func (c *call) notAdmitted(err error) *Failure {
 	var full *limit.FullError
 	if errors.As(err, &full) {
