Refuse streams that a stopping process cannot finish, keep connections as announced, test the gateway

After 2.7 s idle connections are closed and what cannot end in time is refused. (2) A test found that the Keep-Alive header was deleted before the pool read it, so that every connection was kept for 4 s. Ruled out: new connections, which the balancer no longer sends (readyz 503).

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -32,9 +32,9 @@
 	// serversPause collects the changes of the servers list, which come several times a second.
 	serversPause = 400 * time.Millisecond
 	serversWait  = 400 * time.Millisecond
-	// stayAfterStop is how long a stopping process still takes new connections: until the platform's balancer has
-	// noticed twice that it is not ready.
-	stayAfterStop = 2500 * time.Millisecond
+	// stayAfterStop is how long a stopping process still takes every request: until the platform's balancer has noticed
+	// twice that it is not ready. Idle connections of callers are closed then.
+	stayAfterStop = 2700 * time.Millisecond
 	// stopMargin is kept free before the platform ends the process.
 	stopMargin     = 700 * time.Millisecond
 	listenerGrace  = 300 * time.Millisecond
@@ -236,7 +236,7 @@
 	g.log.Info("started", zap.Stringer("listen", l.callers.Addr()))
 	select {
 	case <-ctx.Done():
-		g.finish()
+		g.finish(callers)
 	case <-serving.Done():
 	}
 	stop()
@@ -244,13 +244,14 @@
 }
 
 // finish tells callers and the platform to go elsewhere, and waits for the requests that run.
-func (g *gateway) finish() {
-	g.srv.Drain()
-	started := time.Now()
+func (g *gateway) finish(callers *http.Server) {
+	now := time.Now()
+	end := now.Add(time.Duration(g.set.Load().GraceSeconds*float64(time.Second)) - stopMargin)
+	g.srv.Drain(now.Add(stayAfterStop), end)
 	g.log.Info("stopping", zap.Int64("active", g.srv.Active()))
 	time.Sleep(stayAfterStop)
-	last := started.Add(time.Duration(g.set.Load().GraceSeconds*float64(time.Second)) - stopMargin)
-	for g.srv.Active() > 0 && time.Now().Before(last) {
+	callers.SetKeepAlivesEnabled(false)
+	for g.srv.Active() > 0 && time.Now().Before(end) {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
--- a/gateway/exchange/conn.go
+++ b/gateway/exchange/conn.go
@@ -17,8 +17,9 @@
 	readBuffer = 4 << 10
 	// keepAliveMargin is taken off the idle time that a server announces, for the way of the next request.
 	keepAliveMargin = 700 * time.Millisecond
-	// defaultIdle is how long a connection is kept when the server announces nothing.
-	defaultIdle = 4 * time.Second
+	// defaultIdle is how long a connection is kept when the server announces nothing: less than the second that it could
+	// announce.
+	defaultIdle = 800 * time.Millisecond
 )
 
 // conn is one connection to a server. It is used by one request at a time.
@@ -58,11 +59,10 @@
 }
 
 // keep sets how long the connection may stay idle after an answer and says whether it can be used again.
-func (c *conn) keep(resp *http.Response, now time.Time) bool {
-	if resp.Close || c.br.Buffered() > 0 {
+func (c *conn) keep(closing bool, idle time.Duration, now time.Time) bool {
+	if closing || c.br.Buffered() > 0 {
 		return false
 	}
-	idle := announcedIdle(resp.Header.Get("Keep-Alive"))
 	c.reused = true
 	c.expires = now.Add(idle)
 	return idle > 0
--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -137,6 +137,8 @@
 	pool *Pool
 	conn *conn
 	stop func() bool
+	// idle is how long the server keeps the connection after the answer.
+	idle time.Duration
 	// complete is set when the whole body was read.
 	complete bool
 	closed   bool
@@ -152,6 +154,7 @@
 			return err
 		}
 		a.Response, a.Verdict = resp, dialect.Response(resp.StatusCode, resp.Header)
+		a.idle = announcedIdle(resp.Header.Get("Keep-Alive"))
 		if a.Verdict.ID == r.ID || a.Verdict.ID == "" {
 			return a.check(written)
 		}
@@ -196,7 +199,7 @@
 	}
 	a.closed = true
 	unused := a.stop()
-	if unused && a.complete && a.conn.keep(a.Response, time.Now()) {
+	if unused && a.complete && a.conn.keep(a.Response.Close, a.idle, time.Now()) {
 		a.pool.put(a.conn)
 		return
 	}
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -98,9 +98,18 @@
 	c.customer = customer
 	c.service = c.chooseService()
 	c.expires = c.arrived.Add(c.timeLeft())
+	if d := c.server.drain.Load(); d != nil && c.arrived.After(d.refuseAfter) && c.expires.After(d.end) {
+		return &Failure{
+			Status: http.StatusServiceUnavailable, Reason: reasonStopping,
+			Detail: "this process stops before the request would end", RetryAfter: elsewhereWait,
+		}
+	}
 	return c.readBody()
 }
 
+// elsewhereWait is for callers that another process can serve at once.
+const elsewhereWait = 50 * time.Millisecond
+
 func (c *call) timeLeft() time.Duration {
 	left := defaultTimeout
 	if c.route.Timeout > 0 {
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -31,6 +31,7 @@
 	reasonTimeout     = "timeout"
 	reasonBroken      = "backend_failed"
 	reasonLeft        = "caller_left"
+	reasonStopping    = "stopping"
 )
 
 type errorBody struct {
--- /dev/null
+++ b/gateway/ingress/harness_test.go
@@ -0,0 +1,257 @@
+package ingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/catalog"
+	"lavendermoor.example/gateway/exchange"
+)
+
+// Headers of the tests' own dialect.
+const (
+	testID       = "T-Id"
+	testSeal     = "T-Seal"
+	testRefused  = "T-Not-Run"
+	testDeadline = "T-Deadline-Ms"
+	testServer   = "T-Server"
+	testCustomer = "T-Customer"
+	testLast     = "T-Last"
+)
+
+type testDialect struct{}
+
+func (testDialect) Request(h http.Header) exchange.Meta {
+	m := exchange.Meta{ID: h.Get(testID), Key: h.Get("T-Key"), LastEventID: h.Get(testLast)}
+	if ms, err := strconv.Atoi(h.Get(testDeadline)); err == nil {
+		m.Deadline, m.HasDeadline = time.Duration(ms)*time.Millisecond, true
+	}
+	return m
+}
+
+func (testDialect) Forward(h http.Header, s exchange.Send) {
+	h.Set(testServer, s.Server)
+	h.Set(testDeadline, strconv.FormatInt(s.Left.Milliseconds(), 10))
+	h.Del("T-Key")
+	h.Set(testCustomer, s.Customer)
+	if s.LastEventID != "" {
+		h.Set(testLast, s.LastEventID)
+	}
+}
+
+func (testDialect) Response(status int, h http.Header) exchange.Verdict {
+	return exchange.Verdict{
+		ID: h.Get(testID), Signed: h.Get(testSeal) != "",
+		NotExecuted: h.Get(testRefused) != "" || status == http.StatusMisdirectedRequest,
+	}
+}
+
+func (testDialect) Own(h http.Header, id string) { h.Set(testID, id) }
+
+// plentyBudget allows a number of repeated sends.
+type plentyBudget struct{ left atomic.Int64 }
+
+func (b *plentyBudget) Request(time.Time)    {}
+func (b *plentyBudget) Retry(time.Time) bool { return b.left.Add(-1) >= 0 }
+
+// replica is a backend server that answers by a script of raw bytes, one for each request it gets.
+type replica struct {
+	id       string
+	listener net.Listener
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+	conns    int
+	// closed counts the connections that the gateway has closed.
+	closed int
+}
+
+// answer is what a replica does with a request: it may write to the connection, and returns false to close it.
+type answer func(c net.Conn, r *http.Request) bool
+
+// newReplica starts a server that does answers[i] with its request i, and the last one with all further ones.
+func newReplica(t *testing.T, id string, answers ...answer) *replica {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &replica{id: id, listener: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			go s.serve(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *replica) serve(c net.Conn, answers []answer) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			s.mu.Lock()
+			s.closed++
+			s.mu.Unlock()
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		n := len(s.requests)
+		s.requests, s.bodies = append(s.requests, r), append(s.bodies, string(body))
+		s.mu.Unlock()
+		if !answers[min(n, len(answers)-1)](c, r) {
+			return
+		}
+	}
+}
+
+func (s *replica) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func (s *replica) request(i int) *http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[i]
+}
+
+func (s *replica) connections() (opened, closed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns, s.closed
+}
+
+// raw writes bytes, with ID in place of the request's id, and keeps the connection.
+func raw(text string) answer {
+	return func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get(testID)))
+		return err == nil
+	}
+}
+
+// cut is raw, and closes the connection.
+func cut(text string) answer {
+	write := raw(text)
+	return func(c net.Conn, r *http.Request) bool {
+		write(c, r)
+		return false
+	}
+}
+
+const signed = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Seal: s\r\n"
+
+func ok(body string) answer {
+	return raw(signed + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+}
+
+var notRun = raw("HTTP/1.1 503 Service Unavailable\r\nT-Id: ID\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+
+// events is a stream of events with ids from first to last, in chunks, without its end.
+func events(first, last int) string {
+	var b strings.Builder
+	b.WriteString(signed + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := first; i <= last; i++ {
+		b.WriteString(chunk("id: " + strconv.Itoa(i) + "\ndata: x" + strconv.Itoa(i) + "\n\n"))
+	}
+	return b.String()
+}
+
+func chunk(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
+}
+
+const lastChunk = "0\r\n\r\n"
+
+// gatewayUnderTest is a gateway with its address.
+type gatewayUnderTest struct {
+	*Server
+	url    string
+	fleet  *balance.Fleet
+	budget *plentyBudget
+}
+
+// newGateway starts a gateway with one route /once/, /idem/, /stream/ and /fixed/ (a stream that is not resumable) each
+// to the servers given.
+func newGateway(t *testing.T, servers ...*replica) *gatewayUnderTest {
+	t.Helper()
+	budget := &plentyBudget{}
+	budget.left.Store(100)
+	fleet := balance.NewFleet(testDialect{}, "d")
+	s := New(Options{
+		Dialect: testDialect{}, Fleet: fleet, Log: zap.NewNop(), Random: func() float64 { return 0 },
+		ConfigAge: func() time.Duration { return 0 }, NewBudget: func() RetryBudget { return budget },
+	})
+	route := func(name string, kind catalog.Kind, resumable bool) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
+			Objective: time.Second, MaxGap: time.Second, MaxAttempts: 2, Resumable: resumable, Public: true,
+			Targets: []catalog.Target{{Service: "s", Weight: 1}},
+		}
+	}
+	s.SetCatalog(catalog.New(catalog.Document{
+		Version: 1,
+		Routes: []catalog.Route{
+			route("once", catalog.Once, false), route("idem", catalog.Idempotent, false),
+			route("stream", catalog.Stream, true), route("fixed", catalog.Stream, false),
+		},
+		Services: []catalog.Service{{Name: "s"}},
+	}))
+	var listed []catalog.Server
+	for _, r := range servers {
+		listed = append(listed, catalog.Server{
+			ID: r.id, Service: "s", Address: r.listener.Addr().String(), Domain: "d", Slots: 8,
+		})
+	}
+	fleet.Update(listed, time.Time{}, time.Now())
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return &gatewayUnderTest{Server: s, url: srv.URL, fleet: fleet, budget: budget}
+}
+
+// get sends a request to a path and returns the answer with its body, and the error of reading the body.
+func (g *gatewayUnderTest) get(t *testing.T, path string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	return g.send(t, http.MethodGet, path, "", headers...)
+}
+
+func (g *gatewayUnderTest) send(t *testing.T, method, path, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, g.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set(testID, "id-"+strconv.FormatInt(ids.Add(1), 10))
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+var ids atomic.Int64
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -50,10 +50,11 @@
 
 // Server handles the requests of callers. Its methods may be called from any goroutine.
 type Server struct {
-	opts     Options
-	catalog  atomic.Pointer[catalog.Catalog]
-	draining atomic.Bool
-	active   atomic.Int64
+	opts    Options
+	catalog atomic.Pointer[catalog.Catalog]
+	// drain is nil until the process stops.
+	drain  atomic.Pointer[drain]
+	active atomic.Int64
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue
@@ -77,11 +78,17 @@
 // Catalog returns the catalog in force, nil before the first.
 func (s *Server) Catalog() *catalog.Catalog { return s.catalog.Load() }
 
-// Drain makes the server tell callers to use another connection. It goes on serving.
-func (s *Server) Drain() { s.draining.Store(true) }
+// drain is the end of a process: it still serves what comes until refuseAfter, then only what ends before the end.
+type drain struct{ refuseAfter, end time.Time }
+
+// Drain makes the server tell callers to use another connection. Requests that come after refuseAfter are refused unless
+// they end before the end in any case.
+func (s *Server) Drain(refuseAfter, end time.Time) {
+	s.drain.Store(&drain{refuseAfter: refuseAfter, end: end})
+}
 
 // Ready says whether the server wants new connections.
-func (s *Server) Ready() bool { return !s.draining.Load() && s.catalog.Load() != nil }
+func (s *Server) Ready() bool { return s.drain.Load() == nil && s.catalog.Load() != nil }
 
 // Active returns the number of requests that are not answered yet.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -112,7 +119,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if s.draining.Load() {
+	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{server: s, w: w, r: r, arrived: time.Now(), catalog: s.catalog.Load()}
@@ -133,7 +140,7 @@
 
 // Dump returns the state dump.
 func (s *Server) Dump() Dump {
-	d := Dump{Draining: s.draining.Load(), Active: s.active.Load(), Queues: map[string]limit.Dump{}}
+	d := Dump{Draining: s.drain.Load() != nil, Active: s.active.Load(), Queues: map[string]limit.Dump{}}
 	if c := s.catalog.Load(); c != nil {
 		d.Version = c.Version
 	}
--- /dev/null
+++ b/gateway/ingress/ingress_test.go
@@ -0,0 +1,362 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/catalog"
+)
+
+// Guards against a request or an answer that is changed on the way.
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	s := newReplica(t, "a", raw(signed+"X-Own: 1\r\nContent-Length: 3\r\n\r\nyes"))
+	g := newGateway(t, s)
+	resp, body, err := g.send(t, http.MethodPost, "/once/a%2Fb/../c?x=%20y", "payload", "X-Any", "v", "Connection", "X-Hop", "X-Hop", "1")
+	require.NoError(t, err)
+	require.Equal(t, "yes", body)
+	require.Equal(t, "1", resp.Header.Get("X-Own"))
+	require.Equal(t, "s", resp.Header.Get(testSeal))
+	got := s.request(0)
+	require.Equal(t, "/once/a%2Fb/../c?x=%20y", got.RequestURI)
+	require.Equal(t, "payload", s.bodies[0])
+	require.Equal(t, "v", got.Header.Get("X-Any"))
+	require.Empty(t, got.Header.Get("X-Hop"), "headers of one connection stay behind")
+	require.Equal(t, "a", got.Header.Get(testServer))
+}
+
+// Guards against MIXED: answers that are not the server's, not to this request, or not whole must not look like successes;
+// and against a second run of a request that may not be repeated.
+func TestSpoiltAnswersOfRequestsThatRunOnce(t *testing.T) {
+	for name, spoilt := range map[string]answer{
+		"no signature":   raw("HTTP/1.1 200 OK\r\nT-Id: ID\r\nContent-Length: 1\r\n\r\nx"),
+		"no id":          raw("HTTP/1.1 200 OK\r\nT-Seal: s\r\nContent-Length: 1\r\n\r\nx"),
+		"not http":       cut("nonsense that is no answer\r\n\r\n"),
+		"cut body":       cut(signed + "Content-Length: 10\r\n\r\nabc"),
+		"cut chunks":     cut(signed + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+		"closed":         cut(""),
+		"encoded":        raw(signed + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"),
+		"another answer": cut("HTTP/1.1 200 OK\r\nT-Id: other\r\nT-Seal: s\r\nContent-Length: 1\r\n\r\nx"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newReplica(t, "a", spoilt), newReplica(t, "b", spoilt)
+			g := newGateway(t, a, b)
+			resp, _, err := g.send(t, http.MethodPost, "/once/x", "body")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "502 promises nothing; the request may have run")
+			require.Empty(t, resp.Header.Get(testSeal))
+			require.Equal(t, 1, a.count()+b.count())
+		})
+	}
+}
+
+// Guards against giving up an idempotent request because one server spoils its answer.
+func TestIdempotentRequestMovesToAnotherServer(t *testing.T) {
+	for name, spoilt := range map[string]answer{
+		"cut body": cut(signed + "Content-Length: 10\r\n\r\nabc"),
+		"closed":   cut(""),
+		"failure":  raw("HTTP/1.1 500 Internal Server Error\r\nT-Id: ID\r\nT-Seal: s\r\nContent-Length: 0\r\n\r\n"),
+		"not run":  notRun,
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newReplica(t, "a", spoilt, ok("fine")), newReplica(t, "b", spoilt, ok("fine"))
+			g := newGateway(t, a, b)
+			for range 2 { // One of the two servers is asked first.
+				_, _, err := g.get(t, "/idem/x")
+				require.NoError(t, err)
+			}
+			resp, body, err := g.get(t, "/idem/x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Equal(t, "fine", body)
+		})
+	}
+}
+
+// Guards against BUDGET: more servers than the route allows, or repeated sends beyond the budget.
+func TestSendsAreBounded(t *testing.T) {
+	a, b, c := newReplica(t, "a", notRun), newReplica(t, "b", notRun), newReplica(t, "c", notRun)
+	g := newGateway(t, a, b, c)
+	resp, _, err := g.get(t, "/idem/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "no server has run it")
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Equal(t, 2, a.count()+b.count()+c.count())
+	g.budget.left.Store(0)
+	_, _, err = g.get(t, "/idem/x")
+	require.NoError(t, err)
+	require.Equal(t, 3, a.count()+b.count()+c.count())
+}
+
+// Guards against REFUSED: a status that promises "not run" after a server may have run the request, also when the last
+// server refused it.
+func TestRefusalIsTrue(t *testing.T) {
+	a, b := newReplica(t, "a", cut(""), notRun), newReplica(t, "b", cut(""), notRun)
+	g := newGateway(t, a, b)
+	resp, _, err := g.get(t, "/idem/x") // One server closes, the other one closes as well.
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	only := newReplica(t, "only", notRun)
+	g = newGateway(t, only)
+	resp, _, err = g.send(t, http.MethodPost, "/once/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+}
+
+// Guards against MIXED: a late or extra answer at the point where the next one is expected.
+func TestAnswersOfOlderRequestsArePassedOver(t *testing.T) {
+	stale := "HTTP/1.1 200 OK\r\nT-Id: older\r\nT-Seal: s\r\nContent-Length: 3\r\n\r\nold"
+	s := newReplica(t, "a", func(c net.Conn, r *http.Request) bool {
+		return raw(stale)(c, r) && ok("mine")(c, r)
+	})
+	g := newGateway(t, s)
+	for range 3 {
+		resp, body, err := g.send(t, http.MethodPost, "/once/x", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, "mine", body)
+	}
+}
+
+// Guards against using a connection on which bytes follow a complete answer.
+func TestConnectionWithExtraBytesIsNotUsedAgain(t *testing.T) {
+	s := newReplica(t, "a", raw(signed+"Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Seal: s\r\n\r\n"))
+	g := newGateway(t, s)
+	for range 3 {
+		_, body, err := g.send(t, http.MethodPost, "/once/x", "")
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	opened, _ := s.connections()
+	require.Equal(t, 3, opened)
+}
+
+// Guards against a new connection for each request, and against one that outlives what the server announces.
+func TestConnectionsAreKeptAsAnnounced(t *testing.T) {
+	s := newReplica(t, "a", ok("x"))
+	g := newGateway(t, s)
+	for range 4 {
+		_, _, err := g.get(t, "/once/x")
+		require.NoError(t, err)
+	}
+	opened, _ := s.connections()
+	require.Equal(t, 1, opened)
+	leaving := newReplica(t, "b", raw(signed+"Connection: close\r\nContent-Length: 1\r\n\r\nx"))
+	short := newReplica(t, "c", raw(signed+"Keep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\nx"))
+	for _, r := range []*replica{leaving, short} {
+		g = newGateway(t, r)
+		for range 2 {
+			_, _, err := g.get(t, "/once/x")
+			require.NoError(t, err)
+		}
+		opened, _ = r.connections()
+		require.Equal(t, 2, opened, r.id)
+	}
+}
+
+// Guards against UNASKED: a server that answers before it has read a long body finds other bytes where the rest is due.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	rest := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		head := make([]byte, 2048)
+		n, _ := c.Read(head)
+		id := headerValue(string(head[:n]), testID)
+		_, _ = io.WriteString(c, strings.ReplaceAll(signed, "ID", id)+"Content-Length: 2\r\n\r\nno")
+		got, _ := io.Copy(io.Discard, c)
+		rest <- int64(n) + got
+	}()
+	g := newGateway(t, &replica{id: "a", listener: l})
+	const size = 3 << 20
+	resp, body, err := g.send(t, http.MethodPost, "/once/x", strings.Repeat("b", size))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "no", body)
+	require.LessOrEqual(t, <-rest, int64(size+2048), "nothing follows the body")
+}
+
+func headerValue(head, name string) string {
+	for line := range strings.SplitSeq(head, "\r\n") {
+		if n, v, ok := strings.Cut(line, ": "); ok && strings.EqualFold(n, name) {
+			return v
+		}
+	}
+	return ""
+}
+
+// Guards against ORDER: a stream that goes on at another server has each event once, in order, and ends whole.
+func TestStreamIsContinuedAtAnotherServer(t *testing.T) {
+	for name, first := range map[string]answer{
+		"cut between events":  cut(events(1, 3)),
+		"cut inside an event": cut(events(1, 3) + chunk("id: 4\nda")),
+		"end inside an event": raw(events(1, 3) + chunk("id: 4\nda") + lastChunk),
+		"an event is missing": raw(events(1, 3) + chunk("id: 6\ndata: x6\n\n") + lastChunk),
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The second server repeats an event that the caller has.
+			second := raw(events(3, 6) + lastChunk)
+			a, b := newReplica(t, "a", first), newReplica(t, "b", second)
+			g := newGateway(t, a, b)
+			// The first choice is the idle server with the lower score; the other one is loaded.
+			for _, backend := range g.fleet.Backends("s") {
+				if backend.Server().ID == "b" {
+					backend.Begin(5000)
+				}
+			}
+			resp, body, err := g.get(t, "/stream/x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			want := ""
+			for i := range 6 {
+				n := strconv.Itoa(i + 1)
+				want += "id: " + n + "\ndata: x" + n + "\n\n"
+			}
+			require.Equal(t, want, body)
+			require.Equal(t, "3", b.request(0).Header.Get(testLast))
+		})
+	}
+}
+
+// Guards against a stream that looks complete although it broke off, where it must not be run again.
+func TestBrokenStreamIsNotMadeWhole(t *testing.T) {
+	a, b := newReplica(t, "a", cut(events(1, 3))), newReplica(t, "b", cut(events(1, 3)))
+	g := newGateway(t, a, b)
+	resp, body, err := g.get(t, "/fixed/x")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Error(t, err, "the caller sees that the answer is not whole")
+	require.Contains(t, body, "x3")
+	require.Equal(t, 1, a.count()+b.count())
+}
+
+// Guards against a stream that is continued with the headers or the body of a failure.
+func TestFailureDoesNotContinueAStream(t *testing.T) {
+	failure := raw("HTTP/1.1 500 Internal Server Error\r\nT-Id: ID\r\nT-Seal: s\r\nContent-Length: 4\r\n\r\noops")
+	a, b := newReplica(t, "a", cut(events(1, 2)), failure), newReplica(t, "b", cut(events(1, 2)), failure)
+	g := newGateway(t, a, b)
+	_, body, err := g.get(t, "/stream/x")
+	require.Error(t, err)
+	require.NotContains(t, body, "oops")
+}
+
+// Guards against GONE: a server that works on for a caller that has left.
+func TestServerLearnsThatTheCallerHasLeft(t *testing.T) {
+	for _, path := range []string{"/idem/x", "/stream/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			reached := make(chan struct{}, 4)
+			s := newReplica(t, "a", func(c net.Conn, r *http.Request) bool {
+				if strings.Contains(r.URL.Path, "stream") {
+					raw(events(1, 1))(c, r)
+				}
+				reached <- struct{}{}
+				_, _ = c.Read(make([]byte, 1)) // Ends when the gateway closes the connection.
+				reached <- struct{}{}
+				return false
+			})
+			g := newGateway(t, s)
+			ctx, leave := context.WithCancel(t.Context())
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url+path, strings.NewReader("body"))
+			require.NoError(t, err)
+			req.Host = "h"
+			req.Header.Set(testID, "leaver")
+			go func() {
+				resp, err := http.DefaultClient.Do(req)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			}()
+			<-reached
+			leave()
+			<-reached
+			require.Equal(t, 1, s.count(), "nothing is sent again")
+		})
+	}
+}
+
+// Guards against BUDGET and CONFIG: a server gets the time that is left, and the caller a final answer when it is over.
+func TestDeadlineShrinksAndEnds(t *testing.T) {
+	silent := func(c net.Conn, _ *http.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	}
+	s := newReplica(t, "a", silent)
+	g := newGateway(t, s)
+	resp, _, err := g.send(t, http.MethodPost, "/once/x", "", testDeadline, "150")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode, "the request may have run")
+	left, err := strconv.Atoi(s.request(0).Header.Get(testDeadline))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 150)
+	resp, _, err = g.send(t, http.MethodPost, "/once/x", "", testDeadline, "0")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "nothing was sent")
+	require.Equal(t, 1, s.count())
+}
+
+// Guards against DENIED and ROUTE: wrong answers to callers without a key or a route, and before the first configuration.
+func TestRoutesAndKeys(t *testing.T) {
+	s := newReplica(t, "a", ok("x"))
+	g := newGateway(t, s)
+	status := func(path, key string) int {
+		resp, _, err := g.get(t, path, "T-Key", key, testCustomer, "forged")
+		require.NoError(t, err)
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusNotFound, status("/none/x", ""))
+	doc := g.Catalog().Document
+	doc.Version, doc.Routes = 2, append([]catalog.Route(nil), doc.Routes...)
+	doc.Routes[0].Public = false
+	doc.Customers = []catalog.Customer{{Name: "c1"}}
+	doc.Keys = map[catalog.KeyHash]int{catalog.HashKey("k"): 0}
+	require.True(t, g.SetCatalog(catalog.New(doc)))
+	require.Equal(t, http.StatusUnauthorized, status("/once/x", "wrong"))
+	require.Equal(t, http.StatusOK, status("/once/x", "k"))
+	require.Equal(t, "c1", s.request(0).Header.Get(testCustomer))
+	require.Empty(t, s.request(0).Header.Get("T-Key"), "the key stays here")
+	require.Equal(t, http.StatusOK, status("/idem/x", "wrong"), "a public route needs no key")
+	old := doc
+	old.Version = 1
+	require.False(t, g.SetCatalog(catalog.New(old)), "a configuration never goes back")
+	empty := New(g.opts)
+	require.False(t, empty.Ready())
+	g.catalog.Store(nil)
+	require.Equal(t, http.StatusServiceUnavailable, status("/once/x", "k"))
+}
+
+// Guards against LOST: a stopping process that takes a stream which it cannot finish (a request 5.2 s after SIGTERM was
+// cut on a hunted day), or that turns away what it can still serve.
+func TestStoppingProcessTakesWhatItCanFinish(t *testing.T) {
+	s := newReplica(t, "a", ok("x"))
+	g := newGateway(t, s)
+	require.True(t, g.Ready())
+	now := time.Now()
+	g.Drain(now.Add(time.Hour), now.Add(2*time.Hour))
+	require.False(t, g.Ready())
+	resp, _, err := g.get(t, "/stream/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.True(t, resp.Close, "the caller is told to use another connection")
+	g.Drain(now.Add(-time.Second), now.Add(3*time.Second))
+	resp, _, err = g.get(t, "/stream/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	resp, _, err = g.get(t, "/once/x", testDeadline, "1000")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, 2, s.count())
+}
