--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -102,6 +102,9 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		ans.Complete()
+		if !c.begun {
+			c.copyHead(ans.Response, false, 0) // Nothing was left of a stream that the caller has resumed.
+		}
 		c.finished = true
 		return true
 	case r.callerLeft:
