Size the planner's polls and orders for groups of 63 ranks

Counts are now base64 of 16-bit numbers, 16 ranks send them in one poll, orders are compressed and encoded once, timeouts and the lead of a switch grow with the ranks, and 32 calls run at once. A loaded expert has to save 0.05 of a rank's mean work (0.004 of the layer's, which is 0.25 of the mean of 63).

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -27,10 +27,10 @@
 
 // Times and pauses of a gateway.
 const (
-	configWait  = 1000 * time.Millisecond
+	configWait  = 1500 * time.Millisecond
 	configPause = 20 * time.Millisecond
 	// serversPause collects the changes of the servers list, which come several times a second.
-	serversPause = 400 * time.Millisecond
+	serversPause = 700 * time.Millisecond
 	serversWait  = 400 * time.Millisecond
 	// stayAfterStop is how long a stopping process still takes every request: until the platform's balancer has noticed
 	// twice that it is not ready. Idle connections of callers are closed then.
--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/kv"
 	"lavendermoor.example/expertmap"
@@ -97,7 +98,8 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		pause(ctx, max(tickEvery-time.Since(started), tickEvery/3))
+		every := tickEvery + time.Duration(len(ranks.States()))*tickPerRank
+		pause(ctx, max(every-time.Since(started), every/3))
 	}
 }
 
@@ -205,21 +207,32 @@
 	return out, nil
 }
 
+const (
+	// discoverCalls bounds the servers that are asked for their rank at once.
+	discoverCalls   = 16
+	discoverTimeout = time.Second
+)
+
 // ranks returns the access to each rank of the group in order, and the index of this process's own.
 func (p *process) ranks(ctx context.Context, servers []catalog.Server, group string) ([]rollout.Rank, int, error) {
 	found := make([]rollout.Rank, len(servers))
 	states := make([]rollout.State, len(servers))
-	var all sync.WaitGroup
+	codec := &agent.Codec{}
+	var all errgroup.Group
+	all.SetLimit(discoverCalls)
 	for i, s := range servers {
-		all.Go(func() {
-			found[i] = p.rank(s.Address)
+		all.Go(func() error {
+			found[i] = p.rank(s.Address, codec)
+			callCtx, cancel := context.WithTimeout(ctx, discoverTimeout)
+			defer cancel()
 			var err error
-			if states[i], err = found[i].State(ctx, rollout.Want{}); err != nil {
+			if states[i], err = found[i].State(callCtx, rollout.Want{}); err != nil {
 				p.log.Debug("rank not found", zap.String("server", s.ID), zap.Error(err))
 			}
+			return nil // A rank that is not found is counted below.
 		})
 	}
-	all.Wait()
+	_ = all.Wait()
 	own, err := p.own.State(ctx, rollout.Want{})
 	if err != nil {
 		return nil, 0, err
@@ -240,12 +253,12 @@
 }
 
 // rank returns the access to the rank of the replica at an address.
-func (p *process) rank(address string) rollout.Rank {
+func (p *process) rank(address string, codec *agent.Codec) rollout.Rank {
 	direct := platform.NewRank(address, p.http)
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return direct
 	}
-	peer := agent.NewClient(net.JoinHostPort(host, strconv.Itoa(p.set.PeerPort)), p.http)
+	peer := agent.NewClient(net.JoinHostPort(host, strconv.Itoa(p.set.PeerPort)), p.http, codec)
 	return agent.NewFallback(peer, direct)
 }
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -149,10 +150,14 @@
 const (
 	renewEvery = 800 * time.Millisecond
 	retryPause = 500 * time.Millisecond
-	// maxWait bounds how long a process that waits for the lease goes without looking at it.
-	maxWait = 3 * time.Second
-	// tickEvery is the time between two looks at the group.
-	tickEvery = 150 * time.Millisecond
+	// candidates is the number of ranks whose processes look at the lease often enough to take over at once. The others
+	// do so every standbyWait, so that the calls to the store hardly grow with the group.
+	candidates  = 4
+	standbyWait = 12 * time.Second
+	// tickEvery is the time between two looks at the group, and tickPerRank what each rank adds, because a look costs the
+	// planner's processor and link in proportion.
+	tickEvery   = 110 * time.Millisecond
+	tickPerRank = 3 * time.Millisecond
 )
 
 // campaign tries to become the planner of the replica's group, and plans while it is.
@@ -170,7 +175,7 @@
 			// The name of the instance is enough: it runs one process, and a new one takes over from the last at once.
 			lease = orders.NewLease(p.store, "rank/"+group, p.set.Name+"@"+p.set.IP, leaseTimes())
 		}
-		if wait := p.acquire(ctx, lease); wait > 0 {
+		if wait := p.acquire(ctx, lease, s.Rank); wait > 0 {
 			pause(ctx, wait)
 			continue
 		}
@@ -179,13 +184,17 @@
 }
 
 // acquire takes the lease, or returns how long to wait before the next attempt.
-func (p *process) acquire(ctx context.Context, lease *orders.Lease) time.Duration {
+func (p *process) acquire(ctx context.Context, lease *orders.Lease, rank int) time.Duration {
 	err := lease.Acquire(ctx)
 	if err == nil {
 		return 0
 	}
 	if wait, held := heldFor(err); held {
-		return min(max(wait, 20*time.Millisecond), maxWait)
+		wait = max(wait, 20*time.Millisecond)
+		if rank >= candidates {
+			wait = max(wait, standbyWait+rand.N(standbyWait/2))
+		}
+		return wait
 	}
 	p.log.Debug("lease not taken", zap.Error(err))
 	return retryPause
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -15,7 +15,7 @@
 // Times of a mirror.
 const (
 	// callGrace is added to the wait of a call before the connection counts as silent.
-	callGrace   = 600 * time.Millisecond
+	callGrace   = 400 * time.Millisecond
 	readTimeout = 1500 * time.Millisecond
 	minBackoff  = 100 * time.Millisecond
 	maxBackoff  = 800 * time.Millisecond
--- a/expertmap/rollout/agent/agent.go
+++ b/expertmap/rollout/agent/agent.go
@@ -67,12 +67,12 @@
 }
 
 func (a *Agent) order(w http.ResponseWriter, r *http.Request) {
-	var o rollout.Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	o, err := decodeOrder(r.Body)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	err := a.Order(r.Context(), o)
+	err = a.Order(r.Context(), o)
 	var refused *rollout.RefusedError
 	switch {
 	case err == nil:
@@ -118,13 +118,14 @@
 
 // Client is a rank behind an agent on another instance. It may be used by any goroutine.
 type Client struct {
-	base string
-	http *http.Client
+	base  string
+	http  *http.Client
+	codec *Codec
 }
 
-// NewClient returns a client of the agent at an address, IP and port.
-func NewClient(address string, h *http.Client) *Client {
-	return &Client{base: "http://" + address, http: h}
+// NewClient returns a client of the agent at an address, IP and port. Clients of one group share a codec.
+func NewClient(address string, h *http.Client, codec *Codec) *Client {
+	return &Client{base: "http://" + address, http: h, codec: codec}
 }
 
 // StatusError says that an agent answered with an error status.
@@ -155,7 +156,7 @@
 
 // Order implements rollout.Rank.
 func (c *Client) Order(ctx context.Context, o rollout.Order) error {
-	body, err := json.Marshal(o)
+	body, err := c.codec.encode(o)
 	if err != nil {
 		return merry.Wrap(err)
 	}
--- a/expertmap/rollout/agent/fallback.go
+++ b/expertmap/rollout/agent/fallback.go
@@ -9,8 +9,8 @@
 	"lavendermoor.example/expertmap/rollout"
 )
 
-// peerTimeout bounds the wait for an agent, so that time is left to ask the rank itself.
-const peerTimeout = 120 * time.Millisecond
+// peerShare of the time left is waited for an agent, so that time is left to ask the rank itself.
+const peerShare = 0.6
 
 // Fallback reaches a rank through the agent beside it, and directly while the agent does not answer. Calls from other
 // instances cost the rank more, so a direct state has no counts. Its methods may be called from any goroutine.
@@ -27,7 +27,10 @@
 
 // State implements rollout.Rank.
 func (f *Fallback) State(ctx context.Context, want rollout.Want) (rollout.State, error) {
-	peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	peerCtx, cancel := ctx, context.CancelFunc(func() {})
+	if end, ok := ctx.Deadline(); ok {
+		peerCtx, cancel = context.WithTimeout(ctx, time.Duration(peerShare*float64(time.Until(end))))
+	}
 	s, err := f.agent.State(peerCtx, want)
 	cancel()
 	f.failing.Store(err != nil)
--- a/expertmap/rollout/demand.go
+++ b/expertmap/rollout/demand.go
@@ -12,7 +12,7 @@
 	shape expertmap.Shape
 	// memory is the time after which the weight of an observation has fallen to 1/e.
 	memory time.Duration
-	last   [][]uint16
+	last   []Counts
 	epoch  int64
 	at     time.Time
 	chosen []float64
@@ -20,7 +20,7 @@
 
 // NewDemand returns an estimate that knows nothing.
 func NewDemand(s expertmap.Shape, memory time.Duration) *Demand {
-	return &Demand{shape: s, memory: memory, last: make([][]uint16, s.Ranks), chosen: make([]float64, s.Layers*s.Experts)}
+	return &Demand{shape: s, memory: memory, last: make([]Counts, s.Ranks), chosen: make([]float64, s.Layers*s.Experts)}
 }
 
 // Observe takes the counts of all ranks. A rank whose counts started anew adds nothing this time.
@@ -29,19 +29,23 @@
 	for i := range d.chosen {
 		d.chosen[i] *= fade
 	}
+	if len(states) > 0 && states[0].Epoch != d.epoch {
+		d.epoch = states[0].Epoch
+		clear(d.last) // The counts of another epoch are no base for differences.
+	}
 	for r, s := range states {
+		if s.Counts == nil {
+			continue // Not asked this time.
+		}
 		before := d.last[r]
 		d.last[r] = s.Counts
-		if s.Epoch != d.epoch || len(before) != len(d.chosen) || len(s.Counts) != len(d.chosen) {
+		if len(before) != len(d.chosen) || len(s.Counts) != len(d.chosen) {
 			continue
 		}
 		for i, n := range s.Counts {
 			d.chosen[i] += float64(n - before[i]) // The difference of counts modulo 65,536.
 		}
 	}
-	if len(states) > 0 {
-		d.epoch = states[0].Epoch
-	}
 	d.at = now
 }
 
--- a/expertmap/rollout/fake_test.go
+++ b/expertmap/rollout/fake_test.go
@@ -41,7 +41,7 @@
 	armed         *Armed
 	held          *int64
 	fence         int64
-	counts        []uint16
+	counts        Counts
 }
 
 func newFakeGroup(n int, content [][][]uint16, seed uint64) *fakeGroup {
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -4,19 +4,27 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 // Times of orders.
 const (
 	stateTimeout = 300 * time.Millisecond
 	orderTimeout = 120 * time.Millisecond
-	// passesAhead is how far before its pass a switch is ordered; orders that arrive in time then delay no pass.
-	passesAhead = 2
+	// The issuer has a fraction of a core, so that each rank adds to the time in which all are asked or ordered.
+	statePerRank = 12 * time.Millisecond
+	orderPerRank = 5 * time.Millisecond
+	// passesAhead is how far before its pass a switch is ordered, and one more for each ranksPerPass ranks; orders that
+	// arrive in time then delay no pass.
+	passesAhead  = 2
+	ranksPerPass = 16
+	// maxCalls bounds the calls in progress, maxCounts the ranks that are asked for their counts in one poll.
+	maxCalls  = 32
+	maxCounts = 16
 	// holdAttempts bounds the passes that are tried when each has begun before the hold arrived.
 	holdAttempts = 3
 	// armAttempts and undoAttempts bound the repeats of an order that gets no answer. A group that is held stands still,
@@ -45,6 +53,8 @@
 	// lastPass is the last pass that a hold was ordered for. No other hold is for the same pass, so that an order to
 	// release it which is carried out late cannot release another.
 	lastPass int64
+	// turn is the first rank that is asked for its counts by the next poll.
+	turn int
 }
 
 // NewGroup returns a group of the ranks in order of rank. The fence function returns the fencing number, or an error
@@ -53,6 +63,14 @@
 	return &Group{ranks: ranks, self: self, fence: fence, log: log, suspects: map[int]int64{}}
 }
 
+func (g *Group) stateTimeout() time.Duration {
+	return stateTimeout + time.Duration(len(g.ranks))*statePerRank
+}
+
+func (g *Group) orderTimeout() time.Duration {
+	return orderTimeout + time.Duration(len(g.ranks))*orderPerRank
+}
+
 // States returns the states of the last complete poll, in order of rank.
 func (g *Group) States() []State { return g.states }
 
@@ -66,14 +84,21 @@
 	return fmt.Sprintf("%d of %d ranks answered: %s", e.Answered, e.Ranks, e.Detail)
 }
 
-// Poll asks every rank for its state. It fails with an *IncompleteError.
+// Poll asks every rank for its state, and with Want.Counts some of them for their counts, in turn. It fails with an
+// *IncompleteError.
 func (g *Group) Poll(ctx context.Context, want Want) error {
+	from := g.turn
+	if want.Counts {
+		g.turn = (g.turn + maxCounts) % len(g.ranks)
+	}
 	states := make([]State, len(g.ranks))
 	errs := make([]error, len(g.ranks))
 	g.each(func(i int) {
-		callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
 		defer cancel()
-		states[i], errs[i] = g.ranks[i].State(callCtx, want)
+		mine := want
+		mine.Counts = want.Counts && (i-from+len(g.ranks))%len(g.ranks) < maxCounts
+		states[i], errs[i] = g.ranks[i].State(callCtx, mine)
 	})
 	answered := 0
 	for _, err := range errs {
@@ -105,11 +130,12 @@
 
 // each calls a function for all ranks at once.
 func (g *Group) each(fn func(i int)) {
-	var all sync.WaitGroup
+	var all errgroup.Group
+	all.SetLimit(maxCalls)
 	for i := range g.ranks {
-		all.Go(func() { fn(i) })
+		all.Go(func() error { fn(i); return nil })
 	}
-	all.Wait()
+	_ = all.Wait() // The functions keep their own errors.
 }
 
 // order gives an order once. Errors are those of Rank.Order and of the fence function.
@@ -119,7 +145,7 @@
 		return err
 	}
 	o.Fence, o.Epoch = fence, g.epoch
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, g.orderTimeout())
 	defer cancel()
 	return g.ranks[rank].Order(callCtx, o)
 }
@@ -284,7 +310,7 @@
 	if err == nil {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
 	defer cancel()
 	s, stateErr := g.ranks[rank].State(callCtx, Want{})
 	if stateErr == nil && s.Epoch == g.epoch && s.Prepared == o.Version && s.Armed == nil {
@@ -298,7 +324,7 @@
 	experts := make([][][]uint16, len(g.ranks))
 	errs := make([]error, len(g.ranks))
 	g.each(func(i int) {
-		callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
 		defer cancel()
 		s, err := g.ranks[i].State(callCtx, Want{Experts: true})
 		experts[i], errs[i] = s.Experts, err
@@ -407,7 +433,7 @@
 		if s, err = g.ownState(ctx); err != nil {
 			return pass, err
 		}
-		pass = max(s.Pass+passesAhead+int64(attempt), g.lastPass+1)
+		pass = max(s.Pass+passesAhead+int64(len(g.ranks)/ranksPerPass)+int64(attempt), g.lastPass+1)
 		g.lastPass = pass
 		err = g.order(ctx, g.self, Order{Operation: Hold, Pass: pass})
 		var refused *RefusedError
@@ -426,7 +452,7 @@
 }
 
 func (g *Group) ownState(ctx context.Context) (State, error) {
-	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
 	defer cancel()
 	return g.ranks[g.self].State(callCtx, Want{})
 }
--- a/expertmap/rollout/group_test.go
+++ b/expertmap/rollout/group_test.go
@@ -61,7 +61,7 @@
 		g.set(func() {
 			for _, r := range g.ranks {
 				if r.counts == nil {
-					r.counts = make([]uint16, len(weights))
+					r.counts = make(Counts, len(weights))
 				}
 				for i, w := range weights {
 					r.counts[i] += uint16(200 * w)
@@ -236,7 +236,7 @@
 				g.set(func() {
 					for _, r := range g.ranks {
 						if r.counts == nil {
-							r.counts = make([]uint16, smallShape.Layers*smallShape.Experts)
+							r.counts = make(Counts, smallShape.Layers*smallShape.Experts)
 						}
 						for i := range r.counts {
 							r.counts[i] += 10
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -220,7 +220,7 @@
 	var out candidate
 	speeds := p.speeds()
 	for most := 1; most <= max(p.set.MaxNew, 1); most++ {
-		costs := expertmap.Costs{BudgetBytes: 1, LifeSteps: 1, LoadSeconds: minLoadGain, MaxNew: min(most, p.set.MaxNew)}
+		costs := expertmap.Costs{BudgetBytes: 1, LifeSteps: 1, LoadSeconds: minLoadGain / float64(p.set.Shape.Ranks), MaxNew: min(most, p.set.MaxNew)}
 		plan, err := expertmap.Improve(p.current, load, speeds, costs)
 		if err != nil {
 			return out, err
@@ -236,8 +236,8 @@
 	return out, nil
 }
 
-// minLoadGain is what one loaded expert has to save, as a part of the work of a layer.
-const minLoadGain = 0.004
+// minLoadGain is what one loaded expert has to save, as a part of the mean work of a rank in a layer.
+const minLoadGain = 0.05
 
 func (p *Planner) judge(plan expertmap.Plan) candidate {
 	most := 0
--- a/expertmap/rollout/rank.go
+++ b/expertmap/rollout/rank.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"encoding/json"
 	"fmt"
 )
 
@@ -37,11 +39,37 @@
 	Running, Waiting int
 	// Counts hold how often the rank's requests chose each expert, in order of layer and expert, in units of CountUnit
 	// modulo 65,536; they grow from the rank's start. Nil unless asked for.
-	Counts []uint16 `json:"counts,omitempty"`
+	Counts Counts `json:"counts,omitempty"`
 	// Experts are those that the rank holds by layer. Nil unless asked for.
 	Experts [][]uint16 `json:"experts,omitempty"`
 }
 
+// Counts are counts modulo 65,536. Their JSON form is base64 of 16-bit little-endian numbers, because a list of numbers
+// for groups of 63 ranks takes more than the link of an instance carries.
+type Counts []uint16
+
+// MarshalJSON implements json.Marshaler.
+func (c Counts) MarshalJSON() ([]byte, error) {
+	buf := make([]byte, 0, 2*len(c))
+	for _, n := range c {
+		buf = binary.LittleEndian.AppendUint16(buf, n)
+	}
+	return json.Marshal(buf)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *Counts) UnmarshalJSON(text []byte) error {
+	var buf []byte
+	if err := json.Unmarshal(text, &buf); err != nil {
+		return err
+	}
+	*c = make(Counts, len(buf)/2)
+	for i := range *c {
+		(*c)[i] = binary.LittleEndian.Uint16(buf[2*i:])
+	}
+	return nil
+}
+
 // CountUnit is the unit of State.Counts, in tokens.
 const CountUnit = 16
 
