End a switch that has begun also when the lease ends, and begin none near its end

What ends a switch (disarm, release, superseding prepare) is now ordered under the old fencing number; a rank that has heard of a newer one refuses it. A switch begins only with a second of lease left. Ruled out: a lost order to release (the log shows the lapse).

--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -91,7 +91,8 @@
 			}
 		}
 		started := time.Now()
-		err := planner.Tick(ctx, started)
+		// A switch that has begun is ended also when the lease or the process ends: the group stands still until then.
+		err := planner.Tick(context.WithoutCancel(ctx), started)
 		p.report(group, lease, ranks, err)
 		if p.mustRediscover(err) {
 			planner = nil
@@ -154,7 +155,9 @@
 		return nil, nil, err
 	}
 	copyTime := time.Duration(float64(engine.ExpertBytes) / engine.CopyBytesPerSecond * float64(time.Second))
-	return rollout.NewPlanner(rollout.DefaultSettings(shape, engine.MaxNew, copyTime), g, p.log), g, nil
+	set := rollout.DefaultSettings(shape, engine.MaxNew, copyTime)
+	set.LeaseLeft = lease.Left
+	return rollout.NewPlanner(set, g, p.log), g, nil
 }
 
 // NoEngineError says that the configuration has no engine with expert maps for the service.
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -144,11 +144,11 @@
 // leaseTimes lets another process take over soon after the planner has died: a group that it has left in the middle
 // of a switch stands still until then.
 func leaseTimes() orders.LeaseSettings {
-	return orders.LeaseSettings{TTL: 3 * time.Second, Margin: 700 * time.Millisecond}
+	return orders.LeaseSettings{TTL: 2400 * time.Millisecond, Margin: 500 * time.Millisecond}
 }
 
 const (
-	renewEvery = 800 * time.Millisecond
+	renewEvery = 600 * time.Millisecond
 	retryPause = 500 * time.Millisecond
 	// candidates is the number of ranks whose processes look at the lease often enough to take over at once. The others
 	// do so every standbyWait, so that the calls to the store hardly grow with the group.
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -140,7 +140,7 @@
 
 // order gives an order once. Errors are those of Rank.Order and of the fence function.
 func (g *Group) order(ctx context.Context, rank int, o Order) error {
-	fence, err := g.fence()
+	fence, err := g.number(o)
 	if err != nil {
 		return err
 	}
@@ -150,6 +150,20 @@
 	return g.ranks[rank].Order(callCtx, o)
 }
 
+// number returns the fencing number for an order. What ends a switch may be ordered after the lease has ended as well, since
+// a rank that has heard of another issuer refuses it, and the group stands still until someone ends the switch.
+func (g *Group) number(o Order) (int64, error) {
+	fence, err := g.fence()
+	if err != nil && g.ends(o) {
+		return g.fenced, nil
+	}
+	return fence, err
+}
+
+func (g *Group) ends(o Order) bool {
+	return g.fenced != 0 && (o.Operation == Disarm || (o.Operation == Release && o.Pass > 0) || o.superseding)
+}
+
 // persist repeats an order until it is answered, and returns the last error.
 func (g *Group) persist(ctx context.Context, rank int, o Order, attempts int) error {
 	return g.repeat(ctx, rank, o, attempts).err
@@ -169,11 +183,11 @@
 		if out.err == nil || errors.As(out.err, &refused) {
 			return out
 		}
-		if _, lapsed := g.fence(); lapsed != nil {
-			out.pending, out.err = true, lapsed
+		out.pending = true
+		if _, lapsed := g.number(o); lapsed != nil {
+			out.err = lapsed
 			return out
 		}
-		out.pending = true
 		if ctx.Err() != nil {
 			return out
 		}
@@ -291,7 +305,7 @@
 		return err
 	}
 	g.highest++
-	o := Order{Operation: Prepare, Version: g.highest, Experts: content}
+	o := Order{Operation: Prepare, Version: g.highest, Experts: content, superseding: true}
 	for rank, version := range g.suspects {
 		if err := g.disarm(ctx, rank, version); err != nil {
 			return err
--- a/expertmap/rollout/group_test.go
+++ b/expertmap/rollout/group_test.go
@@ -211,6 +211,34 @@
 	})
 }
 
+// Guards against a group that stands still because the lease ended in the middle of a switch and, with the store down, no
+// other process can take it (seen in the incident inc-c422).
+func TestSwitchIsEndedAfterTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		g := newFakeGroup(smallShape.Ranks, first, 1)
+		go g.run(ctx)
+		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
+		ranks := g.access()
+		late := &lateArm{Rank: ranks[2], g: g, i: 2}
+		ranks[2] = late
+		group := NewGroup(ranks, 0, i.check, zap.NewNop())
+		require.NoError(t, group.Poll(ctx, Want{}))
+		require.NoError(t, group.Fence(ctx))
+		version, err := group.Prepare(ctx, first)
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		i.ends = time.Now().Add(50 * time.Millisecond)
+		require.Error(t, group.Switch(ctx, version))
+		time.Sleep(15 * time.Second)
+		require.False(t, g.heldNow())
+		require.False(t, g.split)
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Guards against orders of an issuer whose lease has ended.
 func TestNoOrderAfterTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -23,6 +23,8 @@
 	Horizon time.Duration
 	// MinGain is the part of a pass that a map has to save.
 	MinGain float64
+	// LeaseLeft returns for how long the lease of the issuer lasts; nil for ever.
+	LeaseLeft func() time.Duration
 	// PrepareTimeout is the time beyond that of copying after which a map that is not loaded everywhere is given up.
 	PrepareTimeout time.Duration
 }
@@ -40,6 +42,8 @@
 	copySlowdown = 0.15
 	// switchTime is about the time from the last copy to the pass of the switch.
 	switchTime = 250 * time.Millisecond
+	// minLease is the time that the lease must last for a switch to begin.
+	minLease = time.Second
 	// copyMargin is how much longer copies may take than planned before a map is given up.
 	copyMargin = 2
 )
@@ -169,6 +173,9 @@
 		}
 		return nil
 	}
+	if left := p.set.LeaseLeft; left != nil && left() < minLease {
+		return nil // The switch might not end before the lease.
+	}
 	next := p.next
 	p.next = nil
 	if err := p.group.Switch(ctx, p.version); err != nil {
--- a/expertmap/rollout/rank.go
+++ b/expertmap/rollout/rank.go
@@ -103,6 +103,8 @@
 	Experts [][][]uint16 `json:"experts,omitempty"`
 	// Fence is the fencing number of the issuer's lease.
 	Fence int64 `json:"fence"`
+	// superseding marks the preparation of the map in use, by which a late order to arm is refused.
+	superseding bool
 }
 
 // Rank is the access to one rank. Its methods end with the context.
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -128,6 +128,13 @@
 	return l.fence, nil
 }
 
+// Left returns for how long the lease is held unless it is renewed; not above 0 when it is not held.
+func (l *Lease) Left() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Until(l.until)
+}
+
 func (l *Lease) hold(fence int64, start time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
