--- /dev/null
+++ b/gateway/limit/limit_test.go
@@ -0,0 +1,108 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const aim = 120 * time.Millisecond
+
+// feed gives a limiter pauses for a time.
+func feed(l *Limiter, pause time.Duration, now *time.Time, d time.Duration) {
+	for end := now.Add(d); now.Before(end); *now = now.Add(10 * time.Millisecond) {
+		l.ObservePause(pause, aim, *now)
+	}
+}
+
+// Guards against streams that are all late because too many run at once, and against a limit that stays low when there is
+// room. Pattern: a crest that lengthens every pass, and its end.
+func TestLimitFollowsThePauses(t *testing.T) {
+	now := time.Now()
+	l := New(now)
+	for l.Admit() {
+	}
+	require.Equal(t, initialLimit, l.InFlight())
+	feed(l, aim, &now, 3*time.Second)
+	crowded := l.Limit()
+	require.Less(t, crowded, initialLimit/2)
+	for l.InFlight() > crowded {
+		l.End(time.Second)
+	}
+	for range 30 { // Callers wait, so that each new place is taken.
+		for l.Admit() {
+		}
+		feed(l, aim/2, &now, 100*time.Millisecond)
+	}
+	require.Greater(t, l.Limit(), crowded+5)
+}
+
+// Guards against a limit that grows without being used, and would admit a whole crest at once.
+func TestLimitDoesNotGrowUnused(t *testing.T) {
+	now := time.Now()
+	l := New(now)
+	require.True(t, l.Admit())
+	feed(l, aim/4, &now, 10*time.Second)
+	require.Equal(t, initialLimit, l.Limit())
+	l.SetMost(10)
+	require.Equal(t, 10, l.Limit())
+}
+
+// Guards against a request that waits although it cannot be served in time: it is refused at once, and says when a place
+// is free. Pattern: the crest, when more come than the group can serve.
+func TestQueueRefusesAtOnceWhatWouldBeLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(time.Now())
+		for range initialLimit {
+			require.NoError(t, q.Acquire(t.Context(), 0))
+		}
+		start := time.Now()
+		var full *FullError
+		require.ErrorAs(t, q.Acquire(t.Context(), 50*time.Millisecond), &full)
+		require.Zero(t, time.Since(start), "it does not wait")
+		require.Positive(t, full.Wait)
+		// One that can wait gets the next place.
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			q.Release(time.Second)
+		}()
+		require.NoError(t, q.Acquire(t.Context(), 300*time.Millisecond))
+		require.Equal(t, 100*time.Millisecond, time.Since(start))
+	})
+}
+
+// Guards against places that are lost when a caller leaves while it waits, and against serving the last one first.
+func TestQueueIsFairAndLosesNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(time.Now())
+		for range initialLimit {
+			require.NoError(t, q.Acquire(t.Context(), 0))
+		}
+		var order []int
+		leaver, leave := context.WithCancel(t.Context())
+		for i := range 3 {
+			ctx := t.Context()
+			if i == 1 {
+				ctx = leaver
+			}
+			go func() {
+				if q.Acquire(ctx, time.Minute) == nil {
+					order = append(order, i)
+				}
+			}()
+			synctest.Wait()
+		}
+		leave()
+		synctest.Wait()
+		q.Release(time.Second)
+		synctest.Wait()
+		q.Release(time.Second)
+		synctest.Wait()
+		require.Equal(t, []int{0, 2}, order)
+		require.Equal(t, initialLimit, q.Dump().InFlight)
+		require.Zero(t, q.Dump().Waiting)
+	})
+}
