--- a/cmd/lavendermoorctl/commands.go
+++ b/cmd/lavendermoorctl/commands.go
@@ -80,6 +80,11 @@
 		"hash-key": {
 			summary: "Read a key from standard input and print its SHA-256 for the configuration", offline: true, run: hashKey,
 		},
+		"explain": {
+			args: "ID [FILE...]", summary: "Tell the story of one request from log files or standard input", offline: true,
+			details: "Prints what the gateway decided on the request, and what it and the planners of expert maps believed.",
+			run:     explain,
+		},
 	}
 }
 
--- /dev/null
+++ b/cmd/lavendermoorctl/explain.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+const (
+	// beliefBefore is how long before a request a change of a process's state may have decided it.
+	beliefBefore = 15 * time.Second
+	// clockSlack is how far the clocks of two instances may differ.
+	clockSlack  = 3 * time.Second
+	maxLogLine  = 1 << 20
+	requestLine = "request"
+)
+
+// NoRequestError says that no log line is about a request.
+type NoRequestError struct{ ID string }
+
+func (e *NoRequestError) Error() string { return fmt.Sprintf("no log line is about request %q", e.ID) }
+
+// logLine is one event of one process.
+type logLine struct {
+	at            time.Time
+	process, text string
+	program, msg  string
+	request       string
+	took          time.Duration
+}
+
+// story is what the logs say of one request.
+type story struct {
+	id       string
+	requests []logLine
+	beliefs  []logLine
+}
+
+// explain prints the story of a request from log files, or from standard input.
+func explain(_ context.Context, c *cli, args []string) error {
+	if len(args) == 0 {
+		return &UsageError{Problem: "explain needs the id of a request"}
+	}
+	s := story{id: args[0]}
+	if len(args) == 1 {
+		if err := s.read(c.stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range args[1:] {
+		if err := s.readFile(name); err != nil {
+			return err
+		}
+	}
+	if len(s.requests) == 0 {
+		return &NoRequestError{ID: s.id}
+	}
+	s.print(c.stdout)
+	return nil
+}
+
+func (s *story) readFile(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return s.read(f)
+}
+
+// read takes the lines about the request, and those that change what a process believes.
+func (s *story) read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLogLine)
+	isRequest, id := []byte("msg="+requestLine+" "), []byte("request="+s.id+" ")
+	for lines.Scan() {
+		line := lines.Bytes()
+		start := bytes.Index(line, []byte("time="))
+		if start < 0 || (bytes.Contains(line, isRequest) && !bytes.Contains(line, id)) {
+			continue
+		}
+		l, ok := parseLine(line[start:])
+		switch {
+		case !ok:
+		case l.msg == requestLine && l.request == s.id:
+			s.requests = append(s.requests, l)
+		case l.msg != requestLine:
+			s.beliefs = append(s.beliefs, l)
+		}
+	}
+	return lines.Err()
+}
+
+func parseLine(text []byte) (logLine, bool) {
+	l := logLine{text: string(text)}
+	dec := logfmt.NewDecoder(bytes.NewReader(text))
+	if !dec.ScanRecord() {
+		return l, false
+	}
+	for dec.ScanKeyval() {
+		value := string(dec.Value())
+		switch string(dec.Key()) {
+		case "time":
+			at, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return l, false
+			}
+			l.at = at
+		case "name":
+			l.process = value
+		case "program":
+			l.program = value
+		case "msg":
+			l.msg = value
+		case "request":
+			l.request = value
+		case "took":
+			took, err := time.ParseDuration(value)
+			if err != nil {
+				return l, false
+			}
+			l.took = took
+		}
+	}
+	return l, dec.Err() == nil && l.process != ""
+}
+
+// print writes the story in the order of time of each process that served the request. Lines of other processes are of
+// another clock.
+func (s *story) print(w io.Writer) {
+	sort.SliceStable(s.requests, func(i, j int) bool { return s.requests[i].at.Before(s.requests[j].at) })
+	for _, r := range s.requests {
+		begun := r.at.Add(-r.took)
+		printf(w, "request %s at %s, from %s for %v\n", s.id, r.process, begun.Format(time.RFC3339Nano), r.took)
+		for _, b := range s.around(r, begun) {
+			note := ""
+			if b.process != r.process {
+				note = " (another clock)"
+			}
+			printf(w, "  %+9.3fs %s%s: %s\n", b.at.Sub(begun).Seconds(), b.process, note, b.text)
+		}
+		printf(w, "  %+9.3fs %s: %s\n", r.took.Seconds(), r.process, r.text)
+	}
+}
+
+// around returns the changes that a request can depend on: those of its own process, and those of the planners of expert
+// maps while it ran.
+func (s *story) around(r logLine, begun time.Time) []logLine {
+	var out []logLine
+	for _, b := range s.beliefs {
+		own := b.process == r.process && !b.at.Before(begun.Add(-beliefBefore)) && !b.at.After(r.at)
+		other := b.program == "rank" && !b.at.Before(begun.Add(-clockSlack)) && !b.at.After(r.at.Add(clockSlack))
+		if own || (other && b.process != r.process) {
+			out = append(out, b)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].at.Before(out[j].at) })
+	return out
+}
--- a/cmd/lavendermoorctl/main.go
+++ b/cmd/lavendermoorctl/main.go
@@ -16,6 +16,7 @@
 	"connectrpc.com/connect"
 
 	"lavendermoor.example/api/operatorv1/operatorv1connect"
+	"lavendermoor.example/cmd/internal/start"
 )
 
 // Exit codes by kind of error.
@@ -84,6 +85,10 @@
 	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
 		return c.help(args)
 	}
+	if args[0] == "version" || args[0] == "-version" || args[0] == "--version" {
+		printf(stdout, "lavendermoorctl %s\n", start.Version)
+		return exitOK
+	}
 	cmd, ok := commands()[args[0]]
 	if !ok {
 		printf(stderr, "lavendermoorctl: unknown command %q; see lavendermoorctl help\n", args[0])
