Start the limit of streams from the group's slots and let it grow in proportion

Cause (grown deployments): every gateway began with 24 streams and added 4 a second, so that a group with 630 slots refused a fifth of its callers for the first 20 s.

--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -11,7 +11,10 @@
 
 // Bounds and steps of the limit.
 const (
+	// initialLimit holds until the slots of the group are known, then initialShare of them: the other gateways that share
+	// the group are not known.
 	initialLimit = 24
+	initialShare = 1.0 / 7
 	minLimit     = 4
 	// window is the time over which pauses are collected for one step.
 	window = 250 * time.Millisecond
@@ -23,7 +26,8 @@
 	highShare = 0.92
 	lowShare  = 0.75
 	decrease  = 0.92
-	increase  = 1.0
+	// increase is the share of the limit by which it is raised, and at least one.
+	increase = 0.04
 	// usedShare of the limit has to be in use before it is raised.
 	usedShare  = 0.8
 	holdWeight = 0.05
@@ -52,6 +56,9 @@
 
 // SetMost bounds the limit by the slots of the group.
 func (l *Limiter) SetMost(slots int) {
+	if math.IsInf(l.most, 1) && slots > 0 {
+		l.limit = max(initialShare*float64(slots), minLimit)
+	}
 	l.most = float64(max(slots, minLimit))
 	l.limit = min(l.limit, l.most)
 }
@@ -112,7 +119,7 @@
 	case l.lastPause > highShare:
 		l.limit = max(min(l.limit, float64(l.inFlight)+1)*decrease, minLimit)
 	case l.lastPause < lowShare && float64(l.inFlight) >= usedShare*l.limit:
-		l.limit = min(l.limit+increase, l.most)
+		l.limit = min(l.limit+max(increase*l.limit, 1), l.most)
 	}
 }
 
