--- /dev/null
+++ b/admission/wait.go
@@ -0,0 +1,72 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// longSlots returns the number of slots that long work may use. With one slot there is nothing to reserve.
+func (q *Queue) longSlots() int {
+	limit := q.limit.slots()
+	reserved := int(math.Ceil(q.cfg.ReservedShare * float64(limit)))
+	return max(limit-reserved, 1)
+}
+
+func (q *Queue) slotFor(k Kind) bool {
+	if q.totalRunning() >= q.limit.slots() {
+		return false
+	}
+	return k != Long || q.running[Long] < q.longSlots()
+}
+
+// rawWait predicts the wait of an item that arrives now, in seconds: the work ahead of it, plus the rest of
+// one running service time, over the slots that its kind can get.
+func (q *Queue) rawWait(now time.Duration, it *Item) float64 {
+	slots, work, n := q.limit.slots(), 0.0, 0
+	if it.Kind == Long {
+		slots = min(q.longSlots(), slots-(q.totalRunning()-q.running[Long]))
+		work, n = q.runningWork[Long], q.running[Long]
+	} else {
+		for k := Status; k < Long; k++ {
+			work, n = work+q.runningWork[k], n+q.running[k]
+		}
+		slots -= q.running[Long]
+	}
+	if q.cfg.ReservedShare == 0 {
+		slots, work, n = q.limit.slots(), 0, q.totalRunning()
+		for _, w := range q.runningWork {
+			work += w
+		}
+	}
+	rest := max(work, 0) / float64(max(n, 1))
+	free := max(float64(slots)-q.overtaking(now, it), minShareOfSlots*float64(max(slots, 1)))
+	return (q.policy.Ahead(it) + rest) / free
+}
+
+// overtaking returns the slots that arrivals of preferred kinds take while the item waits: as many as they took
+// lately. Long work has slots of its own.
+func (q *Queue) overtaking(now time.Duration, it *Item) float64 {
+	if q.cfg.Policy != Fair {
+		return 0
+	}
+	sum := 0.0
+	for k := range q.occupied {
+		if q.cfg.KindBoost[k] > q.cfg.KindBoost[it.Kind] && it.Kind != Long {
+			sum += q.occupied[k].mean(now)
+		}
+	}
+	return sum
+}
+
+// learnWait compares the predicted with the actual wait of an item that leaves the queue.
+func (q *Queue) learnWait(it *Item, now time.Duration) {
+	if it.predictedWait < biasFrom {
+		return
+	}
+	ratio := it.Wait(now).Seconds() / it.predictedWait
+	b := &q.waitBias[it.lane()]
+	ratio = min(max(ratio, 1.0/biasMax), biasMax)
+	e := &q.waitError[it.lane()]
+	*e += biasGain * (math.Abs(ratio / *b - 1) - *e)
+	*b += biasGain * (ratio - *b)
+}
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -60,11 +60,8 @@
 // Run runs a gateway until the context ends and its requests are answered. Changes of the settings file are taken up.
 func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
 	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
-	out := telemetry.NewBoundedWriter(logs)
-	flushing, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
-	flushed := make(chan struct{})
-	go func() { out.Run(flushing); close(flushed) }()
-	defer func() { stopLogs(); <-flushed }()
+	out, stopLogs := telemetry.StartLogs(ctx, logs)
+	defer stopLogs()
 	g, err := build(s, out)
 	if err != nil {
 		return err
@@ -73,7 +70,9 @@
 	if err != nil {
 		return err
 	}
-	go settings.Watch(flushing, file, Defaults, g.reload, g.log)
+	watching, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatch()
+	go settings.Watch(watching, file, Defaults, g.reload, g.log)
 	err = g.run(ctx, listeners)
 	g.log.Info("stopped", zap.Error(err))
 	return err
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -62,11 +62,8 @@
 // Run runs a rank process until the context ends. Changes of the settings file are taken up.
 func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
 	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
-	out := telemetry.NewBoundedWriter(logs)
-	flushing, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
-	flushed := make(chan struct{})
-	go func() { out.Run(flushing); close(flushed) }()
-	defer func() { stopLogs(); <-flushed }()
+	out, stopLogs := telemetry.StartLogs(ctx, logs)
+	defer stopLogs()
 	p, err := build(s, out)
 	if err != nil {
 		return err
@@ -76,7 +73,9 @@
 	if err != nil {
 		return err
 	}
-	go settings.Watch(flushing, file, Defaults, p.reload, p.log)
+	watching, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatch()
+	go settings.Watch(watching, file, Defaults, p.reload, p.log)
 	group, serving := errgroup.WithContext(ctx)
 	group.Go(func() error { return telemetry.Serve(serving, l, p.handler(), listenerGrace) })
 	group.Go(func() error { p.campaign(serving); return nil })
@@ -144,7 +143,7 @@
 // leaseTimes lets another process take over soon after the planner has died: a group that it has left in the middle
 // of a switch stands still until then.
 func leaseTimes() orders.LeaseSettings {
-	return orders.LeaseSettings{TTL: 2400 * time.Millisecond, Margin: 500 * time.Millisecond}
+	return orders.LeaseSettings{TTL: 3 * time.Second, Margin: 500 * time.Millisecond}
 }
 
 const (
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -18,15 +18,9 @@
 	// The issuer has a fraction of a core, so that each rank adds to the time in which all are asked or ordered.
 	statePerRank = 12 * time.Millisecond
 	orderPerRank = 5 * time.Millisecond
-	// passesAhead is how far before its pass a switch is ordered, and one more for each ranksPerPass ranks; orders that
-	// arrive in time then delay no pass.
-	passesAhead  = 2
-	ranksPerPass = 16
 	// maxCalls bounds the calls in progress, maxCounts the ranks that are asked for their counts in one poll.
 	maxCalls  = 32
 	maxCounts = 16
-	// holdAttempts bounds the passes that are tried when each has begun before the hold arrived.
-	holdAttempts = 3
 	// armAttempts and undoAttempts bound the repeats of an order that gets no answer. A group that is held stands still,
 	// so arming gives up early, and what undoes it does not.
 	armAttempts  = 4
@@ -195,146 +189,8 @@
 	return out
 }
 
-// Fence makes the present fencing number known to every rank, after which no order of an earlier issuer is carried
-// out. It does nothing when they know it.
-func (g *Group) Fence(ctx context.Context) error {
-	fence, err := g.fence()
-	if err != nil || fence == g.fenced {
-		return err
-	}
-	errs := make([]error, len(g.ranks))
-	g.each(func(i int) {
-		errs[i] = g.persist(ctx, i, Order{Operation: Release, Pass: 0}, undoAttempts)
-	})
-	if err := errors.Join(errs...); err != nil {
-		return err
-	}
-	g.fenced = fence
-	return nil
-}
-
-// Switching says whether a switch is under way that needs no further order: every rank that has not switched yet is armed
-// for the same pass, and nothing holds it.
-func (g *Group) Switching() bool {
-	var armed *Armed
-	for _, s := range g.states {
-		if s.Held != nil {
-			return false
-		}
-		if s.Armed != nil {
-			armed = s.Armed
-		}
-	}
-	if armed == nil || len(g.suspects) > 0 {
-		return false
-	}
-	for _, s := range g.states {
-		switched := s.Version == armed.Version && s.Pass >= armed.Pass
-		if !switched && (s.Armed == nil || *s.Armed != *armed) {
-			return false
-		}
-	}
-	return true
-}
-
-// Unfinished says whether a switch was begun and neither finished nor undone.
-func (g *Group) Unfinished() bool {
-	if len(g.suspects) > 0 {
-		return true
-	}
-	for _, s := range g.states {
-		if s.Armed != nil || s.Held != nil {
-			return true
-		}
-	}
-	return false
-}
-
-// Resolve finishes a switch for which every rank is armed, and undoes any other. It needs states that were polled after
-// Fence, so that no order of another issuer can interfere.
-func (g *Group) Resolve(ctx context.Context) error {
-	if !g.allArmedAlike() {
-		g.log.Warn("unfinished switch of an expert map is undone", zap.Int64("epoch", g.epoch),
-			zap.Int64("fence", g.fenced))
-		if err := g.undo(ctx); err != nil {
-			return err
-		}
-	}
-	return g.releaseAll(ctx)
-}
-
-func (g *Group) allArmedAlike() bool {
-	first := g.states[0].Armed
-	if first == nil {
-		return false
-	}
-	for _, s := range g.states {
-		if s.Armed == nil || *s.Armed != *first {
-			return false
-		}
-	}
-	return true
-}
-
-// undo disarms every rank that is armed, and makes sure that no order to arm which got no answer is carried out later.
-func (g *Group) undo(ctx context.Context) error {
-	errs := make([]error, len(g.ranks))
-	g.each(func(i int) {
-		if armed := g.states[i].Armed; armed != nil {
-			errs[i] = g.disarm(ctx, i, armed.Version)
-		}
-	})
-	if err := errors.Join(errs...); err != nil {
-		return err
-	}
-	return g.clearSuspects(ctx)
-}
-
-func (g *Group) disarm(ctx context.Context, rank int, version int64) error {
-	return g.persist(ctx, rank, Order{Operation: Disarm, Version: version}, undoAttempts)
-}
-
-// clearSuspects prepares the map in use once more under a higher version at each suspect. A rank has one prepared
-// version, so that a late order to arm an older one is refused.
-func (g *Group) clearSuspects(ctx context.Context) error {
-	if len(g.suspects) == 0 {
-		return nil
-	}
-	content, err := g.content(ctx)
-	if err != nil {
-		return err
-	}
-	g.highest++
-	o := Order{Operation: Prepare, Version: g.highest, Experts: content, superseding: true}
-	for rank, version := range g.suspects {
-		if err := g.disarm(ctx, rank, version); err != nil {
-			return err
-		}
-		if err := g.supersede(ctx, rank, o); err != nil {
-			return err
-		}
-		delete(g.suspects, rank)
-	}
-	return nil
-}
-
-// supersede prepares a map at one rank. A refusal is fine when an earlier attempt was carried out after all.
-func (g *Group) supersede(ctx context.Context, rank int, o Order) error {
-	err := g.persist(ctx, rank, o, undoAttempts)
-	if err == nil {
-		return nil
-	}
-	callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
-	defer cancel()
-	s, stateErr := g.ranks[rank].State(callCtx, Want{})
-	if stateErr == nil && s.Epoch == g.epoch && s.Prepared == o.Version && s.Armed == nil {
-		return nil
-	}
-	return errors.Join(err, stateErr)
-}
-
-// content returns the map in use, by layer and rank.
-func (g *Group) content(ctx context.Context) ([][][]uint16, error) {
+// Content returns the map in use, by layer and rank.
+func (g *Group) Content(ctx context.Context) ([][][]uint16, error) {
 	experts := make([][][]uint16, len(g.ranks))
 	errs := make([]error, len(g.ranks))
 	g.each(func(i int) {
@@ -360,22 +216,6 @@
 	return out, nil
 }
 
-// releaseAll releases every pass that is held.
-func (g *Group) releaseAll(ctx context.Context) error {
-	for i, s := range g.states {
-		if s.Held == nil {
-			continue
-		}
-		if err := g.persist(ctx, i, Order{Operation: Release, Pass: *s.Held}, undoAttempts); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// Content returns the map in use, by layer and rank.
-func (g *Group) Content(ctx context.Context) ([][][]uint16, error) { return g.content(ctx) }
-
 // Prepare makes every rank load a map and returns its version. Ranks that did not answer may load it all the same.
 func (g *Group) Prepare(ctx context.Context, experts [][][]uint16) (int64, error) {
 	g.highest++
@@ -401,98 +241,3 @@
 	}
 	return true
 }
-
-// SwitchError says that a switch was given up; the old map stays in use.
-type SwitchError struct {
-	Version, Pass int64
-	Cause         error
-}
-
-func (e *SwitchError) Error() string {
-	return fmt.Sprintf("switch to version %d at pass %d was given up: %v", e.Version, e.Pass, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *SwitchError) Unwrap() error { return e.Cause }
-
-// Switch brings a version that every rank has prepared into force. It fails with a *SwitchError; when the switch could
-// neither be finished nor undone, Unfinished says so after the next poll.
-func (g *Group) Switch(ctx context.Context, version int64) error {
-	pass, err := g.hold(ctx)
-	if err != nil {
-		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
-	}
-	armed := make([]outcome, len(g.ranks))
-	errs := make([]error, len(g.ranks))
-	g.each(func(i int) {
-		armed[i] = g.repeat(ctx, i, Order{Operation: Arm, Version: version, Pass: pass}, armAttempts)
-		errs[i] = armed[i].err
-	})
-	if err := errors.Join(errs...); err != nil {
-		undone := g.abort(ctx, version, pass, armed)
-		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: errors.Join(err, undone)})
-	}
-	if err := g.release(ctx, pass); err != nil {
-		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
-	}
-	return nil
-}
-
-// hold holds the group before a pass that has not begun, and returns the pass.
-func (g *Group) hold(ctx context.Context) (int64, error) {
-	var err error
-	pass := int64(0)
-	for attempt := range holdAttempts {
-		var s State
-		if s, err = g.ownState(ctx); err != nil {
-			return pass, err
-		}
-		pass = max(s.Pass+passesAhead+int64(len(g.ranks)/ranksPerPass)+int64(attempt), g.lastPass+1)
-		g.lastPass = pass
-		err = g.order(ctx, g.self, Order{Operation: Hold, Pass: pass})
-		var refused *RefusedError
-		if err == nil {
-			return pass, nil
-		}
-		if !errors.As(err, &refused) {
-			// The hold may be in force, or come later; releasing it now ends the first case, and a poll finds the second.
-			return pass, errors.Join(err, g.release(ctx, pass))
-		}
-		if refused.Fenced {
-			return pass, err
-		}
-	}
-	return pass, err
-}
-
-func (g *Group) ownState(ctx context.Context) (State, error) {
-	callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
-	defer cancel()
-	return g.ranks[g.self].State(callCtx, Want{})
-}
-
-func (g *Group) release(ctx context.Context, pass int64) error {
-	return g.persist(ctx, g.self, Order{Operation: Release, Pass: pass}, undoAttempts)
-}
-
-// abort undoes a switch that was armed with the outcomes given by rank, and lets the group go on.
-func (g *Group) abort(ctx context.Context, version, pass int64, armed []outcome) error {
-	for i, o := range armed {
-		if o.pending {
-			g.suspects[i] = version
-		}
-	}
-	failed := make([]error, len(g.ranks))
-	g.each(func(i int) {
-		if armed[i].err == nil {
-			failed[i] = g.disarm(ctx, i, version)
-		}
-	})
-	if err := errors.Join(failed...); err != nil {
-		return err
-	}
-	if err := g.clearSuspects(ctx); err != nil {
-		return err
-	}
-	return g.release(ctx, pass)
-}
--- /dev/null
+++ b/expertmap/rollout/resolve.go
@@ -0,0 +1,159 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+)
+
+// Fence makes the present fencing number known to every rank, after which no order of an earlier issuer is carried
+// out. It does nothing when they know it.
+func (g *Group) Fence(ctx context.Context) error {
+	fence, err := g.fence()
+	if err != nil || fence == g.fenced {
+		return err
+	}
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		errs[i] = g.persist(ctx, i, Order{Operation: Release, Pass: 0}, undoAttempts)
+	})
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	g.fenced = fence
+	return nil
+}
+
+// Switching says whether a switch is under way that needs no further order: every rank that has not switched yet is armed
+// for the same pass, and nothing holds it.
+func (g *Group) Switching() bool {
+	var armed *Armed
+	for _, s := range g.states {
+		if s.Held != nil {
+			return false
+		}
+		if s.Armed != nil {
+			armed = s.Armed
+		}
+	}
+	if armed == nil || len(g.suspects) > 0 {
+		return false
+	}
+	for _, s := range g.states {
+		switched := s.Version == armed.Version && s.Pass >= armed.Pass
+		if !switched && (s.Armed == nil || *s.Armed != *armed) {
+			return false
+		}
+	}
+	return true
+}
+
+// Unfinished says whether a switch was begun and neither finished nor undone.
+func (g *Group) Unfinished() bool {
+	if len(g.suspects) > 0 {
+		return true
+	}
+	for _, s := range g.states {
+		if s.Armed != nil || s.Held != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Resolve finishes a switch for which every rank is armed, and undoes any other. It needs states that were polled after
+// Fence, so that no order of another issuer can interfere.
+func (g *Group) Resolve(ctx context.Context) error {
+	if !g.allArmedAlike() {
+		g.log.Warn("unfinished switch of an expert map is undone", zap.Int64("epoch", g.epoch),
+			zap.Int64("fence", g.fenced))
+		if err := g.undo(ctx); err != nil {
+			return err
+		}
+	}
+	return g.releaseAll(ctx)
+}
+
+func (g *Group) allArmedAlike() bool {
+	first := g.states[0].Armed
+	if first == nil {
+		return false
+	}
+	for _, s := range g.states {
+		if s.Armed == nil || *s.Armed != *first {
+			return false
+		}
+	}
+	return true
+}
+
+// undo disarms every rank that is armed, and makes sure that no order to arm which got no answer is carried out later.
+func (g *Group) undo(ctx context.Context) error {
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		if armed := g.states[i].Armed; armed != nil {
+			errs[i] = g.disarm(ctx, i, armed.Version)
+		}
+	})
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	return g.clearSuspects(ctx)
+}
+
+func (g *Group) disarm(ctx context.Context, rank int, version int64) error {
+	return g.persist(ctx, rank, Order{Operation: Disarm, Version: version}, undoAttempts)
+}
+
+// clearSuspects prepares the map in use once more under a higher version at each suspect. A rank has one prepared
+// version, so that a late order to arm an older one is refused.
+func (g *Group) clearSuspects(ctx context.Context) error {
+	if len(g.suspects) == 0 {
+		return nil
+	}
+	content, err := g.Content(ctx)
+	if err != nil {
+		return err
+	}
+	g.highest++
+	o := Order{Operation: Prepare, Version: g.highest, Experts: content, superseding: true}
+	for rank, version := range g.suspects {
+		if err := g.disarm(ctx, rank, version); err != nil {
+			return err
+		}
+		if err := g.supersede(ctx, rank, o); err != nil {
+			return err
+		}
+		delete(g.suspects, rank)
+	}
+	return nil
+}
+
+// supersede prepares a map at one rank. A refusal is fine when an earlier attempt was carried out after all.
+func (g *Group) supersede(ctx context.Context, rank int, o Order) error {
+	err := g.persist(ctx, rank, o, undoAttempts)
+	if err == nil {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
+	defer cancel()
+	s, stateErr := g.ranks[rank].State(callCtx, Want{})
+	if stateErr == nil && s.Epoch == g.epoch && s.Prepared == o.Version && s.Armed == nil {
+		return nil
+	}
+	return errors.Join(err, stateErr)
+}
+
+// releaseAll releases every pass that is held.
+func (g *Group) releaseAll(ctx context.Context) error {
+	for i, s := range g.states {
+		if s.Held == nil {
+			continue
+		}
+		if err := g.persist(ctx, i, Order{Operation: Release, Pass: *s.Held}, undoAttempts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/expertmap/rollout/switch.go
@@ -0,0 +1,113 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// passesAhead is how far before its pass a switch is ordered, and one more for each ranksPerPass ranks; orders that
+	// arrive in time then delay no pass.
+	passesAhead  = 2
+	ranksPerPass = 16
+	// holdAttempts bounds the passes that are tried when each has begun before the hold arrived.
+	holdAttempts = 3
+)
+
+// SwitchError says that a switch was given up; the old map stays in use.
+type SwitchError struct {
+	Version, Pass int64
+	Cause         error
+}
+
+func (e *SwitchError) Error() string {
+	return fmt.Sprintf("switch to version %d at pass %d was given up: %v", e.Version, e.Pass, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SwitchError) Unwrap() error { return e.Cause }
+
+// Switch brings a version that every rank has prepared into force. It fails with a *SwitchError; when the switch could
+// neither be finished nor undone, Unfinished says so after the next poll.
+func (g *Group) Switch(ctx context.Context, version int64) error {
+	pass, err := g.hold(ctx)
+	if err != nil {
+		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
+	}
+	armed := make([]outcome, len(g.ranks))
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		armed[i] = g.repeat(ctx, i, Order{Operation: Arm, Version: version, Pass: pass}, armAttempts)
+		errs[i] = armed[i].err
+	})
+	if err := errors.Join(errs...); err != nil {
+		undone := g.abort(ctx, version, pass, armed)
+		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: errors.Join(err, undone)})
+	}
+	if err := g.release(ctx, pass); err != nil {
+		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
+	}
+	return nil
+}
+
+// hold holds the group before a pass that has not begun, and returns the pass.
+func (g *Group) hold(ctx context.Context) (int64, error) {
+	var err error
+	pass := int64(0)
+	for attempt := range holdAttempts {
+		var s State
+		if s, err = g.ownState(ctx); err != nil {
+			return pass, err
+		}
+		pass = max(s.Pass+passesAhead+int64(len(g.ranks)/ranksPerPass)+int64(attempt), g.lastPass+1)
+		g.lastPass = pass
+		err = g.order(ctx, g.self, Order{Operation: Hold, Pass: pass})
+		var refused *RefusedError
+		if err == nil {
+			return pass, nil
+		}
+		if !errors.As(err, &refused) {
+			// The hold may be in force, or come later; releasing it now ends the first case, and a poll finds the second.
+			return pass, errors.Join(err, g.release(ctx, pass))
+		}
+		if refused.Fenced {
+			return pass, err
+		}
+	}
+	return pass, err
+}
+
+func (g *Group) ownState(ctx context.Context) (State, error) {
+	callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
+	defer cancel()
+	return g.ranks[g.self].State(callCtx, Want{})
+}
+
+func (g *Group) release(ctx context.Context, pass int64) error {
+	return g.persist(ctx, g.self, Order{Operation: Release, Pass: pass}, undoAttempts)
+}
+
+// abort undoes a switch that was armed with the outcomes given by rank, and lets the group go on.
+func (g *Group) abort(ctx context.Context, version, pass int64, armed []outcome) error {
+	for i, o := range armed {
+		if o.pending {
+			g.suspects[i] = version
+		}
+	}
+	failed := make([]error, len(g.ranks))
+	g.each(func(i int) {
+		if armed[i].err == nil {
+			failed[i] = g.disarm(ctx, i, version)
+		}
+	})
+	if err := errors.Join(failed...); err != nil {
+		return err
+	}
+	if err := g.clearSuspects(ctx); err != nil {
+		return err
+	}
+	return g.release(ctx, pass)
+}
--- a/gateway/exchange/request.go
+++ b/gateway/exchange/request.go
@@ -18,7 +18,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Chunked says that the caller sent a body, maybe empty, without a length.
+	// HasBody says that the caller sent a body, which may be empty.
 	HasBody bool
 }
 
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -38,7 +38,7 @@
 type Options struct {
 	Dialect Dialect
 	Fleet   *balance.Fleet
-	// Budget returns the retry budget of a service.
+	// NewBudget returns the retry budget of one more service.
 	NewBudget func() RetryBudget
 	Log       *zap.Logger
 	Metrics   *Metrics
--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -11,10 +11,10 @@
 
 // Bounds and steps of the limit.
 const (
-	// initialLimit holds until the slots of the group are known, then initialShare of them: the other gateways that share
-	// the group are not known.
+	// initialLimit holds until the slots of the group are known; a larger group starts with initialShare of them. The other
+	// gateways that share the group are not known, so that the share is small.
 	initialLimit = 24
-	initialShare = 1.0 / 7
+	initialShare = 1.0 / 9
 	minLimit     = 4
 	// window is the time over which pauses are collected for one step.
 	window = 250 * time.Millisecond
@@ -57,7 +57,7 @@
 // SetMost bounds the limit by the slots of the group.
 func (l *Limiter) SetMost(slots int) {
 	if math.IsInf(l.most, 1) && slots > 0 {
-		l.limit = max(initialShare*float64(slots), minLimit)
+		l.limit = max(initialShare*float64(slots), l.limit)
 	}
 	l.most = float64(max(slots, minLimit))
 	l.limit = min(l.limit, l.most)
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -37,6 +37,15 @@
 	return &BoundedWriter{out: out, start: time.Now()}
 }
 
+// StartLogs returns a writer whose lines reach out until stop is called, which waits for the last ones.
+func StartLogs(ctx context.Context, out io.Writer) (w *BoundedWriter, stop func()) {
+	w = NewBoundedWriter(out)
+	flushing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	flushed := make(chan struct{})
+	go func() { w.Run(flushing); close(flushed) }()
+	return w, func() { cancel(); <-flushed }
+}
+
 // Write takes whole lines; it never fails and never waits for the writer behind.
 func (w *BoundedWriter) Write(p []byte) (int, error) {
 	w.mu.Lock()
--- /dev/null
+++ b/telemetry/bounded_test.go
@@ -0,0 +1,54 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// blockedReader takes nothing until it is opened.
+type blockedReader struct {
+	open chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (b *blockedReader) Write(p []byte) (int, error) {
+	<-b.open
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// Guards against a request that waits for whoever reads the logs, against logs without bound in memory, and against lines
+// that vanish without being counted.
+func TestBlockedLogReaderHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedReader{open: make(chan struct{})}
+		w, stop := StartLogs(context.Background(), out)
+		line := []byte(strings.Repeat("x", 999) + "\n")
+		start := time.Now()
+		for range 10 {
+			for range 1000 {
+				_, err := w.Write(line)
+				require.NoError(t, err)
+			}
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 10*time.Second, time.Since(start), "writing takes no time")
+		dropped := w.Dropped()
+		require.Greater(t, dropped, int64(9000))
+		require.LessOrEqual(t, len(w.pending), maxPending)
+		close(out.open)
+		stop()
+		text := out.got.String()
+		require.Contains(t, text, "log lines dropped")
+		require.LessOrEqual(t, strings.Count(text, "x\n"), 10000-int(dropped))
+	})
+}
