--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -145,7 +145,7 @@
 }
 
 // number returns the fencing number for an order. What ends a switch may be ordered after the lease has ended as well, since
-// a rank that has heard of another issuer refuses it, and the group stands still until someone ends the switch.
+// a rank that knows the fencing number of another issuer refuses it, and the group stands still until someone ends the switch.
 func (g *Group) number(o Order) (int64, error) {
 	fence, err := g.fence()
 	if err != nil && g.ends(o) {
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -35,13 +35,11 @@
 	Unreachable
 	// Abandoned: the caller left or the time ran out before the server could show anything.
 	Abandoned
-	// Silent: the server showed nothing for longer than it should have.
-	Silent
 	// Moved: another server has the address.
 	Moved
 )
 
-var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "abandoned", "silent", "moved"}
+var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "abandoned", "moved"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -103,7 +101,7 @@
 	case Failed:
 		b.failures += failureWeight * (1 - b.failures)
 		b.fail(1, now)
-	case Unreachable, Silent, Moved:
+	case Unreachable, Moved:
 		b.failures += failureWeight * (1 - b.failures)
 		b.fail(ejectAfter, now)
 	}
--- a/gateway/exchange/conn.go
+++ b/gateway/exchange/conn.go
@@ -81,7 +81,7 @@
 	return defaultIdle
 }
 
-// dialer finds a peer that has gone silent within about two seconds.
+// dial opens a connection on which a peer that has gone silent is noticed within about two seconds.
 func dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: timeout,
