--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -50,7 +50,6 @@
 
 	mu      sync.Mutex
 	server  catalog.Server
-	listed  time.Time
 	removed bool
 	// missing says that the list lacks the server, which is kept for a while.
 	missing  bool
@@ -65,8 +64,8 @@
 	until   time.Time
 }
 
-func newBackend(s catalog.Server, dialect exchange.Dialect, now time.Time) *Backend {
-	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s, listed: now}
+func newBackend(s catalog.Server, dialect exchange.Dialect) *Backend {
+	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s}
 }
 
 // Server returns the server as it is listed.
@@ -128,15 +127,13 @@
 
 // status is what a choice needs to know of a backend, as of one moment.
 type status struct {
-	backend *Backend
-	usable  bool
+	usable bool
 	// ejected servers get requests only when no other can.
 	ejected  bool
 	slots    int
 	inFlight int
 	tokens   int
 	failures float64
-	latency  time.Duration
 	local    bool
 }
 
@@ -144,8 +141,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return status{
-		backend: b, usable: !b.removed && !b.server.Draining, ejected: b.missing || now.Before(b.until), slots: b.server.Slots,
-		inFlight: b.inFlight, tokens: b.tokens, failures: b.failures, latency: b.latency,
+		usable: !b.removed && !b.server.Draining, ejected: b.missing || now.Before(b.until), slots: b.server.Slots,
+		inFlight: b.inFlight, tokens: b.tokens, failures: b.failures,
 		local: b.server.Domain == domain,
 	}
 }
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -59,7 +59,7 @@
 			known = false
 		}
 		if !known {
-			b = newBackend(s, f.dialect, now)
+			b = newBackend(s, f.dialect)
 			changes = append(changes, Change{Server: s, What: "added"})
 		} else if b.relist(s) {
 			changes = append(changes, Change{Server: s, What: "draining"})
