Order a switch as many passes ahead as arming takes

Cause: the group is held before the pass of a switch, two passes ahead whatever the ranks need to confirm. Change: the distance follows the measured time of arming and of a pass.

--- a/expertmap/rollout/fake_test.go
+++ b/expertmap/rollout/fake_test.go
@@ -26,7 +26,9 @@
 	// down ranks answer nothing.
 	down map[int]bool
 	// split is set when a pass began with two versions.
-	split    bool
+	split bool
+	// stood counts the passes that were not begun in time because of a hold.
+	stood    int
 	switches int
 	orders   []Order
 	// copying is how long a rank takes to prepare.
@@ -71,8 +73,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	next := g.pass + 1
+	if g.idle {
+		return
+	}
 	for _, r := range g.ranks {
-		if g.idle || (r.held != nil && *r.held == next) {
+		if r.held != nil && *r.held == next {
+			g.stood++
 			return
 		}
 	}
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -47,6 +47,7 @@
 	// lastPass is the last pass that a hold was ordered for. No other hold is for the same pass, so that an order to
 	// release it which is carried out late cannot release another.
 	lastPass int64
+	timing   timing
 	// turn is the first rank that is asked for its counts by the next poll.
 	turn int
 }
@@ -115,10 +116,11 @@
 	}
 	if states[0].Epoch != g.epoch {
 		// Orders carry the epoch, so those of the one before are dead.
-		g.epoch, g.fenced, g.lastPass = states[0].Epoch, 0, 0
+		g.epoch, g.fenced, g.lastPass, g.timing = states[0].Epoch, 0, 0, timing{}
 		clear(g.suspects)
 	}
 	g.states = states
+	g.timing.observePass(states[0].Pass, time.Now())
 	return nil
 }
 
--- a/expertmap/rollout/switch.go
+++ b/expertmap/rollout/switch.go
@@ -4,18 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
 
-const (
-	// passesAhead is how far before its pass a switch is ordered, and one more for each ranksPerPass ranks; orders that
-	// arrive in time then delay no pass.
-	passesAhead  = 2
-	ranksPerPass = 16
-	// holdAttempts bounds the passes that are tried when each has begun before the hold arrived.
-	holdAttempts = 3
-)
+// holdAttempts bounds the passes that are tried when each has begun before the hold arrived.
+const holdAttempts = 3
 
 // SwitchError says that a switch was given up; the old map stays in use.
 type SwitchError struct {
@@ -37,12 +32,14 @@
 	if err != nil {
 		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
 	}
+	started := time.Now()
 	armed := make([]outcome, len(g.ranks))
 	errs := make([]error, len(g.ranks))
 	g.each(func(i int) {
 		armed[i] = g.repeat(ctx, i, Order{Operation: Arm, Version: version, Pass: pass}, armAttempts)
 		errs[i] = armed[i].err
 	})
+	g.timing.observeArming(time.Since(started))
 	if err := errors.Join(errs...); err != nil {
 		undone := g.abort(ctx, version, pass, armed)
 		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: errors.Join(err, undone)})
@@ -62,7 +59,8 @@
 		if s, err = g.ownState(ctx); err != nil {
 			return pass, err
 		}
-		pass = max(s.Pass+passesAhead+int64(len(g.ranks)/ranksPerPass)+int64(attempt), g.lastPass+1)
+		g.timing.observePass(s.Pass, time.Now())
+		pass = max(s.Pass+g.timing.ahead(len(g.ranks))+int64(attempt), g.lastPass+1)
 		g.lastPass = pass
 		err = g.order(ctx, g.self, Order{Operation: Hold, Pass: pass})
 		var refused *RefusedError
--- /dev/null
+++ b/expertmap/rollout/timing_test.go
@@ -0,0 +1,59 @@
+package rollout
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a group that stands still at each change of its map while a rank is late to confirm its order, which makes
+// every stream of the group late (seen on lumme-reititin scale-1, where orders were answered late for 18 s).
+func TestLateConfirmationsDelayOneSwitchOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		g := newFakeGroup(smallShape.Ranks, first, 1)
+		go g.run(ctx)
+		ranks := g.access()
+		ranks[2] = &slowArm{Rank: ranks[2], pause: 100 * time.Millisecond}
+		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
+		group, version := prepared(ctx, t, ranks, i, first)
+		for range 5 {
+			require.NoError(t, group.Poll(ctx, Want{}))
+			require.NoError(t, group.Switch(ctx, version))
+			ranks[2].(*slowArm).pause = 250 * time.Millisecond
+			time.Sleep(2 * time.Second)
+			require.Equal(t, version, g.ranks[0].version)
+			var err error
+			version, err = group.Prepare(ctx, first)
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+		require.LessOrEqual(t, g.stood, 4, "passes delayed by the second switch, the first with the longer delay")
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Guards against switches that are ordered ever later after one delay, and against an order far ahead in an idle group.
+func TestPassesAheadFollowTheTimeOfArming(t *testing.T) {
+	now := time.Now()
+	var tm timing
+	require.EqualValues(t, passesAhead, tm.ahead(12))
+	require.EqualValues(t, passesAhead+3, tm.ahead(63))
+	for pass := range int64(10) {
+		tm.observePass(pass, now)
+		now = now.Add(50 * time.Millisecond)
+	}
+	tm.observeArming(400 * time.Millisecond)
+	require.EqualValues(t, 11, tm.ahead(12))
+	for range 20 {
+		tm.observeArming(40 * time.Millisecond)
+	}
+	require.EqualValues(t, passesAhead, tm.ahead(12))
+	tm.observeArming(time.Hour)
+	require.EqualValues(t, maxPassesAhead, tm.ahead(12))
+}
