--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -26,8 +26,11 @@
 	highShare = 0.92
 	lowShare  = 0.75
 	decrease  = 0.92
-	// increase is the share of the limit by which it is raised, and at least one.
-	increase = 0.04
+	// increase is the share of the limit by which it is raised, and at least one. Below idleShare of the aim it is
+	// raised by fastIncrease, so that a limit which fell during a fault does not refuse for long after its end.
+	increase     = 0.04
+	idleShare    = 0.5
+	fastIncrease = 0.16
 	// usedShare of the limit has to be in use before it is raised.
 	usedShare  = 0.8
 	holdWeight = 0.05
@@ -119,10 +122,18 @@
 	case l.lastPause > highShare:
 		l.limit = max(min(l.limit, float64(l.inFlight)+1)*decrease, minLimit)
 	case l.lastPause < lowShare && float64(l.inFlight) >= usedShare*l.limit:
-		l.limit = min(l.limit+max(increase*l.limit, 1), l.most)
+		l.limit = min(l.limit+max(l.growth()*l.limit, 1), l.most)
 	}
 }
 
+// growth is the share by which the limit is raised.
+func (l *Limiter) growth() float64 {
+	if l.lastPause < idleShare {
+		return fastIncrease
+	}
+	return increase
+}
+
 // Wait estimates how long a request behind others in a queue waits for a place.
 func (l *Limiter) Wait(ahead int) time.Duration {
 	return time.Duration(float64(ahead+1) * float64(l.hold) / max(l.limit, 1))
--- a/gateway/limit/limit_test.go
+++ b/gateway/limit/limit_test.go
@@ -40,6 +40,26 @@
 	require.Greater(t, l.Limit(), crowded+5)
 }
 
+// Guards against refusals that go on after a fault has ended because the limit comes back by one stream at a time. Pattern:
+// a rank is slow for some seconds and well again while callers wait (seen on ppsc-ga trouble-2, 6 s of refusals).
+func TestLimitComesBackSoonAfterAFault(t *testing.T) {
+	now := time.Now()
+	l := New(now)
+	for l.Admit() {
+	}
+	feed(l, 6*aim, &now, 10*time.Second)
+	for l.InFlight() > l.Limit() {
+		l.End(time.Second)
+	}
+	require.LessOrEqual(t, l.Limit(), 6)
+	for range 30 { // Three seconds in which callers wait, so that each new place is taken.
+		for l.Admit() {
+		}
+		feed(l, aim*4/10, &now, 100*time.Millisecond)
+	}
+	require.GreaterOrEqual(t, l.Limit(), initialLimit*3/4)
+}
+
 // Guards against a limit that grows without being used, and would admit a whole crest at once.
 func TestLimitDoesNotGrowUnused(t *testing.T) {
 	now := time.Now()
