Keep requests away from slow ranks, and move streams off them

Gateways cannot see it, since all ranks share each pass, and went on sending it a twelfth of the requests; passes of the whole group lasted 0.7 s. Change: the planner tells the processes beside the ranks which ranks are slow, a gateway asks one of them each 0.7 s, counts the load of a slow rank times its pace, and from a pace of 2.5 moves streams that may be resumed to another rank, within the budget of repeated sends. A group whose passes are long switches at the next pass. Ruled out: reports asked from the ranks by each gateway, which are priced as probes and grow with gateways times ranks.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -229,6 +229,7 @@
 	group.Go(func() error { g.servers.Run(serving); return nil })
 	group.Go(func() error { g.srv.Housekeep(serving); return nil })
 	group.Go(func() error { g.settle(serving); return nil })
+	group.Go(func() error { g.followPaces(serving); return nil })
 	group.Go(func() error { return telemetry.ServeServer(serving, l.callers, callers, listenerGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.ready, g.readyHandler(), listenerGrace) })
 	group.Go(func() error { return telemetry.Serve(serving, l.control, g.controlHandler(), listenerGrace) })
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -14,6 +14,8 @@
 	Store string `json:"store" validate:"required,hostname_port"`
 	// Peers are control addresses of some gateways; they may be out of date and may contain this process.
 	Peers []string `json:"peers" validate:"dive,hostname_port"`
+	// RankPort is the port of the rank processes beside model replicas, the same on all instances; 0 without them.
+	RankPort int `json:"rank_port" validate:"gte=0,lt=65536"`
 	// GraceSeconds is the time between the platform's request to stop and the end of the process.
 	GraceSeconds float64 `json:"grace_seconds" validate:"gt=0"`
 	// RetryRatio and RetrySlack are the bounds that all gateways share for repeated sends: a share of the requests and a
--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -81,19 +81,23 @@
 func (p *process) plan(ctx context.Context, lease *orders.Lease, group string) {
 	var planner *rollout.Planner
 	var ranks *rollout.Group
+	var notices *announcer
 	for ctx.Err() == nil {
 		if planner == nil {
 			var err error
-			if planner, ranks, err = p.discover(ctx, lease, group); err != nil {
+			var addresses []string
+			if planner, ranks, addresses, err = p.discover(ctx, lease, group); err != nil {
 				p.log.Info("ranks of the group not found", zap.Error(err))
 				pause(ctx, retryPause)
 				continue
 			}
+			notices = &announcer{process: p, group: group, lease: lease, addresses: addresses}
 		}
 		started := time.Now()
 		// A switch that has begun is ended also when the lease or the process ends: the group stands still until then.
 		err := planner.Tick(context.WithoutCancel(ctx), started)
 		p.report(group, lease, ranks, err)
+		notices.tell(ctx, ranks.States(), time.Now())
 		if p.mustRediscover(err) {
 			planner = nil
 			pause(ctx, retryPause)
@@ -136,28 +140,30 @@
 }
 
 // discover reads the configuration and the list of servers, and asks every server of the service for its rank.
-func (p *process) discover(ctx context.Context, lease *orders.Lease, group string) (*rollout.Planner, *rollout.Group, error) {
+func (p *process) discover(
+	ctx context.Context, lease *orders.Lease, group string,
+) (planner *rollout.Planner, g *rollout.Group, addresses []string, err error) {
 	engine, err := p.engine(ctx)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	servers, err := p.servers(ctx)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	ranks, self, err := p.ranks(ctx, servers, group)
+	ranks, addresses, self, err := p.ranks(ctx, servers, group)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	g := rollout.NewGroup(ranks, self, lease.Check, p.log)
+	g = rollout.NewGroup(ranks, self, lease.Check, p.log)
 	shape := expertmap.Shape{Ranks: len(ranks), Experts: engine.Experts, Layers: engine.Layers, Slots: engine.Places}
 	if err := shape.Validate(); err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	copyTime := time.Duration(float64(engine.ExpertBytes) / engine.CopyBytesPerSecond * float64(time.Second))
 	set := rollout.DefaultSettings(shape, engine.MaxNew, copyTime)
 	set.LeaseLeft = lease.Left
-	return rollout.NewPlanner(set, g, p.log), g, nil
+	return rollout.NewPlanner(set, g, p.log), g, addresses, nil
 }
 
 // NoEngineError says that the configuration has no engine with expert maps for the service.
@@ -216,8 +222,11 @@
 	discoverTimeout = time.Second
 )
 
-// ranks returns the access to each rank of the group in order, and the index of this process's own.
-func (p *process) ranks(ctx context.Context, servers []catalog.Server, group string) ([]rollout.Rank, int, error) {
+// ranks returns the access to each rank of the group and the address of its replica, in order of rank, and the index of
+// this process's own.
+func (p *process) ranks(
+	ctx context.Context, servers []catalog.Server, group string,
+) (out []rollout.Rank, addresses []string, self int, err error) {
 	found := make([]rollout.Rank, len(servers))
 	states := make([]rollout.State, len(servers))
 	codec := &agent.Codec{}
@@ -238,21 +247,21 @@
 	_ = all.Wait()
 	own, err := p.own.State(ctx, rollout.Want{})
 	if err != nil {
-		return nil, 0, err
+		return nil, nil, 0, err
 	}
-	out := make([]rollout.Rank, own.Size)
+	out, addresses = make([]rollout.Rank, own.Size), make([]string, own.Size)
 	n := 0
 	for i, s := range states {
 		if s.Group == group && s.Rank < len(out) && out[s.Rank] == nil {
-			out[s.Rank] = found[i]
+			out[s.Rank], addresses[s.Rank] = found[i], servers[i].Address
 			n++
 		}
 	}
 	if n < own.Size || own.Size == 0 {
-		return nil, 0, merry.Wrap(&NoGroupError{Group: group, Found: n, Size: own.Size})
+		return nil, nil, 0, merry.Wrap(&NoGroupError{Group: group, Found: n, Size: own.Size})
 	}
 	out[own.Rank] = p.agent
-	return out, own.Rank, nil
+	return out, addresses, own.Rank, nil
 }
 
 // rank returns the access to the rank of the replica at an address.
--- /dev/null
+++ b/cmd/internal/rankd/notice.go
@@ -0,0 +1,79 @@
+package rankd
+
+import (
+	"context"
+	"maps"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lavendermoor.example/expertmap/rollout"
+	"lavendermoor.example/expertmap/rollout/agent"
+	"lavendermoor.example/orders"
+)
+
+const (
+	// slowPace is the pace from which a rank is told to be slow.
+	slowPace = 1.1
+	// noticeEvery is how often a notice is repeated while ranks are slow.
+	noticeEvery   = 3 * time.Second
+	noticeTimeout = 200 * time.Millisecond
+	noticeCalls   = 16
+)
+
+// announcer tells the processes beside all ranks of a group which of them are slow, so that gateways learn it from any.
+type announcer struct {
+	process   *process
+	group     string
+	lease     *orders.Lease
+	addresses []string
+	// told is the last notice, at when it was given.
+	told agent.Notice
+	at   time.Time
+}
+
+// tell gives a notice when the slow ranks have changed, or when the last one is old.
+func (a *announcer) tell(ctx context.Context, states []rollout.State, now time.Time) {
+	fence, err := a.lease.Check()
+	if err != nil || len(states) != len(a.addresses) {
+		return
+	}
+	n := agent.Notice{Group: a.group, Fence: fence, Paces: map[string]float64{}}
+	for i, s := range states {
+		if s.Pace >= slowPace {
+			n.Paces[a.addresses[i]] = s.Pace
+		}
+	}
+	same := fence == a.told.Fence && maps.Equal(n.Paces, a.told.Paces)
+	if same && (len(n.Paces) == 0 || now.Sub(a.at) < noticeEvery) {
+		return
+	}
+	a.told, a.at = n, now
+	a.process.agent.Notify(n)
+	a.send(ctx, n)
+}
+
+// send gives a notice to the other processes. One that does not get it has the next one.
+func (a *announcer) send(ctx context.Context, n agent.Notice) {
+	var all errgroup.Group
+	all.SetLimit(noticeCalls)
+	for _, address := range a.addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil || host == a.process.set.IP {
+			continue
+		}
+		all.Go(func() error {
+			callCtx, cancel := context.WithTimeout(ctx, noticeTimeout)
+			defer cancel()
+			peer := net.JoinHostPort(host, strconv.Itoa(a.process.set.PeerPort))
+			if err := agent.SendNotice(callCtx, a.process.http, peer, n); err != nil {
+				a.process.log.Debug("notice not delivered", zap.String("peer", peer), zap.Error(err))
+			}
+			return nil // The notice is repeated.
+		})
+	}
+	_ = all.Wait()
+}
--- a/expertmap/rollout/agent/agent.go
+++ b/expertmap/rollout/agent/agent.go
@@ -38,8 +38,9 @@
 
 // Agent serves one rank. Its methods may be called from any goroutine.
 type Agent struct {
-	rank rollout.Rank
-	log  *zap.Logger
+	rank  rollout.Rank
+	log   *zap.Logger
+	board board
 
 	mu sync.Mutex
 	// floor is the highest fencing number seen. Not every rank checks the number by itself.
@@ -53,6 +54,8 @@
 func (a *Agent) Register(r *mux.Router) {
 	r.HandleFunc(PathState, a.state).Methods(http.MethodGet)
 	r.HandleFunc(PathOrder, a.order).Methods(http.MethodPost)
+	r.HandleFunc(PathNotice, a.putNotice).Methods(http.MethodPut)
+	r.HandleFunc(PathNotice, a.getNotice).Methods(http.MethodGet)
 }
 
 func (a *Agent) state(w http.ResponseWriter, r *http.Request) {
--- a/expertmap/rollout/timing.go
+++ b/expertmap/rollout/timing.go
@@ -17,6 +17,9 @@
 	// armingDecay is what remains of the longest time of arming with each switch that takes less.
 	armingDecay = 0.8
 	passWeight  = 0.3
+	// hurriedShare is the part of a pass within which arming is quick enough to switch at the next one. The group then
+	// rarely waits, and two passes of a group with a slow rank take more than a second.
+	hurriedShare = 0.25
 )
 
 // timing tells how far ahead a switch has to be ordered. A group that is held before the pass of a switch stands still,
@@ -52,6 +55,9 @@
 	if t.arming == 0 || t.each == 0 {
 		return passesAhead + int64(ranks/ranksPerPass)
 	}
+	if float64(t.arming) < hurriedShare*float64(t.each) {
+		return 1
+	}
 	meanwhile := math.Ceil(armingMargin * float64(t.arming) / float64(t.each))
 	return min(max(int64(meanwhile)+1, passesAhead), maxPassesAhead)
 }
--- a/expertmap/rollout/timing_test.go
+++ b/expertmap/rollout/timing_test.go
@@ -54,6 +54,12 @@
 		tm.observeArming(40 * time.Millisecond)
 	}
 	require.EqualValues(t, passesAhead, tm.ahead(12))
+	slow := tm
+	for pass := range int64(20) {
+		slow.observePass(10+pass, now)
+		now = now.Add(700 * time.Millisecond)
+	}
+	require.EqualValues(t, 1, slow.ahead(12), "two passes of a group with a slow rank take too long")
 	tm.observeArming(time.Hour)
 	require.EqualValues(t, maxPassesAhead, tm.ahead(12))
 }
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -55,6 +55,10 @@
 	missing  bool
 	inFlight int
 	tokens   int
+	// pace is by how much longer the server takes than it should, 0 while not known.
+	pace float64
+	// movable holds, for requests in flight that can go on elsewhere, what moves them there.
+	movable map[*func()]struct{}
 	// failures is the mean of recent outcomes, 0 to 1.
 	failures float64
 	// latency is the mean time to the first byte of recent answers, 0 if there were none.
@@ -125,6 +129,45 @@
 	b.until = now.Add(pause)
 }
 
+// movePace is the pace from which requests in flight are moved away. All ranks of a group wait for the slowest one's own
+// work, so that the streams which stay there slow every stream of the group.
+const movePace = 2.5
+
+// OnSlow registers what moves a request in flight elsewhere. It is called, from another goroutine, once the server turns
+// slow; forget ends that.
+func (b *Backend) OnSlow(move func()) (forget func()) {
+	key := &move
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.movable == nil {
+		b.movable = map[*func()]struct{}{}
+	}
+	b.movable[key] = struct{}{}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.movable, key)
+	}
+}
+
+// setPace takes a pace, moves requests away if the server has turned slow, and says whether the pace has changed.
+func (b *Backend) setPace(pace float64) bool {
+	b.mu.Lock()
+	changed := b.pace != pace
+	var moves []func()
+	if pace >= movePace && b.pace < movePace {
+		for move := range b.movable {
+			moves = append(moves, *move)
+		}
+	}
+	b.pace = pace
+	b.mu.Unlock()
+	for _, move := range moves {
+		move()
+	}
+	return changed
+}
+
 // status is what a choice needs to know of a backend, as of one moment.
 type status struct {
 	usable bool
@@ -133,6 +176,7 @@
 	slots    int
 	inFlight int
 	tokens   int
+	pace     float64
 	failures float64
 	local    bool
 }
@@ -142,8 +186,8 @@
 	defer b.mu.Unlock()
 	return status{
 		usable: !b.removed && !b.server.Draining, ejected: b.missing || now.Before(b.until), slots: b.server.Slots,
-		inFlight: b.inFlight, tokens: b.tokens, failures: b.failures,
-		local: b.server.Domain == domain,
+		inFlight: b.inFlight, tokens: b.tokens, pace: b.pace,
+		failures: b.failures, local: b.server.Domain == domain,
 	}
 }
 
@@ -156,6 +200,7 @@
 	Tokens    int     `json:"tokens"`
 	Failures  float64 `json:"failures"`
 	LatencyMs float64 `json:"latency_ms"`
+	Pace      float64 `json:"pace"`
 	Draining  bool    `json:"draining"`
 	Ejected   bool    `json:"ejected"`
 	Idle      int     `json:"idle_connections"`
@@ -167,7 +212,7 @@
 	defer b.mu.Unlock()
 	return Dump{
 		ID: b.server.ID, Service: b.server.Service, Address: b.server.Address, InFlight: b.inFlight, Tokens: b.tokens,
-		Failures: b.failures, LatencyMs: float64(b.latency) / float64(time.Millisecond), Draining: b.server.Draining,
+		Failures: b.failures, LatencyMs: float64(b.latency) / float64(time.Millisecond), Pace: b.pace, Draining: b.server.Draining,
 		Ejected: now.Before(b.until), Idle: b.Pool.Idle(),
 	}
 }
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -139,6 +139,18 @@
 	return began
 }
 
+// SetPaces takes the paces of the slow servers of a service, by address; every other one is well. It returns the servers
+// whose pace has changed.
+func (f *Fleet) SetPaces(service string, paces map[string]float64) []catalog.Server {
+	var changed []catalog.Server
+	for _, b := range f.Backends(service) {
+		if b.setPace(paces[b.Pool.Address()]) {
+			changed = append(changed, b.Server())
+		}
+	}
+	return changed
+}
+
 // Backends returns the backends of a service. The caller must not change the slice.
 func (f *Fleet) Backends(service string) []*Backend { return f.current.Load().byService[service] }
 
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -93,3 +93,23 @@
 		require.NotContains(t, old[1:], b, "connections to the old address must not be used")
 	}
 }
+
+// Guards against requests that go to a slow rank as to any other: a group waits for its slowest rank, so that a rank which
+// takes twelve times as long made every pass of its group last 0.7 s (seen on ppsc-ga trouble-2). Pattern: one slow rank.
+func TestSlowServerGetsWhatItCanCarry(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b"), server("c")}, time.Time{}, now)
+	require.Len(t, f.SetPaces("s", map[string]float64{"b:80": 2}), 1)
+	require.Empty(t, f.SetPaces("s", map[string]float64{"b:80": 2}), "nothing has changed")
+	sent := map[string]int{}
+	for range 20 {
+		b, err := f.Pick(Query{Service: "s", Random: func() float64 { return 0.5 }, Now: now})
+		require.NoError(t, err)
+		b.Begin(0)
+		sent[b.Server().ID]++
+	}
+	require.Equal(t, map[string]int{"a": 8, "b": 4, "c": 8}, sent)
+	require.Len(t, f.SetPaces("s", nil), 1)
+	require.Equal(t, "b", pickID(t, f, now), "a server that is well again gets its share")
+}
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -81,11 +81,12 @@
 	}
 }
 
-// score estimates the load that a request would meet: what this process has there in units of the server's slots, and
-// what recent failures cost.
+// score estimates the load of a server with one request more: what this process has there in units of the server's slots,
+// longer by its pace, and what recent failures cost. All ranks of a group wait for the one that has most to do, so that
+// a slow rank gets a share of the requests that it can carry at the pace of the others.
 func (s status) score() float64 {
 	slots := float64(max(s.slots, 1))
-	load := (float64(s.inFlight) + float64(s.tokens)/tokensPerRequest) / slots
+	load := (1 + float64(s.inFlight) + float64(s.tokens)/tokensPerRequest) * max(s.pace, 1) / slots
 	load += failurePenalty * s.failures * s.failures
 	if !s.local {
 		load += remotePenalty
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"lavendermoor.example/gateway/balance"
@@ -33,6 +34,8 @@
 	expires  time.Time
 
 	attempts []attempt
+	// moved says that a send was ended because its server turned slow, and that the budget has allowed another one.
+	moved atomic.Bool
 	// begun is set once a byte of the answer was passed on; it can then only be completed or broken off.
 	begun    bool
 	events   int
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
 )
 
@@ -21,7 +22,7 @@
 			c.fail(c.exhausted(ctx, err))
 			return
 		}
-		if len(c.attempts) > 0 && !budget.Retry(time.Now()) {
+		if len(c.attempts) > 0 && !c.moved.Swap(false) && !budget.Retry(time.Now()) {
 			c.fail(c.exhausted(ctx, &BudgetError{}))
 			return
 		}
@@ -130,6 +131,9 @@
 // try sends the request to one server and passes its answer on. It returns false when the request may be sent to
 // another server, as far as this one is concerned.
 func (c *call) try(ctx context.Context, b *balance.Backend) bool {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer c.moveWhenSlow(b, end)()
 	tokens := c.tokens()
 	b.Begin(tokens)
 	started := time.Now()
@@ -145,6 +149,27 @@
 	return res.answered
 }
 
+// movedError is the cause of a send that was ended because its server turned slow.
+type movedError struct{}
+
+func (movedError) Error() string {
+	return "the server has turned slow; the stream goes on at another one"
+}
+
+// moveWhenSlow has the send ended when its server turns slow, if the stream can go on at another server. It returns the
+// end of that.
+func (c *call) moveWhenSlow(b *balance.Backend, end context.CancelCauseFunc) (forget func()) {
+	if c.route.Kind != catalog.Stream || !c.route.Repeatable() || c.sent()+1 >= c.route.MaxAttempts {
+		return func() {}
+	}
+	return b.OnSlow(func() {
+		if c.server.opts.Fleet.Usable(c.service) > 1 && c.server.budget(c.service).Retry(time.Now()) {
+			c.moved.Store(true)
+			end(movedError{})
+		}
+	})
+}
+
 // result is how one send ended.
 type result struct {
 	// answered says that the caller has its whole answer.
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -378,3 +378,53 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.Equal(t, 2, s.count())
 }
+
+// stall writes the events and then nothing until the connection ends.
+func stall(text string) answer {
+	return func(c net.Conn, r *http.Request) bool {
+		raw(text)(c, r)
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	}
+}
+
+// Guards against streams that stay at a rank which has turned slow and hold up all streams of its group until they end
+// (seen on ppsc-ga trouble-2: passes of 0.7 s for 6 s after no new request went there).
+func TestStreamLeavesAServerThatTurnsSlow(t *testing.T) {
+	slow := newReplica(t, "slow", stall(events(1, 2)))
+	well := newReplica(t, "well", raw(events(3, 4)+lastChunk))
+	g := newGateway(t, slow, well)
+	time.AfterFunc(200*time.Millisecond, func() {
+		g.fleet.SetPaces("s", map[string]float64{slow.listener.Addr().String(): 12})
+	})
+	resp, text, err := g.get(t, "/stream/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\nid: 4\ndata: x4\n\n", text)
+	require.Equal(t, "2", well.first().Header.Get(testLast))
+	require.EqualValues(t, 99, g.budget.left.Load(), "the budget counts the second send once")
+}
+
+// Guards against a stream that is broken off for good because its server turned slow: one that must not be resumed, or for
+// which the budget has no second send, stays.
+func TestStreamThatCannotGoOnElsewhereStays(t *testing.T) {
+	for path, budget := range map[string]int64{"/fixed/x": 100, "/stream/x": 0} {
+		release := make(chan struct{})
+		slow := newReplica(t, "slow", func(c net.Conn, r *http.Request) bool {
+			raw(events(1, 2))(c, r)
+			<-release
+			return raw(chunk("id: 3\ndata: x3\n\n")+lastChunk)(c, r)
+		})
+		well := newReplica(t, "well", raw(events(3, 3)+lastChunk))
+		g := newGateway(t, slow, well)
+		g.budget.left.Store(budget)
+		time.AfterFunc(100*time.Millisecond, func() {
+			g.fleet.SetPaces("s", map[string]float64{slow.listener.Addr().String(): 12})
+			time.AfterFunc(100*time.Millisecond, func() { close(release) })
+		})
+		_, text, err := g.get(t, path)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n", text)
+		require.Zero(t, well.count(), path)
+	}
+}
