Undo a switch only while its pass is held

Cause: while the process beside a rank is gone, its state comes from the rank itself, which gives other instances a report about 200 ms old. Such a report shows a rank as not armed after every rank was armed and the pass released. The planner took the switch for unfinished and disarmed the ranks one by one while the pass began. Ruled out: late orders of an earlier planner (the fencing number was the same throughout), the restart of the killed process (it began after the break). Change: such a report is marked; an unfinished switch is judged by it only once it must be younger than the last order; and undoing holds the pass first, or learns that it has begun, and disarms every rank. Tried and not kept: the hold placed at another rank, whose process ends the switch when the planner is silent for half a second.

--- a/expertmap/rollout/agent/fallback.go
+++ b/expertmap/rollout/agent/fallback.go
@@ -38,7 +38,9 @@
 		return s, nil
 	}
 	want.Counts = false
-	return f.direct.State(ctx, want)
+	s, err = f.direct.State(ctx, want)
+	s.Lagging = true // A rank gives other instances a report that is some hundred milliseconds old.
+	return s, err
 }
 
 // Order implements rollout.Rank.
--- a/expertmap/rollout/fake_test.go
+++ b/expertmap/rollout/fake_test.go
@@ -31,6 +31,10 @@
 	stood    int
 	switches int
 	orders   []Order
+	// lagging ranks report what they were in some earlier passes, as they do while the process beside them is gone.
+	lagging map[int]bool
+	// earlier are the states of the ranks in the last passes, oldest first.
+	earlier [][]State
 	// copying is how long a rank takes to prepare.
 	copying time.Duration
 }
@@ -65,10 +69,25 @@
 			return
 		case <-time.After(passTime):
 			g.begin()
+			g.remember()
 		}
 	}
 }
 
+// lagPasses is by how many passes lagging ranks are late.
+const lagPasses = 4
+
+func (g *fakeGroup) remember() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := make([]State, len(g.ranks))
+	for i := range now {
+		now[i] = g.state(i)
+	}
+	g.earlier = append(g.earlier, now)
+	g.earlier = g.earlier[max(len(g.earlier)-lagPasses, 0):]
+}
+
 func (g *fakeGroup) begin() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,8 +150,27 @@
 		return State{}, merry.Wrap(&UnansweredError{})
 	}
 	r := a.g.ranks[a.i]
+	s := a.g.state(a.i)
+	if a.g.lagging[a.i] && len(a.g.earlier) > 0 {
+		s = a.g.earlier[0][a.i]
+		s.Lagging = true
+	}
+	if want.Counts {
+		s.Counts = slices.Clone(r.counts)
+	}
+	if want.Experts {
+		for _, layer := range r.content {
+			s.Experts = append(s.Experts, layer[a.i])
+		}
+	}
+	return s, nil
+}
+
+// state is the report of a rank. The caller holds the lock.
+func (g *fakeGroup) state(i int) State {
+	r := g.ranks[i]
 	s := State{
-		Group: "g", Epoch: a.g.epoch, Rank: a.i, Size: len(a.g.ranks), Open: true, Pass: a.g.pass, Version: r.version, Pace: 1,
+		Group: "g", Epoch: g.epoch, Rank: i, Size: len(g.ranks), Open: true, Pass: g.pass, Version: r.version, Pace: 1,
 	}
 	if r.prepared != 0 && !time.Now().Before(r.preparedAt) {
 		s.Prepared = r.prepared
@@ -145,15 +183,7 @@
 		held := *r.held
 		s.Held = &held
 	}
-	if want.Counts {
-		s.Counts = slices.Clone(r.counts)
-	}
-	if want.Experts {
-		for _, layer := range r.content {
-			s.Experts = append(s.Experts, layer[a.i])
-		}
-	}
-	return s, nil
+	return s
 }
 
 func (a *fakeAccess) Order(ctx context.Context, o Order) error {
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -48,6 +49,9 @@
 	// release it which is carried out late cannot release another.
 	lastPass int64
 	timing   timing
+	// orders guards ordered, the time of the last order.
+	orders  sync.Mutex
+	ordered time.Time
 	// turn is the first rank that is asked for its counts by the next poll.
 	turn int
 }
@@ -141,11 +145,19 @@
 		return err
 	}
 	o.Fence, o.Epoch = fence, g.epoch
+	g.note(time.Now())
 	callCtx, cancel := context.WithTimeout(ctx, g.orderTimeout())
 	defer cancel()
 	return g.ranks[rank].Order(callCtx, o)
 }
 
+// note takes the time of an order. Orders are given to several ranks at once.
+func (g *Group) note(now time.Time) {
+	g.orders.Lock()
+	defer g.orders.Unlock()
+	g.ordered = now
+}
+
 // number returns the fencing number for an order. What ends a switch may be ordered after the lease has ended as well, since
 // a rank that knows the fencing number of another issuer refuses it, and the group stands still until someone ends the switch.
 func (g *Group) number(o Order) (int64, error) {
--- a/expertmap/rollout/group_test.go
+++ b/expertmap/rollout/group_test.go
@@ -96,6 +96,7 @@
 		g.set(func() {
 			g.lost, g.mute = 0.3*rng.Float64(), 0.1*rng.Float64()
 			g.idle = rng.IntN(4) == 0
+			g.lagging = map[int]bool{rng.IntN(2 * smallShape.Ranks): true, rng.IntN(2 * smallShape.Ranks): true}
 		})
 		life := time.Duration(200+rng.IntN(6000)) * time.Millisecond
 		lead(ctx, g, int(fence)%smallShape.Ranks, &issuer{fence: fence, ends: time.Now().Add(life)}, rng)
@@ -106,7 +107,7 @@
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	}
 	// In calm, a new issuer brings the group on and changes its map.
-	g.set(func() { g.lost, g.mute, g.idle = 0, 0, false })
+	g.set(func() { g.lost, g.mute, g.idle, g.lagging = 0, 0, false, nil })
 	time.Sleep(13 * time.Second) // Every late order has been carried out.
 	before := g.pass
 	lead(ctx, g, 0, &issuer{fence: 100, ends: time.Now().Add(20 * time.Second)}, rng)
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -106,6 +106,9 @@
 	}
 	if p.group.Unfinished() {
 		p.next = nil
+		if p.group.unclear() {
+			return false, nil
+		}
 		return false, p.group.Resolve(ctx)
 	}
 	if p.current != nil && states[0].Epoch == p.epoch && p.current.Version == states[0].Version {
--- a/expertmap/rollout/rank.go
+++ b/expertmap/rollout/rank.go
@@ -26,6 +26,8 @@
 	Size  int   `json:"size"`
 	// Open says that the group processes requests.
 	Open bool `json:"open"`
+	// Lagging says that the report is of some hundred milliseconds ago.
+	Lagging bool `json:"lagging,omitempty"`
 	// Pass is the last one that was begun.
 	Pass int64 `json:"pass"`
 	// Version is that of the map in use, Prepared that of the next one once it is loaded, 0 without one.
--- a/expertmap/rollout/resolve.go
+++ b/expertmap/rollout/resolve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -62,15 +63,37 @@
 	return false
 }
 
+// reportLag is the age that a lagging report may have.
+const reportLag = 600 * time.Millisecond
+
+// unclear says that some states may be older than the last order, so that they tell nothing of an unfinished switch yet.
+func (g *Group) unclear() bool {
+	for _, s := range g.states {
+		if s.Lagging && time.Since(g.ordered) < reportLag {
+			return true
+		}
+	}
+	return false
+}
+
 // Resolve finishes a switch for which every rank is armed, and undoes any other. It needs states that were polled after
-// Fence, so that no order of another issuer can interfere.
+// Fence and are not unclear, so that no order of another issuer can interfere.
 func (g *Group) Resolve(ctx context.Context) error {
-	if !g.allArmedAlike() {
-		g.log.Warn("unfinished switch of an expert map is undone", zap.Int64("epoch", g.epoch),
-			zap.Int64("fence", g.fenced))
-		if err := g.undo(ctx); err != nil {
+	if g.allArmedAlike() {
+		return g.releaseAll(ctx)
+	}
+	g.log.Warn("unfinished switch of an expert map is undone", zap.Int64("epoch", g.epoch), zap.Int64("fence", g.fenced))
+	for _, s := range g.states {
+		if s.Armed == nil {
+			continue
+		}
+		if begun, err := g.undo(ctx, *s.Armed); begun || err != nil {
 			return err
 		}
+		break
+	}
+	if err := g.clearSuspects(ctx); err != nil {
+		return err
 	}
 	return g.releaseAll(ctx)
 }
@@ -88,18 +111,44 @@
 	return true
 }
 
-// undo disarms every rank that is armed, and makes sure that no order to arm which got no answer is carried out later.
-func (g *Group) undo(ctx context.Context) error {
+// undo disarms every rank, also those that do not report to be armed. A rank that switches meanwhile would leave two maps
+// in the group, so that the pass is held first; begun says that it could not be, and that the next poll tells more.
+func (g *Group) undo(ctx context.Context, armed Armed) (begun bool, err error) {
+	holder := g.holderFor(armed.Pass)
+	err = g.persist(ctx, holder, Order{Operation: Hold, Pass: armed.Pass}, undoAttempts)
+	var refused *RefusedError
+	if errors.As(err, &refused) && !refused.Fenced {
+		g.log.Info("the pass of a switch has begun", zap.Int64("version", armed.Version), zap.Int64("pass", armed.Pass))
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
 	errs := make([]error, len(g.ranks))
-	g.each(func(i int) {
-		if armed := g.states[i].Armed; armed != nil {
-			errs[i] = g.disarm(ctx, i, armed.Version)
-		}
-	})
+	g.each(func(i int) { errs[i] = g.disarm(ctx, i, armed.Version) })
 	if err := errors.Join(errs...); err != nil {
-		return err
+		return false, err
+	}
+	if g.states[holder].Held == nil {
+		g.states[holder].Held = &armed.Pass // It is released with the others.
+	}
+	return false, nil
+}
+
+// holderFor returns a rank that can hold a pass: a rank has one hold at a time.
+func (g *Group) holderFor(pass int64) int {
+	for i, s := range g.states {
+		if s.Held != nil && *s.Held == pass {
+			return i
+		}
+	}
+	for i := range g.states {
+		at := (g.self + i) % len(g.states)
+		if g.states[at].Held == nil && !g.states[at].Lagging {
+			return at
+		}
 	}
-	return g.clearSuspects(ctx)
+	return g.self
 }
 
 func (g *Group) disarm(ctx context.Context, rank int, version int64) error {
