--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -49,13 +49,16 @@
 	weights weightserver.Settings
 
 	ranks rankgroup.Settings
+
+	models    int
+	advertise string
 }
 
 // roleError says that a role does not exist.
 type roleError struct{ role string }
 
 func (e *roleError) Error() string {
-	return fmt.Sprintf("role %q does not exist (kv, instances, engine, service, weights, ranks)", e.role)
+	return fmt.Sprintf("role %q does not exist (kv, instances, engine, service, weights, ranks, platform)", e.role)
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -63,7 +66,7 @@
 func run(args []string) int {
 	var o options
 	flags := flag.NewFlagSet("lavendermoor-standin", flag.ContinueOnError)
-	flags.StringVar(&o.role, "role", "", "what to stand in for: kv, instances, engine, service, weights, ranks")
+	flags.StringVar(&o.role, "role", "", "what to stand in for: kv, instances, engine, service, weights, ranks, platform")
 	flags.StringVar(&o.listen, "listen", "127.0.0.1:0", "addresses, separated by commas; the replicas of a service share one state")
 	flags.DurationVar(&o.lag, "lag", time.Second, "instances: delay until a change shows")
 	flags.IntVar(&o.slots, "slots", 16, "engine: requests in a batch")
@@ -85,6 +88,8 @@
 	flags.Float64Var(&o.ranks.Drift.MemorySteps, "memory", 20_000, "ranks: steps after which popularity is forgotten")
 	flags.DurationVar(&o.readTime, "read-time", time.Millisecond, "service: time of a read")
 	flags.DurationVar(&o.writeTime, "write-time", 5*time.Millisecond, "service: time of a write")
+	flags.IntVar(&o.models, "models", 1, "platform: number of model replicas, the ranks of one group")
+	flags.StringVar(&o.advertise, "advertise", "", "platform: addresses under which the replicas are listed, separated by commas")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
@@ -140,6 +145,8 @@
 				Name: fmt.Sprintf("service-%d", i), ReadTime: o.readTime, WriteTime: o.writeTime,
 			}, store).Handler()
 		}, nil
+	case "platform":
+		return usersPlatform(ctx, o)
 	case "weights":
 		h := weightserver.New(o.weights).Handler()
 		return func(int) http.Handler { return h }, nil
--- /dev/null
+++ b/cmd/lavendermoor-standin/platform.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/standin/replicaserver"
+)
+
+// platformError says that the addresses of the users' platform do not fit each other.
+type platformError struct{ listeners, advertised, models int }
+
+func (e *platformError) Error() string {
+	return fmt.Sprintf("%d addresses to listen on and %d advertised do not fit %d model replicas: the store, two of each "+
+		"model replica (for others, for its own instance) and one of each plain replica are needed, and one advertised for "+
+		"each replica", e.listeners, e.advertised, e.models)
+}
+
+// usersPlatform returns the handlers of a stand-in of the users' platform: its store, the model replicas, which are ranks of
+// one group, and the replicas of a plain service. They share the state of this process.
+func usersPlatform(ctx context.Context, o options) (func(i int) http.Handler, error) {
+	listeners, advertised := len(strings.Split(o.listen, ",")), strings.Split(o.advertise, ",")
+	plain := len(advertised) - o.models
+	if o.models < 1 || plain < 0 || listeners != 1+2*o.models+plain {
+		return nil, &platformError{listeners: listeners, advertised: len(advertised), models: o.models}
+	}
+	store, log := kvserver.New(), &replicaserver.Log{}
+	group := replicaserver.NewGroup(o.models)
+	go group.Run(ctx)
+	handlers := []http.Handler{platformStore(store, group, log)}
+	for i, address := range advertised {
+		of := group
+		if i >= o.models {
+			of = nil
+		}
+		r := replicaserver.NewReplica(fmt.Sprintf("i-%d", i), address, fmt.Sprintf("domain-%d", i%2), of, i, log)
+		go r.Register(ctx, store)
+		handlers = append(handlers, r.Handler(false))
+		if of != nil {
+			handlers = append(handlers, r.Handler(true))
+		}
+	}
+	return func(i int) http.Handler { return handlers[i] }, nil
+}
+
+// platformStore returns the routes of the store, and what tests ask of the replicas.
+func platformStore(store *kvserver.Server, group *replicaserver.Group, log *replicaserver.Log) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/standin/runs", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(log.Runs()) // A failed write means that the client has gone.
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/standin/group", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(group.Counts())
+	}).Methods(http.MethodGet)
+	r.PathPrefix("/").Handler(store.PlatformHandler())
+	return r
+}
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -25,7 +25,10 @@
 )
 
 // Programs are the binaries that the harness builds.
-var Programs = []string{"lavendermoor-entry", "lavendermoor-side", "lavendermoor-standin", "lavendermoorctl", "lavendermoor-load"}
+var Programs = []string{
+	"lavendermoor-entry", "lavendermoor-side", "lavendermoor-standin", "lavendermoorctl", "lavendermoor-load",
+	"lavendermoor-gateway", "lavendermoor-rank",
+}
 
 var (
 	buildOnce sync.Once
--- a/standin/kvserver/kvserver.go
+++ b/standin/kvserver/kvserver.go
@@ -53,12 +53,14 @@
 	revision int64
 	records  map[string]record
 	history  []kv.WireEvent
-	changed  chan struct{}
-	leases   map[int64]*lease
-	nextID   int64
-	faults   Faults
-	counts   Counts
-	now      func() time.Time
+	// forgotten is the revision up to which the history is gone.
+	forgotten int64
+	changed   chan struct{}
+	leases    map[int64]*lease
+	nextID    int64
+	faults    Faults
+	counts    Counts
+	now       func() time.Time
 }
 
 // New returns an empty service.
@@ -154,6 +156,10 @@
 		if lost {
 			panic(http.ErrAbortHandler) // Cuts the connection without an answer.
 		}
+		if refused, ok := any(out).(platformRefusal); ok {
+			writeError(w, refused.status, "refused")
+			return
+		}
 		_ = json.NewEncoder(w).Encode(out)
 	}
 }
--- /dev/null
+++ b/standin/kvserver/platform.go
@@ -0,0 +1,275 @@
+package kvserver
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/standin/internal/faultapi"
+)
+
+// platformItem is a key in the form of the users' platform.
+type platformItem struct {
+	Key      string
+	Value    []byte `json:",omitempty"`
+	Revision int64
+	LeaseId  int64 `json:",omitempty"` //nolint:revive // Name of the platform.
+	Deleted  bool  `json:",omitempty"`
+	At       int64 `json:",omitempty"`
+}
+
+type platformLease struct {
+	LeaseId int64 `json:",omitempty"` //nolint:revive // Name of the platform.
+	TtlMs   int64 //nolint:revive // Name of the platform.
+}
+
+type platformTxn struct {
+	Expected []struct {
+		Key      string
+		Revision int64
+	}
+	Writes []platformItem
+	Remove []string
+}
+
+// PlatformHandler returns the routes of the users' platform's store on the same state as Handler: GET and PUT
+// /standin/faults, POST /standin/forget, which drops the history, and PUT and DELETE /standin/key?Key=K for the operator
+// and the replicas.
+func (s *Server) PlatformHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/kv-key", s.platformGet).Methods(http.MethodGet)
+	r.HandleFunc("/kv-range", s.platformRange).Methods(http.MethodGet)
+	r.HandleFunc("/kv-watch", s.platformWatch).Methods(http.MethodGet)
+	r.HandleFunc("/kv-txn", handle(s, s.platformChange)).Methods(http.MethodPost)
+	r.HandleFunc("/kv-lease", handle(s, s.platformGrant)).Methods(http.MethodPost)
+	r.HandleFunc("/kv-keep/{id}", s.platformKeep).Methods(http.MethodPost)
+	r.HandleFunc("/kv-lease-end/{id}", s.platformEnd).Methods(http.MethodDelete)
+	r.HandleFunc("/standin/faults", faultapi.Handler(s.Faults, s.SetFaults)).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/standin/forget", func(http.ResponseWriter, *http.Request) { s.Forget() }).Methods(http.MethodPost)
+	r.HandleFunc("/standin/key", s.platformOwn).Methods(http.MethodPut, http.MethodDelete)
+	return r
+}
+
+// Forget drops the history, as a compaction does.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	s.wake()
+}
+
+// Write sets a key without a condition, and deletes it when the value is nil.
+func (s *Server) Write(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	if value == nil {
+		s.delete(key)
+	} else {
+		s.put(&kv.WirePut{Key: []byte(key), Value: value})
+	}
+	s.wake()
+}
+
+func (s *Server) platformOwn(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("Key")
+	if r.Method == http.MethodDelete {
+		s.Write(key, nil)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.Write(key, body)
+}
+
+func (r record) item(key string) platformItem {
+	return platformItem{Key: key, Value: r.value, Revision: r.mod, LeaseId: r.lease}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // A failed write means that the client has gone.
+}
+
+func (s *Server) platformGet(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	key := r.URL.Query().Get("Key")
+	s.mu.Lock()
+	s.expire()
+	s.counts.Reads++
+	rec, ok := s.records[key]
+	item := rec.item(key)
+	item.At = s.revision
+	s.mu.Unlock()
+	if !ok {
+		writeError(w, http.StatusNotFound, "no such key")
+		return
+	}
+	reply(w, item)
+}
+
+// platformPage is the number of items in a page.
+const platformPage = 500
+
+func (s *Server) platformRange(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	out := struct {
+		Items   []platformItem
+		HasMore bool
+		At      int64
+	}{Items: []platformItem{}}
+	s.mu.Lock()
+	s.expire()
+	s.counts.Reads++
+	out.At = s.revision
+	prefix := q.Get("PathPrefix")
+	for _, k := range s.keysIn(prefix, string(kv.PrefixEnd(prefix))) {
+		if k <= q.Get("After") {
+			continue
+		}
+		if out.HasMore = len(out.Items) == platformPage; out.HasMore {
+			break
+		}
+		out.Items = append(out.Items, s.records[k].item(k))
+	}
+	s.mu.Unlock()
+	reply(w, out)
+}
+
+func (s *Server) platformWatch(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	after, errAfter := strconv.ParseInt(q.Get("After"), 10, 64)
+	wait, errWait := strconv.Atoi(q.Get("WaitMs"))
+	if errAfter != nil || errWait != nil {
+		writeError(w, http.StatusBadRequest, "After and WaitMs are numbers")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	events, at, status := s.platformEvents(ctx, q.Get("PathPrefix"), after)
+	if status != http.StatusOK {
+		writeError(w, status, "the history is gone, or the store is down")
+		return
+	}
+	reply(w, map[string]any{"events": events, "At": at})
+}
+
+// platformEvents waits for events below a prefix after a revision, until the context ends.
+func (s *Server) platformEvents(ctx context.Context, prefix string, after int64) ([]platformItem, int64, int) {
+	for {
+		s.mu.Lock()
+		s.expire()
+		events := []platformItem{}
+		for _, e := range s.history[s.historyFrom(after+1):] {
+			if strings.HasPrefix(string(e.KV.Key), prefix) {
+				events = append(events, platformItem{
+					Key: string(e.KV.Key), Value: e.KV.Value, Revision: e.KV.ModRevision, Deleted: e.Type == "DELETE",
+				})
+			}
+		}
+		at, changed, down, gone := s.revision, s.changed, s.faults.Down, after < s.forgotten
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, http.StatusServiceUnavailable
+		case gone:
+			return nil, 0, http.StatusGone
+		case len(events) > 0 || ctx.Err() != nil:
+			return events, at, http.StatusOK
+		}
+		select {
+		case <-changed:
+		case <-time.After(leaseCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// platformRefusal is the answer to a change that the store refuses.
+type platformRefusal struct{ status int }
+
+func (s *Server) platformChange(in *platformTxn) (any, bool) {
+	s.counts.Writes++
+	for _, e := range in.Expected {
+		if s.records[e.Key].mod != e.Revision {
+			return platformRefusal{http.StatusPreconditionFailed}, true
+		}
+	}
+	for _, item := range in.Writes {
+		if strings.HasPrefix(item.Key, "op/") || strings.HasPrefix(item.Key, "servers/") {
+			return platformRefusal{http.StatusForbidden}, true
+		}
+		if _, ok := s.leases[item.LeaseId]; item.LeaseId != 0 && !ok {
+			return platformRefusal{http.StatusNotFound}, true
+		}
+	}
+	s.revision++
+	for _, item := range in.Writes {
+		s.put(&kv.WirePut{Key: []byte(item.Key), Value: item.Value, Lease: item.LeaseId})
+	}
+	for _, key := range in.Remove {
+		s.delete(key)
+	}
+	s.wake()
+	return map[string]int64{"Revision": s.revision}, true
+}
+
+func (s *Server) platformGrant(in *platformLease) (any, bool) {
+	s.counts.Writes++
+	s.nextID++
+	ttl := time.Duration(in.TtlMs) * time.Millisecond
+	s.leases[s.nextID] = &lease{ttl: ttl, expires: s.now().Add(ttl), keys: map[string]bool{}}
+	return platformLease{LeaseId: s.nextID, TtlMs: in.TtlMs}, true
+}
+
+func (s *Server) platformKeep(w http.ResponseWriter, r *http.Request) {
+	s.platformLeaseCall(w, r, func(_ int64, l *lease) any {
+		l.expires = s.now().Add(l.ttl)
+		return platformLease{TtlMs: l.ttl.Milliseconds()}
+	})
+}
+
+func (s *Server) platformEnd(w http.ResponseWriter, r *http.Request) {
+	s.platformLeaseCall(w, r, func(id int64, _ *lease) any {
+		s.endLease(id)
+		return struct{}{}
+	})
+}
+
+func (s *Server) platformLeaseCall(w http.ResponseWriter, r *http.Request, fn func(int64, *lease) any) {
+	if !s.admit(w, r) {
+		return
+	}
+	id, err := strconv.ParseInt(mux.Vars(r)["id"], 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, ok := s.leases[id]
+	if !ok {
+		writeError(w, http.StatusNotFound, "no such lease")
+		return
+	}
+	reply(w, fn(id, l))
+}
--- /dev/null
+++ b/standin/replicaserver/orders.go
@@ -0,0 +1,141 @@
+package replicaserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// remember keeps the present reports for other instances, which get older ones.
+func (g *Group) remember(now time.Time) {
+	for i, r := range g.ranks {
+		r.reports = append(r.reports, timedReport{at: now, body: g.report(i, now)})
+		for len(r.reports) > 1 && now.Sub(r.reports[1].at) > reportLag {
+			r.reports = r.reports[1:]
+		}
+	}
+}
+
+// report returns what a rank says of itself. The caller holds the lock.
+func (g *Group) report(i int, now time.Time) json.RawMessage {
+	r := g.ranks[i]
+	state := "open"
+	if !g.open {
+		state = "broken"
+	}
+	out := map[string]any{
+		"Running": r.running, "Waiting": 0, "size": len(g.ranks), "pace": max(r.faults.Pace, 1), "step": g.pass,
+		"group":   map[string]any{"Name": "g", "epoch": g.epoch, "rank": i, "State": state},
+		"Mapping": r.version, "Armed": r.armed, "held": r.held,
+	}
+	if r.prepared != 0 && !now.Before(r.preparedAt) {
+		out["Prepared"] = r.prepared
+	}
+	raw, err := json.Marshal(out)
+	if err != nil {
+		panic(err) // The report holds numbers and names only.
+	}
+	return raw
+}
+
+func (g *Group) serveReport(w http.ResponseWriter, i int, near bool) {
+	g.mu.Lock()
+	body := g.ranks[i].reports
+	fresh := g.report(i, time.Now())
+	g.mu.Unlock()
+	if near || len(body) == 0 {
+		_, _ = w.Write(fresh)
+		return
+	}
+	_, _ = w.Write(body[0].body)
+}
+
+func (g *Group) servePicked(w http.ResponseWriter, i int, lists bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[i]
+	out := map[string]any{"step": g.pass, "epoch": g.epoch, "ExpertCounts": r.counts}
+	if lists {
+		out["Mapping"] = map[string]any{"Version": r.version, "Experts": r.content}
+	}
+	_ = json.NewEncoder(w).Encode(out) // A failed write means that the caller has gone.
+}
+
+type order struct {
+	Operation  string
+	Epoch      int64 `json:"epoch"`
+	Version    int64
+	Mapping    [][][]int
+	Step       int64 `json:"step"`
+	FenceToken int64
+}
+
+// serveOrder carries out an order, or loses it as the faults say.
+func (g *Group) serveOrder(w http.ResponseWriter, r *http.Request, i int) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g.mu.Lock()
+	late := g.ranks[i].faults.LateOrders > 0
+	if late {
+		g.ranks[i].faults.LateOrders--
+	}
+	g.mu.Unlock()
+	if late {
+		const delay = 500 * time.Millisecond
+		time.AfterFunc(delay, func() { g.carryOut(i, o) })
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(g.carryOut(i, o))
+}
+
+// carryOut carries out an order and returns the status of the answer.
+func (g *Group) carryOut(i int, o order) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[i]
+	if o.FenceToken < r.fence {
+		return http.StatusPreconditionFailed
+	}
+	if o.Epoch != g.epoch || !g.open {
+		return http.StatusConflict
+	}
+	r.fence = o.FenceToken
+	switch o.Operation {
+	case "prepare":
+		if r.armed != nil || o.Version <= r.top || len(o.Mapping) != Layers {
+			return http.StatusConflict
+		}
+		r.top, r.prepared, r.preparedAt = o.Version, o.Version, time.Now().Add(copyTime)
+		r.next = make([][]int, Layers)
+		for l := range r.next {
+			r.next[l] = o.Mapping[l][i]
+		}
+	case "arm":
+		if r.prepared != o.Version || time.Now().Before(r.preparedAt) || o.Step <= g.pass {
+			return http.StatusConflict
+		}
+		r.armed = &armed{Version: o.Version, Step: o.Step}
+	case "disarm":
+		if r.version == o.Version {
+			return http.StatusConflict
+		}
+		if r.armed != nil && r.armed.Version == o.Version {
+			r.armed = nil
+		}
+	case "Hold":
+		if o.Step <= g.pass || (r.held != nil && *r.held != o.Step) {
+			return http.StatusConflict
+		}
+		r.held = &o.Step
+	case "go":
+		if r.held != nil && *r.held == o.Step {
+			r.held = nil
+		}
+	default:
+		return http.StatusBadRequest
+	}
+	return http.StatusAccepted
+}
--- /dev/null
+++ b/standin/replicaserver/replica.go
@@ -0,0 +1,300 @@
+package replicaserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"lavendermoor.example/standin/internal/faultapi"
+)
+
+// Names of the services.
+const (
+	ModelService = "model"
+	PlainService = "booking"
+)
+
+const (
+	// plainTime is how long a plain request runs.
+	plainTime = 5 * time.Millisecond
+	// slots of a replica; a model replica refuses further requests, a plain one too.
+	slots = 8
+	// heartbeat is how often a replica writes its entry, and lifetime how long the entry stays without.
+	heartbeat = 400 * time.Millisecond
+	lifetime  = 3 * heartbeat
+)
+
+// Run is one execution of a request.
+type Run struct {
+	Attempt  string `json:"attempt"`
+	Replica  string `json:"replica"`
+	Customer string `json:"customer"`
+	Service  string `json:"service"`
+	// KeyPassed says that the caller's key reached the replica.
+	KeyPassed bool `json:"key_passed"`
+	// DrainingMs is for how long the replica had said that it drains, in milliseconds.
+	DrainingMs int64 `json:"draining_ms"`
+	// At is the Unix time of the run in milliseconds.
+	At int64 `json:"at"`
+}
+
+// Log notes the runs of all replicas. Its methods may be called from any goroutine.
+type Log struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+func (l *Log) add(r Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, r)
+}
+
+// Runs returns all runs so far.
+func (l *Log) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run{}, l.runs...)
+}
+
+// Store is where replicas register.
+type Store interface {
+	// Write sets a key, or deletes it when the value is nil.
+	Write(key string, value []byte)
+}
+
+// Replica is one replica.
+type Replica struct {
+	id, address, domain, service string
+	log                          *Log
+	// group and rank are those of a model replica; group is nil for a plain one.
+	group *Group
+	rank  int
+
+	mu       sync.Mutex
+	faults   Faults
+	draining time.Time
+	running  int
+}
+
+// NewReplica returns a replica that is registered with an address. The group is nil for a plain one.
+func NewReplica(id, address, domain string, group *Group, rank int, log *Log) *Replica {
+	service := PlainService
+	if group != nil {
+		service = ModelService
+	}
+	return &Replica{id: id, address: address, domain: domain, service: service, log: log, group: group, rank: rank}
+}
+
+// Faults returns the faults in force.
+func (r *Replica) Faults() Faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// SetFaults replaces the faults.
+func (r *Replica) SetFaults(f Faults) {
+	r.mu.Lock()
+	if f.Draining && !r.faults.Draining {
+		r.draining = time.Now()
+	}
+	r.faults = f
+	r.mu.Unlock()
+	if r.group != nil {
+		r.group.mu.Lock()
+		r.group.ranks[r.rank].faults = f
+		r.group.mu.Unlock()
+	}
+}
+
+// Register keeps the replica's entry in the store until the context ends.
+func (r *Replica) Register(ctx context.Context, store Store) {
+	var written time.Time
+	for seq := int64(1); ctx.Err() == nil; seq++ {
+		f := r.Faults()
+		if !f.Down {
+			state := "ready"
+			if f.Draining {
+				state = "draining"
+			}
+			entry, err := json.Marshal(map[string]any{
+				"Service": r.service, "Address": r.address, "Zone": r.domain, "Version": "v1", "Slots": slots,
+				"State": state, "WarmupLeftMs": 0, "Seq": seq,
+			})
+			if err != nil {
+				panic(err) // The entry holds numbers and names only.
+			}
+			store.Write("servers/"+r.id, entry)
+			written = time.Now()
+		} else if !written.IsZero() && time.Since(written) > lifetime {
+			store.Write("servers/"+r.id, nil)
+			written = time.Time{}
+		}
+		time.Sleep(heartbeat / 2)
+	}
+}
+
+// Handler returns the routes of the replica, and GET and PUT /standin/faults. Reports are fresh for callers that are near,
+// on the replica's own instance.
+func (r *Replica) Handler(near bool) http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/standin/faults", faultapi.Handler(r.Faults, r.SetFaults)).Methods(http.MethodGet, http.MethodPut)
+	m.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, req *http.Request) { r.serve(w, req, near) })
+	return m
+}
+
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request, near bool) {
+	if r.Faults().Down {
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case req.URL.Path == "/health":
+		w.Header().Set("X-Replica-Id", r.id)
+	case r.group != nil && req.URL.Path == "/report":
+		r.group.serveReport(w, r.rank, near)
+	case r.group != nil && req.URL.Path == "/picked":
+		r.group.servePicked(w, r.rank, req.URL.Query().Has("Lists"))
+	case r.group != nil && req.URL.Path == "/order":
+		r.group.serveOrder(w, req, r.rank)
+	default:
+		r.serveRequest(w, req)
+	}
+}
+
+// refuse answers that a request has not run.
+func (r *Replica) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("At-Server", r.id)
+	w.WriteHeader(status)
+}
+
+func (r *Replica) serveRequest(w http.ResponseWriter, req *http.Request) {
+	attempt := req.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", attempt)
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	switch expected := req.Header.Get("X-Expect-Instance"); {
+	case attempt == "":
+		r.refuse(w, http.StatusBadRequest)
+		return
+	case expected != "" && expected != r.id:
+		r.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	f, admitted := r.admit()
+	if !admitted {
+		r.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	defer r.leave()
+	r.note(req, attempt, f)
+	w.Header().Set("X-Replica-Seal", r.id)
+	if r.group != nil {
+		r.stream(w, req, string(body), f)
+		return
+	}
+	time.Sleep(plainTime)
+	if r.loses() {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, PlainAnswer(attempt)) // A failed write means that the caller has gone.
+}
+
+// PlainAnswer is the body of the answer to a plain request.
+func PlainAnswer(attempt string) string { return "done " + attempt + "\n" }
+
+func (r *Replica) admit() (Faults, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running >= slots {
+		return r.faults, false
+	}
+	r.running++
+	return r.faults, true
+}
+
+func (r *Replica) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
+func (r *Replica) loses() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.LoseAnswers == 0 {
+		return false
+	}
+	r.faults.LoseAnswers--
+	return true
+}
+
+func (r *Replica) note(req *http.Request, attempt string, f Faults) {
+	run := Run{
+		Attempt: attempt, Replica: r.id, Service: r.service, Customer: req.Header.Get("X-Tenant"),
+		KeyPassed: req.Header.Get("Authorization") != "", At: time.Now().UnixMilli(),
+	}
+	if f.Draining {
+		r.mu.Lock()
+		run.DrainingMs = time.Since(r.draining).Milliseconds()
+		r.mu.Unlock()
+	}
+	r.log.add(run)
+}
+
+// Event is the text of one event of the answer to a prompt.
+func Event(prompt string, n int) string {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, prompt, "/", n) // A hash takes every write.
+	return fmt.Sprintf("id: %d\ndata: %x\n\n", n, h.Sum64())
+}
+
+// stream writes one event with each pass, from the one after Last-Event-Id to the number in X-Token-Usage.
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, prompt string, f Faults) {
+	_, most, _ := strings.Cut(req.Header.Get("X-Token-Usage"), ",")
+	events, err := strconv.Atoi(most)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // None is 0: the stream begins with event 1.
+	r.group.enter(r.rank, 1)
+	defer r.group.enter(r.rank, -1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	for n := first + 1; n <= events; n++ {
+		if !r.group.next(req.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		r.group.count(r.rank, prompt)
+		text := Event(prompt, n)
+		if f.BreakAfter > 0 && n-first > f.BreakAfter {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			_ = out.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, text); err != nil {
+			return
+		}
+		if err := out.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+func (g *Group) enter(i, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[i].running += n
+}
