--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/cmd/internal/daemon"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/gateway/balance"
@@ -41,13 +41,12 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 256 << 10
-	// memoryShare of the allowed memory is the garbage collector's soft limit; the rest is for stacks and sockets.
-	memoryShare = 0.6
 )
 
 // gateway holds the parts of the process.
 type gateway struct {
 	set     atomic.Pointer[Settings]
+	base    *daemon.Base
 	log     *zap.Logger
 	srv     *ingress.Server
 	fleet   *balance.Fleet
@@ -59,7 +58,7 @@
 
 // Run runs a gateway until the context ends and its requests are answered. Changes of the settings file are taken up.
 func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
-	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
+	daemon.LimitMemory(s.MemoryMB)
 	out, stopLogs := telemetry.StartLogs(ctx, logs)
 	defer stopLogs()
 	g, err := build(s, out)
@@ -81,40 +80,26 @@
 func build(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
 	g := &gateway{peers: mirror.NewPeers(&http.Client{}, s.Peers)}
 	g.set.Store(&s)
-	log, level, err := telemetry.NewLogger(out, "gateway", s.Name, s.LogLevel)
+	base, err := daemon.New(out, "gateway", s.Name, s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	g.log = log
-	meter, registry, err := telemetry.Meter("gateway")
-	if err != nil {
-		return nil, err
-	}
-	metrics, err := ingress.NewMetrics(meter)
-	if err != nil {
-		return nil, err
-	}
-	count, err := telemetry.CountCalls(meter, "lavendermoor.store.calls", "Calls to the platform's store.")
-	if err != nil {
-		return nil, err
-	}
-	err = telemetry.Register(meter, []telemetry.Instrument{{
-		Name: "lavendermoor.log.dropped", Unit: "{line}", Counter: true, Value: out.Dropped,
-		Description: "Log lines dropped because of the bounds on their volume or a reader that is behind.",
-	}})
+	g.base, g.log = base, base.Log
+	metrics, err := ingress.NewMetrics(base.Meter)
 	if err != nil {
 		return nil, err
 	}
 	dialect := platform.Dialect{}
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
-	g.follow(platform.NewStore(s.Store, count))
+	g.follow(platform.NewStore(s.Store, base.CountCall))
 	g.srv = ingress.New(ingress.Options{
-		Dialect: dialect, Fleet: g.fleet, Log: log, Metrics: metrics, Random: rand.Float64,
+		Dialect: dialect, Fleet: g.fleet, Log: g.log, Metrics: metrics, Random: rand.Float64,
 		ConfigAge: g.config.Age,
 		NewBudget: func() ingress.RetryBudget { return routing.NewBudget(g.retryBounds()) },
 	})
 	g.admin = &telemetry.Admin{
-		State: func() any { return g.srv.Dump() }, Ready: g.srv.Ready, Registry: registry, Level: level, Log: log,
+		State: func() any { return g.srv.Dump() }, Ready: g.srv.Ready, Registry: base.Registry, Level: base.Level,
+		Log: g.log,
 	}
 	return g, nil
 }
@@ -137,14 +122,10 @@
 func (g *gateway) reload(s Settings) {
 	g.set.Store(&s)
 	g.peers.Set(s.Peers)
-	if err := g.admin.Level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-		g.log.Warn("log level not changed", zap.Error(err))
-	}
-	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
+	g.base.SetLevel(s.LogLevel)
+	daemon.LimitMemory(s.MemoryMB)
 }
 
-func memoryLimit(megabytes int64) int64 { return int64(memoryShare * float64(megabytes<<20)) }
-
 // follow makes the mirrors of the configuration and of the servers.
 func (g *gateway) follow(store *platform.Store) {
 	g.config = mirror.New(mirror.Options{
--- a/cmd/internal/gatewayd/paces.go
+++ b/cmd/internal/gatewayd/paces.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"lavendermoor.example/cmd/internal/daemon"
 	"lavendermoor.example/expertmap/rollout/agent"
 	"lavendermoor.example/gateway/catalog"
 )
@@ -52,14 +53,7 @@
 		for _, service := range g.groupedServices() {
 			p.askService(ctx, service)
 		}
-		pause(ctx, max(paceEvery-time.Since(started), pacePause))
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		daemon.Pause(ctx, max(paceEvery-time.Since(started), pacePause))
 	}
 }
 
@@ -81,7 +75,7 @@
 	servers := p.gateway.fleet.Backends(service)
 	for n := 0; n < len(servers); n += paceServers {
 		if n > 0 {
-			pause(ctx, pacePause)
+			daemon.Pause(ctx, pacePause)
 		}
 		s := servers[rand.IntN(len(servers))].Server()
 		notice, err := p.read(ctx, s)
--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/cmd/internal/daemon"
 	"lavendermoor.example/expertmap"
 	"lavendermoor.example/expertmap/rollout"
 	"lavendermoor.example/expertmap/rollout/agent"
@@ -63,7 +64,7 @@
 // renew extends the lease until it is lost.
 func (p *process) renew(ctx context.Context, lost func(), lease *orders.Lease) {
 	for {
-		pause(ctx, renewEvery)
+		daemon.Pause(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return
 		}
@@ -88,7 +89,7 @@
 			var addresses []string
 			if planner, ranks, addresses, err = p.discover(ctx, lease, group); err != nil {
 				p.log.Info("ranks of the group not found", zap.Error(err))
-				pause(ctx, retryPause)
+				daemon.Pause(ctx, retryPause)
 				continue
 			}
 			notices = &announcer{process: p, group: group, lease: lease, addresses: addresses}
@@ -100,12 +101,12 @@
 		notices.tell(ctx, ranks.States(), time.Now())
 		if p.mustRediscover(err) {
 			planner = nil
-			pause(ctx, retryPause)
+			daemon.Pause(ctx, retryPause)
 			continue
 		}
 		// At least a third of the time is left to the other work of the instance.
 		wait := planner.Wait(time.Now())
-		pause(ctx, max(wait-time.Since(started), wait/3))
+		daemon.Pause(ctx, max(wait-time.Since(started), wait/3))
 	}
 }
 
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lavendermoor.example/cmd/internal/daemon"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/expertmap/rollout"
 	"lavendermoor.example/expertmap/rollout/agent"
@@ -26,8 +26,6 @@
 )
 
 const (
-	// memoryShare of the allowed memory is the garbage collector's soft limit.
-	memoryShare   = 0.6
 	listenerGrace = 300 * time.Millisecond
 	// idleTimeout ends idle connections between processes.
 	idleTimeout = 20 * time.Second
@@ -36,6 +34,7 @@
 
 // process holds the parts of a rank process.
 type process struct {
+	base  *daemon.Base
 	set   Settings
 	log   *zap.Logger
 	store *platform.Store
@@ -61,7 +60,7 @@
 
 // Run runs a rank process until the context ends. Changes of the settings file are taken up.
 func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
-	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
+	daemon.LimitMemory(s.MemoryMB)
 	out, stopLogs := telemetry.StartLogs(ctx, logs)
 	defer stopLogs()
 	p, err := build(s, out)
@@ -86,15 +85,7 @@
 }
 
 func build(s Settings, out *telemetry.BoundedWriter) (*process, error) {
-	log, level, err := telemetry.NewLogger(out, "rank", s.Name, s.LogLevel)
-	if err != nil {
-		return nil, err
-	}
-	meter, registry, err := telemetry.Meter("rank")
-	if err != nil {
-		return nil, err
-	}
-	count, err := telemetry.CountCalls(meter, "lavendermoor.store.calls", "Calls to the platform's store.")
+	base, err := daemon.New(out, "rank", s.Name, s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
@@ -102,37 +93,27 @@
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}
-	p := &process{set: s, log: log, http: client, store: platform.NewStore(s.Store, count)}
+	p := &process{base: base, set: s, log: base.Log, http: client, store: platform.NewStore(s.Store, base.CountCall)}
 	p.own = platform.NewRank(s.Replica, client)
-	p.agent = agent.New(p.own, log)
+	p.agent = agent.New(p.own, p.log)
 	p.dump.Store(&Dump{})
-	err = telemetry.Register(meter, []telemetry.Instrument{
-		{
-			Name: "lavendermoor.log.dropped", Unit: "{line}", Counter: true, Value: out.Dropped,
-			Description: "Log lines dropped because of the bounds on their volume or a reader that is behind.",
-		},
-		{
-			Name: "lavendermoor.rank.map_version", Description: "Version of the group's expert map, at its planner.",
-			Value: func() int64 { return p.dump.Load().Version },
-		},
-	})
+	err = telemetry.Register(base.Meter, []telemetry.Instrument{{
+		Name: "lavendermoor.rank.map_version", Description: "Version of the group's expert map, at its planner.",
+		Value: func() int64 { return p.dump.Load().Version },
+	}})
 	p.admin = &telemetry.Admin{
-		State: func() any { return p.dump.Load() }, Ready: func() bool { return true }, Registry: registry, Level: level,
-		Log: log,
+		State: func() any { return p.dump.Load() }, Ready: func() bool { return true }, Registry: base.Registry,
+		Level: base.Level, Log: p.log,
 	}
 	return p, err
 }
 
 // reload takes up settings that can change while the process runs. Addresses stay as they were at the start.
 func (p *process) reload(s Settings) {
-	if err := p.admin.Level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-		p.log.Warn("log level not changed", zap.Error(err))
-	}
-	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
+	p.base.SetLevel(s.LogLevel)
+	daemon.LimitMemory(s.MemoryMB)
 }
 
-func memoryLimit(megabytes int64) int64 { return int64(memoryShare * float64(megabytes<<20)) }
-
 func (p *process) handler() http.Handler {
 	r := mux.NewRouter()
 	p.agent.Register(r)
@@ -162,7 +143,7 @@
 	for ctx.Err() == nil {
 		s, err := p.own.State(ctx, rollout.Want{})
 		if err != nil || s.Group == "" {
-			pause(ctx, retryPause)
+			daemon.Pause(ctx, retryPause)
 			continue
 		}
 		if s.Group != group {
@@ -171,7 +152,7 @@
 			lease = orders.NewLease(p.store, "rank/"+group, p.set.Name+"@"+p.set.IP, leaseTimes())
 		}
 		if wait := p.acquire(ctx, lease, s.Rank); wait > 0 {
-			pause(ctx, wait)
+			daemon.Pause(ctx, wait)
 			continue
 		}
 		p.lead(ctx, lease, group)
@@ -194,10 +175,3 @@
 	p.log.Debug("lease not taken", zap.Error(err))
 	return retryPause
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -191,6 +191,9 @@
 // Complete says that the body was read to its end, so that the connection can be used again.
 func (a *Answer) Complete() { a.complete = true }
 
+// Drain reads what is left of a short body, so that the connection can be used again.
+func (a *Answer) Drain() { a.complete = drain(a.Body) }
+
 // Close ends the exchange. Unless the answer is complete, the connection is closed, by which the server learns that
 // nobody waits any more.
 func (a *Answer) Close() {
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -211,9 +211,7 @@
 	if ans.Verdict.FaultAt != "" {
 		a.detail += ", at fault: " + ans.Verdict.FaultAt
 	}
-	if drained(ans) {
-		ans.Complete()
-	}
+	ans.Drain()
 }
 
 // classify sets the outcome of a send that got no answer.
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -21,11 +21,6 @@
 	return strings.HasPrefix(ans.Header.Get("Content-Type"), "text/event-stream")
 }
 
-func drained(ans *exchange.Answer) bool {
-	_, err := io.Copy(io.Discard, io.LimitReader(ans.Body, maxBuffered))
-	return err == nil
-}
-
 // relayBody passes on a plain answer, whole or not at all unless it is large. It returns false when the answer broke
 // off, or is a failure of a request that may be sent to another server.
 func (c *call) relayBody(ctx context.Context, ans *exchange.Answer, a *attempt) bool {
