--- a/cmd/internal/start/start.go
+++ b/cmd/internal/start/start.go
@@ -18,6 +18,17 @@
 // Version is set by the linker in releases.
 var Version = "development"
 
+// VersionFlag declares -version. The function it returns prints the version of a program and says true if that was asked for.
+func VersionFlag(fs *flag.FlagSet) func() bool {
+	asked := fs.Bool("version", false, "print the version, then exit")
+	return func() bool {
+		if *asked {
+			fmt.Println(fs.Name(), Version)
+		}
+		return *asked
+	}
+}
+
 // Exit codes.
 const (
 	exitOK       = 0
@@ -42,15 +53,14 @@
 		"settings `FILE`, JSON with comments; the default comes from "+settingsVariable)
 	check := flags.Bool("check-config", false, "check the settings, then exit with 0 or 2")
 	printIt := flags.Bool("print-config", false, "print the settings with defaults, then exit")
-	version := flags.Bool("version", false, "print the version, then exit")
+	version := VersionFlag(flags)
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitOK
 		}
 		return exitSettings
 	}
-	if *version {
-		fmt.Println(name, Version)
+	if version() {
 		return exitOK
 	}
 	if code := load(os.Stderr, *file, *printIt, s); code != exitOK {
--- a/cmd/lavendermoor-demo/main.go
+++ b/cmd/lavendermoor-demo/main.go
@@ -10,6 +10,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"lavendermoor.example/cmd/internal/start"
 )
 
 // demoTimeout bounds the whole demo.
@@ -18,7 +20,11 @@
 func main() {
 	keep := flag.Bool("keep", false, "keep running after the calls, until interrupted")
 	logs := flag.String("log", os.DevNull, "`FILE` for the logs of all parts")
+	version := start.VersionFlag(flag.CommandLine)
 	flag.Parse()
+	if version() {
+		return
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := run(ctx, *logs, *keep); err != nil {
--- a/cmd/lavendermoor-load/main.go
+++ b/cmd/lavendermoor-load/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/uuid"
 
+	"lavendermoor.example/cmd/internal/start"
 	"lavendermoor.example/loadgen"
 	"lavendermoor.example/standin/engineserver"
 )
@@ -60,9 +61,13 @@
 	f.StringVar(&o.plot, "plot", "", "`FILE` for a plot of goodput over time, PNG")
 	f.BoolVar(&o.verify, "verify-standin", false, "check answers against those of the stand-in engine")
 	f.BoolVar(&o.onlyModel, "only-model", false, "send only the mix's generations")
+	version := start.VersionFlag(f)
 	if err := f.Parse(args); err != nil {
 		return o, err
 	}
+	if version() {
+		return o, flag.ErrHelp // As after -help, nothing is run.
+	}
 	if o.rate <= 0 || o.crest <= 0 {
 		return o, &usageError{problem: "-rate and -crest must be above 0"}
 	}
--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
+	"lavendermoor.example/cmd/internal/start"
 	"lavendermoor.example/standin/engineorders"
 	"lavendermoor.example/standin/engineserver"
 	"lavendermoor.example/standin/instancelist"
@@ -90,12 +91,16 @@
 	flags.DurationVar(&o.writeTime, "write-time", 5*time.Millisecond, "service: time of a write")
 	flags.IntVar(&o.models, "models", 1, "platform: number of model replicas, the ranks of one group")
 	flags.StringVar(&o.advertise, "advertise", "", "platform: addresses under which the replicas are listed, separated by commas")
+	version := start.VersionFlag(flags)
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
 		}
 		return 2
 	}
+	if version() {
+		return 0
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := serve(ctx, o); err != nil {
--- a/cmd/lavendermoorctl/main.go
+++ b/cmd/lavendermoorctl/main.go
@@ -121,7 +121,7 @@
 	for _, name := range names {
 		printf(c.stdout, "  %-10s %s\n", name, cmds[name].summary)
 	}
-	printf(c.stdout, "\nlavendermoorctl help COMMAND describes a command and its flags.\n\n%s\n", exitHelp)
+	printf(c.stdout, "\nlavendermoorctl help COMMAND describes a command and its flags, --version prints the version.\n\n%s\n", exitHelp)
 	if len(args) == 0 {
 		return exitUsage
 	}
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -27,7 +27,7 @@
 // Programs are the binaries that the harness builds.
 var Programs = []string{
 	"lavendermoor-entry", "lavendermoor-side", "lavendermoor-standin", "lavendermoorctl", "lavendermoor-load",
-	"lavendermoor-gateway", "lavendermoor-rank",
+	"lavendermoor-gateway", "lavendermoor-rank", "lavendermoor-demo",
 }
 
 var (
