--- a/expertmap/rollout/fake_test.go
+++ b/expertmap/rollout/fake_test.go
@@ -269,3 +269,22 @@
 	defer g.mu.Unlock()
 	fn()
 }
+
+// groupOutcome is what became of a fakeGroup as of one moment.
+type groupOutcome struct {
+	pass            int64
+	split           bool
+	switches, stood int
+	versions        []int64
+}
+
+// now returns the outcome so far.
+func (g *fakeGroup) now() groupOutcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := groupOutcome{pass: g.pass, split: g.split, switches: g.switches, stood: g.stood}
+	for _, r := range g.ranks {
+		out.versions = append(out.versions, r.version)
+	}
+	return out
+}
--- a/expertmap/rollout/group_test.go
+++ b/expertmap/rollout/group_test.go
@@ -100,7 +100,7 @@
 		})
 		life := time.Duration(200+rng.IntN(6000)) * time.Millisecond
 		lead(ctx, g, int(fence)%smallShape.Ranks, &issuer{fence: fence, ends: time.Now().Add(life)}, rng)
-		require.False(t, g.split, "a pass began with two maps")
+		require.False(t, g.now().split, "a pass began with two maps")
 		if rng.IntN(6) == 0 {
 			g.reform(first)
 		}
@@ -109,12 +109,12 @@
 	// In calm, a new issuer brings the group on and changes its map.
 	g.set(func() { g.lost, g.mute, g.idle, g.lagging = 0, 0, false, nil })
 	time.Sleep(13 * time.Second) // Every late order has been carried out.
-	before := g.pass
+	before := g.now().pass
 	lead(ctx, g, 0, &issuer{fence: 100, ends: time.Now().Add(20 * time.Second)}, rng)
-	require.False(t, g.split)
+	require.False(t, g.now().split)
 	require.False(t, g.heldNow())
-	require.Greater(t, g.pass, before+100, "the group stands still")
-	require.Positive(t, g.switches, "no map was ever changed")
+	require.Greater(t, g.now().pass, before+100, "the group stands still")
+	require.Positive(t, g.now().switches, "no map was ever changed")
 	stop()
 	synctest.Wait()
 }
@@ -165,11 +165,11 @@
 		var failed *SwitchError
 		require.ErrorAs(t, group.Switch(ctx, version), &failed)
 		time.Sleep(5 * time.Second)
-		require.Positive(t, late.carriedOut, "the late orders were carried out")
+		g.set(func() { require.Positive(t, late.carriedOut, "the late orders were carried out") })
 		g.set(func() { g.idle = false })
 		time.Sleep(2 * time.Second)
-		require.False(t, g.split)
-		require.Zero(t, g.ranks[0].version, "the old map stays in use")
+		require.False(t, g.now().split)
+		require.Zero(t, g.now().versions[0], "the old map stays in use")
 		require.False(t, g.heldNow())
 		stop()
 		synctest.Wait()
@@ -211,9 +211,9 @@
 		}
 		go g.run(ctx)
 		lead(ctx, g, 3, &issuer{fence: 2, ends: time.Now().Add(2 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
-		require.False(t, g.split)
+		require.False(t, g.now().split)
 		require.False(t, g.heldNow())
-		require.GreaterOrEqual(t, g.ranks[0].version, int64(7))
+		require.GreaterOrEqual(t, g.now().versions[0], int64(7))
 		stop()
 		synctest.Wait()
 	})
@@ -236,7 +236,7 @@
 		require.Error(t, group.Switch(ctx, version))
 		time.Sleep(15 * time.Second)
 		require.False(t, g.heldNow())
-		require.False(t, g.split)
+		require.False(t, g.now().split)
 		stop()
 		synctest.Wait()
 	})
@@ -277,7 +277,7 @@
 		time.Sleep(2 * time.Second)
 		g.set(func() { g.idle = false })
 		time.Sleep(time.Second)
-		require.False(t, g.split)
+		require.False(t, g.now().split)
 		require.False(t, g.heldNow())
 		stop()
 		synctest.Wait()
@@ -310,8 +310,8 @@
 		time.AfterFunc(2*time.Second, func() { g.set(func() { g.idle = false }) })
 		require.NoError(t, group.Switch(ctx, version))
 		time.Sleep(time.Second)
-		require.False(t, g.split)
-		require.Equal(t, version, g.ranks[3].version)
+		require.False(t, g.now().split)
+		require.Equal(t, version, g.now().versions[3])
 		stop()
 		synctest.Wait()
 	})
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -73,7 +73,7 @@
 			}
 		}()
 		lead(ctx, g, 0, &issuer{fence: 1, ends: time.Now().Add(8 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
-		require.False(t, g.split)
+		require.False(t, g.now().split)
 		switches := g.switches
 		require.Positive(t, switches)
 		holders := 0
@@ -86,7 +86,7 @@
 		}
 		require.Greater(t, holders, 1, "the popular expert has replicas")
 		lead(ctx, g, 0, &issuer{fence: 2, ends: time.Now().Add(8 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
-		require.LessOrEqual(t, g.switches, switches+1, "the demand has not changed")
+		require.LessOrEqual(t, g.now().switches, switches+1, "the demand has not changed")
 		stop()
 		synctest.Wait()
 	})
--- a/expertmap/rollout/timing_test.go
+++ b/expertmap/rollout/timing_test.go
@@ -26,13 +26,13 @@
 			require.NoError(t, group.Switch(ctx, version))
 			ranks[2].(*slowArm).pause = 250 * time.Millisecond
 			time.Sleep(2 * time.Second)
-			require.Equal(t, version, g.ranks[0].version)
+			require.Equal(t, version, g.now().versions[0])
 			var err error
 			version, err = group.Prepare(ctx, first)
 			require.NoError(t, err)
 			time.Sleep(time.Second)
 		}
-		require.LessOrEqual(t, g.stood, 4, "passes delayed by the second switch, the first with the longer delay")
+		require.LessOrEqual(t, g.now().stood, 4, "passes delayed by the second switch, the first with the longer delay")
 		stop()
 		synctest.Wait()
 	})
