Take the latest notice of slow ranks, and move nothing when all are slow

Found in reading: a process beside a rank that missed the last notice made a gateway change its mind with each question, an old notice became new by being read, and streams of a slow rank were moved also when every other rank was slow too.

--- a/cmd/internal/gatewayd/paces.go
+++ b/cmd/internal/gatewayd/paces.go
@@ -27,6 +27,8 @@
 	paceServers = 64
 	// paceLife is the time after which the paces of a group that were not confirmed are forgotten.
 	paceLife = 10 * time.Second
+	// paceSlack is the time that a notice may be on its way.
+	paceSlack = 300 * time.Millisecond
 )
 
 // paces asks the rank processes which ranks of their groups are slow.
@@ -34,10 +36,11 @@
 	gateway *gateway
 	http    *http.Client
 	// groups holds the last notice of each group, by service and name.
-	groups map[string]map[string]receivedNotice
+	groups map[string]map[string]datedNotice
 }
 
-type receivedNotice struct {
+// datedNotice is a notice with the time at which its planner gave it.
+type datedNotice struct {
 	agent.Notice
 	at time.Time
 }
@@ -47,7 +50,7 @@
 	if g.set.Load().RankPort == 0 {
 		return
 	}
-	p := paces{gateway: g, http: &http.Client{Timeout: paceTimeout}, groups: map[string]map[string]receivedNotice{}}
+	p := paces{gateway: g, http: &http.Client{Timeout: paceTimeout}, groups: map[string]map[string]datedNotice{}}
 	for ctx.Err() == nil {
 		started := time.Now()
 		for _, service := range g.groupedServices() {
@@ -97,16 +100,19 @@
 	return agent.ReadNotice(ctx, p.http, net.JoinHostPort(host, port))
 }
 
-// take keeps a notice unless a later planner of the group has given one.
+// take keeps a notice unless a later one of the group is known. Processes beside ranks may have missed the last one.
 func (p *paces) take(service string, n agent.Notice, now time.Time) {
 	groups := p.groups[service]
 	if groups == nil {
-		groups = map[string]receivedNotice{}
+		groups = map[string]datedNotice{}
 		p.groups[service] = groups
 	}
-	if n.Group != "" && n.Fence >= groups[n.Group].Fence {
-		groups[n.Group] = receivedNotice{Notice: n, at: now}
+	at := now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
+	last := groups[n.Group]
+	if n.Group == "" || n.Fence < last.Fence || (n.Fence == last.Fence && at.Before(last.at.Add(-paceSlack))) {
+		return
 	}
+	groups[n.Group] = datedNotice{Notice: n, at: at}
 }
 
 // apply sets the paces of a service's servers as all its groups report them.
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -150,12 +150,13 @@
 	}
 }
 
-// setPace takes a pace, moves requests away if the server has turned slow, and says whether the pace has changed.
-func (b *Backend) setPace(pace float64) bool {
+// setPace takes a pace, moves requests away if the server has turned slow and there is a better one elsewhere, and says
+// whether the pace has changed.
+func (b *Backend) setPace(pace float64, elsewhere bool) bool {
 	b.mu.Lock()
 	changed := b.pace != pace
 	var moves []func()
-	if pace >= movePace && b.pace < movePace {
+	if elsewhere && pace >= movePace && b.pace < movePace {
 		for move := range b.movable {
 			moves = append(moves, *move)
 		}
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,9 +143,13 @@
 // SetPaces takes the paces of the slow servers of a service, by address; every other one is well. It returns the servers
 // whose pace has changed.
 func (f *Fleet) SetPaces(service string, paces map[string]float64) []catalog.Server {
+	backends := f.Backends(service)
+	elsewhere := slices.ContainsFunc(backends, func(b *Backend) bool {
+		return paces[b.Pool.Address()] < movePace && !b.Server().Draining
+	})
 	var changed []catalog.Server
-	for _, b := range f.Backends(service) {
-		if b.setPace(paces[b.Pool.Address()]) {
+	for _, b := range backends {
+		if b.setPace(paces[b.Pool.Address()], elsewhere) {
 			changed = append(changed, b.Server())
 		}
 	}
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -113,3 +113,19 @@
 	require.Len(t, f.SetPaces("s", nil), 1)
 	require.Equal(t, "b", pickID(t, f, now), "a server that is well again gets its share")
 }
+
+// Guards against requests that are moved from one slow server to another.
+func TestRequestsStayWhenAllServersAreSlow(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b")}, time.Time{}, now)
+	moved := 0
+	for _, b := range f.Backends("s") {
+		b.OnSlow(func() { moved++ })
+	}
+	f.SetPaces("s", map[string]float64{"a:80": 5, "b:80": 5})
+	require.Zero(t, moved)
+	f.SetPaces("s", nil)
+	f.SetPaces("s", map[string]float64{"a:80": 5})
+	require.Equal(t, 1, moved)
+}
