--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -90,7 +90,7 @@
 	switches          int
 }
 
-// NewGroup returns a group that opens when it runs.
+// NewGroup returns an open group of idle ranks.
 func NewGroup(n int) *Group {
 	g := &Group{begun: make(chan struct{}), epoch: 1, open: true}
 	for range n {
