Wire all daemons by one package, and ask agents by one client

Found in reading the change: the log and metrics of gateway and rank process had been written into the package of entry and side, beside newControl, which did the same, and made the two programs import the whole wiring of the other two. cmd/internal/process now holds that for all four, with the listeners (the gateway opened its own, and left them open when one failed) and the order of ending, of which the gateway had a copy. Notices of slow ranks go through agent.Client instead of a second HTTP call; the address of an agent follows from a replica's in one function instead of three places; what is found of a group is one value instead of four results; a state of the store is read by mirror.Read at the planner too, and copied by maps.Clone. States that an agent gives have a bound of 4 MB, as orders had. No other behaviour changes.

--- a/cmd/internal/daemon/common.go
+++ b/cmd/internal/daemon/common.go
@@ -17,14 +17,13 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/clients/instances"
 	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/configsync/feed"
 	"lavendermoor.example/configsync/store"
 	"lavendermoor.example/telemetry"
@@ -59,33 +58,29 @@
 
 // control holds the parts of the control path that every process has.
 type control struct {
-	id       identity
-	log      *zap.Logger
-	level    zap.AtomicLevel
-	meter    metric.Meter
-	registry *prometheus.Registry
-	kv       kv.Store
-	store    *store.Store
-	node     *feed.Node
-	list     *instances.Client
-	replica  *instances.Replica
+	id      identity
+	base    *process.Base
+	log     *zap.Logger
+	meter   metric.Meter
+	kv      kv.Store
+	store   *store.Store
+	node    *feed.Node
+	list    *instances.Client
+	replica *instances.Replica
 	// lastPeers saves computing the peers again.
 	lastPeers atomic.Pointer[peersAt]
 	client    *http.Client
 }
 
 func newControl(id identity, logs io.Writer) (*control, error) {
-	c := &control{id: id, client: &http.Client{}}
-	var err error
-	if c.log, c.level, err = telemetry.NewLogger(logs, id.program, id.name, id.logLevel); err != nil {
+	base, err := process.New(logs, id.program, id.name, id.logLevel)
+	if err != nil {
 		return nil, err
 	}
+	c := &control{id: id, base: base, log: base.Log, meter: base.Meter, client: &http.Client{}}
 	invariant.OnViolation(func(v *invariant.ViolationError) {
 		c.log.Error("invariant violated", zap.String("property", string(v.Property)), zap.String("detail", v.Detail))
 	})
-	if c.meter, c.registry, err = telemetry.Meter(id.program); err != nil {
-		return nil, err
-	}
 	return c, c.connect()
 }
 
@@ -209,8 +204,7 @@
 }
 
 func (c *control) admin(state func() any, ready func() bool) http.Handler {
-	a := &telemetry.Admin{State: state, Ready: ready, Registry: c.registry, Level: c.level, Log: c.log}
-	return a.Handler()
+	return c.base.Admin(state, ready).Handler()
 }
 
 // Listeners are the open ports of a process.
@@ -223,48 +217,11 @@
 
 // Listen opens the ports; callers may be empty.
 func Listen(ctx context.Context, callers, peers, admin string) (*Listeners, error) {
-	var l Listeners
-	var lc net.ListenConfig
-	for _, p := range []struct {
-		address string
-		to      *net.Listener
-	}{{callers, &l.Callers}, {peers, &l.Peers}, {admin, &l.Admin}} {
-		if p.address == "" {
-			continue
-		}
-		opened, err := lc.Listen(ctx, "tcp", p.address)
-		if err != nil {
-			l.close()
-			return nil, err
-		}
-		*p.to = opened
-	}
-	return &l, nil
-}
-
-func (l *Listeners) close() {
-	for _, open := range []net.Listener{l.Callers, l.Peers, l.Admin} {
-		if open != nil {
-			open.Close()
-		}
-	}
-}
-
-// runUntilDone starts the parts of a process and waits for the termination signal, which ends ctx, or for a part that
-// fails. The parts outlive the signal until finish returns, so that running work is answered.
-func runUntilDone(ctx context.Context, start func(context.Context, *errgroup.Group), finish func()) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, serving := errgroup.WithContext(serving)
-	start(serving, group)
-	select {
-	case <-ctx.Done():
-	case <-serving.Done():
-		return group.Wait()
+	l, err := process.Listen(ctx, callers, peers, admin)
+	if err != nil {
+		return nil, err
 	}
-	finish()
-	stop()
-	return group.Wait()
+	return &Listeners{Callers: l[0], Peers: l[1], Admin: l[2]}, nil
 }
 
 // awaitIdle gives others the time to notice the drain, then waits for the running work, up to the timeout.
--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/instances"
+	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/entry"
 	"lavendermoor.example/entry/operator"
 	"lavendermoor.example/entry/upstream"
@@ -81,7 +82,7 @@
 		group.Go(func() error { return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), stopGrace) })
 		c.log.Info("entry started", zap.Stringer("listen", l.Callers.Addr()))
 	}
-	return runUntilDone(ctx, start, func() {
+	return process.RunUntilDone(ctx, start, func() {
 		srv.Drain()
 		c.awaitIdle(srv.Idle, s.DrainTimeout.D())
 	})
--- a/cmd/internal/daemon/side.go
+++ b/cmd/internal/daemon/side.go
@@ -11,6 +11,7 @@
 
 	"lavendermoor.example/clients/engine"
 	"lavendermoor.example/clients/instances"
+	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/expertmap/controller"
 	"lavendermoor.example/idempotency/peer"
 	"lavendermoor.example/side"
@@ -55,7 +56,7 @@
 		p.start(serving, group, l)
 		c.log.Info("side process started", zap.Stringer("listen", l.Peers.Addr()))
 	}
-	return runUntilDone(ctx, start, p.finish)
+	return process.RunUntilDone(ctx, start, p.finish)
 }
 
 func newSideProcess(ctx context.Context, s side.Settings, c *control) (*sideProcess, error) {
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/kv"
-	"lavendermoor.example/cmd/internal/daemon"
+	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/gateway/balance"
@@ -46,7 +46,7 @@
 // gateway holds the parts of the process.
 type gateway struct {
 	set     atomic.Pointer[Settings]
-	base    *daemon.Base
+	base    *process.Base
 	log     *zap.Logger
 	srv     *ingress.Server
 	fleet   *balance.Fleet
@@ -58,14 +58,14 @@
 
 // Run runs a gateway until the context ends and its requests are answered. Changes of the settings file are taken up.
 func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
-	daemon.LimitMemory(s.MemoryMB)
+	process.LimitMemory(s.MemoryMB)
 	out, stopLogs := telemetry.StartLogs(ctx, logs)
 	defer stopLogs()
 	g, err := build(s, out)
 	if err != nil {
 		return err
 	}
-	listeners, err := g.listen(ctx)
+	listeners, err := process.Listen(ctx, s.Listen, s.ReadyListen, s.ControlListen)
 	if err != nil {
 		return err
 	}
@@ -80,7 +80,11 @@
 func build(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
 	g := &gateway{peers: mirror.NewPeers(&http.Client{}, s.Peers)}
 	g.set.Store(&s)
-	base, err := daemon.New(out, "gateway", s.Name, s.LogLevel)
+	base, err := process.New(out, "gateway", s.Name, s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	count, err := base.PlatformMetrics(out)
 	if err != nil {
 		return nil, err
 	}
@@ -91,16 +95,13 @@
 	}
 	dialect := platform.Dialect{}
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
-	g.follow(platform.NewStore(s.Store, base.CountCall))
+	g.follow(platform.NewStore(s.Store, count))
 	g.srv = ingress.New(ingress.Options{
 		Dialect: dialect, Fleet: g.fleet, Log: g.log, Metrics: metrics, Random: rand.Float64,
 		ConfigAge: g.config.Age,
 		NewBudget: func() ingress.RetryBudget { return routing.NewBudget(g.retryBounds()) },
 	})
-	g.admin = &telemetry.Admin{
-		State: func() any { return g.srv.Dump() }, Ready: g.srv.Ready, Registry: base.Registry, Level: base.Level,
-		Log: g.log,
-	}
+	g.admin = base.Admin(func() any { return g.srv.Dump() }, g.srv.Ready)
 	return g, nil
 }
 
@@ -123,7 +124,7 @@
 	g.set.Store(&s)
 	g.peers.Set(s.Peers)
 	g.base.SetLevel(s.LogLevel)
-	daemon.LimitMemory(s.MemoryMB)
+	process.LimitMemory(s.MemoryMB)
 }
 
 // follow makes the mirrors of the configuration and of the servers.
@@ -170,58 +171,32 @@
 func (g *gateway) settle(ctx context.Context) {
 	const every = 100 * time.Millisecond
 	for {
-		select {
-		case <-ctx.Done():
+		process.Pause(ctx, every)
+		if ctx.Err() != nil {
 			return
-		case <-time.After(every):
 		}
 		g.logChanges(g.fleet.Settle(time.Now()))
 	}
 }
 
-type listeners struct{ callers, ready, control net.Listener }
-
-func (g *gateway) listen(ctx context.Context) (listeners, error) {
-	var l listeners
-	var lc net.ListenConfig
-	s := g.set.Load()
-	for _, p := range []struct {
-		address string
-		to      *net.Listener
-	}{{s.Listen, &l.callers}, {s.ReadyListen, &l.ready}, {s.ControlListen, &l.control}} {
-		opened, err := lc.Listen(ctx, "tcp", p.address)
-		if err != nil {
-			return l, err
-		}
-		*p.to = opened
-	}
-	return l, nil
-}
-
-// run serves until the context ends, then finishes what runs.
-func (g *gateway) run(ctx context.Context, l listeners) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, serving := errgroup.WithContext(serving)
+// run serves until the context ends, then finishes what runs. The listeners are those for callers, for the platform's
+// question whether the process is ready, and for control.
+func (g *gateway) run(ctx context.Context, listeners []net.Listener) error {
 	callers := &http.Server{
 		Handler: g.srv, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	group.Go(func() error { g.config.Run(serving); return nil })
-	group.Go(func() error { g.servers.Run(serving); return nil })
-	group.Go(func() error { g.srv.Housekeep(serving); return nil })
-	group.Go(func() error { g.settle(serving); return nil })
-	group.Go(func() error { g.followPaces(serving); return nil })
-	group.Go(func() error { return telemetry.ServeServer(serving, l.callers, callers, listenerGrace) })
-	group.Go(func() error { return telemetry.Serve(serving, l.ready, g.readyHandler(), listenerGrace) })
-	group.Go(func() error { return telemetry.Serve(serving, l.control, g.controlHandler(), listenerGrace) })
-	g.log.Info("started", zap.Stringer("listen", l.callers.Addr()))
-	select {
-	case <-ctx.Done():
-		g.finish(callers)
-	case <-serving.Done():
+	start := func(serving context.Context, group *errgroup.Group) {
+		group.Go(func() error { g.config.Run(serving); return nil })
+		group.Go(func() error { g.servers.Run(serving); return nil })
+		group.Go(func() error { g.srv.Housekeep(serving); return nil })
+		group.Go(func() error { g.settle(serving); return nil })
+		group.Go(func() error { g.followPaces(serving); return nil })
+		group.Go(func() error { return telemetry.ServeServer(serving, listeners[0], callers, listenerGrace) })
+		group.Go(func() error { return telemetry.Serve(serving, listeners[1], g.readyHandler(), listenerGrace) })
+		group.Go(func() error { return telemetry.Serve(serving, listeners[2], g.controlHandler(), listenerGrace) })
+		g.log.Info("started", zap.Stringer("listen", listeners[0].Addr()))
 	}
-	stop()
-	return group.Wait()
+	return process.RunUntilDone(ctx, start, func() { g.finish(callers) })
 }
 
 // finish tells callers and the platform to go elsewhere, and waits for the requests that run.
--- a/cmd/internal/gatewayd/paces.go
+++ b/cmd/internal/gatewayd/paces.go
@@ -4,15 +4,12 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
-	"lavendermoor.example/cmd/internal/daemon"
+	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/expertmap/rollout/agent"
 	"lavendermoor.example/gateway/catalog"
 )
@@ -56,7 +53,7 @@
 		for _, service := range g.groupedServices() {
 			p.askService(ctx, service)
 		}
-		daemon.Pause(ctx, max(paceEvery-time.Since(started), pacePause))
+		process.Pause(ctx, max(paceEvery-time.Since(started), pacePause))
 	}
 }
 
@@ -78,7 +75,7 @@
 	servers := p.gateway.fleet.Backends(service)
 	for n := 0; n < len(servers); n += paceServers {
 		if n > 0 {
-			daemon.Pause(ctx, pacePause)
+			process.Pause(ctx, pacePause)
 		}
 		s := servers[rand.IntN(len(servers))].Server()
 		notice, err := p.read(ctx, s)
@@ -92,12 +89,11 @@
 }
 
 func (p *paces) read(ctx context.Context, s catalog.Server) (agent.Notice, error) {
-	host, _, err := net.SplitHostPort(s.Address)
+	address, err := agent.Address(s.Address, p.gateway.set.Load().RankPort)
 	if err != nil {
-		return agent.Notice{}, merry.Wrap(err)
+		return agent.Notice{}, err
 	}
-	port := strconv.Itoa(p.gateway.set.Load().RankPort)
-	return agent.ReadNotice(ctx, p.http, net.JoinHostPort(host, port))
+	return agent.NewClient(address, p.http, nil).ReadNotice(ctx)
 }
 
 // take keeps a notice unless a later one of the group is known. Processes beside ranks may have missed the last one.
--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -12,8 +11,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"lavendermoor.example/clients/kv"
-	"lavendermoor.example/cmd/internal/daemon"
+	"lavendermoor.example/cmd/internal/process"
+	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/expertmap"
 	"lavendermoor.example/expertmap/rollout"
 	"lavendermoor.example/expertmap/rollout/agent"
@@ -31,7 +30,7 @@
 }
 
 // lead plans for a group while the lease is held.
-func (p *process) lead(ctx context.Context, lease *orders.Lease, group string) {
+func (p *rankProcess) lead(ctx context.Context, lease *orders.Lease, group string) {
 	fence, err := lease.Check()
 	if err != nil {
 		return
@@ -53,7 +52,7 @@
 }
 
 // release lets another process take over at once. At the end of a process the context has ended already.
-func (p *process) release(lease *orders.Lease) {
+func (p *rankProcess) release(lease *orders.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := lease.Release(ctx); err != nil {
@@ -62,9 +61,9 @@
 }
 
 // renew extends the lease until it is lost.
-func (p *process) renew(ctx context.Context, lost func(), lease *orders.Lease) {
+func (p *rankProcess) renew(ctx context.Context, lost func(), lease *orders.Lease) {
 	for {
-		daemon.Pause(ctx, renewEvery)
+		process.Pause(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return
 		}
@@ -78,44 +77,47 @@
 	}
 }
 
+// formation is a group whose ranks were found, with its planner.
+type formation struct {
+	ranks   *rollout.Group
+	planner *rollout.Planner
+	notices *announcer
+}
+
 // plan runs a planner for the ranks of the group. The ranks are found anew whenever the group is incomplete.
-func (p *process) plan(ctx context.Context, lease *orders.Lease, group string) {
-	var planner *rollout.Planner
-	var ranks *rollout.Group
-	var notices *announcer
+func (p *rankProcess) plan(ctx context.Context, lease *orders.Lease, group string) {
+	var f *formation
 	for ctx.Err() == nil {
-		if planner == nil {
+		if f == nil {
 			var err error
-			var addresses []string
-			if planner, ranks, addresses, err = p.discover(ctx, lease, group); err != nil {
+			if f, err = p.discover(ctx, lease, group); err != nil {
 				p.log.Info("ranks of the group not found", zap.Error(err))
-				daemon.Pause(ctx, retryPause)
+				process.Pause(ctx, retryPause)
 				continue
 			}
-			notices = &announcer{process: p, group: group, lease: lease, addresses: addresses}
 		}
 		started := time.Now()
 		// A switch that has begun is ended also when the lease or the process ends: the group stands still until then.
-		err := planner.Tick(context.WithoutCancel(ctx), started)
-		p.report(group, lease, ranks, err)
-		notices.tell(ctx, ranks.States(), time.Now())
+		err := f.planner.Tick(context.WithoutCancel(ctx), started)
+		p.report(group, lease, f.ranks, err)
+		f.notices.tell(ctx, f.ranks.States(), time.Now())
 		if p.mustRediscover(err) {
-			planner = nil
-			daemon.Pause(ctx, retryPause)
+			f = nil
+			process.Pause(ctx, retryPause)
 			continue
 		}
 		// At least a third of the time is left to the other work of the instance.
-		wait := planner.Wait(time.Now())
-		daemon.Pause(ctx, max(wait-time.Since(started), wait/3))
+		wait := f.planner.Wait(time.Now())
+		process.Pause(ctx, max(wait-time.Since(started), wait/3))
 	}
 }
 
-func (p *process) mustRediscover(err error) bool {
+func (p *rankProcess) mustRediscover(err error) bool {
 	var incomplete *rollout.IncompleteError
 	return errors.As(err, &incomplete)
 }
 
-func (p *process) report(group string, lease *orders.Lease, ranks *rollout.Group, err error) {
+func (p *rankProcess) report(group string, lease *orders.Lease, ranks *rollout.Group, err error) {
 	fence, _ := lease.Check()
 	d := &Dump{Group: group, Leading: true, Fence: fence}
 	if states := ranks.States(); len(states) > 0 {
@@ -142,30 +144,31 @@
 }
 
 // discover reads the configuration and the list of servers, and asks every server of the service for its rank.
-func (p *process) discover(
-	ctx context.Context, lease *orders.Lease, group string,
-) (planner *rollout.Planner, g *rollout.Group, addresses []string, err error) {
+func (p *rankProcess) discover(ctx context.Context, lease *orders.Lease, group string) (*formation, error) {
 	engine, err := p.engine(ctx)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
 	servers, err := p.servers(ctx)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
-	ranks, addresses, self, err := p.ranks(ctx, servers, group)
+	found, err := p.members(ctx, servers, group)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
-	g = rollout.NewGroup(ranks, self, lease.Check, p.log)
-	shape := expertmap.Shape{Ranks: len(ranks), Experts: engine.Experts, Layers: engine.Layers, Slots: engine.Places}
+	shape := expertmap.Shape{Ranks: len(found.ranks), Experts: engine.Experts, Layers: engine.Layers, Slots: engine.Places}
 	if err := shape.Validate(); err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
 	copyTime := time.Duration(float64(engine.ExpertBytes) / engine.CopyBytesPerSecond * float64(time.Second))
 	set := rollout.DefaultSettings(shape, engine.MaxNew, copyTime)
 	set.LeaseLeft = lease.Left
-	return rollout.NewPlanner(set, g, p.log), g, addresses, nil
+	g := rollout.NewGroup(found.ranks, found.self, lease.Check, p.log)
+	return &formation{
+		ranks: g, planner: rollout.NewPlanner(set, g, p.log),
+		notices: &announcer{process: p, group: group, lease: lease, addresses: found.addresses},
+	}, nil
 }
 
 // NoEngineError says that the configuration has no engine with expert maps for the service.
@@ -175,12 +178,12 @@
 	return "service " + e.Service + " has no engine with expert maps"
 }
 
-func (p *process) engine(ctx context.Context) (*catalog.Engine, error) {
-	entries, err := p.read(ctx, platform.ConfigPrefix)
+func (p *rankProcess) engine(ctx context.Context) (*catalog.Engine, error) {
+	config, err := mirror.Read(ctx, p.store, platform.ConfigPrefix)
 	if err != nil {
 		return nil, err
 	}
-	c, err := platform.DecodeCatalog(entries)
+	c, err := platform.DecodeCatalog(config.Entries)
 	if err != nil {
 		return nil, err
 	}
@@ -191,12 +194,12 @@
 	return s.Engine, nil
 }
 
-func (p *process) servers(ctx context.Context) ([]catalog.Server, error) {
-	entries, err := p.read(ctx, platform.ServersPrefix)
+func (p *rankProcess) servers(ctx context.Context) ([]catalog.Server, error) {
+	list, err := mirror.Read(ctx, p.store, platform.ServersPrefix)
 	if err != nil {
 		return nil, err
 	}
-	all, _ := platform.DecodeServers(entries) // Entries that can't be read name no server.
+	all, _ := platform.DecodeServers(list.Entries) // Entries that can't be read name no server.
 	var out []catalog.Server
 	for _, s := range all {
 		if s.Service == p.set.Service {
@@ -206,29 +209,23 @@
 	return out, nil
 }
 
-func (p *process) read(ctx context.Context, prefix string) (map[string]kv.Entry, error) {
-	entries, _, err := p.store.Read(ctx, prefix)
-	if err != nil {
-		return nil, err
-	}
-	out := make(map[string]kv.Entry, len(entries))
-	for _, e := range entries {
-		out[e.Key] = e
-	}
-	return out, nil
-}
-
 const (
 	// discoverCalls bounds the servers that are asked for their rank at once.
 	discoverCalls   = 16
 	discoverTimeout = time.Second
 )
 
-// ranks returns the access to each rank of the group and the address of its replica, in order of rank, and the index of
-// this process's own.
-func (p *process) ranks(
-	ctx context.Context, servers []catalog.Server, group string,
-) (out []rollout.Rank, addresses []string, self int, err error) {
+// members are the ranks of a group.
+type members struct {
+	// ranks are the access to each rank and addresses those of the replicas, in order of rank.
+	ranks     []rollout.Rank
+	addresses []string
+	// self is the index of this process's own rank.
+	self int
+}
+
+// members asks the servers for the ranks of a group. It fails with a *NoGroupError when some are missing.
+func (p *rankProcess) members(ctx context.Context, servers []catalog.Server, group string) (*members, error) {
 	found := make([]rollout.Rank, len(servers))
 	states := make([]rollout.State, len(servers))
 	codec := &agent.Codec{}
@@ -249,30 +246,29 @@
 	_ = all.Wait()
 	own, err := p.own.State(ctx, rollout.Want{})
 	if err != nil {
-		return nil, nil, 0, err
+		return nil, err
 	}
-	out, addresses = make([]rollout.Rank, own.Size), make([]string, own.Size)
+	out := &members{ranks: make([]rollout.Rank, own.Size), addresses: make([]string, own.Size), self: own.Rank}
 	n := 0
 	for i, s := range states {
-		if s.Group == group && s.Rank < len(out) && out[s.Rank] == nil {
-			out[s.Rank], addresses[s.Rank] = found[i], servers[i].Address
+		if s.Group == group && s.Rank < own.Size && out.ranks[s.Rank] == nil {
+			out.ranks[s.Rank], out.addresses[s.Rank] = found[i], servers[i].Address
 			n++
 		}
 	}
 	if n < own.Size || own.Size == 0 {
-		return nil, nil, 0, merry.Wrap(&NoGroupError{Group: group, Found: n, Size: own.Size})
+		return nil, merry.Wrap(&NoGroupError{Group: group, Found: n, Size: own.Size})
 	}
-	out[own.Rank] = p.agent
-	return out, addresses, own.Rank, nil
+	out.ranks[own.Rank] = p.agent
+	return out, nil
 }
 
 // rank returns the access to the rank of the replica at an address.
-func (p *process) rank(address string, codec *agent.Codec) rollout.Rank {
+func (p *rankProcess) rank(address string, codec *agent.Codec) rollout.Rank {
 	direct := platform.NewRank(address, p.http)
-	host, _, err := net.SplitHostPort(address)
+	peer, err := agent.Address(address, p.set.PeerPort)
 	if err != nil {
 		return direct
 	}
-	peer := agent.NewClient(net.JoinHostPort(host, strconv.Itoa(p.set.PeerPort)), p.http, codec)
-	return agent.NewFallback(peer, direct)
+	return agent.NewFallback(agent.NewClient(peer, p.http, codec), direct)
 }
--- a/cmd/internal/rankd/notice.go
+++ b/cmd/internal/rankd/notice.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +24,7 @@
 
 // announcer tells the processes beside all ranks of a group which of them are slow, so that gateways learn it from any.
 type announcer struct {
-	process   *process
+	process   *rankProcess
 	group     string
 	lease     *orders.Lease
 	addresses []string
@@ -61,15 +59,14 @@
 	var all errgroup.Group
 	all.SetLimit(noticeCalls)
 	for _, address := range a.addresses {
-		host, _, err := net.SplitHostPort(address)
-		if err != nil || host == a.process.set.IP {
+		peer, err := agent.Address(address, a.process.set.PeerPort)
+		if err != nil || peer == a.process.set.listen() {
 			continue
 		}
 		all.Go(func() error {
 			callCtx, cancel := context.WithTimeout(ctx, noticeTimeout)
 			defer cancel()
-			peer := net.JoinHostPort(host, strconv.Itoa(a.process.set.PeerPort))
-			if err := agent.SendNotice(callCtx, a.process.http, peer, n); err != nil {
+			if err := agent.NewClient(peer, a.process.http, nil).SendNotice(callCtx, n); err != nil {
 				a.process.log.Debug("notice not delivered", zap.String("peer", peer), zap.Error(err))
 			}
 			return nil // The notice is repeated.
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"lavendermoor.example/cmd/internal/daemon"
+	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/expertmap/rollout"
 	"lavendermoor.example/expertmap/rollout/agent"
@@ -32,9 +31,9 @@
 	dialTimeout = 250 * time.Millisecond
 )
 
-// process holds the parts of a rank process.
-type process struct {
-	base  *daemon.Base
+// rankProcess holds the parts of a rank process.
+type rankProcess struct {
+	base  *process.Base
 	set   Settings
 	log   *zap.Logger
 	store *platform.Store
@@ -60,15 +59,14 @@
 
 // Run runs a rank process until the context ends. Changes of the settings file are taken up.
 func Run(ctx context.Context, s Settings, file string, logs io.Writer) error {
-	daemon.LimitMemory(s.MemoryMB)
+	process.LimitMemory(s.MemoryMB)
 	out, stopLogs := telemetry.StartLogs(ctx, logs)
 	defer stopLogs()
 	p, err := build(s, out)
 	if err != nil {
 		return err
 	}
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
+	listeners, err := process.Listen(ctx, s.listen())
 	if err != nil {
 		return err
 	}
@@ -76,16 +74,20 @@
 	defer stopWatch()
 	go settings.Watch(watching, file, Defaults, p.reload, p.log)
 	group, serving := errgroup.WithContext(ctx)
-	group.Go(func() error { return telemetry.Serve(serving, l, p.handler(), listenerGrace) })
+	group.Go(func() error { return telemetry.Serve(serving, listeners[0], p.handler(), listenerGrace) })
 	group.Go(func() error { p.campaign(serving); return nil })
-	p.log.Info("started", zap.Stringer("listen", l.Addr()), zap.String("replica", s.Replica))
+	p.log.Info("started", zap.Stringer("listen", listeners[0].Addr()), zap.String("replica", s.Replica))
 	err = group.Wait()
 	p.log.Info("stopped", zap.Error(err))
 	return err
 }
 
-func build(s Settings, out *telemetry.BoundedWriter) (*process, error) {
-	base, err := daemon.New(out, "rank", s.Name, s.LogLevel)
+func build(s Settings, out *telemetry.BoundedWriter) (*rankProcess, error) {
+	base, err := process.New(out, "rank", s.Name, s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	count, err := base.PlatformMetrics(out)
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +95,7 @@
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}
-	p := &process{base: base, set: s, log: base.Log, http: client, store: platform.NewStore(s.Store, base.CountCall)}
+	p := &rankProcess{base: base, set: s, log: base.Log, http: client, store: platform.NewStore(s.Store, count)}
 	p.own = platform.NewRank(s.Replica, client)
 	p.agent = agent.New(p.own, p.log)
 	p.dump.Store(&Dump{})
@@ -101,20 +103,17 @@
 		Name: "lavendermoor.rank.map_version", Description: "Version of the group's expert map, at its planner.",
 		Value: func() int64 { return p.dump.Load().Version },
 	}})
-	p.admin = &telemetry.Admin{
-		State: func() any { return p.dump.Load() }, Ready: func() bool { return true }, Registry: base.Registry,
-		Level: base.Level, Log: p.log,
-	}
+	p.admin = base.Admin(func() any { return p.dump.Load() }, func() bool { return true })
 	return p, err
 }
 
 // reload takes up settings that can change while the process runs. Addresses stay as they were at the start.
-func (p *process) reload(s Settings) {
+func (p *rankProcess) reload(s Settings) {
 	p.base.SetLevel(s.LogLevel)
-	daemon.LimitMemory(s.MemoryMB)
+	process.LimitMemory(s.MemoryMB)
 }
 
-func (p *process) handler() http.Handler {
+func (p *rankProcess) handler() http.Handler {
 	r := mux.NewRouter()
 	p.agent.Register(r)
 	r.PathPrefix("/").Handler(p.admin.Handler())
@@ -137,13 +136,13 @@
 )
 
 // campaign tries to become the planner of the replica's group, and plans while it is.
-func (p *process) campaign(ctx context.Context) {
+func (p *rankProcess) campaign(ctx context.Context) {
 	var lease *orders.Lease
 	group := ""
 	for ctx.Err() == nil {
 		s, err := p.own.State(ctx, rollout.Want{})
 		if err != nil || s.Group == "" {
-			daemon.Pause(ctx, retryPause)
+			process.Pause(ctx, retryPause)
 			continue
 		}
 		if s.Group != group {
@@ -152,7 +151,7 @@
 			lease = orders.NewLease(p.store, "rank/"+group, p.set.Name+"@"+p.set.IP, leaseTimes())
 		}
 		if wait := p.acquire(ctx, lease, s.Rank); wait > 0 {
-			daemon.Pause(ctx, wait)
+			process.Pause(ctx, wait)
 			continue
 		}
 		p.lead(ctx, lease, group)
@@ -160,7 +159,7 @@
 }
 
 // acquire takes the lease, or returns how long to wait before the next attempt.
-func (p *process) acquire(ctx context.Context, lease *orders.Lease, rank int) time.Duration {
+func (p *rankProcess) acquire(ctx context.Context, lease *orders.Lease, rank int) time.Duration {
 	err := lease.Acquire(ctx)
 	if err == nil {
 		return 0
--- a/cmd/internal/rankd/settings.go
+++ b/cmd/internal/rankd/settings.go
@@ -1,5 +1,10 @@
 package rankd
 
+import (
+	"net"
+	"strconv"
+)
+
 // Settings are the static settings of a rank process.
 type Settings struct {
 	Name string `json:"name" validate:"required"`
@@ -20,3 +25,6 @@
 
 // Defaults returns the settings that a file need not give.
 func Defaults() Settings { return Settings{MemoryMB: 128, LogLevel: "info"} }
+
+// listen is the address of this process for others.
+func (s *Settings) listen() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
--- a/configsync/mirror/mirror.go
+++ b/configsync/mirror/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"lavendermoor.example/clients/kv"
@@ -26,6 +27,15 @@
 	Entries map[string]kv.Entry
 }
 
+// Read returns the state of a prefix as of now. Errors are those of the source.
+func Read(ctx context.Context, source Source, prefix string) (*Snapshot, error) {
+	entries, revision, err := source.Read(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	return newSnapshot(entries, revision), nil
+}
+
 // newSnapshot returns the snapshot of entries that were read from a revision on.
 func newSnapshot(entries []kv.Entry, revision int64) *Snapshot {
 	s := &Snapshot{Revision: revision, Entries: make(map[string]kv.Entry, len(entries))}
@@ -48,7 +58,7 @@
 		}
 		if !changed {
 			changed = true
-			next.Entries = cloneEntries(s.Entries)
+			next.Entries = maps.Clone(s.Entries)
 		}
 		if e.Deleted {
 			delete(next.Entries, e.Key)
@@ -58,11 +68,3 @@
 	}
 	return next, changed
 }
-
-func cloneEntries(m map[string]kv.Entry) map[string]kv.Entry {
-	out := make(map[string]kv.Entry, len(m)+1)
-	for k, v := range m {
-		out[k] = v
-	}
-	return out
-}
--- a/configsync/mirror/peer.go
+++ b/configsync/mirror/peer.go
@@ -134,9 +134,9 @@
 	if err := json.NewDecoder(resp.Body).Decode(&w); err != nil {
 		return nil, merry.Wrap(err)
 	}
-	s := &Snapshot{Revision: w.Revision, Entries: make(map[string]kv.Entry, len(w.Entries))}
-	for _, e := range w.Entries {
-		s.Entries[e.Key] = kv.Entry{Key: e.Key, Value: e.Value, ModRevision: e.Revision}
+	entries := make([]kv.Entry, len(w.Entries))
+	for i, e := range w.Entries {
+		entries[i] = kv.Entry{Key: e.Key, Value: e.Value, ModRevision: e.Revision}
 	}
-	return s, nil
+	return newSnapshot(entries, w.Revision), nil
 }
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -121,14 +121,14 @@
 func (m *Mirror) read(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	entries, revision, err := m.opts.Source.Read(readCtx, m.opts.Prefix)
+	s, err := Read(readCtx, m.opts.Source, m.opts.Prefix)
 	if err != nil {
 		return err
 	}
 	m.answered()
 	m.lastRead = time.Now()
-	if revision >= m.Snapshot().Revision {
-		m.publish(newSnapshot(entries, revision))
+	if s.Revision >= m.Snapshot().Revision {
+		m.publish(s)
 	}
 	return nil
 }
--- a/expertmap/rollout/agent/agent.go
+++ b/expertmap/rollout/agent/agent.go
@@ -8,7 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -126,7 +129,18 @@
 	codec *Codec
 }
 
-// NewClient returns a client of the agent at an address, IP and port. Clients of one group share a codec.
+// Address returns the address of the agent on the instance of a replica, given the replica's address and the port that
+// agents have on all instances.
+func Address(replica string, port int) (string, error) {
+	host, _, err := net.SplitHostPort(replica)
+	if err != nil {
+		return "", merry.Wrap(err)
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port)), nil
+}
+
+// NewClient returns a client of the agent at an address, IP and port. Clients of one group share a codec, which only orders
+// need.
 func NewClient(address string, h *http.Client, codec *Codec) *Client {
 	return &Client{base: "http://" + address, http: h, codec: codec}
 }
@@ -146,15 +160,28 @@
 		path += queryExperts
 	}
 	var s rollout.State
-	resp, err := c.do(ctx, http.MethodGet, path, nil)
+	err := c.call(ctx, http.MethodGet, path, nil, &s, maxStateBytes)
+	return s, err
+}
+
+// maxStateBytes bounds a state: the counts and experts of one rank.
+const maxStateBytes = 4 << 20
+
+// call makes a call that has no other answers than success, and decodes the answer, of at most some bytes, unless out is
+// nil. It fails with a *StatusError, or the error of the connection.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any, most int64) error {
+	resp, err := c.do(ctx, method, path, body)
 	if err != nil {
-		return s, err
+		return merry.Wrap(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return s, merry.Wrap(&StatusError{Status: resp.StatusCode})
+		return merry.Wrap(&StatusError{Status: resp.StatusCode})
+	}
+	if out == nil {
+		return nil
 	}
-	return s, merry.Wrap(json.NewDecoder(resp.Body).Decode(&s))
+	return merry.Wrap(json.NewDecoder(io.LimitReader(resp.Body, most)).Decode(out))
 }
 
 // Order implements rollout.Rank.
--- a/expertmap/rollout/agent/notice.go
+++ b/expertmap/rollout/agent/notice.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -82,40 +81,18 @@
 	a.answer(w, http.StatusOK, a.board.get(time.Now()))
 }
 
-// SendNotice gives a notice to the agent at an address, IP and port. It fails with a *StatusError or the error of the
-// connection.
-func SendNotice(ctx context.Context, h *http.Client, address string, n Notice) error {
+// SendNotice gives a notice to the agent. It fails with a *StatusError or the error of the connection.
+func (c *Client) SendNotice(ctx context.Context, n Notice) error {
 	body, err := json.Marshal(n)
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	_, err = exchangeNotice(ctx, h, http.MethodPut, address, body)
-	return err
+	return c.call(ctx, http.MethodPut, PathNotice, body, nil, maxNotice)
 }
 
-// ReadNotice returns the last notice at the agent of an address, IP and port. Errors are those of SendNotice.
-func ReadNotice(ctx context.Context, h *http.Client, address string) (Notice, error) {
+// ReadNotice returns the last notice at the agent. Errors are those of SendNotice.
+func (c *Client) ReadNotice(ctx context.Context) (Notice, error) {
 	var n Notice
-	body, err := exchangeNotice(ctx, h, http.MethodGet, address, nil)
-	if err != nil {
-		return n, err
-	}
-	return n, merry.Wrap(json.Unmarshal(body, &n))
-}
-
-func exchangeNotice(ctx context.Context, h *http.Client, method, address string, body []byte) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+PathNotice, bytes.NewReader(body))
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	resp, err := h.Do(req)
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, merry.Wrap(&StatusError{Status: resp.StatusCode})
-	}
-	out, err := io.ReadAll(io.LimitReader(resp.Body, maxNotice))
-	return out, merry.Wrap(err)
+	err := c.call(ctx, http.MethodGet, PathNotice, nil, &n, maxNotice)
+	return n, err
 }
--- a/expertmap/rollout/agent/notice_test.go
+++ b/expertmap/rollout/agent/notice_test.go
@@ -33,14 +33,14 @@
 	New(nil, zap.NewNop()).Register(r)
 	srv := httptest.NewServer(r)
 	t.Cleanup(srv.Close)
-	address := srv.Listener.Addr().String()
+	client := NewClient(srv.Listener.Addr().String(), http.DefaultClient, nil)
 	sent := Notice{Group: "g", Fence: 3, Paces: map[string]float64{"10.0.0.1:80": 2.5}}
-	require.NoError(t, SendNotice(t.Context(), http.DefaultClient, address, sent))
-	got, err := ReadNotice(t.Context(), http.DefaultClient, address)
+	require.NoError(t, client.SendNotice(t.Context(), sent))
+	got, err := client.ReadNotice(t.Context())
 	require.NoError(t, err)
 	got.AgeMs = 0
 	require.Equal(t, sent, got)
-	_, err = exchangeNotice(t.Context(), http.DefaultClient, http.MethodPut, address, []byte("{"))
+	err = client.call(t.Context(), http.MethodPut, PathNotice, []byte("{"), nil, maxNotice)
 	var status *StatusError
 	require.ErrorAs(t, err, &status)
 	require.Equal(t, http.StatusBadRequest, status.Status)
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -70,6 +70,14 @@
 	return w.total
 }
 
+// DroppedLines is the instrument that counts the lines dropped.
+func (w *BoundedWriter) DroppedLines() Instrument {
+	return Instrument{
+		Name: "lavendermoor.log.dropped", Unit: "{line}", Counter: true, Value: w.Dropped,
+		Description: "Log lines dropped because of the bounds on their volume or a reader that is behind.",
+	}
+}
+
 // Run passes lines on until the context ends, and then what is left.
 func (w *BoundedWriter) Run(ctx context.Context) {
 	tick := time.NewTicker(flushEvery)
