Look the queue of a service up once for each request, and keep missing servers by one rule

Each event of a stream took the lock of all queues to find its own. Fleet.Update and Fleet.Settle had the rule for servers that the list lacks twice, and Settle built a new view ten times a second when none was missing.

--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -75,35 +75,38 @@
 		if !missing {
 			until = keepUntil
 		}
-		if now.Before(until) {
-			next.missing[id] = until
-			b.setMissing(true)
-			next.add(id, b)
-			continue
-		}
-		b.remove()
-		changes = append(changes, Change{Server: b.Server(), What: "removed"})
+		changes = next.keep(id, b, until, now, changes)
 	}
 	f.current.Store(next)
 	return changes
 }
 
+// keep keeps a server that the list lacks until a time, and removes it from then on. It returns the changes with that.
+func (v *view) keep(id string, b *Backend, until, now time.Time, changes []Change) []Change {
+	if !now.Before(until) {
+		b.remove()
+		return append(changes, Change{Server: b.Server(), What: "removed"})
+	}
+	b.setMissing(true)
+	v.missing[id] = until
+	v.add(id, b)
+	return changes
+}
+
 // Settle removes the servers that the list lacks and whose time has passed. It returns what has changed.
 func (f *Fleet) Settle(now time.Time) []Change {
 	f.updates.Lock()
 	defer f.updates.Unlock()
 	old, next := f.current.Load(), newView()
+	if len(old.missing) == 0 {
+		return nil
+	}
 	var changes []Change
 	for id, b := range old.byID {
-		until, missing := old.missing[id]
-		if missing && !now.Before(until) {
-			b.remove()
-			changes = append(changes, Change{Server: b.Server(), What: "removed"})
+		if until, missing := old.missing[id]; missing {
+			changes = next.keep(id, b, until, now, changes)
 			continue
 		}
-		if missing {
-			next.missing[id] = until
-		}
 		next.add(id, b)
 	}
 	if len(changes) > 0 {
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -29,9 +29,11 @@
 	route    *catalog.Route
 	service  string
 	customer *catalog.Customer
-	body     []byte
-	hasBody  bool
-	expires  time.Time
+	// group is the queue of the service, nil until it is needed.
+	group   *limit.Queue
+	body    []byte
+	hasBody bool
+	expires time.Time
 
 	attempts []attempt
 	// moved says that a send was ended because its server turned slow, and that the budget has allowed another one.
@@ -172,8 +174,9 @@
 	if c.route.Kind != catalog.Stream || service == nil || service.Engine == nil {
 		return func() {}, nil
 	}
-	q := c.server.queue(c.service)
-	err := q.Acquire(ctx, c.patience(q))
+	q := c.queue()
+	// The request may wait for as long as its first event can still come in time.
+	err := q.Acquire(ctx, q.Patience(c.route.Objective))
 	c.queued = time.Since(c.arrived)
 	if err != nil {
 		return nil, c.notAdmitted(err)
@@ -182,10 +185,12 @@
 	return func() { q.Release(time.Since(admitted)) }, nil
 }
 
-// patience is how long the request may wait for a place: as long as its first event can still come in time, and a
-// share of what is left for one that is late already.
-func (c *call) patience(q *limit.Queue) time.Duration {
-	return q.Patience(c.route.Objective)
+// queue returns the queue of the service, which is looked up once.
+func (c *call) queue() *limit.Queue {
+	if c.group == nil {
+		c.group = c.server.queue(c.service)
+	}
+	return c.group
 }
 
 func (c *call) notAdmitted(err error) *Failure {
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -70,7 +70,7 @@
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
 		if c.route.Kind == catalog.Stream {
-			d := s.queue(c.service).Dump()
+			d := c.queue().Dump()
 			fields = append(fields,
 				zap.Duration("queued", c.queued), zap.Duration("first", c.firstAt), zap.Duration("pause", c.longest),
 				zap.Int("events", c.events), zap.Int("limit", d.Limit), zap.Int("in_flight", d.InFlight),
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -186,7 +186,7 @@
 
 // observe takes the time of an event for the limit of the group.
 func (c *call) observe(now time.Time, pause time.Duration) {
-	q := c.server.queue(c.service)
+	q := c.queue()
 	if c.events == 0 {
 		c.firstAt = now.Sub(c.arrived)
 		q.ObserveFirst(c.firstAt - c.queued)
