Let stand-in, soaks and tests of the group share what they had twice

Changes in the form of the users' platform are made by the store stand-in's own transaction; both soaks keep their findings in one type; free addresses of any loopback IP are given out once each; the set-up of a group in a bubble stands once. Assertions are unchanged.

--- a/expertmap/rollout/fake_test.go
+++ b/expertmap/rollout/fake_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -74,6 +76,18 @@
 	}
 }
 
+// withGroup plays a test with a group in a bubble. The test runs the group; everything it has started ends with the context.
+func withGroup(t *testing.T, play func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		first := toContent(inTurn(t))
+		play(ctx, t, newFakeGroup(smallShape.Ranks, first, 1), first)
+		stop()
+		synctest.Wait()
+	})
+}
+
 // lagPasses is by how many passes lagging ranks are late.
 const lagPasses = 4
 
--- a/expertmap/rollout/group_test.go
+++ b/expertmap/rollout/group_test.go
@@ -149,10 +149,7 @@
 // Guards against a switch that goes on although a rank could not be armed, and against a late order to arm that takes
 // effect after the switch was undone.
 func TestSwitchIsUndoneWhenARankIsNotArmed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16) {
 		go g.run(ctx)
 		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
 		ranks := g.access()
@@ -171,8 +168,6 @@
 		require.False(t, g.now().split)
 		require.Zero(t, g.now().versions[0], "the old map stays in use")
 		require.False(t, g.heldNow())
-		stop()
-		synctest.Wait()
 	})
 }
 
@@ -198,10 +193,7 @@
 
 // Guards against a new issuer that undoes a switch which its predecessor has already released.
 func TestNewIssuerFinishesASwitchThatIsArmedEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16) {
 		pass := g.pass + 1
 		for i, r := range g.ranks {
 			r.prepared, r.top, r.next, r.armed = 7, 7, first, &Armed{Version: 7, Pass: pass}
@@ -214,18 +206,13 @@
 		require.False(t, g.now().split)
 		require.False(t, g.heldNow())
 		require.GreaterOrEqual(t, g.now().versions[0], int64(7))
-		stop()
-		synctest.Wait()
 	})
 }
 
 // Guards against a group that stands still because the lease ended in the middle of a switch and, with the store down, no
 // other process can take it (seen in the incident inc-c422).
 func TestSwitchIsEndedAfterTheLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16) {
 		go g.run(ctx)
 		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
 		ranks := g.access()
@@ -237,8 +224,6 @@
 		time.Sleep(15 * time.Second)
 		require.False(t, g.heldNow())
 		require.False(t, g.now().split)
-		stop()
-		synctest.Wait()
 	})
 }
 
@@ -257,10 +242,7 @@
 
 // Guards against an order of an earlier issuer that is carried out after a new one has undone its switch.
 func TestLateOrderOfAnEarlierIssuerIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16) {
 		g.idle = true
 		pass := g.pass + 1
 		for i, r := range g.ranks {
@@ -279,18 +261,13 @@
 		time.Sleep(time.Second)
 		require.False(t, g.now().split)
 		require.False(t, g.heldNow())
-		stop()
-		synctest.Wait()
 	})
 }
 
 // Guards against an order to release a pass that is carried out once more, late, and releases the hold of the next
 // switch before every rank is armed.
 func TestLateReleaseDoesNotEndTheNextHold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16) {
 		g.idle = true
 		go g.run(ctx)
 		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
@@ -312,8 +289,6 @@
 		time.Sleep(time.Second)
 		require.False(t, g.now().split)
 		require.Equal(t, version, g.now().versions[3])
-		stop()
-		synctest.Wait()
 	})
 }
 
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -95,10 +95,7 @@
 // Guards against planning the next map while the ranks are still armed for the last one: every rank refuses to prepare
 // it, and the group keeps a bad map until that is given up (seen on scale-1 of lumme-reititin for 2.8 s).
 func TestNoMapIsPreparedWhileRanksAreArmed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, _ [][][]uint16) {
 		g.idle = true // The pass of the first switch never begins.
 		go g.drift(ctx, rand.New(rand.NewPCG(2, 6)))
 		lead(ctx, g, 0, &issuer{fence: 1, ends: time.Now().Add(6 * time.Second)}, rand.New(rand.NewPCG(1, 1)))
@@ -108,7 +105,5 @@
 			armed = armed || o.Operation == Arm
 			require.False(t, armed && o.Operation == Prepare, "a map is prepared after the ranks were armed")
 		}
-		stop()
-		synctest.Wait()
 	})
 }
--- a/expertmap/rollout/timing_test.go
+++ b/expertmap/rollout/timing_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -12,10 +11,7 @@
 // Guards against a group that stands still at each change of its map while a rank is late to confirm its order, which makes
 // every stream of the group late (seen on lumme-reititin scale-1, where orders were answered late for 18 s).
 func TestLateConfirmationsDelayOneSwitchOnly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		first := toContent(inTurn(t))
-		g := newFakeGroup(smallShape.Ranks, first, 1)
+	withGroup(t, func(ctx context.Context, t *testing.T, g *fakeGroup, first [][][]uint16) {
 		go g.run(ctx)
 		ranks := g.access()
 		ranks[2] = &slowArm{Rank: ranks[2], pause: 100 * time.Millisecond}
@@ -33,8 +29,6 @@
 			time.Sleep(time.Second)
 		}
 		require.LessOrEqual(t, g.now().stood, 4, "passes delayed by the second switch, the first with the longer delay")
-		stop()
-		synctest.Wait()
 	})
 }
 
--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -232,21 +232,22 @@
 
 // Show sets what the instance list shows of an instance, after its lag.
 func (d *Deployment) Show(name, address, domain, program, state string) {
-	d.put(d.ListURL+"/standin/instances/"+name, instancelist.Instance{
+	put(d.t, d.ListURL+"/standin/instances/"+name, instancelist.Instance{
 		Name: name, Address: address, FailureDomain: domain, Program: program, State: state,
 	})
 }
 
 // KVFaults sets the failures of the key-value service, as kvserver.Faults.
-func (d *Deployment) KVFaults(f any) { d.put(d.KVURL+"/standin/faults", f) }
+func (d *Deployment) KVFaults(f any) { put(d.t, d.KVURL+"/standin/faults", f) }
 
 // EngineFaults sets the failures of the engine behind a model server, as engineserver.Faults.
-func (d *Deployment) EngineFaults(s *Server, f any) { d.put(s.Backend+"/standin/faults", f) }
+func (d *Deployment) EngineFaults(s *Server, f any) { put(d.t, s.Backend+"/standin/faults", f) }
 
-func (d *Deployment) put(url string, v any) {
-	d.t.Helper()
-	status, _, body := Do(d.t, http.MethodPut, url, nil, v)
-	require.Equal(d.t, http.StatusOK, status, "%s", body)
+// put sends a value to a stand-in.
+func put(t testing.TB, url string, v any) {
+	t.Helper()
+	status, _, body := Do(t, http.MethodPut, url, nil, v)
+	require.Equal(t, http.StatusOK, status, "%s", body)
 }
 
 // Ctl runs lavendermoorctl against the first entry as the operator.
--- a/proctest/fleet.go
+++ b/proctest/fleet.go
@@ -74,23 +74,16 @@
 	return host[:strings.LastIndexByte(host, '.')+1] + strconv.Itoa(10+i)
 }
 
-func (f *Fleet) free(ip string) string {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
-	require.NoError(f.t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *Fleet) startPlatform(plan FleetPlan) {
 	store := FreeAddress(f.t)
 	f.StoreURL = "http://" + store
 	listen, advertise := []string{store}, []string{}
 	for i := range plan.Models + plan.Plain {
 		ip := instanceIP(i)
-		far := f.free(ip)
+		far := freeAddressAt(f.t, ip)
 		listen = append(listen, far)
 		if i < plan.Models {
-			listen = append(listen, f.free(ip))
+			listen = append(listen, freeAddressAt(f.t, ip))
 		}
 		p := NewProxy(f.t, ip+":0", far)
 		f.Replicas = append(f.Replicas, p)
@@ -108,7 +101,7 @@
 // rankPort returns a port that is free on all instances of model replicas.
 func (f *Fleet) rankPort(models int) int {
 	for {
-		_, text, err := net.SplitHostPort(f.free(instanceIP(0)))
+		_, text, err := net.SplitHostPort(freeAddressAt(f.t, instanceIP(0)))
 		require.NoError(f.t, err)
 		free := true
 		for i := range models {
@@ -173,12 +166,7 @@
 
 // SetFaults sets the faults of a replica.
 func (f *Fleet) SetFaults(i int, faults replicaserver.Faults) {
-	f.put(f.replicaURLs[i]+"/standin/faults", faults)
-}
-
-func (f *Fleet) put(url string, v any) {
-	status, _, body := Do(f.t, http.MethodPut, url, nil, v)
-	require.Equal(f.t, http.StatusOK, status, "%s", body)
+	put(f.t, f.replicaURLs[i]+"/standin/faults", faults)
 }
 
 // Host is that of all routes.
@@ -202,7 +190,7 @@
 	for _, path := range further {
 		routes = append(routes, route(path, "idempotent", replicaserver.PlainService, false))
 	}
-	f.put(f.StoreURL+"/standin/key?Key=op/config", map[string]any{
+	put(f.t, f.StoreURL+"/standin/key?Key=op/config", map[string]any{
 		"Version": f.version, "Routes": routes, "Services": f.services(),
 		"Limits":  map[string]any{"HeaderBytes": 16384, "BodyBytes": 1 << 20, "HeaderMs": 3000, "IdleMs": 15000},
 		"Tenants": []map[string]any{{"Name": customerName, "ApiKeys": []string{CallerKey, key}}},
--- a/proctest/fleet_soak_test.go
+++ b/proctest/fleet_soak_test.go
@@ -26,12 +26,10 @@
 // the seed; what the processes make of it does not.
 type fleetSoak struct {
 	callers
+	findings
 
-	t        *testing.T
-	mu       sync.Mutex
-	spans    []*span
-	problems []string
-	counts   map[string]int
+	t     *testing.T
+	spans []*span
 	// stopped are the gateways' SIGTERMs.
 	stopped []span
 	// struck keeps two failures from striking one process at a time.
@@ -62,7 +60,7 @@
 	defer stop()
 	f := DeployFleet(t, FleetPlan{Gateways: 3, Models: 4, Plain: 3})
 	s := &fleetSoak{
-		callers: callers{f: f, ctx: ctx}, t: t, counts: map[string]int{}, struck: map[string]bool{},
+		callers: callers{f: f, ctx: ctx}, findings: findings{counts: map[string]int{}}, t: t, struck: map[string]bool{},
 	}
 	var wg sync.WaitGroup
 	for i, path := range []string{"/stream/x", "/stream/x", "/stream/x", "/stream/x", "/once/x", "/once/x", "/once/x", "/read/x"} {
@@ -76,16 +74,10 @@
 	s.check()
 }
 
-func (s *fleetSoak) problem(format string, args ...any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.problems = append(s.problems, fmt.Sprintf(format, args...))
-}
-
 // strike notes the begin of a failure of something, and returns its end; false when it is struck already.
 func (s *fleetSoak) strike(kind, what string) (heal func(), ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.findings.mu.Lock()
+	defer s.findings.mu.Unlock()
 	if s.struck[what] {
 		return nil, false
 	}
@@ -94,8 +86,8 @@
 	now := &span{kind: kind, what: what, from: time.Now()}
 	s.spans = append(s.spans, now)
 	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
+		s.findings.mu.Lock()
+		defer s.findings.mu.Unlock()
 		s.struck[what] = false
 		now.to = time.Now()
 	}, true
@@ -103,8 +95,8 @@
 
 // calm says whether nothing struck any of these from a time to another.
 func (s *fleetSoak) calm(from, to time.Time, what ...string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.findings.mu.Lock()
+	defer s.findings.mu.Unlock()
 	for _, f := range s.spans {
 		for _, w := range what {
 			if f.what == w && f.from.Before(to) && (f.to.IsZero() || f.to.After(from)) {
@@ -117,8 +109,8 @@
 
 // during lists what was struck at some time between two.
 func (s *fleetSoak) during(from, to time.Time) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.findings.mu.Lock()
+	defer s.findings.mu.Unlock()
 	var out []string
 	for _, f := range s.spans {
 		if f.from.Before(to) && (f.to.IsZero() || f.to.After(from)) {
@@ -155,9 +147,9 @@
 	}
 	defer heal()
 	f := []kvserver.Faults{{Down: true}, {DelayMs: 150}, {LoseAnswers: 3}}[rng.IntN(3)]
-	s.f.put(s.f.StoreURL+"/standin/faults", f)
+	put(s.t, s.f.StoreURL+"/standin/faults", f)
 	hold(rng, 2500*time.Millisecond)
-	s.f.put(s.f.StoreURL+"/standin/faults", kvserver.Faults{})
+	put(s.t, s.f.StoreURL+"/standin/faults", kvserver.Faults{})
 }
 
 func (s *fleetSoak) storeForgets(*rand.Rand) {
@@ -232,9 +224,9 @@
 	from := time.Now()
 	g.Terminate()
 	_ = g.Wait(patience) // What it did shows in the answers.
-	s.mu.Lock()
+	s.findings.mu.Lock()
 	s.stopped = append(s.stopped, span{what: g.Name, from: from, to: time.Now()})
-	s.mu.Unlock()
+	s.findings.mu.Unlock()
 	s.f.RestartGateway(g)
 	s.readyAgain(g)
 }
@@ -316,7 +308,7 @@
 			if !s.calm(from.Add(-contact), time.Now(), "store", g.Name) {
 				continue
 			}
-			s.checked("configurations")
+			s.count("checked configurations")
 			if added == http.StatusNotFound || added == http.StatusUnauthorized {
 				s.problem("%s answers %d to a route and key added %v ago", g.Name, added, time.Since(from))
 			}
@@ -328,9 +320,3 @@
 		hold(rng, time.Second)
 	}
 }
-
-func (s *fleetSoak) checked(what string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts["checked "+what]++
-}
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -80,10 +80,13 @@
 var given sync.Map
 
 // FreeAddress returns an address of this test process whose port was free a moment ago, each one once.
-func FreeAddress(t testing.TB) string {
+func FreeAddress(t testing.TB) string { return freeAddressAt(t, loopback()) }
+
+// freeAddressAt is FreeAddress for a loopback IP.
+func freeAddressAt(t testing.TB, ip string) string {
 	t.Helper()
 	for {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback()+":0")
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
 		require.NoError(t, err)
 		address := l.Addr().String()
 		l.Close()
--- a/proctest/soak_test.go
+++ b/proctest/soak_test.go
@@ -39,13 +39,30 @@
 	t   *testing.T
 	d   *Deployment
 	ctx context.Context
+	findings
 
+	answers map[string][]callAnswer
+}
+
+// findings are what a soak has seen. Its methods may be called from any goroutine.
+type findings struct {
 	mu       sync.Mutex
-	answers  map[string][]callAnswer
 	problems []string
 	counts   map[string]int
 }
 
+func (f *findings) problem(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.problems = append(f.problems, fmt.Sprintf(format, args...))
+}
+
+func (f *findings) count(what string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[what]++
+}
+
 // callAnswer is what one sending of a call was told.
 type callAnswer struct {
 	executed string
@@ -60,7 +77,7 @@
 	t.Logf("seed %d, length %v", seed, length)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	s := &soak{t: t, d: small(t), ctx: ctx, answers: map[string][]callAnswer{}, counts: map[string]int{}}
+	s := &soak{t: t, d: small(t), ctx: ctx, answers: map[string][]callAnswer{}, findings: findings{counts: map[string]int{}}}
 	var wg sync.WaitGroup
 	loops := []func(*rand.Rand){
 		s.streamLoop, s.streamLoop, s.streamLoop, s.keyedLoop, s.keyedLoop, s.keyedLoop, s.tokenLoop, s.plainLoop,
@@ -77,18 +94,6 @@
 
 func (s *soak) on() bool { return s.ctx.Err() == nil }
 
-func (s *soak) problem(format string, args ...any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.problems = append(s.problems, fmt.Sprintf(format, args...))
-}
-
-func (s *soak) count(what string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts[what]++
-}
-
 func (s *soak) entry(rng *rand.Rand) string { return s.d.Entries[rng.IntN(len(s.d.Entries))].URL }
 
 func (s *soak) streamLoop(rng *rand.Rand) {
--- a/standin/kvserver/kvserver.go
+++ b/standin/kvserver/kvserver.go
@@ -134,6 +134,9 @@
 	return true
 }
 
+// refusal is the outcome of a call that is answered with an error status.
+type refusal struct{ status int }
+
 // handle decodes a call, runs it under the lock and sends the answer, which fn returns with whether it wrote.
 func handle[In, Out any](s *Server, fn func(*In) (out Out, wrote bool)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -156,7 +159,7 @@
 		if lost {
 			panic(http.ErrAbortHandler) // Cuts the connection without an answer.
 		}
-		if refused, ok := any(out).(platformRefusal); ok {
+		if refused, ok := any(out).(refusal); ok {
 			writeError(w, refused.status, "refused")
 			return
 		}
@@ -264,20 +267,27 @@
 }
 
 func (s *Server) grant(in *kv.WireLease) (kv.WireLease, bool) {
+	return kv.WireLease{ID: s.newLease(time.Duration(in.TTL) * time.Second), TTL: in.TTL}, true
+}
+
+func (s *Server) newLease(ttl time.Duration) int64 {
 	s.counts.Writes++
 	s.nextID++
-	ttl := time.Duration(in.TTL) * time.Second
-	s.leases[s.nextID] = &lease{ttl: ttl, expires: s.now().Add(ttl), keys: map[string]bool{}}
-	return kv.WireLease{ID: s.nextID, TTL: in.TTL}, true
+	l := &lease{ttl: ttl, keys: map[string]bool{}}
+	s.renew(l)
+	s.leases[s.nextID] = l
+	return s.nextID
 }
 
+func (s *Server) renew(l *lease) { l.expires = s.now().Add(l.ttl) }
+
 func (s *Server) keepAlive(in *kv.WireLease) (kv.WireLeaseKeepAlive, bool) {
 	s.counts.Writes++
 	l, ok := s.leases[in.ID]
 	if !ok {
 		return kv.WireLeaseKeepAlive{Result: kv.WireLease{ID: in.ID}}, true
 	}
-	l.expires = s.now().Add(l.ttl)
+	s.renew(l)
 	return kv.WireLeaseKeepAlive{Result: kv.WireLease{ID: in.ID, TTL: int64(l.ttl / time.Second)}}, true
 }
 
--- a/standin/kvserver/platform.go
+++ b/standin/kvserver/platform.go
@@ -203,46 +203,40 @@
 	}
 }
 
-// platformRefusal is the answer to a change that the store refuses.
-type platformRefusal struct{ status int }
-
+// platformChange makes a change in the form of the platform by the transaction of the other form.
 func (s *Server) platformChange(in *platformTxn) (any, bool) {
-	s.counts.Writes++
+	var txn kv.WireTxn
 	for _, e := range in.Expected {
-		if s.records[e.Key].mod != e.Revision {
-			return platformRefusal{http.StatusPreconditionFailed}, true
-		}
+		txn.Compare = append(txn.Compare, kv.WireCompare{Key: []byte(e.Key), ModRevision: e.Revision})
 	}
 	for _, item := range in.Writes {
 		if strings.HasPrefix(item.Key, "op/") || strings.HasPrefix(item.Key, "servers/") {
-			return platformRefusal{http.StatusForbidden}, true
+			return refusal{http.StatusForbidden}, true
 		}
 		if _, ok := s.leases[item.LeaseId]; item.LeaseId != 0 && !ok {
-			return platformRefusal{http.StatusNotFound}, true
+			return refusal{http.StatusNotFound}, true
 		}
-	}
-	s.revision++
-	for _, item := range in.Writes {
-		s.put(&kv.WirePut{Key: []byte(item.Key), Value: item.Value, Lease: item.LeaseId})
+		put := &kv.WirePut{Key: []byte(item.Key), Value: item.Value, Lease: item.LeaseId}
+		txn.Success = append(txn.Success, kv.WireOp{RequestPut: put})
 	}
 	for _, key := range in.Remove {
-		s.delete(key)
+		txn.Success = append(txn.Success, kv.WireOp{RequestDeleteRange: &kv.WireDelete{Key: []byte(key)}})
 	}
-	s.wake()
-	return map[string]int64{"Revision": s.revision}, true
+	out, wrote := s.txn(&txn)
+	if !out.Succeeded {
+		return refusal{http.StatusPreconditionFailed}, wrote
+	}
+	return map[string]int64{"Revision": out.Header.Revision}, wrote
 }
 
 func (s *Server) platformGrant(in *platformLease) (any, bool) {
-	s.counts.Writes++
-	s.nextID++
-	ttl := time.Duration(in.TtlMs) * time.Millisecond
-	s.leases[s.nextID] = &lease{ttl: ttl, expires: s.now().Add(ttl), keys: map[string]bool{}}
-	return platformLease{LeaseId: s.nextID, TtlMs: in.TtlMs}, true
+	id := s.newLease(time.Duration(in.TtlMs) * time.Millisecond)
+	return platformLease{LeaseId: id, TtlMs: in.TtlMs}, true
 }
 
 func (s *Server) platformKeep(w http.ResponseWriter, r *http.Request) {
 	s.platformLeaseCall(w, r, func(_ int64, l *lease) any {
-		l.expires = s.now().Add(l.ttl)
+		s.renew(l)
 		return platformLease{TtlMs: l.ttl.Milliseconds()}
 	})
 }
