--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -190,7 +190,7 @@
 		group.Go(func() error { g.servers.Run(serving); return nil })
 		group.Go(func() error { g.srv.Housekeep(serving); return nil })
 		group.Go(func() error { g.settle(serving); return nil })
-		group.Go(func() error { g.followPaces(serving); return nil })
+		group.Go(func() error { g.followGroups(serving); return nil })
 		group.Go(func() error { return telemetry.ServeServer(serving, listeners[0], callers, listenerGrace) })
 		group.Go(func() error { return telemetry.Serve(serving, listeners[1], g.readyHandler(), listenerGrace) })
 		group.Go(func() error { return telemetry.Serve(serving, listeners[2], g.controlHandler(), listenerGrace) })
--- /dev/null
+++ b/cmd/internal/gatewayd/groups.go
@@ -0,0 +1,136 @@
+package gatewayd
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/cmd/internal/process"
+	"lavendermoor.example/expertmap/rollout/agent"
+	"lavendermoor.example/gateway/balance"
+)
+
+const (
+	// groupTick is how often it is looked which groups are to be asked for their state.
+	groupTick    = 50 * time.Millisecond
+	groupTimeout = 300 * time.Millisecond
+	// paceLife is the time after which the paces of a group that were not confirmed are forgotten.
+	paceLife = 10 * time.Second
+	// paceSlack is the time that a notice may be on its way.
+	paceSlack = 300 * time.Millisecond
+)
+
+// groupWatch asks the processes beside the ranks for the state of their groups and for the ranks that are slow.
+type groupWatch struct {
+	gateway *gateway
+	http    *http.Client
+
+	mu sync.Mutex
+	// notices holds the last notice of each group, by service and name.
+	notices map[string]map[string]datedNotice
+}
+
+// datedNotice is a notice with the time at which its planner gave it.
+type datedNotice struct {
+	agent.Notice
+	at time.Time
+}
+
+// followGroups keeps the states of the groups up to date until the context ends.
+func (g *gateway) followGroups(ctx context.Context) {
+	if g.set.Load().RankPort == 0 {
+		return
+	}
+	w := &groupWatch{
+		gateway: g, http: &http.Client{Timeout: groupTimeout}, notices: map[string]map[string]datedNotice{},
+	}
+	for ctx.Err() == nil {
+		for _, service := range g.groupedServices() {
+			for _, b := range g.fleet.Questions(service, rand.Float64, time.Now()) {
+				go w.ask(ctx, service, b)
+			}
+			w.apply(service, time.Now())
+		}
+		process.Pause(ctx, groupTick)
+	}
+}
+
+// groupedServices returns the services whose servers are ranks of groups.
+func (g *gateway) groupedServices() []string {
+	var out []string
+	if c := g.srv.Catalog(); c != nil {
+		for _, s := range c.Services {
+			if s.Engine != nil && s.Engine.Layers > 0 {
+				out = append(out, s.Name)
+			}
+		}
+	}
+	return out
+}
+
+// ask asks the process beside one server. Questions end after groupTimeout, so that few are open at a time.
+func (w *groupWatch) ask(ctx context.Context, service string, b *balance.Backend) {
+	server := b.Server()
+	address, err := agent.Address(server.Address, w.gateway.set.Load().RankPort)
+	if err != nil {
+		w.gateway.log.Warn("address of a backend server cannot be read", zap.String("server", server.ID), zap.Error(err))
+		return
+	}
+	asked := time.Now()
+	members := w.gateway.fleet.LacksGroup(service)
+	report, err := agent.NewClient(address, w.http, nil).ReadGroup(ctx, members)
+	if err != nil {
+		w.gateway.log.Debug("no report on a group", zap.String("server", server.ID), zap.Error(err))
+		return
+	}
+	r := balance.GroupReport{Group: report.Group, Epoch: report.Epoch, Open: report.Open, Asked: asked}
+	if report.Notice.Group == report.Group {
+		r.Members = report.Notice.Members
+		w.take(service, report.Notice, time.Now())
+	}
+	if w.gateway.fleet.ReportGroup(service, server.Address, r) {
+		w.gateway.log.Info("state of a group changed", zap.String("group", report.Group), zap.String("service", service),
+			zap.Int64("epoch", report.Epoch), zap.Bool("open", report.Open), zap.String("reported_by", server.ID))
+		w.gateway.srv.RefreshGroups()
+	}
+}
+
+// take keeps a notice unless a later one of the group is known. Processes beside ranks may have missed the last one.
+func (w *groupWatch) take(service string, n agent.Notice, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	groups := w.notices[service]
+	if groups == nil {
+		groups = map[string]datedNotice{}
+		w.notices[service] = groups
+	}
+	at := now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
+	last := groups[n.Group]
+	if n.Group == "" || n.Fence < last.Fence || (n.Fence == last.Fence && at.Before(last.at.Add(-paceSlack))) {
+		return
+	}
+	groups[n.Group] = datedNotice{Notice: n, at: at}
+}
+
+// apply sets the paces of a service's servers as all its groups report them.
+func (w *groupWatch) apply(service string, now time.Time) {
+	w.mu.Lock()
+	merged := map[string]float64{}
+	for name, n := range w.notices[service] {
+		if now.Sub(n.at) > paceLife {
+			delete(w.notices[service], name)
+			continue
+		}
+		maps.Copy(merged, n.Paces)
+	}
+	w.mu.Unlock()
+	for _, s := range w.gateway.fleet.SetPaces(service, merged) {
+		w.gateway.log.Info("pace of a backend server changed", zap.String("server", s.ID), zap.String("service", service),
+			zap.Float64("pace", max(merged[s.Address], 1)))
+	}
+}
--- a/cmd/internal/rankd/notice.go
+++ b/cmd/internal/rankd/notice.go
@@ -39,7 +39,7 @@
 	if err != nil || len(states) != len(a.addresses) {
 		return
 	}
-	n := agent.Notice{Group: a.group, Fence: fence, Paces: map[string]float64{}}
+	n := agent.Notice{Group: a.group, Fence: fence, Paces: map[string]float64{}, Members: a.addresses}
 	for i, s := range states {
 		if s.Pace >= slowPace {
 			n.Paces[a.addresses[i]] = s.Pace
--- a/expertmap/rollout/agent/agent.go
+++ b/expertmap/rollout/agent/agent.go
@@ -39,11 +39,15 @@
 	Detail string `json:"detail"`
 }
 
+// maxRefusal bounds a refusal in bytes.
+const maxRefusal = 64 << 10
+
 // Agent serves one rank. Its methods may be called from any goroutine.
 type Agent struct {
 	rank  rollout.Rank
 	log   *zap.Logger
 	board board
+	own   ownCache
 
 	mu sync.Mutex
 	// floor is the highest fencing number seen. Not every rank checks the number by itself.
@@ -58,7 +62,7 @@
 	r.HandleFunc(PathState, a.state).Methods(http.MethodGet)
 	r.HandleFunc(PathOrder, a.order).Methods(http.MethodPost)
 	r.HandleFunc(PathNotice, a.putNotice).Methods(http.MethodPut)
-	r.HandleFunc(PathNotice, a.getNotice).Methods(http.MethodGet)
+	r.HandleFunc(PathGroup, a.getGroup).Methods(http.MethodGet)
 }
 
 func (a *Agent) state(w http.ResponseWriter, r *http.Request) {
@@ -200,7 +204,7 @@
 		return nil
 	case http.StatusConflict:
 		var r refusal
-		if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusal)).Decode(&r); err != nil {
 			return merry.Wrap(&rollout.UnansweredError{Operation: o.Operation, Cause: err})
 		}
 		return merry.Wrap(&rollout.RefusedError{Operation: o.Operation, Fenced: r.Fenced, Detail: r.Detail})
--- a/expertmap/rollout/agent/notice.go
+++ b/expertmap/rollout/agent/notice.go
@@ -11,10 +11,18 @@
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+
+	"lavendermoor.example/expertmap/rollout"
 )
 
-// PathNotice serves the last notice of the group's planner, and takes the next one.
-const PathNotice = "/peer/v1/group/notice"
+// PathNotice takes the next notice of the group's planner, and PathGroup serves a GroupReport.
+const (
+	PathNotice = "/peer/v1/group/notice"
+	PathGroup  = "/peer/v1/group"
+)
+
+// queryMembers asks for the members of the group in a report.
+const queryMembers = "members"
 
 const (
 	// noticeLife is the age from which a notice says nothing; its planner repeats it more often.
@@ -30,10 +38,48 @@
 	Fence int64 `json:"fence"`
 	// Paces are those of the slow ranks, above 1, by the address of the replica.
 	Paces map[string]float64 `json:"paces,omitempty"`
+	// Members are the addresses of the group's replicas in order of rank.
+	Members []string `json:"members,omitempty"`
 	// AgeMs is how long ago the planner gave the notice, in an answer.
 	AgeMs int64 `json:"age_ms,omitempty"`
 }
 
+// GroupReport is what a process beside a rank says of the rank's group.
+type GroupReport struct {
+	// Group, Epoch and Open are those of the rank's own report as of now. Group is empty when the rank is in none.
+	Group string `json:"group"`
+	Epoch int64  `json:"epoch"`
+	Open  bool   `json:"open"`
+	// Notice is the last one of the group's planner; its members are given when they are asked for.
+	Notice Notice `json:"notice"`
+}
+
+// ownCache keeps the state of the process's own rank for a moment, so that many questions cost the rank one.
+type ownCache struct {
+	mu    sync.Mutex
+	state rollout.State
+	err   error
+	at    time.Time
+}
+
+// ownLife is the age up to which the state of the own rank answers a question.
+const ownLife = 50 * time.Millisecond
+
+func (c *ownCache) get(ctx context.Context, rank rollout.Rank) (rollout.State, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.at) > ownLife {
+		ctx, cancel := context.WithTimeout(ctx, ownTimeout)
+		defer cancel()
+		c.state, c.err = rank.State(ctx, rollout.Want{})
+		c.at = time.Now()
+	}
+	return c.state, c.err
+}
+
+// ownTimeout bounds a question to the own rank, so that those who wait behind it get their answers.
+const ownTimeout = 150 * time.Millisecond
+
 // board holds the last notice.
 type board struct {
 	mu     sync.Mutex
@@ -54,7 +100,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now.Sub(b.at) > noticeLife {
-		return Notice{Group: b.notice.Group}
+		return Notice{Group: b.notice.Group, Members: b.notice.Members}
 	}
 	n := b.notice
 	n.AgeMs = now.Sub(b.at).Milliseconds()
@@ -77,8 +123,18 @@
 	a.Notify(n)
 }
 
-func (a *Agent) getNotice(w http.ResponseWriter, _ *http.Request) {
-	a.answer(w, http.StatusOK, a.board.get(time.Now()))
+func (a *Agent) getGroup(w http.ResponseWriter, r *http.Request) {
+	s, err := a.own.get(r.Context(), a.rank)
+	if err != nil {
+		a.log.Debug("rank gave no state", zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	out := GroupReport{Group: s.Group, Epoch: s.Epoch, Open: s.Open, Notice: a.board.get(time.Now())}
+	if !r.URL.Query().Has(queryMembers) {
+		out.Notice.Members = nil
+	}
+	a.answer(w, http.StatusOK, out)
 }
 
 // SendNotice gives a notice to the agent. It fails with a *StatusError or the error of the connection.
@@ -90,9 +146,13 @@
 	return c.call(ctx, http.MethodPut, PathNotice, body, nil, maxNotice)
 }
 
-// ReadNotice returns the last notice at the agent. Errors are those of SendNotice.
-func (c *Client) ReadNotice(ctx context.Context) (Notice, error) {
-	var n Notice
-	err := c.call(ctx, http.MethodGet, PathNotice, nil, &n, maxNotice)
-	return n, err
+// ReadGroup returns what the agent says of its rank's group, with the members if asked for. Errors are those of SendNotice.
+func (c *Client) ReadGroup(ctx context.Context, members bool) (GroupReport, error) {
+	path := PathGroup
+	if members {
+		path += "?" + queryMembers
+	}
+	var out GroupReport
+	err := c.call(ctx, http.MethodGet, path, nil, &out, maxNotice)
+	return out, err
 }
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -18,6 +18,12 @@
 	ejectAfter = 3
 	minEject   = 500 * time.Millisecond
 	maxEject   = 4 * time.Second
+	// minRest and maxRest bound the time for which a server that refused a request is left alone.
+	minRest = 50 * time.Millisecond
+	maxRest = time.Second
+	// rejectingAfter is the number of refusals in a row after which a server gets nothing at all in that time, also when there
+	// is no other.
+	rejectingAfter = 3
 )
 
 // Outcome is how a request went at a server.
@@ -48,13 +54,22 @@
 type Backend struct {
 	Pool *exchange.Pool
 
-	mu      sync.Mutex
-	server  catalog.Server
+	mu     sync.Mutex
+	server catalog.Server
+	// group is nil while it is not known; ownWord says that the process beside the server has named it.
+	group   *Group
+	ownWord bool
+	// asked is when the process beside the server was asked for its group.
+	asked   time.Time
 	removed bool
 	// missing says that the list lacks the server, which is kept for a while.
 	missing  bool
 	inFlight int
 	tokens   int
+	// heard is when the server was heard of last while requests were in flight, or when the first of them was sent.
+	heard time.Time
+	// silent says that requests in flight have been moved away because nothing was heard.
+	silent bool
 	// pace is by how much longer the server takes than it should, 0 while not known.
 	pace float64
 	// movable holds, for requests in flight that can go on elsewhere, what moves them there.
@@ -66,6 +81,9 @@
 	streak  int
 	ejects  int
 	until   time.Time
+	// refusals counts the answers in a row by which the server refused to run a request; until restUntil it gets no other.
+	refusals  int
+	restUntil time.Time
 }
 
 func newBackend(s catalog.Server, dialect exchange.Dialect) *Backend {
@@ -80,9 +98,12 @@
 }
 
 // Begin counts a request of a size in tokens as sent; it is followed by one End.
-func (b *Backend) Begin(tokens int) {
+func (b *Backend) Begin(tokens int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.inFlight == 0 {
+		b.heard, b.silent = now, false
+	}
 	b.inFlight++
 	b.tokens += tokens
 }
@@ -99,8 +120,10 @@
 	switch o {
 	case Served:
 		b.failures *= 1 - failureWeight
-		b.streak, b.ejects = 0, 0
-	case Refused, Abandoned:
+		b.streak, b.ejects, b.refusals = 0, 0, 0
+	case Refused:
+		b.refuse(now)
+	case Abandoned:
 	case Failed:
 		b.failures += failureWeight * (1 - b.failures)
 		b.fail(1, now)
@@ -110,6 +133,51 @@
 	}
 }
 
+// refuse takes a refusal. A server that refuses at once has nothing in flight and would draw all requests.
+func (b *Backend) refuse(now time.Time) {
+	b.heard = now
+	b.refusals++
+	b.restUntil = now.Add(min(minRest<<min(b.refusals-1, 8), maxRest))
+}
+
+// Heard takes a sign of life of the server: the head of an answer, or an event. Bytes that are neither say nothing.
+func (b *Backend) Heard(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard, b.silent = now, false
+}
+
+// listing returns the server as it is listed, and its group, nil if that is not known.
+func (b *Backend) listing() (catalog.Server, *Group) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.server, b.group
+}
+
+// setGroup sets the group, by the word of the process beside the server or by that of another one, and says whether it has
+// changed.
+func (b *Backend) setGroup(g *Group, ownWord bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !ownWord && b.ownWord {
+		return false
+	}
+	changed := b.group != g
+	b.group, b.ownWord = g, ownWord
+	return changed
+}
+
+// askDue says whether the process beside the server should be asked for its group, and counts it as asked if so.
+func (b *Backend) askDue(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.asked) < askUnknown {
+		return false
+	}
+	b.asked = now
+	return true
+}
+
 func (b *Backend) observeLatency(latency time.Duration) {
 	if b.latency == 0 {
 		b.latency = latency
@@ -133,9 +201,9 @@
 // work, so that the streams which stay there slow every stream of the group.
 const movePace = 2.5
 
-// OnSlow registers what moves a request in flight elsewhere. It is called, from another goroutine, once the server turns
-// slow; forget ends that.
-func (b *Backend) OnSlow(move func()) (forget func()) {
+// OnTrouble registers what moves a request in flight elsewhere. It is called, from another goroutine, once the server turns
+// slow or silent; forget ends that.
+func (b *Backend) OnTrouble(move func()) (forget func()) {
 	key := &move
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -157,9 +225,7 @@
 	changed := b.pace != pace
 	var moves []func()
 	if elsewhere && pace >= movePace && b.pace < movePace {
-		for move := range b.movable {
-			moves = append(moves, *move)
-		}
+		moves = b.moves()
 	}
 	b.pace = pace
 	b.mu.Unlock()
@@ -169,9 +235,51 @@
 	return changed
 }
 
+const (
+	// silentAfter is the time without a sign of life after which a server with requests in flight gets others only when there
+	// is no other server: its instance may stand still, and what is written to it would be read when it goes on.
+	silentAfter = 600 * time.Millisecond
+	// moveSilentAfter is that after which its requests are moved away.
+	moveSilentAfter = 900 * time.Millisecond
+)
+
+func (b *Backend) isSilent(now time.Time, after time.Duration) bool {
+	return b.inFlight > 0 && now.Sub(b.heard) > after
+}
+
+// moveIfSilent moves the requests in flight away from a server that has been silent for long, once.
+func (b *Backend) moveIfSilent(now time.Time) bool {
+	b.mu.Lock()
+	if b.silent || !b.isSilent(now, moveSilentAfter) {
+		b.mu.Unlock()
+		return false
+	}
+	b.silent = true
+	moves := b.moves()
+	b.mu.Unlock()
+	for _, move := range moves {
+		move()
+	}
+	return len(moves) > 0
+}
+
+// moves returns what moves the requests in flight. The caller holds the lock.
+func (b *Backend) moves() []func() {
+	moves := make([]func(), 0, len(b.movable))
+	for move := range b.movable {
+		moves = append(moves, *move)
+	}
+	return moves
+}
+
 // status is what a choice needs to know of a backend, as of one moment.
 type status struct {
 	usable bool
+	// rejecting servers refuse whatever they get.
+	rejecting bool
+	// group is empty while it is not known; groupServes says that it takes new work.
+	group       string
+	groupServes bool
 	// ejected servers get requests only when no other can.
 	ejected  bool
 	slots    int
@@ -185,8 +293,14 @@
 func (b *Backend) status(now time.Time, domain string) status {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	resting := now.Before(b.restUntil)
+	group, serves := "", true
+	if b.group != nil {
+		group, serves = b.group.Name, b.group.Serves(now)
+	}
 	return status{
-		usable: !b.removed && !b.server.Draining, ejected: b.missing || now.Before(b.until), slots: b.server.Slots,
+		usable: !b.removed && !b.server.Draining, group: group, groupServes: serves, rejecting: resting && b.refusals >= rejectingAfter,
+		ejected: b.missing || resting || now.Before(b.until) || b.isSilent(now, silentAfter), slots: b.server.Slots,
 		inFlight: b.inFlight, tokens: b.tokens, pace: b.pace,
 		failures: b.failures, local: b.server.Domain == domain,
 	}
@@ -204,6 +318,8 @@
 	Pace      float64 `json:"pace"`
 	Draining  bool    `json:"draining"`
 	Ejected   bool    `json:"ejected"`
+	Group     string  `json:"group,omitempty"`
+	Refusals  int     `json:"refusals"`
 	Idle      int     `json:"idle_connections"`
 }
 
@@ -211,8 +327,12 @@
 func (b *Backend) Dump(now time.Time) Dump {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	group := ""
+	if b.group != nil {
+		group = b.group.Name
+	}
 	return Dump{
-		ID: b.server.ID, Service: b.server.Service, Address: b.server.Address, InFlight: b.inFlight, Tokens: b.tokens,
+		Group: group, Refusals: b.refusals, ID: b.server.ID, Service: b.server.Service, Address: b.server.Address, InFlight: b.inFlight, Tokens: b.tokens,
 		Failures: b.failures, LatencyMs: float64(b.latency) / float64(time.Millisecond), Pace: b.pace, Draining: b.server.Draining,
 		Ejected: now.Before(b.until), Idle: b.Pool.Idle(),
 	}
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -17,6 +17,9 @@
 	// updates is held by the one change in progress.
 	updates sync.Mutex
 	current atomic.Pointer[view]
+
+	groupsLock sync.Mutex
+	groups     map[groupKey]*Group
 }
 
 // view is an immutable list of the backends.
@@ -33,7 +36,7 @@
 
 // NewFleet returns a fleet without backends for a process in a failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
-	f := &Fleet{dialect: dialect, domain: domain}
+	f := &Fleet{dialect: dialect, domain: domain, groups: map[groupKey]*Group{}}
 	f.current.Store(newView())
 	return f
 }
@@ -55,7 +58,8 @@
 	var changes []Change
 	for _, s := range servers {
 		b, known := old.byID[s.ID]
-		if known && b.Pool.Address() != s.Address {
+		if known && (b.Pool.Address() != s.Address || b.restarted(s)) {
+			// Nothing that was learnt of the earlier process holds for the new one.
 			b.remove()
 			known = false
 		}
@@ -134,6 +138,13 @@
 	b.missing = missing
 }
 
+// restarted says whether the entry is that of a later start of the server.
+func (b *Backend) restarted(s catalog.Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !s.Started.IsZero() && !b.server.Started.IsZero() && !s.Started.Equal(b.server.Started)
+}
+
 // relist takes the server's new entry and says whether it has begun to drain.
 func (b *Backend) relist(s catalog.Server) bool {
 	b.mu.Lock()
@@ -159,6 +170,18 @@
 	return changed
 }
 
+// MoveSilent moves requests away from servers that have been silent for long, and returns those servers. In a group that
+// stands still all ranks are silent, and none is better than the others.
+func (f *Fleet) MoveSilent(service string, now time.Time) []catalog.Server {
+	var moved []catalog.Server
+	for _, b := range f.Backends(service) {
+		if b.moveIfSilent(now) {
+			moved = append(moved, b.Server())
+		}
+	}
+	return moved
+}
+
 // Backends returns the backends of a service. The caller must not change the slice.
 func (f *Fleet) Backends(service string) []*Backend { return f.current.Load().byService[service] }
 
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -29,6 +29,10 @@
 // Query is one choice to make.
 type Query struct {
 	Service string
+	// Grouped says that the request has a place in the group named Group, which is empty for servers whose group is not
+	// known. A request without a place may go to any group that serves.
+	Grouped bool
+	Group   string
 	// Tokens is the size of a generation, 0 for a plain call.
 	Tokens int
 	// Tried lists servers that must not be chosen.
@@ -48,7 +52,7 @@
 			continue
 		}
 		s := b.status(q.Now, f.domain)
-		if !s.usable {
+		if !s.usable || s.rejecting || !q.allows(s) {
 			continue
 		}
 		score := s.score() + q.Random()*tieBreak
@@ -67,6 +71,14 @@
 	return nil, &NoBackendError{Service: q.Service, Listed: len(listed), Tried: len(q.Tried)}
 }
 
+// allows says whether the request may go to the group of a server.
+func (q Query) allows(s status) bool {
+	if q.Grouped {
+		return s.group == q.Group
+	}
+	return s.groupServes
+}
+
 // tieBreak spreads the choices of several processes between servers that are nearly equal.
 const tieBreak = 0.01
 
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -198,4 +198,6 @@
 	Draining bool
 	// WarmupLeft is how long the server stays slow after its start.
 	WarmupLeft time.Duration
+	// Started is when the server started, zero if it does not say; a server may start again under the ID that it had.
+	Started time.Time
 }
--- a/gateway/exchange/conn.go
+++ b/gateway/exchange/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -25,6 +27,7 @@
 // conn is one connection to a server. It is used by one request at a time.
 type conn struct {
 	net    net.Conn
+	in     *limitedReader
 	br     *bufio.Reader
 	reused bool
 	// expires is the time from which the server may close the idle connection.
@@ -32,7 +35,18 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{net: c, br: bufio.NewReaderSize(c, readBuffer)}
+	in := &limitedReader{r: c}
+	return &conn{net: c, in: in, br: bufio.NewReaderSize(in, readBuffer)}
+}
+
+// abort closes a connection on which an exchange has not ended. The reset makes bytes that have not reached the server
+// yet get lost: a request written to an instance that stands still would otherwise run there after its caller has left.
+func (c *conn) abort() {
+	if tcp, ok := c.net.(*net.TCPConn); ok {
+		// A connection that is closed already cannot be reset, and needs not to be.
+		_ = tcp.SetLinger(0)
+	}
+	c.net.Close()
 }
 
 // usable says whether an idle connection is open and silent. Bytes that wait on it belong to no request.
@@ -107,17 +121,21 @@
 	return errors.Join(ctlErr, err)
 }
 
-// readResponse reads the head of the answer to a request and passes over interim ones.
-func readResponse(br *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(br, req)
+// readResponse reads the head of the answer to a request and passes over interim ones. It fails with a *HeadError, an
+// *InterimError or the errors of the connection and of http.ReadResponse.
+func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.in.expectHead()
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.in.expectBody()
 			return resp, nil
 		}
 	}
+	return nil, merry.Wrap(&InterimError{Limit: maxInterim})
 }
 
 // drain reads what is left of a body, up to a bound, and says whether its end was reached.
--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -114,7 +114,7 @@
 		return nil, err
 	}
 	a := &Answer{pool: p, conn: c}
-	a.stop = context.AfterFunc(ctx, func() { c.net.Close() })
+	a.stop = context.AfterFunc(ctx, c.abort)
 	if err := a.exchange(r, p.dialect); err != nil {
 		a.Close()
 		if cause := context.Cause(ctx); cause != nil {
@@ -149,7 +149,7 @@
 func (a *Answer) exchange(r *Request, dialect Dialect) error {
 	written := r.write(a.conn.net)
 	for range maxStale + 1 {
-		resp, err := readResponse(a.conn.br, r.httpRequest()) //nolint:bodyclose // Answer.Close ends the exchange.
+		resp, err := a.conn.readResponse(r.httpRequest()) //nolint:bodyclose // Answer.Close ends the exchange.
 		if err != nil {
 			return err
 		}
@@ -206,5 +206,9 @@
 		a.pool.put(a.conn)
 		return
 	}
-	a.conn.net.Close()
+	if a.complete {
+		a.conn.net.Close()
+		return
+	}
+	a.conn.abort()
 }
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,8 @@
 	route    *catalog.Route
 	service  string
 	customer *catalog.Customer
-	// group is the queue of the service, nil until it is needed.
-	group   *limit.Queue
+	// place is that of a stream in a group of model engines, nil for other requests.
+	place   *limit.Place
 	body    []byte
 	hasBody bool
 	expires time.Time
@@ -68,12 +69,13 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(c.r.Context(), c.expires, errExpired)
 	defer cancel()
-	release, f := c.admit(ctx)
-	if f != nil {
+	if f := c.admit(ctx); f != nil {
 		c.fail(f)
 		return
 	}
-	defer release()
+	if c.place != nil {
+		defer c.place.Release()
+	}
 	c.forward(ctx)
 }
 
@@ -151,13 +153,23 @@
 	if most <= 0 {
 		most = defaultBodyBytes
 	}
+	// A caller that sends its body a byte now and then must not hold memory for longer than it waits itself. Writers that
+	// know no deadline are those of tests.
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.expires)
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, most))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return &Failure{
 			Status: http.StatusRequestEntityTooLarge, Reason: reasonBodyTooLong, Detail: "the body is above the limit",
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Failure{
+			Status: http.StatusRequestTimeout, Reason: reasonBody, Detail: "the body did not arrive in the request's time",
+		}
+	}
 	if err != nil {
 		return &Failure{Status: http.StatusBadRequest, Reason: reasonBody, Detail: "the body did not arrive whole"}
 	}
@@ -168,42 +180,6 @@
 // defaultBodyBytes bounds a body when the configuration does not.
 const defaultBodyBytes = 4 << 20
 
-// admit waits for a place at a group of model engines. Plain services queue by themselves.
-func (c *call) admit(ctx context.Context) (release func(), f *Failure) {
-	service := c.catalog.Service(c.service)
-	if c.route.Kind != catalog.Stream || service == nil || service.Engine == nil {
-		return func() {}, nil
-	}
-	q := c.queue()
-	// The request may wait for as long as its first event can still come in time.
-	err := q.Acquire(ctx, q.Patience(c.route.Objective))
-	c.queued = time.Since(c.arrived)
-	if err != nil {
-		return nil, c.notAdmitted(err)
-	}
-	admitted := time.Now()
-	return func() { q.Release(time.Since(admitted)) }, nil
-}
-
-// queue returns the queue of the service, which is looked up once.
-func (c *call) queue() *limit.Queue {
-	if c.group == nil {
-		c.group = c.server.queue(c.service)
-	}
-	return c.group
-}
-
-func (c *call) notAdmitted(err error) *Failure {
-	var full *limit.FullError
-	if errors.As(err, &full) {
-		return &Failure{
-			Status: http.StatusServiceUnavailable, Reason: reasonOverloaded, Detail: full.Error(),
-			RetryAfter: c.comeBack(full.Wait),
-		}
-	}
-	return c.ended(false)
-}
-
 // Bounds of Retry-After. Callers are spread over the range so that they do not return together.
 const (
 	minComeBack = 300 * time.Millisecond
@@ -221,6 +197,16 @@
 	return earliest + time.Duration(c.server.opts.Random()*float64(latest-earliest))
 }
 
+// lateShare is where the range of comeBackLate begins.
+const lateShare = 0.5
+
+// comeBackLate is comeBack for callers of a group that does not serve. When it will is not known, and most callers come back
+// only once, so that they come in the later part of the time that they can wait.
+func (c *call) comeBackLate(wait time.Duration) time.Duration {
+	latest := time.Duration(comeBackShare * float64(time.Until(c.expires)))
+	return c.comeBack(max(wait, time.Duration(lateShare*float64(latest))))
+}
+
 // ended returns the failure of a request whose context has ended.
 func (c *call) ended(mayHaveRun bool) *Failure {
 	if c.r.Context().Err() == nil {
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -26,6 +26,7 @@
 	reasonBodyTooLong = "body_too_large"
 	reasonOverloaded  = "overloaded"
 	reasonNoServer    = "no_server"
+	reasonNoGroup     = "no_group"
 	reasonRefused     = "refused_by_server"
 	reasonExpired     = "deadline_passed"
 	reasonTimeout     = "timeout"
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -17,7 +17,7 @@
 	budget := c.server.budget(c.service)
 	budget.Request(c.arrived)
 	for {
-		backend, err := c.pick()
+		backend, err := c.choose(ctx)
 		if err != nil {
 			c.fail(c.exhausted(ctx, err))
 			return
@@ -50,13 +50,44 @@
 
 func (e *RepeatError) Error() string { return "the request must not be sent to another server" }
 
+// ClosedError says that the group of a request's place does not serve, and that no other has room.
+type ClosedError struct{ Group string }
+
+func (e *ClosedError) Error() string {
+	return "group " + e.Group + " does not serve, and no other has room"
+}
+
+// choose returns the server for the next send, of another group if that of the stream's place cannot serve it.
+func (c *call) choose(ctx context.Context) (*balance.Backend, error) {
+	if c.place == nil {
+		return c.pick()
+	}
+	closed := c.place.Closed()
+	if closed || (len(c.attempts) > 0 && c.place.Stalled()) {
+		switch {
+		case c.changeGroup(ctx):
+		case closed:
+			return nil, &ClosedError{Group: c.place.Group()}
+		}
+	}
+	backend, err := c.pick()
+	if err != nil && c.changeGroup(ctx) {
+		return c.pick()
+	}
+	return backend, err
+}
+
 func (c *call) pick() (*balance.Backend, error) {
+	group := ""
+	if c.place != nil {
+		group = c.place.Group()
+	}
 	tried := make([]*balance.Backend, len(c.attempts))
 	for i, a := range c.attempts {
 		tried[i] = a.backend
 	}
 	return c.server.opts.Fleet.Pick(balance.Query{
-		Service: c.service, Tokens: c.tokens(), Tried: tried, Random: c.server.opts.Random, Now: time.Now(),
+		Service: c.service, Grouped: c.place != nil, Group: group, Tokens: c.tokens(), Tried: tried, Random: c.server.opts.Random, Now: time.Now(),
 	})
 }
 
@@ -106,7 +137,13 @@
 	if n := len(c.attempts); n > 0 {
 		detail += "; the last server: " + c.attempts[n-1].detail
 	}
+	var closed *ClosedError
 	switch {
+	case errors.As(why, &closed) && !c.mayHaveRun():
+		return &Failure{
+			Status: http.StatusServiceUnavailable, Reason: reasonNoGroup, Detail: detail,
+			RetryAfter: c.comeBackLate(c.formTime()),
+		}
 	case c.mayHaveRun():
 		return &Failure{Status: http.StatusBadGateway, Reason: reasonBroken, Detail: detail}
 	case len(c.attempts) == 0:
@@ -133,10 +170,10 @@
 func (c *call) try(ctx context.Context, b *balance.Backend) bool {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer c.moveWhenSlow(b, end)()
+	defer c.moveInTrouble(b, end)()
 	tokens := c.tokens()
-	b.Begin(tokens)
 	started := time.Now()
+	b.Begin(tokens, started)
 	a := attempt{backend: b, server: b.Server().ID, mayHaveRun: true}
 	res := c.exchange(ctx, b, &a)
 	now := time.Now()
@@ -153,23 +190,32 @@
 type movedError struct{}
 
 func (movedError) Error() string {
-	return "the server has turned slow; the stream goes on at another one"
+	return "the server has turned slow or silent; the stream goes on at another one"
 }
 
-// moveWhenSlow has the send ended when its server turns slow, if the stream can go on at another server. It returns the
-// end of that.
-func (c *call) moveWhenSlow(b *balance.Backend, end context.CancelCauseFunc) (forget func()) {
+// moveInTrouble has the send ended when its server turns slow or silent, if the stream can go on at another server. It
+// returns the end of that.
+func (c *call) moveInTrouble(b *balance.Backend, end context.CancelCauseFunc) (forget func()) {
 	if c.route.Kind != catalog.Stream || !c.route.Repeatable() || c.sent()+1 >= c.route.MaxAttempts {
 		return func() {}
 	}
-	return b.OnSlow(func() {
-		if c.server.opts.Fleet.Usable(c.service) > 1 && c.server.budget(c.service).Retry(time.Now()) {
+	return b.OnTrouble(func() {
+		if c.elsewhere() && c.server.budget(c.service).Retry(time.Now()) {
 			c.moved.Store(true)
 			end(movedError{})
 		}
 	})
 }
 
+// elsewhere says whether a stream in trouble would be better off at another server. While its whole group stands still, that
+// is one of another group.
+func (c *call) elsewhere() bool {
+	if c.place != nil && (c.place.Stalled() || c.place.Closed()) {
+		return c.place.Others()
+	}
+	return c.server.opts.Fleet.Usable(c.service) > 1
+}
+
 // result is how one send ended.
 type result struct {
 	// answered says that the caller has its whole answer.
@@ -186,10 +232,11 @@
 	}
 	defer ans.Close()
 	if ans.Verdict.NotExecuted {
-		c.refused(ans, a)
+		c.refused(ans, b, a)
 		return result{}
 	}
 	first := time.Now()
+	b.Heard(first)
 	if isStream(ans) && ans.StatusCode < http.StatusMultipleChoices {
 		return result{answered: c.relayStream(ctx, ans, a), firstByte: first}
 	}
@@ -201,15 +248,18 @@
 }
 
 // refused takes an answer by which the server says that it did not run the request.
-func (c *call) refused(ans *exchange.Answer, a *attempt) {
+func (c *call) refused(ans *exchange.Answer, b *balance.Backend, a *attempt) {
 	a.mayHaveRun = false
 	a.outcome = balance.Refused
 	if ans.StatusCode == http.StatusMisdirectedRequest {
 		a.outcome = balance.Moved
 	}
 	a.detail = "status " + http.StatusText(ans.StatusCode) + ", not run"
-	if ans.Verdict.FaultAt != "" {
-		a.detail += ", at fault: " + ans.Verdict.FaultAt
+	if fault := ans.Verdict.FaultAt; fault != "" {
+		a.detail += ", at fault: " + fault
+		if fault != a.server && ans.StatusCode == http.StatusServiceUnavailable {
+			c.server.groupFailed(b, c.meta.ID, fault)
+		}
 	}
 	ans.Drain()
 }
--- /dev/null
+++ b/gateway/ingress/groups_test.go
@@ -0,0 +1,112 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/catalog"
+)
+
+// rankGone is the refusal of a rank whose group has lost another rank.
+var rankGone = raw("HTTP/1.1 503 Service Unavailable\r\nT-Id: ID\r\nT-Not-Run: 1\r\nT-Fault: lost\r\nContent-Length: 0\r\n\r\n")
+
+// Guards against requests to the ranks of a group that serves nothing, one after the other, and against callers refused although
+// another group serves. Pattern: one of two groups has lost a rank.
+func TestStreamsLeaveABrokenGroup(t *testing.T) {
+	whole := raw(events(1, 3) + lastChunk)
+	a, b, c := newReplica(t, "a", rankGone), newReplica(t, "b", rankGone), newReplica(t, "c", whole)
+	g := newGateway(t, a, b, c)
+	g.group(map[*replica]string{a: "g", b: "g", c: "h"})
+	for range 10 {
+		resp, _, err := g.get(t, "/stream/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	require.LessOrEqual(t, a.count()+b.count(), 1, "one refusal is enough")
+	require.Equal(t, 10, c.count())
+}
+
+// Guards against callers that wait for a group which serves nothing, and against a refusal that says nothing of its end.
+// Pattern: the only group has lost a rank.
+func TestCallersOfABrokenGroupAreRefusedAtOnce(t *testing.T) {
+	a, b := newReplica(t, "a", rankGone), newReplica(t, "b", rankGone)
+	g := newGateway(t, a, b)
+	g.group(map[*replica]string{a: "g", b: "g"})
+	for range 10 {
+		resp, body, err := g.get(t, "/stream/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Contains(t, body, reasonNoGroup)
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, after, 1.0, "no sooner than the group can be formed")
+	}
+	require.Equal(t, 1, a.count()+b.count())
+}
+
+// Guards against a stream that is lost with its group although it may go on elsewhere, and against events that come twice.
+func TestResumableStreamGoesOnInAnotherGroup(t *testing.T) {
+	for name, first := range map[string]answer{"cut": cut(events(1, 3)), "refused": rankGone} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newReplica(t, "a", first, rankGone), newReplica(t, "b", raw(events(1, 6)+lastChunk))
+			g := newGateway(t, a, b)
+			g.group(map[*replica]string{a: "g", b: "h"})
+			resp, body, err := g.get(t, "/stream/x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			want := ""
+			for i := range 6 {
+				n := strconv.Itoa(i + 1)
+				want += "id: " + n + "\ndata: x" + n + "\n\n"
+			}
+			require.Equal(t, want, body)
+		})
+	}
+}
+
+// Guards against a stream that hangs on an instance which stands still until its caller gives up, and against comments that keep
+// it looking alive. Pattern: the instance beside one rank freezes; the group goes on.
+func TestStreamLeavesASilentServer(t *testing.T) {
+	comments := func(c net.Conn, r *http.Request) bool {
+		raw(events(1, 2))(c, r)
+		for {
+			if _, err := c.Write([]byte(chunk(": still here\n\n"))); err != nil {
+				return false
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	a, b := newReplica(t, "a", comments), newReplica(t, "b", raw(events(1, 4)+lastChunk))
+	g := newGateway(t, a, b)
+	g.group(map[*replica]string{a: "g", b: "g"})
+	for _, backend := range g.fleet.Backends("s") {
+		if backend.Server().ID == "b" {
+			backend.Begin(5000, time.Now())
+		}
+	}
+	go g.Housekeep(t.Context())
+	resp, body, err := g.get(t, "/stream/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Contains(t, body, "data: x4")
+	require.Equal(t, "2", b.first().Header.Get(testLast))
+}
+
+// Guards against a caller that has come back and is taken for a new one.
+func TestReturnedCallersAreKnownByTheirTime(t *testing.T) {
+	g := newGateway(t)
+	used := func(deadline time.Duration) time.Duration {
+		c := &call{server: g.Server, route: &catalog.Route{Name: "r"}}
+		c.meta.HasDeadline, c.meta.Deadline = deadline > 0, deadline
+		return c.usedBefore()
+	}
+	require.Zero(t, used(8*time.Second))
+	require.Zero(t, used(6800*time.Millisecond), "callers differ in their patience (seen: 0.85 to 1 of 8 s)")
+	require.Equal(t, 2*time.Second, used(6*time.Second), "it was told to come back")
+	require.Zero(t, used(0), "one that says nothing is new")
+}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -59,11 +59,15 @@
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue
 	budgets map[string]RetryBudget
+	// deadlines are the longest times that callers have given a route, by its name.
+	deadlines map[string]time.Duration
 }
 
 // New returns a server without a catalog, which refuses every request.
 func New(opts Options) *Server {
-	return &Server{opts: opts, queues: map[string]*limit.Queue{}, budgets: map[string]RetryBudget{}}
+	return &Server{
+		opts: opts, queues: map[string]*limit.Queue{}, budgets: map[string]RetryBudget{}, deadlines: map[string]time.Duration{},
+	}
 }
 
 // SetCatalog puts a catalog in force unless it is older than the present one, and says whether it did.
@@ -98,12 +102,44 @@
 	defer s.mu.Unlock()
 	q, ok := s.queues[service]
 	if !ok {
-		q = limit.NewQueue(time.Now())
+		now := time.Now()
+		q = limit.NewQueue(now)
+		q.SetGroups(s.groupStates(service, now))
 		s.queues[service] = q
 	}
 	return q
 }
 
+func (s *Server) groupStates(service string, now time.Time) []limit.GroupState {
+	groups := s.opts.Fleet.Groups(service, now)
+	out := make([]limit.GroupState, len(groups))
+	for i, g := range groups {
+		out[i] = limit.GroupState{Name: g.Name, Slots: g.Slots, Closed: !g.Serves}
+	}
+	return out
+}
+
+// RefreshGroups takes up what has become known of the groups of all services.
+func (s *Server) RefreshGroups() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for service, q := range s.queues {
+		q.SetGroups(s.groupStates(service, now))
+	}
+}
+
+// groupFailed takes an answer which shows that the group of a server does not serve.
+func (s *Server) groupFailed(b *balance.Backend, request, faultAt string) {
+	group, news := s.opts.Fleet.GroupFailed(b, time.Now())
+	if !news {
+		return
+	}
+	s.opts.Log.Info("group does not serve", zap.String("group", group), zap.String("server", b.Server().ID),
+		zap.String("fault_at", faultAt), zap.String("request", request))
+	s.RefreshGroups()
+}
+
 func (s *Server) budget(service string) RetryBudget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,32 +192,46 @@
 	return d
 }
 
-// Housekeep closes connections that have been idle for too long and bounds the limits by the slots listed; it is called
-// now and then until the context ends.
+// Housekeep closes connections that have been idle for too long, moves streams away from silent servers and takes up changes
+// of the groups. It is called now and then until the context ends.
 func (s *Server) Housekeep(ctx context.Context) {
-	const every = 500 * time.Millisecond
+	const (
+		every     = 100 * time.Millisecond
+		trimTicks = 5
+	)
 	tick := time.NewTicker(every)
 	defer tick.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			slots := map[string]int{}
-			for _, b := range s.opts.Fleet.All() {
-				b.Pool.Trim(now)
-				server := b.Server()
-				slots[server.Service] += server.Slots
+			s.moveSilent(now)
+			if n%trimTicks == 0 {
+				s.trim(now)
+				s.RefreshGroups()
 			}
-			s.boundLimits(slots)
 		}
 	}
 }
 
-func (s *Server) boundLimits(slots map[string]int) {
+func (s *Server) trim(now time.Time) {
+	for _, b := range s.opts.Fleet.All() {
+		b.Pool.Trim(now)
+	}
+}
+
+// moveSilent moves streams away from servers that nothing is heard of.
+func (s *Server) moveSilent(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for service, q := range s.queues {
-		q.SetMost(slots[service])
+	services := make([]string, 0, len(s.queues))
+	for service := range s.queues {
+		services = append(services, service)
+	}
+	s.mu.Unlock()
+	for _, service := range services {
+		for _, server := range s.opts.Fleet.MoveSilent(service, now) {
+			s.opts.Log.Info("backend server is silent", zap.String("server", server.ID), zap.String("service", service))
+		}
 	}
 }
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -70,11 +70,11 @@
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
 		if c.route.Kind == catalog.Stream {
-			d := c.queue().Dump()
+			limit, inFlight, waiting := s.queue(c.service).Totals()
 			fields = append(fields,
 				zap.Duration("queued", c.queued), zap.Duration("first", c.firstAt), zap.Duration("pause", c.longest),
-				zap.Int("events", c.events), zap.Int("limit", d.Limit), zap.Int("in_flight", d.InFlight),
-				zap.Int("waiting", d.Waiting))
+				zap.Int("events", c.events), zap.String("group", c.group()), zap.Int("limit", limit),
+				zap.Int("in_flight", inFlight), zap.Int("waiting", waiting))
 		}
 	}
 	if c.failure != nil {
@@ -84,6 +84,14 @@
 	s.opts.Log.Info("request", fields...)
 }
 
+// group returns the name of the group in which the request has a place, empty if it has none.
+func (c *call) group() string {
+	if c.place == nil {
+		return ""
+	}
+	return c.place.Group()
+}
+
 func (c *call) configVersion() int64 {
 	if c.catalog == nil {
 		return 0
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -92,7 +92,7 @@
 // relayStream passes on a stream event by event. It returns false when the stream broke off and may go on at another
 // server.
 func (c *call) relayStream(ctx context.Context, ans *exchange.Answer, a *attempt) bool {
-	r := streamRelay{call: c, ans: ans, a: a, last: time.Now()}
+	r := streamRelay{call: c, ans: ans, a: a, backend: a.backend, last: time.Now()}
 	err := r.run()
 	switch {
 	case errors.Is(err, io.EOF):
@@ -120,6 +120,7 @@
 	call       *call
 	ans        *exchange.Answer
 	a          *attempt
+	backend    *balance.Backend
 	last       time.Time
 	callerLeft bool
 }
@@ -175,6 +176,10 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return err
 	}
+	if !e.Content {
+		return nil
+	}
+	s.backend.Heard(now)
 	c.observe(now, now.Sub(s.last))
 	s.last = now
 	if e.ID != "" {
@@ -186,12 +191,16 @@
 
 // observe takes the time of an event for the limit of the group.
 func (c *call) observe(now time.Time, pause time.Duration) {
-	q := c.queue()
 	if c.events == 0 {
 		c.firstAt = now.Sub(c.arrived)
-		q.ObserveFirst(c.firstAt - c.queued)
-		return
+	} else {
+		c.longest = max(c.longest, pause)
+	}
+	switch {
+	case c.place == nil:
+	case c.events == 0:
+		c.place.ObserveFirst(c.firstAt-c.queued, c.route.MaxGap, now)
+	default:
+		c.place.ObservePause(pause, c.route.MaxGap, now)
 	}
-	c.longest = max(c.longest, pause)
-	q.ObservePause(pause, c.route.MaxGap, now)
 }
--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -134,7 +134,11 @@
 	return increase
 }
 
-// Wait estimates how long a request behind others in a queue waits for a place.
-func (l *Limiter) Wait(ahead int) time.Duration {
-	return time.Duration(float64(ahead+1) * float64(l.hold) / max(l.limit, 1))
-}
+// Cancel gives back a place that was not used.
+func (l *Limiter) Cancel() { l.inFlight-- }
+
+// Hold returns the mean time for which a stream is in flight.
+func (l *Limiter) Hold() time.Duration { return l.hold }
+
+// rate estimates how many places become free in a second while all are in use.
+func (l *Limiter) rate() float64 { return max(l.limit, 1) / l.hold.Seconds() }
--- /dev/null
+++ b/gateway/limit/order.go
@@ -0,0 +1,80 @@
+package limit
+
+import (
+	"time"
+)
+
+// Wait says for how long and with which right a request waits for a place.
+type Wait struct {
+	// InAim is how long the request may wait so that its first event still comes within the objective; not positive when
+	// that is not possible any more.
+	InAim time.Duration
+	// Longest is how long it may wait so that its answer still ends within the caller's time.
+	Longest time.Duration
+	// Returned says that the caller has been refused before and has come back.
+	Returned bool
+}
+
+// returnedWait is how long a caller that has come back lets those in time go first. Without a bound, callers that were refused
+// in a crest would be refused again for as long as new ones come.
+const returnedWait = 700 * time.Millisecond
+
+// waiter is a request that waits for a place.
+type waiter struct {
+	// admitted receives the group of the place.
+	admitted chan *lane
+	// due is the latest time at which the request goes before those that are late, zero for one that is late itself.
+	due time.Time
+	// arrived orders the late ones.
+	arrived time.Time
+	// except is a group in which the request must not run again.
+	except string
+	done   bool
+}
+
+// newWaiter returns the waiter of a request that arrives now.
+func newWaiter(w Wait, now time.Time) *waiter {
+	out := &waiter{admitted: make(chan *lane, 1), arrived: now}
+	switch {
+	case w.InAim > 0:
+		out.due = now.Add(w.InAim)
+	case w.Returned:
+		out.due = now.Add(returnedWait)
+	}
+	return out
+}
+
+// class is 0 for requests that can be in time and 1 for late ones. A request becomes late by waiting.
+func (w *waiter) class(now time.Time) int {
+	if now.Before(w.due) {
+		return 0
+	}
+	return 1
+}
+
+// before says whether a request gets a place before another: those that can still be in time first, by the time that is left
+// to them, then the late ones in order of arrival.
+func (w *waiter) before(other *waiter, now time.Time) bool {
+	a, b := w.class(now), other.class(now)
+	switch {
+	case a != b:
+		return a < b
+	case a == 0:
+		return w.due.Before(other.due)
+	}
+	return w.arrived.Before(other.arrived)
+}
+
+// next returns the index of the request that gets the next place in a group, -1 if there is none.
+func next(waiting []*waiter, group string, now time.Time) int {
+	best := -1
+	for i, w := range waiting {
+		if w.except != "" && w.except == group {
+			continue
+		}
+		if best < 0 || w.before(waiting[best], now) {
+			best = i
+		}
+	}
+	return best
+}
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -11,8 +11,10 @@
 
 // FullError says that a request cannot be served in the time that it may wait.
 type FullError struct {
-	// Limit and InFlight are those of the group, Ahead counts the requests that waited before this one.
+	// Limit and InFlight are those of all groups that serve, Ahead counts the requests that waited before this one.
 	Limit, InFlight, Ahead int
+	// Closed says that no group serves.
+	Closed bool
 	// Wait is the estimated time until a place is free.
 	Wait time.Duration
 	// Waited is how long the request was in the queue.
@@ -20,149 +22,339 @@
 }
 
 func (e *FullError) Error() string {
+	if e.Closed {
+		return fmt.Sprintf("no group serves the service; %d wait", e.Ahead)
+	}
 	return fmt.Sprintf("%d of %d streams are in flight and %d wait; a place is free in %v",
 		e.InFlight, e.Limit, e.Ahead, e.Wait)
 }
 
-// Queue admits requests to a group within a Limiter, first in, first out. Its methods may be called from any goroutine.
+// Queue admits the streams of one service to its groups of model engines, each within a Limiter of its own. Requests that
+// wait go to whichever group has a place first. Its methods may be called from any goroutine.
 type Queue struct {
 	mu      sync.Mutex
-	limiter *Limiter
+	lanes   map[string]*lane
 	waiting []*waiter
 }
 
-type waiter struct {
-	admitted chan struct{}
-	done     bool
+// lane is the part of a queue for one group. The queue's lock guards it.
+type lane struct {
+	group   string
+	limiter *Limiter
+	// closed groups get no new stream.
+	closed bool
+	// removed says that the group is not listed any more.
+	removed bool
+	// running counts the streams that have had an event and have not ended; lastEvent is the time of the last one of any.
+	running   int
+	lastEvent time.Time
+	aim       time.Duration
+}
+
+// Constants of the notice that a group stands still.
+const (
+	// stallPauses is the number of pauses at their aim after which a group counts as standing still.
+	stallPauses = 4
+	// stallStreams is the number of streams that all have to be silent, since one alone may be silent by itself.
+	stallStreams = 3
+)
+
+// NewQueue returns a queue with one group that has no name, in which streams run until the groups are known.
+func NewQueue(now time.Time) *Queue {
+	return &Queue{lanes: map[string]*lane{"": {limiter: New(now)}}}
+}
+
+// Place is a place of a stream in a group. It is used by one goroutine.
+type Place struct {
+	queue *Queue
+	lane  *lane
+	since time.Time
+	begun bool
 }
 
-// NewQueue returns an empty queue.
-func NewQueue(now time.Time) *Queue { return &Queue{limiter: New(now)} }
+// Group returns the name of the group, empty while the group is not known.
+func (p *Place) Group() string { return p.lane.group }
 
-// Acquire takes a place, waiting for at most patience. A request that would wait longer is refused at once. It fails
-// with a *FullError or the error of the context. A place taken is given back by Release.
-func (q *Queue) Acquire(ctx context.Context, patience time.Duration) error {
+// Acquire takes a place, waiting if the prediction says that there will be one in time. A request that would wait longer
+// is refused at once. It fails with a *FullError or the error of the context. A place taken is given back by Release.
+func (q *Queue) Acquire(ctx context.Context, w Wait) (*Place, error) {
+	return q.acquire(ctx, w, "")
+}
+
+func (q *Queue) acquire(ctx context.Context, w Wait, except string) (*Place, error) {
+	now := time.Now()
 	q.mu.Lock()
-	if len(q.waiting) == 0 && q.limiter.Admit() {
-		q.mu.Unlock()
-		return nil
+	if len(q.waiting) == 0 {
+		if l := q.free(except, now); l != nil {
+			l.limiter.Admit()
+			q.mu.Unlock()
+			return q.place(l), nil
+		}
 	}
-	if q.limiter.Wait(len(q.waiting)) > patience {
-		err := q.fullError(len(q.waiting), 0)
+	if err := q.refusal(w, except, now); err != nil {
 		q.mu.Unlock()
-		return merry.Wrap(err)
+		return nil, merry.Wrap(err)
 	}
-	w := &waiter{admitted: make(chan struct{})}
-	q.waiting = append(q.waiting, w)
-	ahead := len(q.waiting) - 1
+	wt := newWaiter(w, now)
+	wt.except = except
+	q.waiting = append(q.waiting, wt)
+	q.admitWaiting(now)
 	q.mu.Unlock()
-	return q.wait(ctx, w, ahead, patience)
+	return q.wait(ctx, wt, max(w.Longest, w.InAim))
+}
+
+func (q *Queue) place(l *lane) *Place { return &Place{queue: q, lane: l, since: time.Now()} }
+
+// free returns the group with the largest share of its places free, nil if none has one.
+func (q *Queue) free(except string, now time.Time) *lane {
+	var best *lane
+	share := 0.0
+	for _, l := range q.lanes {
+		if l.group == except && except != "" || !l.admits(now) {
+			continue
+		}
+		left := 1 - float64(l.limiter.InFlight())/float64(l.limiter.Limit())
+		if best == nil || left > share || (left == share && l.group < best.group) {
+			best, share = l, left
+		}
+	}
+	return best
+}
+
+// admits says whether a stream may begin in the group now.
+func (l *lane) admits(now time.Time) bool {
+	return !l.closed && !l.removed && !l.stalled(now) && l.limiter.InFlight() < l.limiter.Limit()
+}
+
+// stalled says that every stream of the group has been silent for much longer than their pauses should last: a rank has
+// gone, or a switch of the expert map has not ended. What is sent there would wait, and be refused if a rank has gone.
+func (l *lane) stalled(now time.Time) bool {
+	return l.running >= stallStreams && l.aim > 0 && now.Sub(l.lastEvent) > stallPauses*l.aim
+}
+
+// refusal returns why a request must not wait, nil if it may.
+func (q *Queue) refusal(w Wait, except string, now time.Time) *FullError {
+	err := q.fullError(except, len(q.waiting), 0)
+	switch {
+	case w.Longest <= 0 && w.InAim <= 0:
+		return err
+	case err.Closed && w.Returned && q.mayReopen(except):
+		return nil // It has no further try, and the group may be back in time.
+	case err.Closed:
+		return err
+	case w.InAim > 0 && q.predict(q.inTime(now), except) <= w.InAim:
+		return nil
+	case err.Wait <= w.Longest:
+		return nil
+	}
+	return err
+}
+
+// mayReopen says whether a group that is closed now may serve a request later.
+func (q *Queue) mayReopen(except string) bool {
+	for _, l := range q.lanes {
+		if l.closed && !l.removed && (except == "" || l.group != except) {
+			return true
+		}
+	}
+	return false
+}
+
+// inTime counts the waiting requests that go before the late ones.
+func (q *Queue) inTime(now time.Time) int {
+	n := 0
+	for _, w := range q.waiting {
+		if w.class(now) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// predict estimates the wait of a request behind others.
+func (q *Queue) predict(ahead int, except string) time.Duration {
+	rate := 0.0 // Places a second.
+	for _, l := range q.lanes {
+		if l.serves(except) {
+			rate += l.limiter.rate()
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
+}
+
+func (l *lane) serves(except string) bool {
+	return !l.closed && !l.removed && (except == "" || l.group != except)
 }
 
-func (q *Queue) wait(ctx context.Context, w *waiter, ahead int, patience time.Duration) error {
-	timer := time.NewTimer(patience)
+func (q *Queue) wait(ctx context.Context, w *waiter, longest time.Duration) (*Place, error) {
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
-	case <-w.admitted:
-		return nil
+	case l := <-w.admitted:
+		return q.place(l), nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if w.done {
+		l := <-w.admitted
 		if ctx.Err() == nil {
-			return nil
+			return q.place(l), nil
 		}
-		q.limiter.inFlight--
-		q.admitWaiting()
-		return merry.Wrap(context.Cause(ctx))
+		l.limiter.Cancel()
+		q.admitWaiting(time.Now())
+		return nil, merry.Wrap(context.Cause(ctx))
 	}
-	w.done = true
-	q.forget(w)
+	ahead := q.forget(w)
 	if ctx.Err() != nil {
-		return merry.Wrap(context.Cause(ctx))
+		return nil, merry.Wrap(context.Cause(ctx))
 	}
-	return merry.Wrap(q.fullError(ahead, patience))
+	return nil, merry.Wrap(q.fullError(w.except, ahead, longest))
 }
 
-func (q *Queue) forget(w *waiter) {
+// forget takes a request out of the queue and returns its index.
+func (q *Queue) forget(w *waiter) int {
+	w.done = true
 	for i, other := range q.waiting {
 		if other == w {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return i
+		}
+	}
+	return 0
+}
+
+func (q *Queue) fullError(except string, ahead int, waited time.Duration) *FullError {
+	e := &FullError{Ahead: ahead, Waited: waited, Closed: true, Wait: q.predict(ahead, except)}
+	for _, l := range q.lanes {
+		if l.serves(except) {
+			e.Closed = false
+			e.Limit += l.limiter.Limit()
+			e.InFlight += l.limiter.InFlight()
+		}
+	}
+	return e
+}
+
+// admitWaiting gives free places to those that wait.
+func (q *Queue) admitWaiting(now time.Time) {
+	for len(q.waiting) > 0 {
+		if !q.admitOne(now) {
 			return
 		}
 	}
 }
 
-func (q *Queue) fullError(ahead int, waited time.Duration) *FullError {
-	return &FullError{
-		Limit: q.limiter.Limit(), InFlight: q.limiter.InFlight(), Ahead: ahead, Wait: q.limiter.Wait(ahead),
-		Waited: waited,
+// admitOne gives one free place to a request, and says whether it could.
+func (q *Queue) admitOne(now time.Time) bool {
+	for _, l := range q.lanes {
+		if !l.admits(now) {
+			continue
+		}
+		i := next(q.waiting, l.group, now)
+		if i < 0 {
+			continue
+		}
+		w := q.waiting[i]
+		if better := q.free(w.except, now); better != nil {
+			l = better
+		}
+		q.forget(w)
+		l.limiter.Admit()
+		w.admitted <- l
+		return true
 	}
+	return false
 }
 
-// Release gives a place back.
-func (q *Queue) Release(held time.Duration) {
+// Release gives the place back.
+func (p *Place) Release() {
+	q := p.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limiter.End(held)
-	q.admitWaiting()
+	p.leave()
+	q.admitWaiting(time.Now())
 }
 
-func (q *Queue) admitWaiting() {
-	for len(q.waiting) > 0 && q.limiter.Admit() {
-		w := q.waiting[0]
-		q.waiting = q.waiting[1:]
-		w.done = true
-		close(w.admitted)
+// leave takes the stream out of its group. The caller holds the queue's lock.
+func (p *Place) leave() {
+	p.lane.limiter.End(time.Since(p.since))
+	if p.begun {
+		p.lane.running--
+		p.begun = false
 	}
 }
 
-// ObserveFirst takes the time from admission to a stream's first event.
-func (q *Queue) ObserveFirst(d time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.limiter.ObserveFirst(d)
+// Move gives the place up for one in another group, for a stream whose group cannot serve it. It waits as Acquire does and
+// fails with the same errors; the place is then the old one.
+func (p *Place) Move(ctx context.Context, w Wait) error {
+	next, err := p.queue.acquire(ctx, w, p.Group())
+	if err != nil {
+		return err
+	}
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	p.leave()
+	p.lane, p.since = next.lane, next.since
+	p.queue.admitWaiting(time.Now())
+	return nil
 }
 
-// ObservePause takes a pause between two events of a stream and the aim for it.
-func (q *Queue) ObservePause(pause, aim time.Duration, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.limiter.ObservePause(pause, aim, now)
-	q.admitWaiting()
+// Closed says whether the group of the place gets no new streams.
+func (p *Place) Closed() bool {
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	return p.lane.closed || p.lane.removed
 }
 
-// SetMost bounds the limit by the slots of the group.
-func (q *Queue) SetMost(slots int) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.limiter.SetMost(slots)
+// Others says whether another group serves.
+func (p *Place) Others() bool {
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	now := time.Now()
+	for _, l := range p.queue.lanes {
+		if l != p.lane && l.serves("") && !l.stalled(now) {
+			return true
+		}
+	}
+	return false
 }
 
-// Patience returns how long a request may wait for a place if its first event is to come within the time left.
-func (q *Queue) Patience(left time.Duration) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return max(left-q.limiter.First(), 0)
+// Stalled says that all streams of the group stand still.
+func (p *Place) Stalled() bool {
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	return p.lane.stalled(time.Now())
 }
 
-// Dump is the state dump of a queue.
-type Dump struct {
-	Limit    int     `json:"limit"`
-	InFlight int     `json:"in_flight"`
-	Waiting  int     `json:"waiting"`
-	Pause    float64 `json:"pause_over_aim"`
-	FirstMs  float64 `json:"first_event_ms"`
+// ObserveFirst takes the first event of the stream, after a time from its admission, and the aim for its pauses.
+func (p *Place) ObserveFirst(after, aim time.Duration, now time.Time) {
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	l := p.lane
+	l.limiter.ObserveFirst(after)
+	if !p.begun {
+		p.begun = true
+		l.running++
+	}
+	l.aim, l.lastEvent = aim, now
 }
 
-// Dump returns the state dump.
-func (q *Queue) Dump() Dump {
+// ObservePause takes a pause between two events of the stream and the aim for it.
+func (p *Place) ObservePause(pause, aim time.Duration, now time.Time) {
+	q := p.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return Dump{
-		Limit: q.limiter.Limit(), InFlight: q.limiter.InFlight(), Waiting: len(q.waiting),
-		Pause: q.limiter.Pause(), FirstMs: float64(q.limiter.First()) / float64(time.Millisecond),
+	l := p.lane
+	if !p.begun { // The stream goes on in another group than that in which it began.
+		p.begun = true
+		l.running++
 	}
+	l.aim, l.lastEvent = aim, now
+	l.limiter.ObservePause(pause, aim, now)
+	q.admitWaiting(now)
 }
--- /dev/null
+++ b/gateway/limit/queue_test.go
@@ -0,0 +1,269 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newTestQueue returns a queue of groups that serve, each with initialLimit places.
+func newTestQueue(names ...string) *Queue {
+	q := NewQueue(time.Now())
+	q.setServing(names, "")
+	return q
+}
+
+// setServing lists groups, one of which is closed unless the name is empty.
+func (q *Queue) setServing(names []string, closed string) {
+	groups := make([]GroupState, len(names))
+	for i, name := range names {
+		groups[i] = GroupState{Name: name, Slots: 100, Closed: closed != "" && name == closed}
+	}
+	q.SetGroups(groups)
+}
+
+// fill takes all places and returns them by group.
+func (q *Queue) fill(t *testing.T) map[string][]*Place {
+	t.Helper()
+	out := map[string][]*Place{}
+	for {
+		p, err := q.Acquire(t.Context(), Wait{})
+		if err != nil {
+			return out
+		}
+		out[p.Group()] = append(out[p.Group()], p)
+	}
+}
+
+// arrivals are requests that wait for a place; got lists the names of those that have one in order.
+type arrivals struct {
+	q   *Queue
+	got []string
+	err map[string]error
+	// places are those that were taken.
+	places map[string]*Place
+}
+
+func (a *arrivals) add(t *testing.T, ctx context.Context, name string, w Wait) {
+	t.Helper()
+	if a.err == nil {
+		a.err, a.places = map[string]error{}, map[string]*Place{}
+	}
+	go func() {
+		p, err := a.q.Acquire(ctx, w)
+		a.err[name] = err
+		if err == nil {
+			a.got, a.places[name] = append(a.got, name), p
+		}
+	}()
+	synctest.Wait()
+}
+
+// Guards against a request that waits although it cannot be served in its time: it is refused at once, and says when a place
+// is free. Pattern: the crest, when more come than the group can serve.
+func TestQueueRefusesAtOnceWhatCannotBeServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		places := q.fill(t)["g"]
+		start := time.Now()
+		var full *FullError
+		_, err := q.Acquire(t.Context(), Wait{InAim: 50 * time.Millisecond, Longest: 60 * time.Millisecond})
+		require.ErrorAs(t, err, &full)
+		require.Zero(t, time.Since(start), "it does not wait")
+		require.Positive(t, full.Wait)
+		// One that can wait gets the next place.
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			places[0].Release()
+		}()
+		_, err = q.Acquire(t.Context(), Wait{InAim: 300 * time.Millisecond})
+		require.NoError(t, err)
+		require.Equal(t, 100*time.Millisecond, time.Since(start))
+	})
+}
+
+// Guards against callers that are refused although they could be served late but whole, and against late ones that take the
+// places of those that can still be in time. Pattern: the crest.
+func TestLateRequestsFillWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		places := q.fill(t)["g"]
+		a := arrivals{q: q}
+		late := Wait{InAim: time.Millisecond, Longest: 2 * time.Second}
+		a.add(t, t.Context(), "late 1", late)
+		a.add(t, t.Context(), "late 2", late)
+		time.Sleep(10 * time.Millisecond)
+		a.add(t, t.Context(), "slack", Wait{InAim: 900 * time.Millisecond})
+		a.add(t, t.Context(), "back", Wait{Longest: 2 * time.Second, Returned: true})
+		a.add(t, t.Context(), "urgent", Wait{InAim: 300 * time.Millisecond})
+		for _, p := range places[:5] {
+			p.Release()
+			synctest.Wait()
+		}
+		require.Equal(t, []string{"urgent", "back", "slack", "late 1", "late 2"}, a.got)
+	})
+}
+
+// Guards against a request that waits in vain until its caller has left: it is refused while the caller can still come back.
+func TestLateRequestIsRefusedBeforeItIsTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		q.fill(t)
+		start := time.Now()
+		var full *FullError
+		_, err := q.Acquire(t.Context(), Wait{Longest: 800 * time.Millisecond})
+		require.ErrorAs(t, err, &full)
+		require.Equal(t, 800*time.Millisecond, time.Since(start))
+		require.Zero(t, q.Dump().Waiting)
+	})
+}
+
+// Guards against places that are lost when a caller leaves while it waits, and against serving the last one first.
+func TestQueueIsFairAndLosesNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		places := q.fill(t)["g"]
+		leaver, leave := context.WithCancel(t.Context())
+		a := arrivals{q: q}
+		for i, ctx := range []context.Context{t.Context(), leaver, t.Context()} {
+			a.add(t, ctx, string(rune('a'+i)), Wait{InAim: time.Minute})
+		}
+		leave()
+		synctest.Wait()
+		places[0].Release()
+		synctest.Wait()
+		places[1].Release()
+		synctest.Wait()
+		require.Equal(t, []string{"a", "c"}, a.got)
+		require.Equal(t, len(places), q.Dump().InFlight)
+		require.Zero(t, q.Dump().Waiting)
+	})
+}
+
+// Guards against the pauses of one group that lower the limit of another one. Pattern: two groups, one of them crowded.
+func TestEachGroupHasItsOwnLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g", "h")
+		places := q.fill(t)
+		require.Len(t, places["g"], initialLimit)
+		require.Len(t, places["h"], initialLimit)
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			places["g"][0].ObservePause(2*aim, aim, time.Now())
+			places["h"][0].ObservePause(aim/3, aim, time.Now())
+		}
+		byGroup := map[string]GroupDump{}
+		for _, d := range q.Dump().Groups {
+			byGroup[d.Group] = d
+		}
+		require.Less(t, byGroup["g"].Limit, initialLimit)
+		require.GreaterOrEqual(t, byGroup["h"].Limit, initialLimit)
+	})
+}
+
+// Guards against work for a group that serves nothing while another one has room, and against what comes beyond the limit of
+// that one. Pattern: one group of two lost.
+func TestWorkGoesToTheGroupThatServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g", "h")
+		q.setServing([]string{"g", "h"}, "g")
+		places := q.fill(t)
+		require.Empty(t, places["g"])
+		require.Len(t, places["h"], initialLimit)
+		a := arrivals{q: q}
+		a.add(t, t.Context(), "waits", Wait{InAim: time.Second})
+		q.setServing([]string{"g", "h"}, "")
+		synctest.Wait()
+		require.Equal(t, []string{"waits"}, a.got, "the group that is back takes what waits")
+		require.Equal(t, "g", a.places["waits"].Group())
+	})
+}
+
+// Guards against callers that wait for a group that serves nothing and are refused in the end: they are told at once. One that
+// has come back has no further try and may wait. Pattern: the only group lost.
+func TestNoGroupServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		q.setServing([]string{"g"}, "g")
+		start := time.Now()
+		var full *FullError
+		_, err := q.Acquire(t.Context(), Wait{InAim: time.Second, Longest: time.Second})
+		require.ErrorAs(t, err, &full)
+		require.True(t, full.Closed)
+		require.Zero(t, time.Since(start))
+		a := arrivals{q: q}
+		a.add(t, t.Context(), "back", Wait{Longest: time.Second, Returned: true})
+		time.Sleep(500 * time.Millisecond)
+		q.setServing([]string{"g"}, "")
+		synctest.Wait()
+		require.Equal(t, []string{"back"}, a.got)
+		q.SetGroups(nil)
+		_, err = q.Acquire(t.Context(), Wait{Longest: time.Second, Returned: true})
+		require.ErrorAs(t, err, &full, "a service without servers is not waited for")
+	})
+}
+
+// Guards against streams that are sent to a group which stands still: they would be refused there once a rank is known to have
+// gone. Pattern: a rank of one of two groups goes dark.
+func TestNoNewStreamsInAGroupThatStandsStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g", "h")
+		var places []*Place
+		for len(places) < stallStreams {
+			p, err := q.Acquire(t.Context(), Wait{})
+			require.NoError(t, err)
+			if p.Group() == "g" {
+				p.ObserveFirst(100*time.Millisecond, aim, time.Now())
+				places = append(places, p)
+			}
+		}
+		time.Sleep(stallPauses*aim + time.Millisecond)
+		require.True(t, places[0].Stalled())
+		require.True(t, places[0].Others())
+		for range 5 {
+			p, err := q.Acquire(t.Context(), Wait{})
+			require.NoError(t, err)
+			require.Equal(t, "h", p.Group())
+		}
+		places[0].ObservePause(aim, aim, time.Now())
+		require.False(t, places[0].Stalled())
+	})
+}
+
+// Guards against a stream that goes on in another group beyond its limit, or that counts in both.
+func TestStreamMovesToAnotherGroupWithinItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g", "h")
+		places := q.fill(t)
+		p := places["g"][0]
+		require.Error(t, p.Move(t.Context(), Wait{}), "the other group is full")
+		require.Equal(t, "g", p.Group())
+		places["h"][0].Release()
+		require.NoError(t, p.Move(t.Context(), Wait{}))
+		require.Equal(t, "h", p.Group())
+		require.Equal(t, 2*initialLimit-1, q.Dump().InFlight)
+		p.Release()
+		require.Equal(t, 2*initialLimit-2, q.Dump().InFlight)
+	})
+}
+
+// Guards against places that are kept for ever in a group that has gone, and against streams that lose theirs.
+func TestGroupsComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(time.Now())
+		p, err := q.Acquire(t.Context(), Wait{})
+		require.NoError(t, err)
+		require.Empty(t, p.Group(), "no group is known yet")
+		q.setServing([]string{"g"}, "")
+		require.True(t, p.Closed())
+		require.Equal(t, 1, q.Dump().InFlight)
+		p.Release()
+		require.Zero(t, q.Dump().InFlight)
+		next, err := q.Acquire(t.Context(), Wait{})
+		require.NoError(t, err)
+		require.Equal(t, "g", next.Group())
+	})
+}
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -30,6 +30,8 @@
 	// Number is the id as a number, valid if Numbered.
 	Number   int64
 	Numbered bool
+	// Content says that the event is more than comments, by which a server that stands still may keep a connection open.
+	Content bool
 }
 
 // Reader reads events.
@@ -76,6 +78,7 @@
 }
 
 func (e *Event) field(line []byte) {
+	e.Content = e.Content || line[0] != ':'
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
