--- a/cmd/internal/rankd/lead.go
+++ b/cmd/internal/rankd/lead.go
@@ -145,7 +145,7 @@
 
 // discover reads the configuration and the list of servers, and asks every server of the service for its rank.
 func (p *rankProcess) discover(ctx context.Context, lease *orders.Lease, group string) (*formation, error) {
-	engine, err := p.engine(ctx)
+	engine, aim, err := p.engine(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -163,7 +163,7 @@
 	}
 	copyTime := time.Duration(float64(engine.ExpertBytes) / engine.CopyBytesPerSecond * float64(time.Second))
 	set := rollout.DefaultSettings(shape, engine.MaxNew, copyTime)
-	set.LeaseLeft = lease.Left
+	set.LeaseLeft, set.PauseAim = lease.Left, aim
 	g := rollout.NewGroup(found.ranks, found.self, lease.Check, p.log)
 	return &formation{
 		ranks: g, planner: rollout.NewPlanner(set, g, p.log),
@@ -178,20 +178,21 @@
 	return "service " + e.Service + " has no engine with expert maps"
 }
 
-func (p *rankProcess) engine(ctx context.Context) (*catalog.Engine, error) {
+// engine returns the engine of the service and the shortest aim for pauses of the routes to it, 0 if none has one.
+func (p *rankProcess) engine(ctx context.Context) (*catalog.Engine, time.Duration, error) {
 	config, err := mirror.Read(ctx, p.store, platform.ConfigPrefix)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	c, err := platform.DecodeCatalog(config.Entries)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	s := c.Service(p.set.Service)
 	if s == nil || s.Engine == nil || s.Engine.Layers == 0 {
-		return nil, merry.Wrap(&NoEngineError{Service: p.set.Service})
+		return nil, 0, merry.Wrap(&NoEngineError{Service: p.set.Service})
 	}
-	return s.Engine, nil
+	return s.Engine, c.PauseAim(p.set.Service), nil
 }
 
 func (p *rankProcess) servers(ctx context.Context) ([]catalog.Server, error) {
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -21,8 +21,10 @@
 	Memory time.Duration
 	// Horizon is the time for which a map is expected to be of use.
 	Horizon time.Duration
-	// MinGain is the part of a pass that a map has to save.
+	// MinGain is the part of a pass that a map has to save while passes are long. Shorter passes have to gain more.
 	MinGain float64
+	// PauseAim is the longest pause between two events for which callers' answers are on time; 0 if it is not known.
+	PauseAim time.Duration
 	// Every is the time between two polls of the counts.
 	Every time.Duration
 	// LeaseLeft returns for how long the lease of the issuer lasts; nil for ever.
@@ -264,6 +266,7 @@
 func (p *Planner) best(load *expertmap.Load) (candidate, error) {
 	var out candidate
 	speeds := p.speeds()
+	least := leastGain(p.set.MinGain, p.group.timing.each, p.set.PauseAim)
 	for most := 1; most <= max(p.set.MaxNew, 1); most++ {
 		costs := expertmap.Costs{BudgetBytes: 1, LifeSteps: 1, LoadSeconds: minLoadGain / float64(p.set.Shape.Ranks), MaxNew: min(most, p.set.MaxNew)}
 		plan, err := expertmap.Improve(p.current, load, speeds, costs)
@@ -274,13 +277,31 @@
 			continue
 		}
 		c := p.judge(plan)
-		if gain := 1 - plan.After/plan.Before; gain >= p.set.MinGain && c.worth > out.worth {
+		if gain := 1 - plan.After/plan.Before; gain >= least && c.worth > out.worth {
 			out = c
 		}
 	}
 	return out, nil
 }
 
+const (
+	// busyPass is the share of the aim for pauses from which passes count as long.
+	busyPass = 0.75
+	// idleGain is what a map has to save in addition when passes take no time: nobody gains by passes that are shorter than
+	// callers need, and loading experts has its price.
+	idleGain = 0.25
+)
+
+// leastGain returns the part of a pass that a map has to save, given the mean time of a pass and the aim for pauses. Without
+// either of them passes count as long.
+func leastGain(busy float64, pass, aim time.Duration) float64 {
+	if pass <= 0 || aim <= 0 {
+		return busy
+	}
+	slack := max(1-float64(pass)/(busyPass*float64(aim)), 0)
+	return busy + slack*idleGain
+}
+
 // minLoadGain is what one loaded expert has to save, as a part of the mean work of a rank in a layer.
 const minLoadGain = 0.05
 
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -107,3 +107,15 @@
 		}
 	})
 }
+
+// Guards against experts that are loaded for passes which nobody waits for. Pattern: a calm day on which popularity drifts
+// (2,000 GB loaded on mfca-coachworks).
+func TestShortPassesHaveToGainMore(t *testing.T) {
+	const busy, aim = 0.03, 120 * time.Millisecond
+	require.InDelta(t, busy, leastGain(busy, aim, aim), 1e-9)
+	require.InDelta(t, busy, leastGain(busy, 90*time.Millisecond, aim), 1e-9)
+	require.Greater(t, leastGain(busy, 45*time.Millisecond, aim), 0.1)
+	require.Greater(t, leastGain(busy, 20*time.Millisecond, aim), leastGain(busy, 45*time.Millisecond, aim))
+	require.InDelta(t, busy, leastGain(busy, 0, aim), 1e-9, "the time of a pass is not known yet")
+	require.InDelta(t, busy, leastGain(busy, aim, 0), 1e-9, "the aim is not known")
+}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -171,6 +172,18 @@
 // Service returns a service, nil if it does not exist.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// PauseAim returns the shortest aim for pauses between events of the routes to a service, 0 if none has one.
+func (c *Catalog) PauseAim(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, r := range c.Routes {
+		leads := slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+		if leads && r.MaxGap > 0 && (shortest == 0 || r.MaxGap < shortest) {
+			shortest = r.MaxGap
+		}
+	}
+	return shortest
+}
+
 // Customer returns the holder of a key. Without customers every caller is anonymous and may pass.
 func (c *Catalog) Customer(key string) (customer *Customer, ok bool) {
 	if len(c.Customers) == 0 {
