Poll the store by the bounds in force, and let gateways know how many they are

Change: waits and pauses follow ConfigMs and DrainMs, standby looks the size of the group. Gateways list themselves under a lease; retry bounds and first limits follow their number. Retries of the second that is partly out of the window still count. A group with streams in flight and no event of any counts as standing still; its streams are not moved within it.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -18,20 +18,23 @@
 	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/configsync/mirror"
+	"lavendermoor.example/configsync/presence"
 	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/ingress"
 	"lavendermoor.example/platform"
-	"lavendermoor.example/routing"
 	"lavendermoor.example/telemetry"
 )
 
 // Times and pauses of a gateway.
 const (
-	configWait  = 1500 * time.Millisecond
-	configPause = 20 * time.Millisecond
-	// serversPause collects the changes of the servers list, which come several times a second.
-	serversPause = 700 * time.Millisecond
-	serversWait  = 400 * time.Millisecond
+	// configWaitShare is the part of the time for changes of the configuration for which a call waits for one. A call that
+	// hears nothing although there was one is repeated within the rest.
+	configWaitShare = 0.7
+	configPause     = 20 * time.Millisecond
+	// serversPauseShare is the part of the time for leaving servers in which changes of the list are collected; there are
+	// several a second.
+	serversPauseShare = 0.35
+	serversWait       = 400 * time.Millisecond
 	// stayAfterStop is how long a stopping process still takes every request: until the platform's balancer has noticed
 	// twice that it is not ready. Idle connections of callers are closed then.
 	stayAfterStop = 2700 * time.Millisecond
@@ -53,6 +56,9 @@
 	config  *mirror.Mirror
 	servers *mirror.Mirror
 	peers   *mirror.Peers
+	// present are the gateways that share the servers and the bounds.
+	present *presence.Presence
+	shared  sharedBounds
 	admin   *telemetry.Admin
 }
 
@@ -80,6 +86,7 @@
 func build(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
 	g := &gateway{peers: mirror.NewPeers(&http.Client{}, s.Peers)}
 	g.set.Store(&s)
+	g.shared.set(g.retryBounds(0))
 	base, err := process.New(out, "gateway", s.Name, s.LogLevel)
 	if err != nil {
 		return nil, err
@@ -95,30 +102,19 @@
 	}
 	dialect := platform.Dialect{}
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
-	g.follow(platform.NewStore(s.Store, count))
+	store := platform.NewStore(s.Store, count)
+	g.follow(store)
+	self := presence.Member{Name: s.Name, Address: s.ControlListen, Domain: s.FailureDomain}
+	g.present = presence.New(store, presencePrefix, self, g.log)
 	g.srv = ingress.New(ingress.Options{
 		Dialect: dialect, Fleet: g.fleet, Log: g.log, Metrics: metrics, Random: rand.Float64,
 		ConfigAge: g.config.Age,
-		NewBudget: func() ingress.RetryBudget { return routing.NewBudget(g.retryBounds()) },
+		NewBudget: func() ingress.RetryBudget { return g.shared.newBudget() },
 	})
 	g.admin = base.Admin(func() any { return g.srv.Dump() }, g.srv.Ready)
 	return g, nil
 }
 
-// budgetShare is the part of the shared retry bounds that one gateway uses of its own requests, and slackShare its part
-// of the number besides: no gateway knows how many others there are.
-const (
-	budgetShare = 0.6
-	slackShare  = 0.12
-)
-
-func (g *gateway) retryBounds() routing.Bounds {
-	s := g.set.Load()
-	return routing.Bounds{
-		Share: budgetShare * s.RetryRatio, Floor: slackShare * s.RetrySlack, WindowSeconds: s.RetryWindowSeconds,
-	}
-}
-
 // reload takes up settings that can change while the process runs. Addresses stay as they were at the start.
 func (g *gateway) reload(s Settings) {
 	g.set.Store(&s)
@@ -129,6 +125,9 @@
 
 // follow makes the mirrors of the configuration and of the servers.
 func (g *gateway) follow(store *platform.Store) {
+	set := g.set.Load()
+	configWait := time.Duration(configWaitShare * float64(set.ConfigMS) * float64(time.Millisecond))
+	serversPause := time.Duration(serversPauseShare * float64(set.DrainMS) * float64(time.Millisecond))
 	g.config = mirror.New(mirror.Options{
 		Source: store, Prefix: platform.ConfigPrefix, Wait: configWait, Pause: configPause, Peer: g.peers.Ask,
 		Changed: func(s *mirror.Snapshot, _ time.Time) { g.configChanged(s) }, Log: g.log,
@@ -190,6 +189,8 @@
 		group.Go(func() error { g.servers.Run(serving); return nil })
 		group.Go(func() error { g.srv.Housekeep(serving); return nil })
 		group.Go(func() error { g.settle(serving); return nil })
+		group.Go(func() error { g.present.Run(serving); return nil })
+		group.Go(func() error { g.followPresence(serving); return nil })
 		group.Go(func() error { g.followGroups(serving); return nil })
 		group.Go(func() error { return telemetry.ServeServer(serving, listeners[0], callers, listenerGrace) })
 		group.Go(func() error { return telemetry.Serve(serving, listeners[1], g.readyHandler(), listenerGrace) })
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -23,6 +23,10 @@
 	RetryRatio         float64 `json:"retry_ratio" validate:"gte=0"`
 	RetrySlack         float64 `json:"retry_slack" validate:"gte=0"`
 	RetryWindowSeconds int     `json:"retry_window_seconds" validate:"gt=0"`
+	// ConfigMS is the time, in milliseconds, within which a change of the configuration has to be in force, and DrainMS that
+	// within which a server that leaves must get nothing more.
+	ConfigMS int64 `json:"config_ms" validate:"gte=500"`
+	DrainMS  int64 `json:"drain_ms" validate:"gte=500"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64  `json:"memory_mb" validate:"gt=0"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
@@ -30,5 +34,8 @@
 
 // Defaults returns the settings that a file need not give.
 func Defaults() Settings {
-	return Settings{GraceSeconds: 8, RetryRatio: 0.1, RetrySlack: 40, RetryWindowSeconds: 10, MemoryMB: 256, LogLevel: "info"}
+	return Settings{
+		GraceSeconds: 8, RetryRatio: 0.1, RetrySlack: 40, RetryWindowSeconds: 10, ConfigMS: 2000, DrainMS: 2000, MemoryMB: 256,
+		LogLevel: "info",
+	}
 }
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -129,12 +129,19 @@
 const (
 	renewEvery = 600 * time.Millisecond
 	retryPause = 500 * time.Millisecond
-	// candidates is the number of ranks whose processes look at the lease often enough to take over at once. The others
-	// do so every standbyWait, so that the calls to the store hardly grow with the group.
-	candidates  = 4
-	standbyWait = 12 * time.Second
+	// candidates is the number of ranks whose processes look at the lease often enough to take over at once.
+	candidates = 4
+	// The processes of the other ranks look less often, and the less the more there are, so that a group makes about one call
+	// each standbyPerRank. Each of them looks at another time, so that one takes over soon also when the candidates are gone.
+	minStandbyWait = 12 * time.Second
+	standbyPerRank = 750 * time.Millisecond
 )
 
+// standbyWait returns how long the process of a rank that is no candidate waits before it looks at the lease.
+func standbyWait(ranks int) time.Duration {
+	return max(minStandbyWait, time.Duration(ranks)*standbyPerRank)
+}
+
 // campaign tries to become the planner of the replica's group, and plans while it is.
 func (p *rankProcess) campaign(ctx context.Context) {
 	var lease *orders.Lease
@@ -150,7 +157,7 @@
 			// The name of the instance is enough: it runs one process, and a new one takes over from the last at once.
 			lease = orders.NewLease(p.store, "rank/"+group, p.set.Name+"@"+p.set.IP, leaseTimes())
 		}
-		if wait := p.acquire(ctx, lease, s.Rank); wait > 0 {
+		if wait := p.acquire(ctx, lease, s); wait > 0 {
 			process.Pause(ctx, wait)
 			continue
 		}
@@ -159,15 +166,16 @@
 }
 
 // acquire takes the lease, or returns how long to wait before the next attempt.
-func (p *rankProcess) acquire(ctx context.Context, lease *orders.Lease, rank int) time.Duration {
+func (p *rankProcess) acquire(ctx context.Context, lease *orders.Lease, own rollout.State) time.Duration {
 	err := lease.Acquire(ctx)
 	if err == nil {
 		return 0
 	}
 	if wait, held := heldFor(err); held {
 		wait = max(wait, 20*time.Millisecond)
-		if rank >= candidates {
-			wait = max(wait, standbyWait+rand.N(standbyWait/2))
+		if own.Rank >= candidates {
+			standby := standbyWait(own.Size)
+			wait = max(wait, standby/2+rand.N(standby))
 		}
 		return wait
 	}
--- /dev/null
+++ b/cmd/internal/rankd/standby_test.go
@@ -0,0 +1,19 @@
+package rankd
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against calls to the store that grow with the ranks of a group: at 129 ranks the standby processes alone made eight a
+// second. Pattern: a large group in steady state.
+func TestStandbyProcessesOfALargeGroupMakeFewCalls(t *testing.T) {
+	for _, ranks := range []int{8, 64, 129, 300} {
+		calls := float64(ranks-candidates) / standbyWait(ranks).Seconds()
+		require.LessOrEqual(t, calls, 1/standbyPerRank.Seconds(), "%d ranks", ranks)
+	}
+	require.Equal(t, minStandbyWait, standbyWait(8))
+	require.Greater(t, standbyWait(129), time.Minute)
+}
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -142,7 +142,7 @@
 	// returnTime is how long after an outage the entries of living owners may be missing, less the time in which a
 	// removal has to be noticed.
 	returnTime = 1700 * time.Millisecond
-	// lapseTime is how long after an outage entries may still run out because of it.
+	// lapseTime is how long after an outage entries may still run out because of it; it is noticed up to a pause later.
 	lapseTime = 700 * time.Millisecond
 	// outage is the time without an answer after which leases may have run out.
 	outage = 1200 * time.Millisecond
@@ -154,7 +154,7 @@
 	case m.lost:
 		// The snapshot comes from a peer, which may just have regained the service.
 		return now.Add(returnTime)
-	case now.Sub(m.regained) < lapseTime:
+	case now.Sub(m.regained) < lapseTime+m.opts.Pause:
 		return m.regained.Add(returnTime)
 	}
 	return time.Time{}
--- /dev/null
+++ b/configsync/presence/presence_test.go
@@ -0,0 +1,163 @@
+package presence
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/clients/kv"
+)
+
+// fakeStore is a key-value service in memory with leases; the tests use it from one goroutine at a time.
+type fakeStore struct {
+	kv.Store
+	revision int64
+	entries  map[string]kv.Entry
+	owner    map[string]kv.LeaseID
+	leases   map[kv.LeaseID]time.Time
+	down     bool
+	calls    int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		entries: map[string]kv.Entry{}, owner: map[string]kv.LeaseID{}, leases: map[kv.LeaseID]time.Time{},
+	}
+}
+
+func (s *fakeStore) begin() error {
+	s.calls++
+	if s.down {
+		return merry.Wrap(&kv.UnavailableError{})
+	}
+	for key, lease := range s.owner {
+		if !time.Now().Before(s.leases[lease]) {
+			delete(s.entries, key)
+			delete(s.owner, key)
+		}
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (kv.Entry, error) {
+	return s.entries[key], s.begin()
+}
+
+func (s *fakeStore) List(context.Context, string, string, int) ([]kv.Entry, error) {
+	if err := s.begin(); err != nil {
+		return nil, err
+	}
+	var out []kv.Entry
+	for _, e := range s.entries {
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, expected int64, lease kv.LeaseID) (int64, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	if s.entries[key].ModRevision != expected {
+		return 0, merry.Wrap(&kv.ConflictError{Key: key, Expected: expected})
+	}
+	s.revision++
+	s.entries[key] = kv.Entry{Key: key, Value: value, ModRevision: s.revision}
+	s.owner[key] = lease
+	return s.revision, nil
+}
+
+func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	id := kv.LeaseID(len(s.leases) + 1)
+	s.leases[id] = time.Now().Add(ttl)
+	return id, nil
+}
+
+func (s *fakeStore) KeepAlive(_ context.Context, id kv.LeaseID) (time.Duration, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	if !time.Now().Before(s.leases[id]) {
+		return 0, merry.Wrap(&kv.LeaseExpiredError{ID: id})
+	}
+	s.leases[id] = time.Now().Add(leaseTime)
+	return leaseTime, nil
+}
+
+func (s *fakeStore) Revoke(_ context.Context, id kv.LeaseID) error {
+	delete(s.leases, id)
+	return s.begin()
+}
+
+// start runs the presence of a process and returns what ends it: leaving the list, or dying.
+func start(t *testing.T, s *fakeStore, name string) (p *Presence, stop func()) {
+	t.Helper()
+	p = New(s, "gateways/", Member{Name: name, Address: name + ":1", Domain: "d"}, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	go p.Run(ctx)
+	synctest.Wait()
+	return p, func() { cancel(); synctest.Wait() }
+}
+
+// Guards against processes that share a bound and count each other wrongly: those that start together, one that stops, and one
+// that starts again under its name while its old entry is there.
+func TestProcessesCountEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		a, stopA := start(t, s, "a")
+		b, stopB := start(t, s, "b")
+		require.Len(t, b.Members(), 2, "one that starts later knows the others at once")
+		time.Sleep(settleTime + time.Second)
+		require.Len(t, a.Members(), 2)
+		require.Len(t, b.Members(), 2)
+		require.Contains(t, a.Members(), Member{Name: "b", Address: "b:1", Domain: "d"})
+		stopB()
+		time.Sleep(readEvery + renewEvery)
+		require.Len(t, a.Members(), 1)
+		// A second process of the name takes the entry over; the lease of the first one takes nothing with it.
+		again, stopAgain := start(t, s, "a")
+		time.Sleep(2 * leaseTime)
+		require.Len(t, again.Members(), 1)
+		stopA()
+		stopAgain()
+	})
+}
+
+// Guards against a process that is not listed any more after its lease ran out in an outage, and against a count that is lost
+// with the service.
+func TestPresenceSurvivesAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		a, stop := start(t, s, "a")
+		time.Sleep(settleTime + time.Second)
+		s.down = true
+		time.Sleep(2 * leaseTime)
+		require.Len(t, a.Members(), 1, "the last count holds")
+		s.down = false
+		time.Sleep(2 * renewEvery)
+		require.Len(t, s.entries, 1)
+		require.Contains(t, s.owner, "gateways/a")
+		stop()
+	})
+}
+
+// Guards against calls to the service that cost more than what they are for.
+func TestPresenceMakesFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		_, stop := start(t, s, "a")
+		time.Sleep(10 * time.Second)
+		before := s.calls
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, s.calls-before, 16)
+		stop()
+	})
+}
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -170,11 +170,14 @@
 	return changed
 }
 
-// MoveSilent moves requests away from servers that have been silent for long, and returns those servers. In a group that
-// stands still all ranks are silent, and none is better than the others.
-func (f *Fleet) MoveSilent(service string, now time.Time) []catalog.Server {
+// MoveSilent moves requests away from servers that have been silent for long, but for those of some groups, and returns those
+// servers.
+func (f *Fleet) MoveSilent(service string, except []string, now time.Time) []catalog.Server {
 	var moved []catalog.Server
 	for _, b := range f.Backends(service) {
+		if _, group := b.listing(); group != nil && slices.Contains(except, group.Name) {
+			continue
+		}
 		if b.moveIfSilent(now) {
 			moved = append(moved, b.Server())
 		}
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -45,7 +45,7 @@
 	left := time.Until(c.expires)
 	first := q.FirstEvent()
 	used := c.usedBefore()
-	w := limit.Wait{InAim: c.route.Objective - used - first, Returned: used > 0}
+	w := limit.Wait{InAim: c.route.Objective - used - first, Aim: c.route.MaxGap, Returned: used > 0}
 	w.Longest = left - time.Duration(holdMargin*float64(q.Hold()))
 	if !w.Returned {
 		w.Longest = min(w.Longest, time.Duration(waitShare*float64(left)))
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,8 @@
 	// drain is nil until the process stops.
 	drain  atomic.Pointer[drain]
 	active atomic.Int64
+	// share is the part of what all gateways share that is this one's own.
+	share atomic.Pointer[float64]
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue
@@ -114,11 +117,24 @@
 	groups := s.opts.Fleet.Groups(service, now)
 	out := make([]limit.GroupState, len(groups))
 	for i, g := range groups {
-		out[i] = limit.GroupState{Name: g.Name, Slots: g.Slots, Closed: !g.Serves}
+		out[i] = limit.GroupState{Name: g.Name, Slots: g.Slots, Share: s.ownShare(), Closed: !g.Serves}
 	}
 	return out
 }
 
+// SetShare sets the part, 0 to 1, of what all gateways share that is this one's own.
+func (s *Server) SetShare(share float64) { s.share.Store(&share) }
+
+// unknownShare is the part of a gateway that does not know how many others there are.
+const unknownShare = 1.0 / 16
+
+func (s *Server) ownShare() float64 {
+	if share := s.share.Load(); share != nil {
+		return *share
+	}
+	return unknownShare
+}
+
 // RefreshGroups takes up what has become known of the groups of all services.
 func (s *Server) RefreshGroups() {
 	s.mu.Lock()
@@ -221,16 +237,18 @@
 	}
 }
 
-// moveSilent moves streams away from servers that nothing is heard of.
+// moveSilent moves streams away from servers that nothing is heard of. In a group that stands still all servers are silent, and
+// its streams are moved only if there is another group.
 func (s *Server) moveSilent(now time.Time) {
 	s.mu.Lock()
-	services := make([]string, 0, len(s.queues))
-	for service := range s.queues {
-		services = append(services, service)
-	}
+	queues := maps.Clone(s.queues)
 	s.mu.Unlock()
-	for _, service := range services {
-		for _, server := range s.opts.Fleet.MoveSilent(service, now) {
+	for service, q := range queues {
+		stalled := q.Stalled()
+		if len(stalled) > 0 && len(s.opts.Fleet.Groups(service, now)) > len(stalled) {
+			stalled = nil
+		}
+		for _, server := range s.opts.Fleet.MoveSilent(service, stalled, now) {
 			s.opts.Log.Info("backend server is silent", zap.String("server", server.ID), zap.String("service", service))
 		}
 	}
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -199,7 +199,7 @@
 	switch {
 	case c.place == nil:
 	case c.events == 0:
-		c.place.ObserveFirst(c.firstAt-c.queued, c.route.MaxGap, now)
+		c.place.ObserveFirst(c.firstAt-c.queued, now)
 	default:
 		c.place.ObservePause(pause, c.route.MaxGap, now)
 	}
--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -7,6 +7,8 @@
 	Name string
 	// Slots bound the streams of all processes at the group.
 	Slots int
+	// Share is the part of the slots that is this process's own when all processes have the same.
+	Share float64
 	// Closed groups get no new stream.
 	Closed bool
 }
@@ -25,7 +27,7 @@
 			q.lanes[g.Name] = l
 		}
 		l.removed, l.closed = false, g.Closed
-		l.limiter.SetMost(g.Slots)
+		l.limiter.SetMost(g.Slots, g.Share)
 	}
 	for name, l := range q.lanes {
 		if listed[name] {
@@ -106,6 +108,19 @@
 	return d
 }
 
+// Stalled returns the names of the groups that stand still.
+func (q *Queue) Stalled() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []string
+	for _, l := range q.lanes {
+		if l.stalled(time.Now()) {
+			out = append(out, l.group)
+		}
+	}
+	return out
+}
+
 // Totals returns the limit and the streams in flight of all groups that serve, and the number of waiting requests.
 func (q *Queue) Totals() (limit, inFlight, waiting int) {
 	q.mu.Lock()
--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -11,10 +11,10 @@
 
 // Bounds and steps of the limit.
 const (
-	// initialLimit holds until the slots of the group are known; a larger group starts with initialShare of them. The other
-	// gateways that share the group are not known, so that the share is small.
+	// initialLimit holds until the slots of the group are known. Then the limit starts at startShare of this process's part of
+	// them: how many streams the group can carry in time is not known yet.
 	initialLimit = 24
-	initialShare = 1.0 / 9
+	startShare   = 0.5
 	minLimit     = 4
 	// window is the time over which pauses are collected for one step.
 	window = 250 * time.Millisecond
@@ -57,10 +57,10 @@
 	}
 }
 
-// SetMost bounds the limit by the slots of the group.
-func (l *Limiter) SetMost(slots int) {
+// SetMost bounds the limit by the slots of the group, of which the process may begin with a share.
+func (l *Limiter) SetMost(slots int, share float64) {
 	if math.IsInf(l.most, 1) && slots > 0 {
-		l.limit = max(initialShare*float64(slots), l.limit)
+		l.limit = max(startShare*share*float64(slots), minLimit)
 	}
 	l.most = float64(max(slots, minLimit))
 	l.limit = min(l.limit, l.most)
--- a/gateway/limit/order.go
+++ b/gateway/limit/order.go
@@ -11,6 +11,8 @@
 	InAim time.Duration
 	// Longest is how long it may wait so that its answer still ends within the caller's time.
 	Longest time.Duration
+	// Aim is the longest pause between events with which the answer is on time, 0 for none.
+	Aim time.Duration
 	// Returned says that the caller has been refused before and has come back.
 	Returned bool
 }
@@ -29,12 +31,13 @@
 	arrived time.Time
 	// except is a group in which the request must not run again.
 	except string
+	aim    time.Duration
 	done   bool
 }
 
 // newWaiter returns the waiter of a request that arrives now.
 func newWaiter(w Wait, now time.Time) *waiter {
-	out := &waiter{admitted: make(chan *lane, 1), arrived: now}
+	out := &waiter{admitted: make(chan *lane, 1), arrived: now, aim: w.Aim}
 	switch {
 	case w.InAim > 0:
 		out.due = now.Add(w.InAim)
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -45,16 +45,18 @@
 	closed bool
 	// removed says that the group is not listed any more.
 	removed bool
-	// running counts the streams that have had an event and have not ended; lastEvent is the time of the last one of any.
-	running   int
-	lastEvent time.Time
-	aim       time.Duration
+	// heard is when an event of any stream came last, or when the first of the streams in flight was sent; aim is that for
+	// the pauses of the streams.
+	heard time.Time
+	aim   time.Duration
 }
 
 // Constants of the notice that a group stands still.
 const (
-	// stallPauses is the number of pauses at their aim after which a group counts as standing still.
+	// stallPauses is the number of pauses at their aim, and stallFirsts that of the mean times to a first event, after which a
+	// group counts as standing still.
 	stallPauses = 4
+	stallFirsts = 3
 	// stallStreams is the number of streams that all have to be silent, since one alone may be silent by itself.
 	stallStreams = 3
 )
@@ -69,7 +71,6 @@
 	queue *Queue
 	lane  *lane
 	since time.Time
-	begun bool
 }
 
 // Group returns the name of the group, empty while the group is not known.
@@ -86,7 +87,7 @@
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
 		if l := q.free(except, now); l != nil {
-			l.limiter.Admit()
+			l.admit(w.Aim, now)
 			q.mu.Unlock()
 			return q.place(l), nil
 		}
@@ -126,10 +127,22 @@
 	return !l.closed && !l.removed && !l.stalled(now) && l.limiter.InFlight() < l.limiter.Limit()
 }
 
-// stalled says that every stream of the group has been silent for much longer than their pauses should last: a rank has
-// gone, or a switch of the expert map has not ended. What is sent there would wait, and be refused if a rank has gone.
+// stalled says that all streams of the group have been silent for much longer than their events should take: a rank has gone,
+// or a switch of the expert map has not ended. What is sent there would wait, and be refused if a rank has gone.
 func (l *lane) stalled(now time.Time) bool {
-	return l.running >= stallStreams && l.aim > 0 && now.Sub(l.lastEvent) > stallPauses*l.aim
+	if l.limiter.InFlight() < stallStreams || l.aim <= 0 {
+		return false
+	}
+	return now.Sub(l.heard) > max(stallPauses*l.aim, stallFirsts*l.limiter.First())
+}
+
+// admit takes a place for a stream with an aim for its pauses.
+func (l *lane) admit(aim time.Duration, now time.Time) {
+	if l.limiter.InFlight() == 0 {
+		l.heard = now
+	}
+	l.aim = aim
+	l.limiter.Admit()
 }
 
 // refusal returns why a request must not wait, nil if it may.
@@ -264,7 +277,7 @@
 			l = better
 		}
 		q.forget(w)
-		l.limiter.Admit()
+		l.admit(w.aim, now)
 		w.admitted <- l
 		return true
 	}
@@ -283,10 +296,6 @@
 // leave takes the stream out of its group. The caller holds the queue's lock.
 func (p *Place) leave() {
 	p.lane.limiter.End(time.Since(p.since))
-	if p.begun {
-		p.lane.running--
-		p.begun = false
-	}
 }
 
 // Move gives the place up for one in another group, for a stream whose group cannot serve it. It waits as Acquire does and
@@ -331,17 +340,14 @@
 	return p.lane.stalled(time.Now())
 }
 
-// ObserveFirst takes the first event of the stream, after a time from its admission, and the aim for its pauses.
-func (p *Place) ObserveFirst(after, aim time.Duration, now time.Time) {
-	p.queue.mu.Lock()
-	defer p.queue.mu.Unlock()
-	l := p.lane
-	l.limiter.ObserveFirst(after)
-	if !p.begun {
-		p.begun = true
-		l.running++
-	}
-	l.aim, l.lastEvent = aim, now
+// ObserveFirst takes the first event of the stream, after a time from its admission.
+func (p *Place) ObserveFirst(after time.Duration, now time.Time) {
+	q := p.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p.lane.limiter.ObserveFirst(after)
+	p.lane.heard = now
+	q.admitWaiting(now)
 }
 
 // ObservePause takes a pause between two events of the stream and the aim for it.
@@ -349,12 +355,7 @@
 	q := p.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := p.lane
-	if !p.begun { // The stream goes on in another group than that in which it began.
-		p.begun = true
-		l.running++
-	}
-	l.aim, l.lastEvent = aim, now
-	l.limiter.ObservePause(pause, aim, now)
+	p.lane.heard = now
+	p.lane.limiter.ObservePause(pause, aim, now)
 	q.admitWaiting(now)
 }
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -22,13 +22,21 @@
 	mu     sync.Mutex
 	start  time.Time
 	second int64
-	// first and retries count sends by second.
+	// first and retries count sends by second. There is one second more than the window has, because the oldest one is only
+	// partly in it: its retries still count, and its requests do not any more.
 	first, retries []int
 }
 
 // NewBudget returns a budget with no requests counted.
 func NewBudget(b Bounds) *Budget {
-	return &Budget{bounds: b, first: make([]int, b.WindowSeconds), retries: make([]int, b.WindowSeconds)}
+	return &Budget{bounds: b, first: make([]int, b.WindowSeconds+1), retries: make([]int, b.WindowSeconds+1)}
+}
+
+// SetBounds changes the share and the floor; the window stays.
+func (b *Budget) SetBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds.Share, b.bounds.Floor = bounds.Share, bounds.Floor
 }
 
 // Request counts a request that is sent for the first time.
@@ -44,8 +52,11 @@
 	defer b.mu.Unlock()
 	i := b.bucket(now)
 	requests, retries := 0, 0
+	oldest := (i + 1) % len(b.first)
 	for j := range b.first {
-		requests += b.first[j]
+		if j != oldest {
+			requests += b.first[j]
+		}
 		retries += b.retries[j]
 	}
 	if float64(retries) >= b.bounds.Share*float64(requests)+b.bounds.Floor {
--- a/routing/limits_test.go
+++ b/routing/limits_test.go
@@ -35,6 +35,33 @@
 	require.InDelta(t, DefaultBounds().Floor, granted, 0, "an idle entry keeps a few retries")
 }
 
+// Guards against repeated sends of several processes that are together above the bound that they share, in any span of the
+// window's length, also where a burst ends one window and another begins the next. Pattern: two bursts a window apart.
+func TestPartsOfABudgetKeepTheSharedBound(t *testing.T) {
+	const processes, window, slack, ratio = 21, 10 * time.Second, 264.0, 0.2
+	part := Bounds{Share: 0.45 * ratio, Floor: 0.45 * slack / processes, WindowSeconds: 10}
+	for _, offset := range []time.Duration{0, 990 * time.Millisecond} {
+		var sent []time.Time
+		for range processes {
+			b := NewBudget(part)
+			for at := offset; at < 3*window; at += 10 * time.Millisecond {
+				if b.Retry(start.Add(at)) {
+					sent = append(sent, start.Add(at))
+				}
+			}
+		}
+		for _, from := range sent {
+			n := 0
+			for _, at := range sent {
+				if !at.Before(from) && at.Before(from.Add(window)) {
+					n++
+				}
+			}
+			require.LessOrEqual(t, float64(n), slack)
+		}
+	}
+}
+
 // Guards against hedging work that is not a harmless read, and against hedging from the start.
 func TestOnlyIdempotentStatusCallsAreHedged(t *testing.T) {
 	var h Hedge
