--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -84,7 +84,7 @@
 }
 
 func build(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
-	g := &gateway{peers: mirror.NewPeers(&http.Client{}, s.Peers)}
+	g := &gateway{peers: mirror.NewPeers(process.PeerClient(0), s.Peers)}
 	g.set.Store(&s)
 	g.shared.set(g.retryBounds(0))
 	base, err := process.New(out, "gateway", s.Name, s.LogLevel)
@@ -111,8 +111,12 @@
 		ConfigAge: g.config.Age,
 		NewBudget: func() ingress.RetryBudget { return g.shared.newBudget() },
 	})
+	err = telemetry.Register(base.Meter, []telemetry.Instrument{{
+		Name: "lavendermoor.gateway.peers", Description: "Gateways listed at the last read.",
+		Value: func() int64 { return int64(len(g.present.Members())) },
+	}})
 	g.admin = base.Admin(func() any { return g.srv.Dump() }, g.srv.Ready)
-	return g, nil
+	return g, err
 }
 
 // reload takes up settings that can change while the process runs. Addresses stay as they were at the start.
--- a/cmd/internal/gatewayd/groups.go
+++ b/cmd/internal/gatewayd/groups.go
@@ -47,7 +47,7 @@
 		return
 	}
 	w := &groupWatch{
-		gateway: g, http: &http.Client{Timeout: groupTimeout}, notices: map[string]map[string]datedNotice{},
+		gateway: g, http: process.PeerClient(groupTimeout), notices: map[string]map[string]datedNotice{},
 	}
 	for ctx.Err() == nil {
 		for _, service := range g.groupedServices() {
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -57,6 +58,24 @@
 	return telemetry.CountCalls(b.Meter, "lavendermoor.store.calls", "Calls to the platform's store.")
 }
 
+const (
+	// maxPeerHead bounds the head of an answer of another process in bytes.
+	maxPeerHead = 64 << 10
+	// peerIdleTime ends idle connections to other processes.
+	peerIdleTime = 20 * time.Second
+	peerDialTime = 250 * time.Millisecond
+)
+
+// PeerClient returns a client for calls to other processes and to servers on their instances. A call ends after the timeout, 0 for
+// none.
+func PeerClient(timeout time.Duration) *http.Client {
+	dialer := net.Dialer{Timeout: peerDialTime}
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTime, DisableCompression: true,
+		MaxResponseHeaderBytes: maxPeerHead,
+	}}
+}
+
 // Listen opens all of the addresses or none. An empty address has no listener.
 func Listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	out := make([]net.Listener, len(addresses))
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -24,12 +23,7 @@
 	"lavendermoor.example/telemetry"
 )
 
-const (
-	listenerGrace = 300 * time.Millisecond
-	// idleTimeout ends idle connections between processes.
-	idleTimeout = 20 * time.Second
-	dialTimeout = 250 * time.Millisecond
-)
+const listenerGrace = 300 * time.Millisecond
 
 // rankProcess holds the parts of a rank process.
 type rankProcess struct {
@@ -40,6 +34,8 @@
 	http  *http.Client
 	own   *platform.Rank
 	agent *agent.Agent
+	// deputy ends switches of silent planners of the group.
+	deputy *rollout.Deputy
 	admin *telemetry.Admin
 	// leading says that this process plans for its group.
 	leading atomic.Bool
@@ -91,18 +87,19 @@
 	if err != nil {
 		return nil, err
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}
+	client := process.PeerClient(0)
 	p := &rankProcess{base: base, set: s, log: base.Log, http: client, store: platform.NewStore(s.Store, count)}
 	p.own = platform.NewRank(s.Replica, client)
 	p.agent = agent.New(p.own, p.log)
-	p.agent.UseDeputy(p.newDeputy())
+	p.deputy = p.newDeputy()
+	p.agent.UseDeputy(p.deputy)
 	p.dump.Store(&Dump{})
 	err = telemetry.Register(base.Meter, []telemetry.Instrument{{
 		Name: "lavendermoor.rank.map_version", Description: "Version of the group's expert map, at its planner.",
 		Value: func() int64 { return p.dump.Load().Version },
+	}, {
+		Name: "lavendermoor.rank.takeovers", Counter: true,
+		Description: "Switches of expert maps taken over from a silent planner.", Value: p.deputy.TakeOvers,
 	}})
 	p.admin = base.Admin(func() any { return p.dump.Load() }, func() bool { return true })
 	return p, err
--- a/configsync/mirror/peer.go
+++ b/configsync/mirror/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -129,9 +130,12 @@
 	return nil, merry.Wrap(&PeerStatusError{Peer: peer, Status: resp.StatusCode})
 }
 
+// maxSnapshot bounds a snapshot in bytes: some thousand servers, or a large configuration, in base64.
+const maxSnapshot = 32 << 20
+
 func decodeSnapshot(resp *http.Response) (*Snapshot, error) {
 	var w wireSnapshot
-	if err := json.NewDecoder(resp.Body).Decode(&w); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(&w); err != nil {
 		return nil, merry.Wrap(err)
 	}
 	entries := make([]kv.Entry, len(w.Entries))
--- a/expertmap/rollout/deputy.go
+++ b/expertmap/rollout/deputy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,10 +44,15 @@
 type Deputy struct {
 	opts DeputyOptions
 
+	takeOvers atomic.Int64
+
 	mu      sync.Mutex
 	current *watch
 }
 
+// TakeOvers returns the number of switches that were taken over.
+func (d *Deputy) TakeOvers() int64 { return d.takeOvers.Load() }
+
 // watch is a switch that is watched over.
 type watch struct {
 	Handover
@@ -226,6 +232,7 @@
 	if ended {
 		return
 	}
+	d.takeOvers.Add(1)
 	d.opts.Log.Warn("planner is silent in the middle of a switch; its deputy ends it", zap.String("group", w.Group),
 		zap.Int64("fence", w.Fence), zap.Int64("version", w.Version), zap.Int("planner", w.Planner),
 		zap.Bool("planner_armed", k.armed != nil), zap.Bool("planner_pending", k.pending))
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -152,12 +152,7 @@
 	_ = all.Wait() // The functions keep their own errors.
 }
 
-// order gives an order once. Errors are those of Rank.Order and of the fence function.
-func (g *Group) order(ctx context.Context, rank int, o Order) error {
-	return g.send(ctx, o, g.ranks[rank].Order)
-}
-
-// send completes an order and gives it by a function.
+// send completes an order and gives it once by a function. Errors are those of Rank.Order and of the fence function.
 func (g *Group) send(ctx context.Context, o Order, give func(ctx context.Context, o Order) error) error {
 	fence, err := g.number(o)
 	if err != nil {
--- a/expertmap/rollout/handover.go
+++ b/expertmap/rollout/handover.go
@@ -153,7 +153,7 @@
 	if err := g.fenceReachable(ctx, h.Planner); err != nil {
 		return err
 	}
-	if err := g.pollReachable(ctx, h, k); err != nil {
+	if err := g.pollReachable(ctx, k); err != nil {
 		return err
 	}
 	switch {
@@ -207,7 +207,7 @@
 }
 
 // pollReachable reads the states of all ranks; that of a planner's rank that does not answer is what the deputy knows.
-func (g *Group) pollReachable(ctx context.Context, h Handover, k known) error {
+func (g *Group) pollReachable(ctx context.Context, k known) error {
 	states := make([]State, len(g.ranks))
 	errs := make([]error, len(g.ranks))
 	g.each(func(i int) {
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -47,7 +47,7 @@
 	places map[string]*Place
 }
 
-func (a *arrivals) add(t *testing.T, ctx context.Context, name string, w Wait) {
+func (a *arrivals) add(ctx context.Context, t *testing.T, name string, w Wait) {
 	t.Helper()
 	if a.err == nil {
 		a.err, a.places = map[string]error{}, map[string]*Place{}
@@ -93,12 +93,12 @@
 		places := q.fill(t)["g"]
 		a := arrivals{q: q}
 		late := Wait{InAim: time.Millisecond, Longest: 2 * time.Second}
-		a.add(t, t.Context(), "late 1", late)
-		a.add(t, t.Context(), "late 2", late)
+		a.add(t.Context(), t, "late 1", late)
+		a.add(t.Context(), t, "late 2", late)
 		time.Sleep(10 * time.Millisecond)
-		a.add(t, t.Context(), "slack", Wait{InAim: 900 * time.Millisecond})
-		a.add(t, t.Context(), "back", Wait{Longest: 2 * time.Second, Returned: true})
-		a.add(t, t.Context(), "urgent", Wait{InAim: 300 * time.Millisecond})
+		a.add(t.Context(), t, "slack", Wait{InAim: 900 * time.Millisecond})
+		a.add(t.Context(), t, "back", Wait{Longest: 2 * time.Second, Returned: true})
+		a.add(t.Context(), t, "urgent", Wait{InAim: 300 * time.Millisecond})
 		for _, p := range places[:5] {
 			p.Release()
 			synctest.Wait()
@@ -129,7 +129,7 @@
 		leaver, leave := context.WithCancel(t.Context())
 		a := arrivals{q: q}
 		for i, ctx := range []context.Context{t.Context(), leaver, t.Context()} {
-			a.add(t, ctx, string(rune('a'+i)), Wait{InAim: time.Minute})
+			a.add(ctx, t, string(rune('a'+i)), Wait{InAim: time.Minute})
 		}
 		leave()
 		synctest.Wait()
@@ -174,7 +174,7 @@
 		require.Empty(t, places["g"])
 		require.Len(t, places["h"], initialLimit)
 		a := arrivals{q: q}
-		a.add(t, t.Context(), "waits", Wait{InAim: time.Second})
+		a.add(t.Context(), t, "waits", Wait{InAim: time.Second})
 		q.setServing([]string{"g", "h"}, "")
 		synctest.Wait()
 		require.Equal(t, []string{"waits"}, a.got, "the group that is back takes what waits")
@@ -195,7 +195,7 @@
 		require.True(t, full.Closed)
 		require.Zero(t, time.Since(start))
 		a := arrivals{q: q}
-		a.add(t, t.Context(), "back", Wait{Longest: time.Second, Returned: true})
+		a.add(t.Context(), t, "back", Wait{Longest: time.Second, Returned: true})
 		time.Sleep(500 * time.Millisecond)
 		q.setServing([]string{"g"}, "")
 		synctest.Wait()
@@ -251,7 +251,7 @@
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []string{"g"}, q.Stalled())
 		a := arrivals{q: q}
-		a.add(t, t.Context(), "waits", w)
+		a.add(t.Context(), t, "waits", w)
 		require.Empty(t, a.got)
 		places[0].ObserveFirst(2*time.Second, time.Now())
 		synctest.Wait()
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -81,6 +81,8 @@
 	// Margin is taken off the end of the lease at the holder. It covers the way of an order to the engine and the
 	// difference in rate of two monotonic clocks.
 	Margin time.Duration
+	// SinceBoot returns the time since the instance has started, suspensions included; nil for the kernel's clock.
+	SinceBoot func() time.Duration
 }
 
 // DefaultLease returns the usual times: orders may be sent for 8 s after the lease was taken, and another process may take
@@ -110,19 +112,24 @@
 	mu    sync.Mutex
 	fence int64
 	until time.Time
+	// untilBoot is the same end by the time since the instance has started.
+	untilBoot time.Duration
 }
 
 // NewLease returns a lease that is not held. The holder has to be unique to this start of this process.
 func NewLease(store kv.Store, server, holder string, set LeaseSettings) *Lease {
+	if set.SinceBoot == nil {
+		set.SinceBoot = sinceBoot
+	}
 	return &Lease{store: store, key: LeaseKey(server), holder: holder, set: set}
 }
 
-// Check returns the fencing number if the lease is held at this moment by the monotonic clock of this process,
-// else a *LapsedError. It is called directly before an order is sent.
+// Check returns the fencing number if the lease is held at this moment by the monotonic clock of this process and by the time since
+// its instance has started, else a *LapsedError. It is called directly before an order is sent.
 func (l *Lease) Check() (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !time.Now().Before(l.until) {
+	if l.left() <= 0 {
 		return 0, merry.Wrap(&LapsedError{Fence: l.fence})
 	}
 	return l.fence, nil
@@ -132,14 +139,26 @@
 func (l *Lease) Left() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Until(l.until)
+	return l.left()
+}
+
+func (l *Lease) left() time.Duration {
+	return min(time.Until(l.until), l.untilBoot-l.set.SinceBoot())
 }
 
-func (l *Lease) hold(fence int64, start time.Time) {
+// instant is a moment by both clocks.
+type instant struct {
+	at   time.Time
+	boot time.Duration
+}
+
+func (l *Lease) now() instant { return instant{at: time.Now(), boot: l.set.SinceBoot()} }
+
+func (l *Lease) hold(fence int64, start instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fence = fence
-	l.until = start.Add(l.set.TTL - l.set.Margin)
+	l.until, l.untilBoot = start.at.Add(l.set.TTL-l.set.Margin), start.boot+l.set.TTL-l.set.Margin
 }
 
 func (l *Lease) drop() {
@@ -248,7 +267,7 @@
 // write brings the record into the service and holds the lease from the time before the first attempt. A
 // repeated write is the same as the first, so it does not matter which of them takes effect, or how late.
 func (l *Lease) write(ctx context.Context, r Record, expected int64) error {
-	start := time.Now()
+	start := l.now()
 	value, err := json.Marshal(r)
 	if err != nil {
 		return merry.Wrap(err)
@@ -287,7 +306,7 @@
 	return errors.As(err, &conflict) || errors.As(err, &unknown)
 }
 
-func (l *Lease) written(r Record, mod int64, start time.Time) error {
+func (l *Lease) written(r Record, mod int64, start instant) error {
 	l.mod = mod
 	if r.Holder == "" {
 		return nil
--- a/orders/lease_test.go
+++ b/orders/lease_test.go
@@ -50,6 +50,27 @@
 	})
 }
 
+// Guards against an instance that was suspended and acts on a lease that has ended meanwhile: its monotonic clock has not counted
+// the suspension.
+func TestSuspendedHolderHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspended := time.Duration(0)
+		set := short
+		set.SinceBoot = func() time.Duration { return time.Hour + suspended }
+		a := orders.NewLease(newStore(), "s", "a", set)
+		require.NoError(t, a.Acquire(t.Context()))
+		suspended = set.TTL - set.Margin - time.Millisecond
+		_, err := a.Check()
+		require.NoError(t, err)
+		suspended += time.Millisecond
+		var lapsed *orders.LapsedError
+		_, err = a.Check()
+		require.ErrorAs(t, err, &lapsed)
+		require.ErrorAs(t, a.Renew(t.Context()), &lapsed)
+		require.LessOrEqual(t, a.Left(), time.Duration(0))
+	})
+}
+
 // Guards against a lease that is lost, or taken twice, when the answer to its write is lost or the write takes
 // effect late.
 func TestLostAnswersAreResolved(t *testing.T) {
