Let one gateway of each failure domain read the store for the others

Change: from three gateways in a failure domain on, one of them, by hash over those listed, reads for the others, which ask it with long polls. A follower asks the service itself when its reader is silent, lost, or has not heard of the service. The pause between two polls is no outage: removals counted up to 1.7 s late where pauses are above 1.2 s.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -133,11 +133,11 @@
 	configWait := time.Duration(configWaitShare * float64(set.ConfigMS) * float64(time.Millisecond))
 	serversPause := time.Duration(serversPauseShare * float64(set.DrainMS) * float64(time.Millisecond))
 	g.config = mirror.New(mirror.Options{
-		Source: store, Prefix: platform.ConfigPrefix, Wait: configWait, Pause: configPause, Peer: g.peers.Ask,
+		Source: store, Prefix: platform.ConfigPrefix, Wait: configWait, Pause: configPause, Peer: g.peers.Ask, Follow: g.askReader,
 		Changed: func(s *mirror.Snapshot, _ time.Time) { g.configChanged(s) }, Log: g.log,
 	})
 	g.servers = mirror.New(mirror.Options{
-		Source: store, Prefix: platform.ServersPrefix, Wait: serversWait, Pause: serversPause, Peer: g.peers.Ask,
+		Source: store, Prefix: platform.ServersPrefix, Wait: serversWait, Pause: serversPause, Peer: g.peers.Ask, Follow: g.askReader,
 		Changed: func(s *mirror.Snapshot, keepUntil time.Time) { g.serversChanged(s.Entries, keepUntil) }, Log: g.log,
 	})
 }
@@ -230,6 +230,7 @@
 func (g *gateway) controlHandler() http.Handler {
 	r := mux.NewRouter()
 	mirrors := map[string]*mirror.Mirror{platform.ConfigPrefix: g.config, platform.ServersPrefix: g.servers}
+	r.HandleFunc(mirror.FollowPath, mirror.FollowHandler(mirrors, g.log)).Methods(http.MethodGet)
 	r.HandleFunc(mirror.PeerPath, mirror.Handler(mirrors, g.log)).Methods(http.MethodGet)
 	r.PathPrefix("/").Handler(g.admin.Handler())
 	return r
--- /dev/null
+++ b/cmd/internal/gatewayd/reader_test.go
@@ -0,0 +1,35 @@
+package gatewayd
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/configsync/presence"
+)
+
+// Guards against calls to the store that grow with the number of gateways, and against gateways that read through each other.
+// Pattern: 1,100 gateways in 7 failure domains.
+func TestOneGatewayOfEachDomainReadsTheStore(t *testing.T) {
+	var members []presence.Member
+	for i := range 1100 {
+		members = append(members, presence.Member{Name: fmt.Sprint("g", i), Address: fmt.Sprint(i), Domain: fmt.Sprint("d", i%7)})
+	}
+	readers := 0
+	for _, m := range members {
+		r, ok := reader(members, m.Domain)
+		require.True(t, ok)
+		require.Equal(t, m.Domain, r.Domain)
+		again, _ := reader(members, r.Domain)
+		require.Equal(t, r, again, "a reader follows nobody")
+		if r == m {
+			readers++
+		}
+	}
+	require.Equal(t, 7, readers)
+	_, ok := reader(members[:7*(minFollowed-1)], "d0")
+	require.False(t, ok, "few gateways read for themselves")
+	_, ok = reader(nil, "d0")
+	require.False(t, ok)
+}
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -36,7 +36,7 @@
 	agent *agent.Agent
 	// deputy ends switches of silent planners of the group.
 	deputy *rollout.Deputy
-	admin *telemetry.Admin
+	admin  *telemetry.Admin
 	// leading says that this process plans for its group.
 	leading atomic.Bool
 	dump    atomic.Pointer[Dump]
--- /dev/null
+++ b/configsync/mirror/follow_test.go
@@ -0,0 +1,212 @@
+package mirror
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/clients/kv"
+)
+
+// gate is the way of one process to the service, which may turn this process away. It counts calls.
+type gate struct {
+	*service
+	closed atomic.Bool
+	calls  atomic.Int64
+}
+
+func (g *gate) Read(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
+	g.calls.Add(1)
+	if g.closed.Load() {
+		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+	}
+	return g.service.Read(ctx, prefix)
+}
+
+func (g *gate) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	g.calls.Add(1)
+	if g.closed.Load() {
+		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+	}
+	return g.service.Changes(ctx, prefix, after, wait)
+}
+
+// pair is a reader and a process that follows it.
+type pair struct {
+	service          *service
+	readerGate, gate *gate
+	reader, follower *Mirror
+	// dead and frozen are troubles of the reader.
+	dead, frozen atomic.Bool
+
+	mu   sync.Mutex
+	keep []time.Duration
+}
+
+// startPair runs a reader and its follower in the bubble of a test, which both know one entry.
+func startPair(t *testing.T) *pair {
+	t.Helper()
+	s := newService()
+	s.put("p/a", "1")
+	p := &pair{service: s, readerGate: &gate{service: s}, gate: &gate{service: s}}
+	opts := Options{
+		Prefix: "p/", Wait: time.Second, Pause: 20 * time.Millisecond, Log: zap.NewNop(), Changed: func(*Snapshot, time.Time) {},
+	}
+	opts.Source = p.readerGate
+	p.reader = New(opts)
+	opts.Source, opts.Follow = p.gate, p.ask
+	opts.Changed = func(_ *Snapshot, keepUntil time.Time) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if keepUntil.IsZero() {
+			p.keep = append(p.keep, 0)
+		} else {
+			p.keep = append(p.keep, time.Until(keepUntil))
+		}
+	}
+	p.follower = New(opts)
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { p.reader.Run(ctx) })
+	time.Sleep(100 * time.Millisecond)
+	running.Go(func() { p.follower.Run(ctx) })
+	t.Cleanup(func() { stop(); running.Wait() })
+	time.Sleep(3 * time.Second)
+	return p
+}
+
+func (p *pair) ask(ctx context.Context, q Question) (*Answer, error) {
+	if p.dead.Load() {
+		return nil, merry.Wrap(&PeerStatusError{})
+	}
+	a := p.reader.Answer(ctx, q)
+	if p.frozen.Load() {
+		<-ctx.Done()
+		return nil, merry.Wrap(ctx.Err())
+	}
+	return a, nil
+}
+
+func (p *pair) value() string { return string(p.follower.Snapshot().Entries["p/a"].Value) }
+
+// Guards against calls to the service by each process (the largest price of each day of lumme-reititin-large), and against changes
+// that reach followers late.
+func TestFollowersMakeNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPair(t)
+		before := p.gate.calls.Load()
+		for _, value := range []string{"2", "3"} {
+			time.Sleep(7 * time.Second)
+			p.service.put("p/a", value)
+			time.Sleep(50 * time.Millisecond)
+			require.Equal(t, value, p.value())
+		}
+		time.Sleep(time.Minute)
+		require.Equal(t, before, p.gate.calls.Load())
+		require.Less(t, p.follower.Age(), 2*time.Second)
+	})
+}
+
+// Guards against a change that is in force late because the reader has died, stands still, is turned away by the service, or hears
+// nothing of it: the follower asks the service itself. Pattern: a key is taken away while one machine is in trouble.
+func TestTroubleOfTheReaderDelaysNoChange(t *testing.T) {
+	for name, trouble := range map[string]func(p *pair){
+		"dead":        func(p *pair) { p.dead.Store(true) },
+		"frozen":      func(p *pair) { p.frozen.Store(true) },
+		"turned away": func(p *pair) { p.readerGate.closed.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := startPair(t)
+				trouble(p)
+				p.service.put("p/a", "2")
+				time.Sleep(time.Second + callGrace + 200*time.Millisecond)
+				require.Equal(t, "2", p.value())
+				time.Sleep(10 * time.Second)
+				p.service.put("p/a", "3")
+				time.Sleep(time.Second + callGrace + 200*time.Millisecond)
+				require.Equal(t, "3", p.value())
+			})
+		})
+	}
+}
+
+// Guards against servers that a follower removes at once although their entries ran out in an outage of the service which only the
+// reader has noticed.
+func TestFollowerKeepsEntriesAfterTheReadersOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPair(t)
+		time.Sleep(3 * time.Second)
+		p.reader.regained.Store(int64(time.Since(p.reader.start)))
+		p.service.remove("p/a")
+		time.Sleep(100 * time.Millisecond)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		require.Greater(t, p.keep[len(p.keep)-1], time.Second)
+	})
+}
+
+// Guards against a removal that counts late, after a time for entries that ran out in an outage, because the pause between two calls
+// is taken for an outage. Pattern: a deployment whose bounds allow long pauses.
+func TestLongPausesAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		s.put("p/a", "1")
+		s.put("p/b", "1")
+		var last atomic.Int64
+		m := New(Options{
+			Source: s, Prefix: "p/", Wait: 400 * time.Millisecond, Pause: 1400 * time.Millisecond, Log: zap.NewNop(),
+			Changed: func(_ *Snapshot, keepUntil time.Time) {
+				last.Store(-1)
+				if !keepUntil.IsZero() {
+					last.Store(int64(time.Until(keepUntil)))
+				}
+			},
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { m.Run(ctx); close(done) }()
+		time.Sleep(10 * time.Second)
+		s.remove("p/b")
+		time.Sleep(2 * time.Second)
+		require.NotContains(t, m.Snapshot().Entries, "p/b")
+		require.EqualValues(t, -1, last.Load(), "it counts at once")
+		stop()
+		<-done
+	})
+}
+
+// Guards against questions and answers that are changed on their way between two processes, and against bad questions.
+func TestFollowingByHTTP(t *testing.T) {
+	s := newService()
+	s.put("p/a", "1")
+	m := New(Options{Source: s, Prefix: "p/", Log: zap.NewNop(), Changed: func(*Snapshot, time.Time) {}})
+	require.NoError(t, m.step(t.Context()))
+	srv := httptest.NewServer(FollowHandler(map[string]*Mirror{"p/": m}, zap.NewNop()))
+	defer srv.Close()
+	peers, address := NewPeers(http.DefaultClient, nil), srv.Listener.Addr().String()
+	a, err := peers.Follow(t.Context(), address, Question{Prefix: "p/"})
+	require.NoError(t, err)
+	require.Equal(t, m.Snapshot(), a.Snapshot)
+	require.False(t, a.Lost)
+	require.Less(t, a.Age, time.Minute)
+	a, err = peers.Follow(t.Context(), address, Question{Prefix: "p/", After: m.Snapshot().Revision})
+	require.NoError(t, err)
+	require.Nil(t, a.Snapshot)
+	var status *PeerStatusError
+	_, err = peers.Follow(t.Context(), address, Question{Prefix: "q/"})
+	require.ErrorAs(t, err, &status)
+	require.Equal(t, http.StatusNotFound, status.Status)
+	_, err = peers.Follow(t.Context(), address, Question{Prefix: "p/", Wait: -time.Second})
+	require.ErrorAs(t, err, &status)
+	require.Equal(t, http.StatusBadRequest, status.Status)
+}
--- a/configsync/mirror/mirror.go
+++ b/configsync/mirror/mirror.go
@@ -23,6 +23,8 @@
 type Snapshot struct {
 	// Revision is the service's revision up to which all changes are contained; 0 before the first read.
 	Revision int64
+	// Changed is the revision with which the entries became what they are. A snapshot with a later one may differ.
+	Changed int64
 	// Entries are in no order; keys are unique.
 	Entries map[string]kv.Entry
 }
@@ -38,7 +40,7 @@
 
 // newSnapshot returns the snapshot of entries that were read from a revision on.
 func newSnapshot(entries []kv.Entry, revision int64) *Snapshot {
-	s := &Snapshot{Revision: revision, Entries: make(map[string]kv.Entry, len(entries))}
+	s := &Snapshot{Revision: revision, Changed: revision, Entries: make(map[string]kv.Entry, len(entries))}
 	for _, e := range entries {
 		s.Entries[e.Key] = e
 	}
@@ -48,7 +50,7 @@
 // apply returns the snapshot after events, and whether any of them changed it. An event that is older than the entry
 // held is left out: the pages of a read are not of one moment, so that the events after it repeat some of its content.
 func (s *Snapshot) apply(events []kv.Event, revision int64) (*Snapshot, bool) {
-	next := &Snapshot{Revision: max(s.Revision, revision), Entries: s.Entries}
+	next := &Snapshot{Revision: max(s.Revision, revision), Changed: s.Changed, Entries: s.Entries}
 	changed := false
 	for _, e := range events {
 		next.Revision = max(next.Revision, e.ModRevision)
@@ -66,5 +68,8 @@
 			next.Entries[e.Key] = e.Entry
 		}
 	}
+	if changed {
+		next.Changed = next.Revision
+	}
 	return next, changed
 }
--- a/configsync/mirror/peer.go
+++ b/configsync/mirror/peer.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
@@ -20,9 +21,90 @@
 // PeerPath serves snapshots to peers.
 const PeerPath = "/peer/v1/mirror"
 
+// FollowPath answers followers.
+const FollowPath = "/peer/v1/follow"
+
+// wireAnswer is the JSON form of an Answer.
+type wireAnswer struct {
+	AgeMs      int64         `json:"age_ms"`
+	RegainedMs int64         `json:"regained_ms"`
+	Lost       bool          `json:"lost"`
+	Snapshot   *wireSnapshot `json:"snapshot,omitempty"`
+}
+
+// maxFollowWait bounds the wait that a follower may ask for.
+const maxFollowWait = 10 * time.Second
+
+// FollowHandler answers the questions of followers by the mirrors by prefix.
+func FollowHandler(mirrors map[string]*Mirror, log *zap.Logger) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		m, ok := mirrors[query.Get("prefix")]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+		wait, waitErr := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+		if err != nil || waitErr != nil || wait < 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		q := Question{After: after, Wait: min(time.Duration(wait)*time.Millisecond, maxFollowWait)}
+		a := m.Answer(r.Context(), q)
+		out := wireAnswer{AgeMs: a.Age.Milliseconds(), RegainedMs: a.Regained.Milliseconds(), Lost: a.Lost}
+		if a.Snapshot != nil {
+			wire := a.Snapshot.wire()
+			out.Snapshot = &wire
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(out); err != nil {
+			log.Debug("answer not delivered to a follower", zap.Error(err))
+		}
+	}
+}
+
+// Follow asks the reader at an address, IP and port. It fails with a *PeerStatusError or the error of the connection.
+func (p *Peers) Follow(ctx context.Context, reader string, q Question) (*Answer, error) {
+	query := url.Values{
+		"prefix": {q.Prefix}, "after": {strconv.FormatInt(q.After, 10)},
+		"wait_ms": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
+	}
+	resp, err := p.get(ctx, reader, FollowPath, query)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, merry.Wrap(&PeerStatusError{Peer: reader, Status: resp.StatusCode})
+	}
+	var w wireAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(&w); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	a := &Answer{
+		Age: time.Duration(w.AgeMs) * time.Millisecond, Regained: time.Duration(w.RegainedMs) * time.Millisecond, Lost: w.Lost,
+	}
+	if w.Snapshot != nil {
+		a.Snapshot = w.Snapshot.snapshot()
+	}
+	return a, nil
+}
+
+func (p *Peers) get(ctx context.Context, peer, path string, query url.Values) (*http.Response, error) {
+	target := url.URL{Scheme: "http", Host: peer, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	resp, err := p.client.Do(req)
+	return resp, merry.Wrap(err)
+}
+
 // wireSnapshot is the JSON form of a snapshot.
 type wireSnapshot struct {
 	Revision int64       `json:"revision"`
+	Changed  int64       `json:"changed"`
 	Entries  []wireEntry `json:"entries"`
 }
 
@@ -59,7 +141,7 @@
 }
 
 func (s *Snapshot) wire() wireSnapshot {
-	out := wireSnapshot{Revision: s.Revision, Entries: make([]wireEntry, 0, len(s.Entries))}
+	out := wireSnapshot{Revision: s.Revision, Changed: s.Changed, Entries: make([]wireEntry, 0, len(s.Entries))}
 	for _, e := range s.Entries {
 		out.Entries = append(out.Entries, wireEntry{Key: e.Key, Value: e.Value, Revision: e.ModRevision})
 	}
@@ -111,14 +193,9 @@
 	peer := p.addresses[rand.IntN(len(p.addresses))]
 	p.mu.Unlock()
 	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatInt(after, 10)}}
-	target := url.URL{Scheme: "http", Host: peer, Path: PeerPath, RawQuery: query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	resp, err := p.get(ctx, peer, PeerPath, query)
 	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return nil, merry.Wrap(err)
+		return nil, err
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
@@ -138,9 +215,15 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(&w); err != nil {
 		return nil, merry.Wrap(err)
 	}
+	return w.snapshot(), nil
+}
+
+func (w *wireSnapshot) snapshot() *Snapshot {
 	entries := make([]kv.Entry, len(w.Entries))
 	for i, e := range w.Entries {
 		entries[i] = kv.Entry{Key: e.Key, Value: e.Value, ModRevision: e.Revision}
 	}
-	return newSnapshot(entries, w.Revision), nil
+	s := newSnapshot(entries, w.Revision)
+	s.Changed = w.Changed
+	return s
 }
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,8 @@
 	Pause time.Duration
 	// Peer asks another process for a snapshot that is newer than a revision; nil when there is none to ask.
 	Peer func(ctx context.Context, prefix string, after int64) (*Snapshot, error)
+	// Follow asks the process that reads the service for others; nil when there is none.
+	Follow func(ctx context.Context, q Question) (*Answer, error)
 	// Changed is called from the goroutine of Run with each snapshot that differs from the one before. Entries that are
 	// newly missing may have run out in an outage although their owners live; they count as removed from keepUntil on,
 	// which is zero when there was no outage.
@@ -51,16 +54,22 @@
 	contact atomic.Int64
 	start   time.Time
 
-	lost     bool
+	lost     atomic.Bool
 	lastRead time.Time
 	backoff  time.Duration
-	// regained is when the service has answered again after an outage.
-	regained time.Time
+	// directUntil is the time until which the service itself is asked because a reader was of no help.
+	directUntil time.Time
+	// regained is when the service has answered again after an outage, in nanoseconds since start.
+	regained atomic.Int64
+	// news is closed when the snapshot or the contact to the service has changed, and replaced.
+	newsLock sync.Mutex
+	news     chan struct{}
 }
 
 // New returns a mirror that knows nothing.
 func New(opts Options) *Mirror {
-	m := &Mirror{opts: opts, start: time.Now()}
+	m := &Mirror{opts: opts, start: time.Now(), news: make(chan struct{})}
+	m.regained.Store(int64(-time.Hour))
 	m.current.Store(&Snapshot{})
 	return m
 }
@@ -94,6 +103,9 @@
 // step makes one call to the service.
 func (m *Mirror) step(ctx context.Context) error {
 	s := m.Snapshot()
+	if s.Revision > 0 && m.follow(ctx) {
+		return nil
+	}
 	if s.Revision == 0 || time.Since(m.lastRead) > rereadEvery {
 		return m.read(ctx)
 	}
@@ -135,6 +147,7 @@
 
 func (m *Mirror) publish(s *Snapshot) {
 	m.current.Store(s)
+	m.tellNews()
 	m.opts.Changed(s, m.keepUntil(time.Now()))
 }
 
@@ -144,28 +157,32 @@
 	returnTime = 1700 * time.Millisecond
 	// lapseTime is how long after an outage entries may still run out because of it; it is noticed up to a pause later.
 	lapseTime = 700 * time.Millisecond
-	// outage is the time without an answer after which leases may have run out.
-	outage = 1200 * time.Millisecond
+	minOutage = 1200 * time.Millisecond
 )
 
 // keepUntil returns until when entries that are newly missing are kept.
 func (m *Mirror) keepUntil(now time.Time) time.Time {
 	switch {
-	case m.lost:
+	case m.lost.Load():
 		// The snapshot comes from a peer, which may just have regained the service.
 		return now.Add(returnTime)
-	case now.Sub(m.regained) < lapseTime+m.opts.Pause:
-		return m.regained.Add(returnTime)
+	case m.sinceRegained() < lapseTime+m.opts.Pause:
+		return now.Add(returnTime - m.sinceRegained())
 	}
 	return time.Time{}
 }
 
+// outage returns the time without an answer after which leases may have run out. Between two calls there is silence in any case.
+func (m *Mirror) outage() time.Duration {
+	const margin = 200 * time.Millisecond
+	return max(minOutage, m.opts.Pause+m.opts.Wait+margin)
+}
+
 func (m *Mirror) answered() {
-	if m.Age() > outage && m.Snapshot().Revision > 0 {
-		m.regained = time.Now()
+	if m.Age() > m.outage() && m.Snapshot().Revision > 0 {
+		m.regained.Store(int64(time.Since(m.start)))
 	}
-	if m.lost {
-		m.lost = false
+	if m.lost.Swap(false) {
 		m.opts.Log.Info("key-value service regained", zap.String("prefix", m.opts.Prefix),
 			zap.Duration("after", m.Age()), zap.Int64("revision", m.Snapshot().Revision))
 	}
@@ -175,10 +192,10 @@
 
 // note logs the loss of the service once.
 func (m *Mirror) note(err error) {
-	if err == nil || m.lost {
+	if err == nil || m.lost.Swap(true) {
 		return
 	}
-	m.lost = true
+	m.tellNews()
 	m.opts.Log.Warn("key-value service lost", zap.String("prefix", m.opts.Prefix),
 		zap.Int64("revision", m.Snapshot().Revision), zap.Error(err))
 }
