Close callers' connections only while no request is being read from them

Ruled out: the grace time (5 s left) and the replica (it was cut 0 ms after it began).

Change: the gateway tracks its connections itself, closes one only under the lock that its reads take, and waits for requests of which a part was read. Waiting callers are refused at once when the last group closes.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -59,6 +59,7 @@
 	// present are the gateways that share the servers and the bounds.
 	present *presence.Presence
 	shared  sharedBounds
+	conns   *conns
 	admin   *telemetry.Admin
 }
 
@@ -84,7 +85,7 @@
 }
 
 func build(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
-	g := &gateway{peers: mirror.NewPeers(process.PeerClient(0), s.Peers)}
+	g := &gateway{conns: newConns(), peers: mirror.NewPeers(process.PeerClient(0), s.Peers)}
 	g.set.Store(&s)
 	g.shared.set(g.retryBounds(0))
 	base, err := process.New(out, "gateway", s.Name, s.LogLevel)
@@ -187,6 +188,7 @@
 func (g *gateway) run(ctx context.Context, listeners []net.Listener) error {
 	callers := &http.Server{
 		Handler: g.srv, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: g.conns.changed,
 	}
 	start := func(serving context.Context, group *errgroup.Group) {
 		group.Go(func() error { g.config.Run(serving); return nil })
@@ -196,23 +198,23 @@
 		group.Go(func() error { g.present.Run(serving); return nil })
 		group.Go(func() error { g.followPresence(serving); return nil })
 		group.Go(func() error { g.followGroups(serving); return nil })
-		group.Go(func() error { return telemetry.ServeServer(serving, listeners[0], callers, listenerGrace) })
+		group.Go(func() error { return telemetry.ServeServer(serving, g.conns.listen(listeners[0]), callers, listenerGrace) })
 		group.Go(func() error { return telemetry.Serve(serving, listeners[1], g.readyHandler(), listenerGrace) })
 		group.Go(func() error { return telemetry.Serve(serving, listeners[2], g.controlHandler(), listenerGrace) })
 		g.log.Info("started", zap.Stringer("listen", listeners[0].Addr()))
 	}
-	return process.RunUntilDone(ctx, start, func() { g.finish(callers) })
+	return process.RunUntilDone(ctx, start, g.finish)
 }
 
 // finish tells callers and the platform to go elsewhere, and waits for the requests that run.
-func (g *gateway) finish(callers *http.Server) {
+func (g *gateway) finish() {
 	now := time.Now()
 	end := now.Add(time.Duration(g.set.Load().GraceSeconds*float64(time.Second)) - stopMargin)
 	g.srv.Drain(now.Add(stayAfterStop), end)
 	g.log.Info("stopping", zap.Int64("active", g.srv.Active()))
 	time.Sleep(stayAfterStop)
-	callers.SetKeepAlivesEnabled(false)
-	for g.srv.Active() > 0 && time.Now().Before(end) {
+	g.conns.closeIdle()
+	for g.srv.Active()+int64(g.conns.busy()) > 0 && time.Now().Before(end) {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
--- a/cmd/internal/gatewayd/groups.go
+++ b/cmd/internal/gatewayd/groups.go
@@ -93,11 +93,18 @@
 		r.Members = report.Notice.Members
 		w.take(service, report.Notice, time.Now())
 	}
-	if w.gateway.fleet.ReportGroup(service, server.Address, r) {
-		w.gateway.log.Info("state of a group changed", zap.String("group", report.Group), zap.String("service", service),
-			zap.Int64("epoch", report.Epoch), zap.Bool("open", report.Open), zap.String("reported_by", server.ID))
-		w.gateway.srv.RefreshGroups()
+	change := w.gateway.fleet.ReportGroup(service, server.Address, r)
+	if change == (balance.GroupChange{}) {
+		return
+	}
+	w.gateway.srv.RefreshGroups()
+	level := zap.DebugLevel // While a fleet starts, each server becomes known by itself.
+	if change.State || change.Members > 1 {
+		level = zap.InfoLevel
 	}
+	w.gateway.log.Log(level, "state of a group changed", zap.String("group", report.Group), zap.String("service", service),
+		zap.Int64("epoch", report.Epoch), zap.Bool("open", report.Open), zap.Int("members_changed", change.Members),
+		zap.String("reported_by", server.ID))
 }
 
 // take keeps a notice unless a later one of the group is known. Processes beside ranks may have missed the last one.
--- a/gateway/balance/group.go
+++ b/gateway/balance/group.go
@@ -141,22 +141,31 @@
 	return out
 }
 
-// ReportGroup takes the report that the process beside a server gave, and says whether it has changed which servers get work.
-// What the process beside a server says of its own group goes before the lists of members that others give.
-func (f *Fleet) ReportGroup(service, address string, r GroupReport) (changed bool) {
+// GroupChange says what a report has changed.
+type GroupChange struct {
+	// State says that the group serves now and did not before, or the other way round.
+	State bool
+	// Members counts the servers whose group is another one now.
+	Members int
+}
+
+// ReportGroup takes the report that the process beside a server gave, and says what it has changed. What the process beside a
+// server says of its own group goes before the lists of members that others give.
+func (f *Fleet) ReportGroup(service, address string, r GroupReport) (c GroupChange) {
 	group := f.group(service, r.Group)
 	if group != nil {
-		changed = group.take(r)
+		c.State = group.take(r)
 	}
 	for _, b := range f.Backends(service) {
-		switch {
-		case b.Pool.Address() == address:
-			changed = b.setGroup(group, true) || changed
-		case group != nil && slices.Contains(r.Members, b.Pool.Address()):
-			changed = b.setGroup(group, false) || changed
+		own := b.Pool.Address() == address
+		if !own && (group == nil || !slices.Contains(r.Members, b.Pool.Address())) {
+			continue
+		}
+		if b.setGroup(group, own) {
+			c.Members++
 		}
 	}
-	return changed
+	return c
 }
 
 // LacksGroup says whether the group of some server of the service is not known.
--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -38,6 +38,7 @@
 			delete(q.lanes, name)
 		}
 	}
+	q.refuseWaiting()
 	q.admitWaiting(now)
 }
 
--- a/gateway/limit/order.go
+++ b/gateway/limit/order.go
@@ -23,7 +23,7 @@
 
 // waiter is a request that waits for a place.
 type waiter struct {
-	// admitted receives the group of the place.
+	// admitted receives the group of the place, nil when the request is refused because no group serves any more.
 	admitted chan *lane
 	// due is the latest time at which the request goes before those that are late, zero for one that is late itself.
 	due time.Time
@@ -32,12 +32,14 @@
 	// except is a group in which the request must not run again.
 	except string
 	aim    time.Duration
+	// returned says that the caller has no further try.
+	returned bool
 	done   bool
 }
 
 // newWaiter returns the waiter of a request that arrives now.
 func newWaiter(w Wait, now time.Time) *waiter {
-	out := &waiter{admitted: make(chan *lane, 1), arrived: now, aim: w.Aim}
+	out := &waiter{admitted: make(chan *lane, 1), arrived: now, aim: w.Aim, returned: w.Returned}
 	switch {
 	case w.InAim > 0:
 		out.due = now.Add(w.InAim)
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -66,7 +66,7 @@
 	return &Queue{lanes: map[string]*lane{"": {limiter: New(now)}}}
 }
 
-// Place is a place of a stream in a group. It is used by one goroutine.
+// Place is a place of a stream in a group. It is used by one goroutine; Closed, Stalled and Others may be called from any.
 type Place struct {
 	queue *Queue
 	lane  *lane
@@ -207,6 +207,9 @@
 	defer timer.Stop()
 	select {
 	case l := <-w.admitted:
+		if l == nil {
+			return nil, merry.Wrap(q.closedError(w))
+		}
 		return q.place(l), nil
 	case <-timer.C:
 	case <-ctx.Done():
@@ -215,7 +218,10 @@
 	defer q.mu.Unlock()
 	if w.done {
 		l := <-w.admitted
-		if ctx.Err() == nil {
+		switch {
+		case l == nil:
+			return nil, merry.Wrap(q.fullError(w.except, 0, longest))
+		case ctx.Err() == nil:
 			return q.place(l), nil
 		}
 		l.limiter.Cancel()
@@ -229,6 +235,32 @@
 	return nil, merry.Wrap(q.fullError(w.except, ahead, longest))
 }
 
+// closedError is the refusal of a request whose groups were closed while it waited.
+func (q *Queue) closedError(w *waiter) *FullError {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.fullError(w.except, 0, time.Since(w.arrived))
+}
+
+// refuseWaiting refuses the requests that wait when no group serves, but for those on their last try.
+func (q *Queue) refuseWaiting() {
+	if len(q.waiting) == 0 || !q.fullError("", 0, 0).Closed {
+		return
+	}
+	reopens := q.mayReopen("")
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		if w.returned && reopens {
+			kept = append(kept, w)
+			continue
+		}
+		w.done = true
+		w.admitted <- nil
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
 // forget takes a request out of the queue and returns its index.
 func (q *Queue) forget(w *waiter) int {
 	w.done = true
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -206,6 +206,29 @@
 	})
 }
 
+// Guards against callers that go on waiting when the last group has stopped to serve: they are told at once. Pattern: the only
+// group lost while callers wait.
+func TestCallersThatWaitAreToldWhenNoGroupServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		q.fill(t)
+		start := time.Now()
+		a := arrivals{q: q}
+		a.add(t.Context(), t, "new", Wait{InAim: time.Second, Longest: time.Second})
+		a.add(t.Context(), t, "back", Wait{Longest: time.Second, Returned: true})
+		q.setServing([]string{"g"}, "g")
+		synctest.Wait()
+		var full *FullError
+		require.ErrorAs(t, a.err["new"], &full)
+		require.True(t, full.Closed)
+		require.Zero(t, time.Since(start))
+		require.Equal(t, 1, q.Dump().Waiting, "the other one has no further try")
+		q.SetGroups(nil)
+		synctest.Wait()
+		require.ErrorAs(t, a.err["back"], &full, "nothing is left to wait for")
+	})
+}
+
 // Guards against streams that are sent to a group which stands still: they would be refused there once a rank is known to have
 // gone. Pattern: a rank of one of two groups goes dark.
 func TestNoNewStreamsInAGroupThatStandsStill(t *testing.T) {
