--- a/proctest/fleet.go
+++ b/proctest/fleet.go
@@ -125,7 +125,7 @@
 	name := fmt.Sprint("rank-", i)
 	r.file = writeSettings(f.t, name, map[string]any{
 		"name": name, "ip": instanceIP(i), "peer_port": port, "replica": near, "service": replicaserver.ModelService,
-		"store": r.Store.Address,
+		"store": r.Store.Address, "require_fence": true,
 	})
 	r.Proc = f.start(name, "lavendermoor-rank", r.file)
 }
--- a/proctest/fleet_soak_test.go
+++ b/proctest/fleet_soak_test.go
@@ -58,7 +58,8 @@
 func playFleet(t *testing.T, seed uint64, length time.Duration) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	f := DeployFleet(t, FleetPlan{Gateways: 3, Models: 4, Plain: 3})
+	// Three of five gateways are in one failure domain, where one reads the store for the others.
+	f := DeployFleet(t, FleetPlan{Gateways: 5, Models: 4, Plain: 3})
 	s := &fleetSoak{
 		callers: callers{f: f, ctx: ctx}, findings: findings{counts: map[string]int{}}, t: t, struck: map[string]bool{},
 	}
