--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -198,7 +198,9 @@
 		group.Go(func() error { g.present.Run(serving); return nil })
 		group.Go(func() error { g.followPresence(serving); return nil })
 		group.Go(func() error { g.followGroups(serving); return nil })
-		group.Go(func() error { return telemetry.ServeServer(serving, g.conns.listen(listeners[0]), callers, listenerGrace) })
+		group.Go(func() error {
+			return telemetry.ServeServer(serving, g.conns.listen(listeners[0]), callers, listenerGrace)
+		})
 		group.Go(func() error { return telemetry.Serve(serving, listeners[1], g.readyHandler(), listenerGrace) })
 		group.Go(func() error { return telemetry.Serve(serving, listeners[2], g.controlHandler(), listenerGrace) })
 		g.log.Info("started", zap.Stringer("listen", listeners[0].Addr()))
--- a/gateway/exchange/types.go
+++ b/gateway/exchange/types.go
@@ -29,7 +29,8 @@
 	Server   string
 	Customer string
 	// Left is the time that the caller still waits.
-	Left        time.Duration
+	Left time.Duration
+	// Priority is 0 for the most urgent, nil for the usual one.
 	Priority    *int
 	LastEventID string
 }
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -285,9 +285,13 @@
 func (c *call) request(server string) *exchange.Request {
 	h := c.r.Header.Clone()
 	exchange.RemoveHopHeaders(h)
-	send := exchange.Send{Server: server, Left: time.Until(c.expires), LastEventID: c.lastID}
+	priority := c.route.Priority
+	send := exchange.Send{Server: server, Left: time.Until(c.expires), Priority: &priority, LastEventID: c.lastID}
 	if c.customer != nil {
 		send.Customer = c.customer.Name
+		if c.customer.Priority != nil {
+			priority = *c.customer.Priority
+		}
 	}
 	c.server.opts.Dialect.Forward(h, send)
 	return &exchange.Request{
--- a/gateway/ingress/groups_test.go
+++ b/gateway/ingress/groups_test.go
@@ -110,3 +110,22 @@
 	require.Equal(t, 2*time.Second, used(6*time.Second), "it was told to come back")
 	require.Zero(t, used(0), "one that says nothing is new")
 }
+
+// Guards against urgent requests that wait at a server behind others: it is told the priority of the route, and that of the customer
+// goes before it.
+func TestServersAreToldThePriority(t *testing.T) {
+	s := newReplica(t, "a", ok("x"))
+	g := newGateway(t, s)
+	urgent := 0
+	g.doc.Version++
+	g.doc.Routes[0].Priority, g.doc.Routes[0].Public = 3, false
+	g.doc.Customers = []catalog.Customer{{Name: "plain"}, {Name: "urgent", Priority: &urgent}}
+	g.doc.Keys = map[catalog.KeyHash]int{catalog.HashKey("p"): 0, catalog.HashKey("u"): 1}
+	g.SetCatalog(catalog.New(g.doc))
+	for key, want := range map[string]string{"p": "3", "u": "0"} {
+		before := s.count()
+		_, _, err := g.get(t, "/once/x", "T-Key", key)
+		require.NoError(t, err)
+		require.Equal(t, want, s.request(before).Header.Get(testPriority))
+	}
+}
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -31,6 +31,7 @@
 	testCustomer = "T-Customer"
 	testLast     = "T-Last"
 	testFault    = "T-Fault"
+	testPriority = "T-Priority"
 )
 
 type testDialect struct{}
@@ -48,6 +49,9 @@
 	h.Set(testDeadline, strconv.FormatInt(s.Left.Milliseconds(), 10))
 	h.Del("T-Key")
 	h.Set(testCustomer, s.Customer)
+	if s.Priority != nil {
+		h.Set(testPriority, strconv.Itoa(*s.Priority))
+	}
 	if s.LastEventID != "" {
 		h.Set(testLast, s.LastEventID)
 	}
@@ -130,10 +134,13 @@
 }
 
 // first returns the first request.
-func (s *replica) first() *http.Request {
+func (s *replica) first() *http.Request { return s.request(0) }
+
+// request returns a request by its index.
+func (s *replica) request(i int) *http.Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requests[0]
+	return s.requests[i]
 }
 
 // connections returns the number of connections that were opened.
--- a/gateway/limit/order.go
+++ b/gateway/limit/order.go
@@ -34,7 +34,7 @@
 	aim    time.Duration
 	// returned says that the caller has no further try.
 	returned bool
-	done   bool
+	done     bool
 }
 
 // newWaiter returns the waiter of a request that arrives now.
