Begin no switch of expert maps while orders get lost

Change: after an order without an answer, a switch is preceded for 10 s by an order to each rank that changes nothing; it begins only when all are answered.

--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -58,9 +58,9 @@
 	// release it which is carried out late cannot release another.
 	lastPass int64
 	timing   timing
-	// orders guards ordered, the time of the last order.
-	orders  sync.Mutex
-	ordered time.Time
+	// orders guards ordered, the time of the last order, and unanswered, that of the last one that got no answer.
+	orders              sync.Mutex
+	ordered, unanswered time.Time
 }
 
 // NewGroup returns a group of the ranks in order of rank. The fence function returns the fencing number, or an error
@@ -165,10 +165,33 @@
 	return g.heed(give(callCtx, o))
 }
 
-// heed remembers a refusal which says that another issuer has taken over.
+// doubtTime is how long after an order without an answer the next switch is preceded by a probe.
+const doubtTime = 10 * time.Second
+
+// answers says whether orders get answers at present. A group is held while its ranks are armed, so that a switch is not begun while
+// orders get lost. If some were lost lately, each rank is given one that changes nothing.
+func (g *Group) answers(ctx context.Context) bool {
+	g.orders.Lock()
+	doubt := time.Since(g.unanswered) < doubtTime
+	g.orders.Unlock()
+	if !doubt {
+		return true
+	}
+	errs := make([]error, len(g.ranks))
+	g.each(func(i int) { errs[i] = g.persist(ctx, i, Order{Operation: Release, Pass: 0}, 1) })
+	return errors.Join(errs...) == nil
+}
+
+// heed remembers an order that got no answer, and a refusal which says that another issuer has taken over.
 func (g *Group) heed(err error) error {
 	var refused *RefusedError
-	if errors.As(err, &refused) && refused.Fenced {
+	switch {
+	case err == nil:
+	case !errors.As(err, &refused):
+		g.orders.Lock()
+		g.unanswered = time.Now()
+		g.orders.Unlock()
+	case refused.Fenced:
 		g.superseded.Store(true)
 	}
 	return err
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -216,6 +216,13 @@
 		}
 		return nil
 	}
+	if !p.group.answers(ctx) {
+		if now.After(p.deadline) {
+			p.log.Info("expert map given up: orders get no answers", zap.Int64("version", p.version))
+			p.next = nil
+		}
+		return nil
+	}
 	if left := p.set.LeaseLeft; left != nil && left() < minLease {
 		return nil // The switch might not end before the lease.
 	}
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -119,3 +119,30 @@
 	require.InDelta(t, busy, leastGain(busy, 0, aim), 1e-9, "the time of a pass is not known yet")
 	require.InDelta(t, busy, leastGain(busy, aim, 0), 1e-9, "the aim is not known")
 }
+
+// Guards against a group that is held again and again while orders to its ranks get lost: a switch is put off until they are
+// answered. Pattern: half of the orders get no answer and are carried out late, for seconds (late-orders of deploy/days).
+func TestNoSwitchIsBegunWhileOrdersGetLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		g := newFakeGroup(smallShape.Ranks, toContent(inTurn(t)), 1)
+		go g.run(ctx)
+		go g.drift(ctx, rand.New(rand.NewPCG(1, 6)))
+		i := &issuer{fence: 1, ends: time.Now().Add(time.Hour)}
+		go lead(ctx, g, 0, i, rand.New(rand.NewPCG(1, 1)))
+		time.Sleep(5 * time.Second)
+		require.Positive(t, g.now().switches)
+		before := g.now().stood
+		g.set(func() { g.lost = 0.5 })
+		time.Sleep(time.Minute)
+		lost := g.now()
+		const mostHeld = 8 // Passes: half a second, for the switch that is under way when orders begin to get lost.
+		require.LessOrEqual(t, lost.stood-before, mostHeld)
+		g.set(func() { g.lost = 0 })
+		time.Sleep(20 * time.Second)
+		require.Greater(t, g.now().switches, lost.switches+2, "switches go on when orders are answered")
+		require.False(t, g.now().split)
+		stop()
+		synctest.Wait()
+	})
+}
