Give a group up that has served none of the last streams

Eight streams in a row without an event now close a group for all but one stream at a time, and callers are refused at once.

--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -85,6 +85,7 @@
 	FirstMs  float64 `json:"first_event_ms"`
 	Closed   bool    `json:"closed"`
 	Stalled  bool    `json:"stalled"`
+	Mute     bool    `json:"mute"`
 }
 
 // Dump returns the state dump. Limit and InFlight are the sums over the groups that serve.
@@ -103,7 +104,7 @@
 		d.InFlight += l.limiter.InFlight()
 		d.Groups = append(d.Groups, GroupDump{
 			Group: l.group, Limit: l.limiter.Limit(), InFlight: l.limiter.InFlight(), Pause: l.limiter.Pause(),
-			FirstMs: float64(l.limiter.First()) / float64(time.Millisecond), Closed: l.closed, Stalled: l.stalled(now),
+			FirstMs: float64(l.limiter.First()) / float64(time.Millisecond), Closed: l.closed, Stalled: l.stalled(now), Mute: l.mute(),
 		})
 	}
 	return d
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -49,6 +49,8 @@
 	// the pauses of the streams.
 	heard time.Time
 	aim   time.Duration
+	// fruitless counts the streams that have ended without an event since the last event of any.
+	fruitless int
 }
 
 // Constants of the notice that a group stands still.
@@ -59,6 +61,9 @@
 	stallFirsts = 3
 	// stallStreams is the number of streams that all have to be silent, since one alone may be silent by itself.
 	stallStreams = 3
+	// muteStreams is the number of streams in a row without any event after which a group counts as serving nothing. It gets
+	// one stream at a time then, which shows when it serves again.
+	muteStreams = 8
 )
 
 // NewQueue returns a queue with one group that has no name, in which streams run until the groups are known.
@@ -71,6 +76,8 @@
 	queue *Queue
 	lane  *lane
 	since time.Time
+	// begun says that the stream has had an event in the group.
+	begun bool
 }
 
 // Group returns the name of the group, empty while the group is not known.
@@ -124,9 +131,18 @@
 
 // admits says whether a stream may begin in the group now.
 func (l *lane) admits(now time.Time) bool {
-	return !l.closed && !l.removed && !l.stalled(now) && l.limiter.InFlight() < l.limiter.Limit()
+	if l.closed || l.removed || l.stalled(now) {
+		return false
+	}
+	if l.mute() {
+		return l.limiter.InFlight() == 0
+	}
+	return l.limiter.InFlight() < l.limiter.Limit()
 }
 
+// mute says that the group has not served any of the last streams.
+func (l *lane) mute() bool { return l.fruitless >= muteStreams }
+
 // stalled says that all streams of the group have been silent for much longer than their events should take: a rank has gone,
 // or a switch of the expert map has not ended. What is sent there would wait, and be refused if a rank has gone.
 func (l *lane) stalled(now time.Time) bool {
@@ -201,7 +217,7 @@
 }
 
 func (l *lane) serves(except string) bool {
-	return !l.closed && !l.removed && (except == "" || l.group != except)
+	return !l.closed && !l.removed && !l.mute() && (except == "" || l.group != except)
 }
 
 func (q *Queue) wait(ctx context.Context, w *waiter, longest time.Duration) (*Place, error) {
@@ -330,6 +346,15 @@
 // leave takes the stream out of its group. The caller holds the queue's lock.
 func (p *Place) leave() {
 	p.lane.limiter.End(time.Since(p.since))
+	if !p.begun {
+		p.lane.fruitless++
+	}
+}
+
+// event takes an event of the stream. The caller holds the queue's lock.
+func (p *Place) event(now time.Time) {
+	p.begun = true
+	p.lane.heard, p.lane.fruitless = now, 0
 }
 
 // Move gives the place up for one in another group, for a stream whose group cannot serve it. It waits as Acquire does and
@@ -343,7 +368,7 @@
 	p.queue.mu.Lock()
 	defer p.queue.mu.Unlock()
 	p.leave()
-	p.lane, p.since = next.lane, next.since
+	p.lane, p.since, p.begun = next.lane, next.since, false
 	p.queue.admitWaiting(time.Now())
 	return nil
 }
@@ -381,7 +406,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p.lane.limiter.ObserveFirst(after)
-	p.lane.heard = now
+	p.event(now)
 	q.admitWaiting(now)
 }
 
@@ -390,7 +415,7 @@
 	q := p.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p.lane.heard = now
+	p.event(now)
 	p.lane.limiter.ObservePause(pause, aim, now)
 	q.admitWaiting(now)
 }
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -330,6 +330,38 @@
 	})
 }
 
+// Guards against callers that are held until they leave by servers which take streams and never answer them, and against a group
+// that is given up for good. Pattern: replicas that are too few for a whole group (sweep at 30 and 100 machines).
+func TestGroupThatServesNothingIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		w := Wait{InAim: time.Second, Longest: time.Second, Aim: aim}
+		for range muteStreams {
+			p, err := q.Acquire(t.Context(), w)
+			require.NoError(t, err)
+			time.Sleep(2 * time.Second)
+			p.Release()
+		}
+		probe, err := q.Acquire(t.Context(), w)
+		require.NoError(t, err, "one stream shows whether the group serves again")
+		start := time.Now()
+		for _, returned := range []bool{false, true} {
+			w.Returned = returned
+			var full *FullError
+			_, err = q.Acquire(t.Context(), w)
+			require.ErrorAs(t, err, &full)
+			require.True(t, full.Closed)
+			require.Zero(t, time.Since(start))
+		}
+		probe.ObserveFirst(time.Second, time.Now())
+		for range 5 {
+			p, err := q.Acquire(t.Context(), w)
+			require.NoError(t, err)
+			defer p.Release()
+		}
+	})
+}
+
 // Guards against places that are kept for ever in a group that has gone, and against streams that lose theirs.
 func TestGroupsComeAndGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
