--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -26,6 +26,9 @@
 			l = &lane{group: g.Name, limiter: New(now)}
 			q.lanes[g.Name] = l
 		}
+		if g.Closed && !l.closed {
+			l.closedAt = now
+		}
 		l.removed, l.closed = false, g.Closed
 		l.limiter.SetMost(g.Slots, g.Share)
 	}
@@ -48,7 +51,7 @@
 	defer q.mu.Unlock()
 	best := time.Duration(0)
 	for _, l := range q.lanes {
-		if first := l.limiter.First(); l.serves("") && (best == 0 || first < best) {
+		if first := l.limiter.First(); !l.removed && (best == 0 || first < best) {
 			best = first
 		}
 	}
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -41,8 +41,9 @@
 type lane struct {
 	group   string
 	limiter *Limiter
-	// closed groups get no new stream.
-	closed bool
+	// closed groups get no new stream; closedAt is since when.
+	closed   bool
+	closedAt time.Time
 	// removed says that the group is not listed any more.
 	removed bool
 	// heard is when an event of any stream came last, or when the first of the streams in flight was sent; aim is that for
@@ -167,7 +168,7 @@
 	switch {
 	case w.Longest <= 0 && w.InAim <= 0:
 		return err
-	case err.Closed && w.Returned && q.mayReopen(except):
+	case err.Closed && w.Returned && q.mayReopen(except, now):
 		return nil // It has no further try, and the group may be back in time.
 	case err.Closed:
 		return err
@@ -181,10 +182,13 @@
 	return err
 }
 
-// mayReopen says whether a group that is closed now may serve a request later.
-func (q *Queue) mayReopen(except string) bool {
+// reopenTime is how long a group may be closed for callers to wait for it. Ranks that are not back by then may not come back.
+const reopenTime = 8 * time.Second
+
+// mayReopen says whether a group that is closed now may serve a request soon.
+func (q *Queue) mayReopen(except string, now time.Time) bool {
 	for _, l := range q.lanes {
-		if l.closed && !l.removed && (except == "" || l.group != except) {
+		if l.closed && !l.removed && (except == "" || l.group != except) && now.Sub(l.closedAt) < reopenTime {
 			return true
 		}
 	}
@@ -265,7 +269,7 @@
 	if len(q.waiting) == 0 || !q.fullError("", 0, 0).Closed {
 		return
 	}
-	reopens := q.mayReopen("")
+	reopens := q.mayReopen("", time.Now())
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if w.returned && reopens {
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -362,6 +362,23 @@
 	})
 }
 
+// Guards against callers on their last try that wait, until they leave, for a group which has not served for long. (In a sweep at
+// 30 machines, where no group is whole, they waited for as long as callers do and got no answer.)
+func TestNobodyWaitsForAGroupThatIsClosedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue("g")
+		q.setServing([]string{"g"}, "g")
+		require.Positive(t, q.FirstEvent(), "the time to a first event is not forgotten")
+		time.Sleep(reopenTime)
+		start := time.Now()
+		var full *FullError
+		_, err := q.Acquire(t.Context(), Wait{Longest: time.Second, Returned: true})
+		require.ErrorAs(t, err, &full)
+		require.True(t, full.Closed)
+		require.Zero(t, time.Since(start))
+	})
+}
+
 // Guards against places that are kept for ever in a group that has gone, and against streams that lose theirs.
 func TestGroupsComeAndGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
