Use plainer names in groups, rollout and mirror

Read through as by a newcomer: heed, over, sound, giver, fruitless, mute, informant and news said little.

--- a/configsync/mirror/follow.go
+++ b/configsync/mirror/follow.go
@@ -75,18 +75,18 @@
 	return time.Since(m.start) - time.Duration(m.regained.Load())
 }
 
-// tellNews wakes those that wait for a change.
-func (m *Mirror) tellNews() {
-	m.newsLock.Lock()
-	defer m.newsLock.Unlock()
-	close(m.news)
-	m.news = make(chan struct{})
+// notifyFollowers wakes those that wait for a change.
+func (m *Mirror) notifyFollowers() {
+	m.changeLock.Lock()
+	defer m.changeLock.Unlock()
+	close(m.change)
+	m.change = make(chan struct{})
 }
 
-func (m *Mirror) nextNews() <-chan struct{} {
-	m.newsLock.Lock()
-	defer m.newsLock.Unlock()
-	return m.news
+func (m *Mirror) nextChange() <-chan struct{} {
+	m.changeLock.Lock()
+	defer m.changeLock.Unlock()
+	return m.change
 }
 
 // Answer answers the question of a follower. It waits for a change unless there is one already.
@@ -94,12 +94,12 @@
 	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
 	for {
-		news := m.nextNews()
+		change := m.nextChange()
 		if a := m.answer(q.After); a.Snapshot != nil || a.Lost {
 			return a
 		}
 		select {
-		case <-news:
+		case <-change:
 		case <-timer.C:
 			return m.answer(q.After)
 		case <-ctx.Done():
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -61,14 +61,14 @@
 	directUntil time.Time
 	// regained is when the service has answered again after an outage, in nanoseconds since start.
 	regained atomic.Int64
-	// news is closed when the snapshot or the contact to the service has changed, and replaced.
-	newsLock sync.Mutex
-	news     chan struct{}
+	// change is closed when the snapshot or the contact to the service has changed, and replaced.
+	changeLock sync.Mutex
+	change     chan struct{}
 }
 
 // New returns a mirror that knows nothing.
 func New(opts Options) *Mirror {
-	m := &Mirror{opts: opts, start: time.Now(), news: make(chan struct{})}
+	m := &Mirror{opts: opts, start: time.Now(), change: make(chan struct{})}
 	m.regained.Store(int64(-time.Hour))
 	m.current.Store(&Snapshot{})
 	return m
@@ -147,7 +147,7 @@
 
 func (m *Mirror) publish(s *Snapshot) {
 	m.current.Store(s)
-	m.tellNews()
+	m.notifyFollowers()
 	m.opts.Changed(s, m.keepUntil(time.Now()))
 }
 
@@ -195,7 +195,7 @@
 	if err == nil || m.lost.Swap(true) {
 		return
 	}
-	m.tellNews()
+	m.notifyFollowers()
 	m.opts.Log.Warn("key-value service lost", zap.String("prefix", m.opts.Prefix),
 		zap.Int64("revision", m.Snapshot().Revision), zap.Error(err))
 }
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -162,17 +162,17 @@
 	g.note(time.Now())
 	callCtx, cancel := context.WithTimeout(ctx, g.orderTimeout())
 	defer cancel()
-	return g.heed(give(callCtx, o))
+	return g.noteOutcome(give(callCtx, o))
 }
 
-// doubtTime is how long after an order without an answer the next switch is preceded by a probe.
-const doubtTime = 10 * time.Second
+// probeTime is how long after an order without an answer the next switch is preceded by a probe.
+const probeTime = 10 * time.Second
 
 // answers says whether orders get answers at present. A group is held while its ranks are armed, so that a switch is not begun while
 // orders get lost. If some were lost lately, each rank is given one that changes nothing.
 func (g *Group) answers(ctx context.Context) bool {
 	g.orders.Lock()
-	doubt := time.Since(g.unanswered) < doubtTime
+	doubt := time.Since(g.unanswered) < probeTime
 	g.orders.Unlock()
 	if !doubt {
 		return true
@@ -182,8 +182,8 @@
 	return errors.Join(errs...) == nil
 }
 
-// heed remembers an order that got no answer, and a refusal which says that another issuer has taken over.
-func (g *Group) heed(err error) error {
+// noteOutcome remembers an order that got no answer, and a refusal which says that another issuer has taken over.
+func (g *Group) noteOutcome(err error) error {
 	var refused *RefusedError
 	switch {
 	case err == nil:
--- a/expertmap/rollout/handover.go
+++ b/expertmap/rollout/handover.go
@@ -60,7 +60,7 @@
 	if err != nil || g.remotes == nil {
 		return nil
 	}
-	candidates := g.sound()
+	candidates := g.responsive()
 	for i := range attempts {
 		if len(candidates) < i+2 {
 			break
@@ -80,8 +80,8 @@
 	return nil
 }
 
-// sound returns the other ranks whose processes answered the last poll, those after the planner's own rank first.
-func (g *Group) sound() []int {
+// responsive returns the other ranks whose processes answered the last poll, those after the planner's own rank first.
+func (g *Group) responsive() []int {
 	var out []int
 	for i := 1; i < len(g.ranks); i++ {
 		rank := (g.self + i) % len(g.ranks)
@@ -92,9 +92,9 @@
 	return out
 }
 
-// over ends the deputy's part in a switch. Until the deputy has confirmed that, it may take over at any time, so that an issuer
+// endHandover ends the deputy's part in a switch. Until the deputy has confirmed that, it may take over at any time, so that an issuer
 // without the confirmation orders nothing more under its number.
-func (g *Group) over(ctx context.Context, h *Handover) error {
+func (g *Group) endHandover(ctx context.Context, h *Handover) error {
 	if h == nil || g.superseded.Load() {
 		return nil
 	}
@@ -108,9 +108,9 @@
 	return err
 }
 
-// giver returns how an order of a switch is given to a rank: by the deputy to the planner's own, and from afar to the one that
+// orderFunc returns how an order of a switch is given to a rank: by the deputy to the planner's own, and from afar to the one that
 // holds the group.
-func (g *Group) giver(h *Handover, rank int) func(ctx context.Context, o Order) error {
+func (g *Group) orderFunc(h *Handover, rank int) func(ctx context.Context, o Order) error {
 	switch {
 	case h == nil:
 		return g.ranks[rank].Order
@@ -120,8 +120,8 @@
 	return g.ranks[rank].Order
 }
 
-// holdBy returns how orders to hold and to release a pass are given.
-func (g *Group) holdBy(h *Handover) func(ctx context.Context, o Order) error {
+// holdFunc returns how orders to hold and to release a pass are given.
+func (g *Group) holdFunc(h *Handover) func(ctx context.Context, o Order) error {
 	if h == nil {
 		return g.ranks[g.self].Order
 	}
--- a/expertmap/rollout/switch.go
+++ b/expertmap/rollout/switch.go
@@ -31,7 +31,7 @@
 	h := g.handover(ctx, version)
 	pass, err := g.hold(ctx, h)
 	if err != nil {
-		err = errors.Join(err, g.over(ctx, h))
+		err = errors.Join(err, g.endHandover(ctx, h))
 		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
 	}
 	started := time.Now()
@@ -41,7 +41,7 @@
 		undone := g.abort(ctx, h, version, pass, armed)
 		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: errors.Join(err, undone)})
 	}
-	err = errors.Join(g.release(ctx, h, pass), g.over(ctx, h))
+	err = errors.Join(g.release(ctx, h, pass), g.endHandover(ctx, h))
 	if err != nil {
 		return merry.Wrap(&SwitchError{Version: version, Pass: pass, Cause: err})
 	}
@@ -55,7 +55,7 @@
 	armed := make([]outcome, len(g.ranks))
 	errs := make([]error, len(g.ranks))
 	give := func(i int) {
-		armed[i] = g.repeatBy(ctx, o, armAttempts, g.giver(h, i))
+		armed[i] = g.repeatBy(ctx, o, armAttempts, g.orderFunc(h, i))
 		errs[i] = armed[i].err
 	}
 	g.each(func(i int) {
@@ -83,7 +83,7 @@
 		g.timing.observePass(s.Pass, time.Now())
 		pass = max(s.Pass+g.timing.ahead(len(g.ranks))+int64(attempt), g.lastPass+1)
 		g.lastPass = pass
-		err = g.send(ctx, Order{Operation: Hold, Pass: pass}, g.holdBy(h))
+		err = g.send(ctx, Order{Operation: Hold, Pass: pass}, g.holdFunc(h))
 		var refused *RefusedError
 		if err == nil {
 			return pass, nil
@@ -106,7 +106,7 @@
 }
 
 func (g *Group) release(ctx context.Context, h *Handover, pass int64) error {
-	return g.repeatBy(ctx, Order{Operation: Release, Pass: pass}, undoAttempts, g.holdBy(h)).err
+	return g.repeatBy(ctx, Order{Operation: Release, Pass: pass}, undoAttempts, g.holdFunc(h)).err
 }
 
 // abort undoes a switch that was armed with the outcomes given by rank, and lets the group go on.
@@ -119,13 +119,13 @@
 	failed := make([]error, len(g.ranks))
 	g.each(func(i int) {
 		if armed[i].given && armed[i].err == nil {
-			failed[i] = g.repeatBy(ctx, Order{Operation: Disarm, Version: version}, undoAttempts, g.giver(h, i)).err
+			failed[i] = g.repeatBy(ctx, Order{Operation: Disarm, Version: version}, undoAttempts, g.orderFunc(h, i)).err
 		}
 	})
 	if err := errors.Join(failed...); err != nil {
-		return errors.Join(err, g.over(ctx, h))
+		return errors.Join(err, g.endHandover(ctx, h))
 	}
-	if err := g.over(ctx, h); err != nil {
+	if err := g.endHandover(ctx, h); err != nil {
 		return err
 	}
 	if err := g.clearSuspects(ctx); err != nil {
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -56,9 +56,9 @@
 
 	mu     sync.Mutex
 	server catalog.Server
-	// group is nil while it is not known; ownWord says that the process beside the server has named it.
-	group   *Group
-	ownWord bool
+	// group is nil while it is not known; selfReported says that the process beside the server has named it.
+	group        *Group
+	selfReported bool
 	// asked is when the process beside the server was asked for its group.
 	asked   time.Time
 	removed bool
@@ -156,14 +156,14 @@
 
 // setGroup sets the group, by the word of the process beside the server or by that of another one, and says whether it has
 // changed.
-func (b *Backend) setGroup(g *Group, ownWord bool) bool {
+func (b *Backend) setGroup(g *Group, selfReported bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !ownWord && b.ownWord {
+	if !selfReported && b.selfReported {
 		return false
 	}
 	changed := b.group != g
-	b.group, b.ownWord = g, ownWord
+	b.group, b.selfReported = g, selfReported
 	return changed
 }
 
--- a/gateway/balance/group.go
+++ b/gateway/balance/group.go
@@ -219,7 +219,7 @@
 	}
 	for group, all := range members {
 		if len(out) < maxQuestions && group.due(now) {
-			out = append(out, f.informant(all, random))
+			out = append(out, f.respondent(all, random))
 		}
 	}
 	return out
@@ -228,7 +228,7 @@
 // nearShare is the share of the questions that go to the own failure domain; the others find out what is not seen there.
 const nearShare = 0.8
 
-func (f *Fleet) informant(all []*Backend, random func() float64) *Backend {
+func (f *Fleet) respondent(all []*Backend, random func() float64) *Backend {
 	var near []*Backend
 	for _, b := range all {
 		if b.Server().Domain == f.domain {
--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -81,14 +81,14 @@
 
 // GroupDump is the state dump of one group of a queue.
 type GroupDump struct {
-	Group    string  `json:"group"`
-	Limit    int     `json:"limit"`
-	InFlight int     `json:"in_flight"`
-	Pause    float64 `json:"pause_over_aim"`
-	FirstMs  float64 `json:"first_event_ms"`
-	Closed   bool    `json:"closed"`
-	Stalled  bool    `json:"stalled"`
-	Mute     bool    `json:"mute"`
+	Group     string  `json:"group"`
+	Limit     int     `json:"limit"`
+	InFlight  int     `json:"in_flight"`
+	Pause     float64 `json:"pause_over_aim"`
+	FirstMs   float64 `json:"first_event_ms"`
+	Closed    bool    `json:"closed"`
+	Stalled   bool    `json:"stalled"`
+	Unserving bool    `json:"unserving"`
 }
 
 // Dump returns the state dump. Limit and InFlight are the sums over the groups that serve.
@@ -107,7 +107,7 @@
 		d.InFlight += l.limiter.InFlight()
 		d.Groups = append(d.Groups, GroupDump{
 			Group: l.group, Limit: l.limiter.Limit(), InFlight: l.limiter.InFlight(), Pause: l.limiter.Pause(),
-			FirstMs: float64(l.limiter.First()) / float64(time.Millisecond), Closed: l.closed, Stalled: l.stalled(now), Mute: l.mute(),
+			FirstMs: float64(l.limiter.First()) / float64(time.Millisecond), Closed: l.closed, Stalled: l.stalled(now), Unserving: l.unserving(),
 		})
 	}
 	return d
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -50,8 +50,8 @@
 	// the pauses of the streams.
 	heard time.Time
 	aim   time.Duration
-	// fruitless counts the streams that have ended without an event since the last event of any.
-	fruitless int
+	// withoutEvent counts the streams that have ended without an event since the last event of any.
+	withoutEvent int
 }
 
 // Constants of the notice that a group stands still.
@@ -62,9 +62,9 @@
 	stallFirsts = 3
 	// stallStreams is the number of streams that all have to be silent, since one alone may be silent by itself.
 	stallStreams = 3
-	// muteStreams is the number of streams in a row without any event after which a group counts as serving nothing. It gets
+	// unservedStreams is the number of streams in a row without any event after which a group counts as serving nothing. It gets
 	// one stream at a time then, which shows when it serves again.
-	muteStreams = 8
+	unservedStreams = 8
 )
 
 // NewQueue returns a queue with one group that has no name, in which streams run until the groups are known.
@@ -135,14 +135,14 @@
 	if l.closed || l.removed || l.stalled(now) {
 		return false
 	}
-	if l.mute() {
+	if l.unserving() {
 		return l.limiter.InFlight() == 0
 	}
 	return l.limiter.InFlight() < l.limiter.Limit()
 }
 
-// mute says that the group has not served any of the last streams.
-func (l *lane) mute() bool { return l.fruitless >= muteStreams }
+// unserving says that the group has not served any of the last streams.
+func (l *lane) unserving() bool { return l.withoutEvent >= unservedStreams }
 
 // stalled says that all streams of the group have been silent for much longer than their events should take: a rank has gone,
 // or a switch of the expert map has not ended. What is sent there would wait, and be refused if a rank has gone.
@@ -221,7 +221,7 @@
 }
 
 func (l *lane) serves(except string) bool {
-	return !l.closed && !l.removed && !l.mute() && (except == "" || l.group != except)
+	return !l.closed && !l.removed && !l.unserving() && (except == "" || l.group != except)
 }
 
 func (q *Queue) wait(ctx context.Context, w *waiter, longest time.Duration) (*Place, error) {
@@ -351,14 +351,14 @@
 func (p *Place) leave() {
 	p.lane.limiter.End(time.Since(p.since))
 	if !p.begun {
-		p.lane.fruitless++
+		p.lane.withoutEvent++
 	}
 }
 
 // event takes an event of the stream. The caller holds the queue's lock.
 func (p *Place) event(now time.Time) {
 	p.begun = true
-	p.lane.heard, p.lane.fruitless = now, 0
+	p.lane.heard, p.lane.withoutEvent = now, 0
 }
 
 // Move gives the place up for one in another group, for a stream whose group cannot serve it. It waits as Acquire does and
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -336,7 +336,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := newTestQueue("g")
 		w := Wait{InAim: time.Second, Longest: time.Second, Aim: aim}
-		for range muteStreams {
+		for range unservedStreams {
 			p, err := q.Acquire(t.Context(), w)
 			require.NoError(t, err)
 			time.Sleep(2 * time.Second)
