--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -185,6 +185,16 @@
 	return b.String()
 }
 
+// eventsText is what a caller reads of a stream of n events.
+func eventsText(n int) string {
+	var b strings.Builder
+	for i := range n {
+		id := strconv.Itoa(i + 1)
+		b.WriteString("id: " + id + "\ndata: x" + id + "\n\n")
+	}
+	return b.String()
+}
+
 func chunk(text string) string {
 	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
 }
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -226,12 +226,7 @@
 			resp, body, err := g.get(t, "/stream/x")
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, resp.StatusCode)
-			want := ""
-			for i := range 6 {
-				n := strconv.Itoa(i + 1)
-				want += "id: " + n + "\ndata: x" + n + "\n\n"
-			}
-			require.Equal(t, want, body)
+			require.Equal(t, eventsText(6), body)
 			require.Equal(t, "3", b.first().Header.Get(testLast))
 		})
 	}
