Let proxies of tests keep the port that they have found free

Each address is given once, so that it was no second use by the harness's own list.

Change: a proxy runs in the test process and listens at once, so that there is no time in between. Programs still get addresses that were free a moment ago. No check or bound has changed.

--- a/proctest/fleet.go
+++ b/proctest/fleet.go
@@ -85,7 +85,7 @@
 		if i < plan.Models {
 			listen = append(listen, freeAddressAt(f.t, ip))
 		}
-		p := NewProxy(f.t, ip+":0", far)
+		p := NewProxy(f.t, ip, far)
 		f.Replicas = append(f.Replicas, p)
 		f.replicaURLs = append(f.replicaURLs, "http://"+far)
 		advertise = append(advertise, p.Address)
@@ -121,7 +121,7 @@
 func (f *Fleet) startRank(i, port int) {
 	r := f.Ranks[i]
 	near := r.file
-	r.Store = NewProxy(f.t, FreeAddress(f.t), strings.TrimPrefix(f.StoreURL, "http://"))
+	r.Store = NewProxy(f.t, loopback(), strings.TrimPrefix(f.StoreURL, "http://"))
 	name := fmt.Sprint("rank-", i)
 	r.file = writeSettings(f.t, name, map[string]any{
 		"name": name, "ip": instanceIP(i), "peer_port": port, "replica": near, "service": replicaserver.ModelService,
@@ -133,7 +133,7 @@
 func (f *Fleet) startGateway(i, port int) {
 	listen, ready, control := FreeAddress(f.t), FreeAddress(f.t), FreeAddress(f.t)
 	g := &Gateway{URL: "http://" + listen, ready: "http://" + ready}
-	g.Store = NewProxy(f.t, FreeAddress(f.t), strings.TrimPrefix(f.StoreURL, "http://"))
+	g.Store = NewProxy(f.t, loopback(), strings.TrimPrefix(f.StoreURL, "http://"))
 	var peers []string
 	for _, other := range f.Gateways {
 		peers = append(peers, other.Admin)
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -84,15 +84,23 @@
 
 // freeAddressAt is FreeAddress for a loopback IP.
 func freeAddressAt(t testing.TB, ip string) string {
+	t.Helper()
+	l := listenAt(t, ip)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// listenAt listens on a loopback IP, on a port that was given to nobody. A part of the test process itself uses the listener, so that
+// nothing can take the port in between.
+func listenAt(t testing.TB, ip string) net.Listener {
 	t.Helper()
 	for {
 		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
 		require.NoError(t, err)
-		address := l.Addr().String()
-		l.Close()
-		if _, taken := given.LoadOrStore(address, true); !taken {
-			return address
+		if _, taken := given.LoadOrStore(l.Addr().String(), true); !taken {
+			return l
 		}
+		l.Close()
 	}
 }
 
--- a/proctest/proxy.go
+++ b/proctest/proxy.go
@@ -1,7 +1,6 @@
 package proctest
 
 import (
-	"context"
 	"net"
 	"sync"
 	"testing"
@@ -32,11 +31,10 @@
 	open     map[net.Conn]struct{}
 }
 
-// NewProxy starts a proxy that listens on an address; the test's end stops it.
-func NewProxy(t testing.TB, address, target string) *Proxy {
+// NewProxy starts a proxy that listens on a loopback IP; the test's end stops it.
+func NewProxy(t testing.TB, ip, target string) *Proxy {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-	require.NoError(t, err)
+	l := listenAt(t, ip)
 	p := &Proxy{
 		Address: l.Addr().String(), target: target, listener: l, changed: make(chan struct{}),
 		open: map[net.Conn]struct{}{},
