--- a/proctest/proxy.go
+++ b/proctest/proxy.go
@@ -5,8 +5,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 // Link is what a Proxy does with its connections.
