Decode a handover in one place

Behaviour unchanged; lint, the tests of the rollout, its agent and the rank process, and TestFleetServes pass.

--- a/expertmap/rollout/agent/deputy.go
+++ b/expertmap/rollout/agent/deputy.go
@@ -27,25 +27,21 @@
 func (a *Agent) UseDeputy(d *rollout.Deputy) { a.deputy = d }
 
 func (a *Agent) beginDeputy(w http.ResponseWriter, r *http.Request) {
-	var h rollout.Handover
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxHandover)).Decode(&h); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	a.confirm(w, a.deputy.Begin(r.Context(), h))
+	a.takeHandover(w, r, func(h rollout.Handover) error { return a.deputy.Begin(r.Context(), h) })
 }
 
 func (a *Agent) endDeputy(w http.ResponseWriter, r *http.Request) {
+	a.takeHandover(w, r, func(h rollout.Handover) error { return a.deputy.End(h.Fence) })
+}
+
+// takeHandover decodes a handover, gives it to a function and confirms it unless that fails.
+func (a *Agent) takeHandover(w http.ResponseWriter, r *http.Request, take func(h rollout.Handover) error) {
 	var h rollout.Handover
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxHandover)).Decode(&h); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.confirm(w, a.deputy.End(h.Fence))
-}
-
-func (a *Agent) confirm(w http.ResponseWriter, err error) {
-	if err != nil {
+	if err := take(h); err != nil {
 		a.log.Info("not the deputy of a switch", zap.Error(err))
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
