Follow a store that comes back from an older copy of itself

Cause: a restored store gives revisions out again. Mirrors compared revisions alone, so that a process held the state from before the restore until the counter had passed the old one. A lease whose record was gone began its fencing numbers anew at 1, so that two holders got one number.

Answers of an earlier era are dropped. The begin of an era counts as the end of an outage: entries that the copy lacks are kept for a while. A lease is void with the first answer of the next era, whichever call of the process got it; its record has a key for each era, numbers of an era lie above all earlier ones, and nobody takes the lease within its time after a restore. Processes that share bounds take the others for present until they had time to list themselves again.

Ruled out: one key for all eras with numbers that continue. A write that was sent before the restore can meet the revision that it expects afterwards, and take the number back.

The histories of leases over restores found one fault of the new code itself: the time for which a record was seen unchanged was kept by revision alone.

--- a/clients/kv/kv.go
+++ b/clients/kv/kv.go
@@ -28,6 +28,51 @@
 	Deleted bool
 }
 
+// Position is a point in the history of the service. Revisions order the changes of one era; a service that is restored from an
+// earlier copy begins a new era and gives the revisions after that copy out again.
+type Position struct {
+	// Era counts the restores; 0 where the service has none.
+	Era      int64
+	Revision int64
+}
+
+// Before says whether p lies before q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || (p.Era == q.Era && p.Revision < q.Revision)
+}
+
+// IsZero says whether p is the position before everything.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Max returns the later of two positions.
+func (p Position) Max(q Position) Position {
+	if p.Before(q) {
+		return q
+	}
+	return p
+}
+
+// EraSource is implemented by stores whose service may be restored from an earlier copy.
+type EraSource interface {
+	// Era returns the latest era that any answer of the service has shown to this process, 0 while none has.
+	Era() int64
+}
+
+// EraOf returns the latest era that a store has seen, 0 if its service has none.
+func EraOf(s Store) int64 {
+	if e, ok := s.(EraSource); ok {
+		return e.Era()
+	}
+	return 0
+}
+
+// EraError says that an answer is of an earlier era than one that was seen before. What it says does not hold any more.
+type EraError struct{ Era, Latest int64 }
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("answer of era %d of the key-value service came after one of era %d", e.Era, e.Latest)
+}
+
 // LeaseID names a lease; 0 is no lease.
 type LeaseID int64
 
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -146,11 +146,12 @@
 func (g *gateway) configChanged(s *mirror.Snapshot) {
 	c, err := platform.DecodeCatalog(s.Entries)
 	if err != nil {
-		g.log.Warn("configuration not taken", zap.Int64("revision", s.Revision), zap.Error(err))
+		g.log.Warn("configuration not taken", zap.Int64("era", s.At.Era), zap.Int64("revision", s.At.Revision), zap.Error(err))
 		return
 	}
 	if g.srv.SetCatalog(c) {
-		g.log.Info("configuration in force", zap.Int64("config_version", c.Version), zap.Int64("revision", s.Revision),
+		g.log.Info("configuration in force", zap.Int64("config_version", c.Version), zap.Int64("era", s.At.Era),
+			zap.Int64("revision", s.At.Revision),
 			zap.Int("routes", len(c.Routes)), zap.Int("keys", len(c.Keys)))
 	}
 }
--- a/configsync/mirror/follow.go
+++ b/configsync/mirror/follow.go
@@ -6,20 +6,22 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"lavendermoor.example/clients/kv"
 )
 
 // Question asks a reader for a snapshot.
 type Question struct {
 	Prefix string
-	// After is the revision up to which the follower knows all changes.
-	After int64
+	// After is the position up to which the follower knows all changes.
+	After kv.Position
 	// Wait is how long the reader waits for a change.
 	Wait time.Duration
 }
 
 // Answer is what a reader says.
 type Answer struct {
-	// Snapshot is nil when nothing has changed after the revision.
+	// Snapshot is nil when nothing has changed after the position.
 	Snapshot *Snapshot
 	// Age is the time since the service has last answered the reader, and Regained that since it did so after an outage.
 	Age, Regained time.Duration
@@ -44,7 +46,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, m.opts.Wait+callGrace)
 	defer cancel()
 	held := m.Snapshot()
-	a, err := m.opts.Follow(callCtx, Question{Prefix: m.opts.Prefix, After: held.Revision, Wait: m.opts.Wait})
+	a, err := m.opts.Follow(callCtx, Question{Prefix: m.opts.Prefix, After: held.At, Wait: m.opts.Wait})
 	var none *NoReaderError
 	switch {
 	case errors.As(err, &none) || ctx.Err() != nil:
@@ -55,7 +57,8 @@
 		return false
 	}
 	m.heard(a)
-	if s := a.Snapshot; s != nil && s.Revision > held.Revision {
+	if s := a.Snapshot; s != nil && held.At.Before(s.At) {
+		m.noteEra(held, s)
 		m.publish(s)
 	}
 	return true
@@ -108,9 +111,9 @@
 	}
 }
 
-func (m *Mirror) answer(after int64) *Answer {
+func (m *Mirror) answer(after kv.Position) *Answer {
 	a := &Answer{Age: m.Age(), Regained: m.sinceRegained(), Lost: m.lost.Load()}
-	if s := m.Snapshot(); s.Changed > after {
+	if s := m.Snapshot(); after.Before(s.Changed) {
 		a.Snapshot = s
 	}
 	return a
--- a/configsync/mirror/follow_test.go
+++ b/configsync/mirror/follow_test.go
@@ -24,18 +24,18 @@
 	calls  atomic.Int64
 }
 
-func (g *gate) Read(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
+func (g *gate) Read(ctx context.Context, prefix string) ([]kv.Entry, kv.Position, error) {
 	g.calls.Add(1)
 	if g.closed.Load() {
-		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+		return nil, kv.Position{}, merry.Wrap(&kv.UnavailableError{})
 	}
 	return g.service.Read(ctx, prefix)
 }
 
-func (g *gate) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+func (g *gate) Changes(ctx context.Context, prefix string, after kv.Position, wait time.Duration) ([]kv.Event, kv.Position, error) {
 	g.calls.Add(1)
 	if g.closed.Load() {
-		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+		return nil, kv.Position{}, merry.Wrap(&kv.UnavailableError{})
 	}
 	return g.service.Changes(ctx, prefix, after, wait)
 }
@@ -199,7 +199,7 @@
 	require.Equal(t, m.Snapshot(), a.Snapshot)
 	require.False(t, a.Lost)
 	require.Less(t, a.Age, time.Minute)
-	a, err = peers.Follow(t.Context(), address, Question{Prefix: "p/", After: m.Snapshot().Revision})
+	a, err = peers.Follow(t.Context(), address, Question{Prefix: "p/", After: m.Snapshot().At})
 	require.NoError(t, err)
 	require.Nil(t, a.Snapshot)
 	var status *PeerStatusError
--- a/configsync/mirror/mirror_test.go
+++ b/configsync/mirror/mirror_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +20,7 @@
 // service is a store in memory whose faults a test sets.
 type service struct {
 	mu       sync.Mutex
+	era      int64
 	revision int64
 	oldest   int64
 	entries  map[string]kv.Entry
@@ -52,53 +55,66 @@
 	fn()
 }
 
-func (s *service) Read(context.Context, string) ([]kv.Entry, int64, error) {
+// copyOf returns what a backup of the service holds; restore brings it back under the next era.
+func (s *service) copyOf() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, entries, history := s.revision, maps.Clone(s.entries), slices.Clone(s.history)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.era++
+		s.revision, s.entries, s.history = revision, maps.Clone(entries), slices.Clone(history)
+	}
+}
+
+func (s *service) Read(context.Context, string) ([]kv.Entry, kv.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+		return nil, kv.Position{}, merry.Wrap(&kv.UnavailableError{})
 	}
 	s.reads++
 	var out []kv.Entry
 	for _, e := range s.entries {
 		out = append(out, e)
 	}
-	return out, s.revision, nil
+	return out, kv.Position{Era: s.era, Revision: s.revision}, nil
 }
 
-func (s *service) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+func (s *service) Changes(ctx context.Context, _ string, after kv.Position, wait time.Duration) ([]kv.Event, kv.Position, error) {
 	end := time.Now().Add(wait)
 	for {
-		events, revision, err := s.since(after)
+		events, at, err := s.since(after)
 		if err != nil || len(events) > 0 || !time.Now().Before(end) {
-			return events, revision, err
+			return events, at, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, merry.Wrap(&kv.UnavailableError{Cause: ctx.Err()})
+			return nil, kv.Position{}, merry.Wrap(&kv.UnavailableError{Cause: ctx.Err()})
 		case <-time.After(5 * time.Millisecond):
 		}
 	}
 }
 
-func (s *service) since(after int64) ([]kv.Event, int64, error) {
+func (s *service) since(after kv.Position) ([]kv.Event, kv.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.down:
-		return nil, 0, merry.Wrap(&kv.UnavailableError{})
+		return nil, kv.Position{}, merry.Wrap(&kv.UnavailableError{})
 	case s.deaf:
 		return nil, after, nil
-	case after < s.oldest:
-		return nil, 0, merry.Wrap(&kv.CompactedError{Oldest: s.oldest})
+	case after.Era != s.era || after.Revision < s.oldest:
+		return nil, kv.Position{}, merry.Wrap(&kv.CompactedError{Oldest: s.oldest})
 	}
 	var out []kv.Event
 	for _, e := range s.history {
-		if e.ModRevision > after {
+		if e.ModRevision > after.Revision {
 			out = append(out, e)
 		}
 	}
-	return out, s.revision, nil
+	return out, kv.Position{Era: s.era, Revision: s.revision}, nil
 }
 
 // change is one call of Options.Changed.
@@ -191,14 +207,14 @@
 		s := newService()
 		s.put("p/a", "1")
 		var given atomic.Pointer[Snapshot]
-		given.Store(&Snapshot{Revision: 40, Entries: map[string]kv.Entry{"p/a": {Key: "p/a", Value: []byte("9"), ModRevision: 40}}})
-		m, changes := follow(t, s, Options{Peer: func(context.Context, string, int64) (*Snapshot, error) { return given.Load(), nil }})
+		given.Store(&Snapshot{At: kv.Position{Revision: 40}, Entries: map[string]kv.Entry{"p/a": {Key: "p/a", Value: []byte("9"), ModRevision: 40}}})
+		m, changes := follow(t, s, Options{Peer: func(context.Context, string, kv.Position) (*Snapshot, error) { return given.Load(), nil }})
 		time.Sleep(100 * time.Millisecond)
 		s.set(func() { s.down = true })
 		time.Sleep(2 * time.Second)
 		require.Equal(t, "9", string(m.Snapshot().Entries["p/a"].Value))
 		n := len(changes())
-		given.Store(&Snapshot{Revision: 3, Entries: map[string]kv.Entry{}})
+		given.Store(&Snapshot{At: kv.Position{Revision: 3}, Entries: map[string]kv.Entry{}})
 		time.Sleep(2 * time.Second)
 		require.Len(t, changes(), n, "an older snapshot is not taken")
 	})
@@ -206,13 +222,13 @@
 
 // Guards against an event that takes an entry back: a read may contain changes after the revision it returns.
 func TestEventsOfAReadAreNotRepeated(t *testing.T) {
-	s := newSnapshot([]kv.Entry{{Key: "a", Value: []byte("new"), ModRevision: 9}}, 5)
+	s := newSnapshot([]kv.Entry{{Key: "a", Value: []byte("new"), ModRevision: 9}}, kv.Position{Revision: 5})
 	next, changed := s.apply([]kv.Event{
 		{Entry: kv.Entry{Key: "a", Value: []byte("old"), ModRevision: 7}},
 		{Entry: kv.Entry{Key: "a", ModRevision: 8}, Deleted: true},
 		{Entry: kv.Entry{Key: "gone", ModRevision: 8}, Deleted: true},
-	}, 9)
+	}, kv.Position{Revision: 9})
 	require.False(t, changed)
 	require.Equal(t, "new", string(next.Entries["a"].Value))
-	require.EqualValues(t, 9, next.Revision)
+	require.EqualValues(t, 9, next.At.Revision)
 }
--- a/configsync/mirror/peer.go
+++ b/configsync/mirror/peer.go
@@ -44,7 +44,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+		after, err := positionOf(query)
 		wait, waitErr := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
 		if err != nil || waitErr != nil || wait < 0 {
 			w.WriteHeader(http.StatusBadRequest)
@@ -66,10 +66,8 @@
 
 // Follow asks the reader at an address, IP and port. It fails with a *PeerStatusError or the error of the connection.
 func (p *Peers) Follow(ctx context.Context, reader string, q Question) (*Answer, error) {
-	query := url.Values{
-		"prefix": {q.Prefix}, "after": {strconv.FormatInt(q.After, 10)},
-		"wait_ms": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
-	}
+	query := positionQuery(q.Prefix, q.After)
+	query.Set("wait_ms", strconv.FormatInt(q.Wait.Milliseconds(), 10))
 	resp, err := p.get(ctx, reader, FollowPath, query)
 	if err != nil {
 		return nil, err
@@ -91,6 +89,23 @@
 	return a, nil
 }
 
+// positionQuery asks for a snapshot of a prefix after a position.
+func positionQuery(prefix string, after kv.Position) url.Values {
+	return url.Values{
+		"prefix": {prefix}, "after": {strconv.FormatInt(after.Revision, 10)}, "era": {strconv.FormatInt(after.Era, 10)},
+	}
+}
+
+// positionOf returns the position of a question. A peer of a version without eras names none.
+func positionOf(query url.Values) (kv.Position, error) {
+	revision, err := strconv.ParseInt(query.Get("after"), 10, 64)
+	if err != nil || !query.Has("era") {
+		return kv.Position{Revision: revision}, err
+	}
+	era, err := strconv.ParseInt(query.Get("era"), 10, 64)
+	return kv.Position{Era: era, Revision: revision}, err
+}
+
 func (p *Peers) get(ctx context.Context, peer, path string, query url.Values) (*http.Response, error) {
 	target := url.URL{Scheme: "http", Host: peer, Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
@@ -103,9 +118,11 @@
 
 // wireSnapshot is the JSON form of a snapshot.
 type wireSnapshot struct {
-	Revision int64       `json:"revision"`
-	Changed  int64       `json:"changed"`
-	Entries  []wireEntry `json:"entries"`
+	Era        int64       `json:"era"`
+	Revision   int64       `json:"revision"`
+	Changed    int64       `json:"changed"`
+	ChangedEra int64       `json:"changed_era"`
+	Entries    []wireEntry `json:"entries"`
 }
 
 type wireEntry struct {
@@ -114,7 +131,7 @@
 	Revision int64  `json:"revision"`
 }
 
-// Handler serves the snapshots of mirrors by prefix. A peer that names a revision gets an answer without content unless
+// Handler serves the snapshots of mirrors by prefix. A peer that names a position gets an answer without content unless
 // the snapshot is newer.
 func Handler(mirrors map[string]*Mirror, log *zap.Logger) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -123,13 +140,13 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		after, err := positionOf(r.URL.Query())
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		s := m.Snapshot()
-		if s.Revision <= after {
+		if !after.Before(s.At) {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -141,7 +158,10 @@
 }
 
 func (s *Snapshot) wire() wireSnapshot {
-	out := wireSnapshot{Revision: s.Revision, Changed: s.Changed, Entries: make([]wireEntry, 0, len(s.Entries))}
+	out := wireSnapshot{
+		Era: s.At.Era, Revision: s.At.Revision, Changed: s.Changed.Revision, ChangedEra: s.Changed.Era,
+		Entries: make([]wireEntry, 0, len(s.Entries)),
+	}
 	for _, e := range s.Entries {
 		out.Entries = append(out.Entries, wireEntry{Key: e.Key, Value: e.Value, Revision: e.ModRevision})
 	}
@@ -183,8 +203,8 @@
 	p.addresses = addresses
 }
 
-// Ask returns the snapshot of one peer drawn at random, or nil when it is not newer than the revision.
-func (p *Peers) Ask(ctx context.Context, prefix string, after int64) (*Snapshot, error) {
+// Ask returns the snapshot of one peer drawn at random, or nil when it is not newer than the position.
+func (p *Peers) Ask(ctx context.Context, prefix string, after kv.Position) (*Snapshot, error) {
 	p.mu.Lock()
 	if len(p.addresses) == 0 {
 		p.mu.Unlock()
@@ -192,7 +212,7 @@
 	}
 	peer := p.addresses[rand.IntN(len(p.addresses))]
 	p.mu.Unlock()
-	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatInt(after, 10)}}
+	query := positionQuery(prefix, after)
 	resp, err := p.get(ctx, peer, PeerPath, query)
 	if err != nil {
 		return nil, err
@@ -223,7 +243,7 @@
 	for i, e := range w.Entries {
 		entries[i] = kv.Entry{Key: e.Key, Value: e.Value, ModRevision: e.Revision}
 	}
-	s := newSnapshot(entries, w.Revision)
-	s.Changed = w.Changed
+	s := newSnapshot(entries, kv.Position{Era: w.Era, Revision: w.Revision})
+	s.Changed = kv.Position{Era: w.ChangedEra, Revision: w.Changed}
 	return s
 }
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -35,8 +35,8 @@
 	Wait time.Duration
 	// Pause is the time between two calls; changes in between are fetched together.
 	Pause time.Duration
-	// Peer asks another process for a snapshot that is newer than a revision; nil when there is none to ask.
-	Peer func(ctx context.Context, prefix string, after int64) (*Snapshot, error)
+	// Peer asks another process for a snapshot that is newer than a position; nil when there is none to ask.
+	Peer func(ctx context.Context, prefix string, after kv.Position) (*Snapshot, error)
 	// Follow asks the process that reads the service for others; nil when there is none.
 	Follow func(ctx context.Context, q Question) (*Answer, error)
 	// Changed is called from the goroutine of Run with each snapshot that differs from the one before. Entries that are
@@ -74,7 +74,7 @@
 	return m
 }
 
-// Snapshot returns the latest state, with Revision 0 before the first read.
+// Snapshot returns the latest state, with the zero position before the first read.
 func (m *Mirror) Snapshot() *Snapshot { return m.current.Load() }
 
 // Age returns the time since the service has last answered; the age of the mirror when it never has.
@@ -103,26 +103,26 @@
 // step makes one call to the service.
 func (m *Mirror) step(ctx context.Context) error {
 	s := m.Snapshot()
-	if s.Revision > 0 && m.follow(ctx) {
+	if !s.At.IsZero() && m.follow(ctx) {
 		return nil
 	}
-	if s.Revision == 0 || time.Since(m.lastRead) > rereadEvery {
+	if s.At.IsZero() || time.Since(m.lastRead) > rereadEvery {
 		return m.read(ctx)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, m.opts.Wait+callGrace)
 	defer cancel()
-	events, revision, err := m.opts.Source.Changes(callCtx, m.opts.Prefix, s.Revision, m.opts.Wait)
+	events, at, err := m.opts.Source.Changes(callCtx, m.opts.Prefix, s.At, m.opts.Wait)
 	var compacted *kv.CompactedError
 	if errors.As(err, &compacted) {
 		m.opts.Log.Info("history of the key-value service is gone; reading anew",
-			zap.String("prefix", m.opts.Prefix), zap.Int64("revision", s.Revision))
+			zap.String("prefix", m.opts.Prefix), zap.Int64("era", s.At.Era), zap.Int64("revision", s.At.Revision))
 		return m.read(ctx)
 	}
 	if err != nil {
 		return err
 	}
 	m.answered()
-	if next, changed := s.apply(events, revision); changed {
+	if next, changed := s.apply(events, at); changed {
 		m.publish(next)
 	} else {
 		m.current.Store(next)
@@ -139,12 +139,24 @@
 	}
 	m.answered()
 	m.lastRead = time.Now()
-	if s.Revision >= m.Snapshot().Revision {
+	if held := m.Snapshot(); !s.At.Before(held.At) {
+		m.noteEra(held, s)
 		m.publish(s)
 	}
 	return nil
 }
 
+// noteEra takes the begin of a new era for the end of an outage: the copy lacks what was written after it, and the owners of those
+// entries write them again.
+func (m *Mirror) noteEra(held, next *Snapshot) {
+	if held.At.IsZero() || held.At.Era == next.At.Era {
+		return
+	}
+	m.regained.Store(int64(time.Since(m.start)))
+	m.opts.Log.Warn("key-value service was restored from an older copy", zap.String("prefix", m.opts.Prefix),
+		zap.Int64("era", next.At.Era), zap.Int64("revision_before", held.At.Revision), zap.Int64("revision", next.At.Revision))
+}
+
 func (m *Mirror) publish(s *Snapshot) {
 	m.current.Store(s)
 	m.notifyFollowers()
@@ -179,12 +191,12 @@
 }
 
 func (m *Mirror) answered() {
-	if m.Age() > m.outage() && m.Snapshot().Revision > 0 {
+	if m.Age() > m.outage() && !m.Snapshot().At.IsZero() {
 		m.regained.Store(int64(time.Since(m.start)))
 	}
 	if m.lost.Swap(false) {
 		m.opts.Log.Info("key-value service regained", zap.String("prefix", m.opts.Prefix),
-			zap.Duration("after", m.Age()), zap.Int64("revision", m.Snapshot().Revision))
+			zap.Duration("after", m.Age()), zap.Int64("revision", m.Snapshot().At.Revision))
 	}
 	m.contact.Store(int64(time.Since(m.start)))
 	m.backoff = 0
@@ -197,7 +209,7 @@
 	}
 	m.notifyFollowers()
 	m.opts.Log.Warn("key-value service lost", zap.String("prefix", m.opts.Prefix),
-		zap.Int64("revision", m.Snapshot().Revision), zap.Error(err))
+		zap.Int64("revision", m.Snapshot().At.Revision), zap.Error(err))
 }
 
 func (m *Mirror) nextBackoff() time.Duration {
@@ -212,15 +224,16 @@
 	}
 	peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	held := m.Snapshot().Revision
-	s, err := m.opts.Peer(peerCtx, m.opts.Prefix, held)
+	held := m.Snapshot()
+	s, err := m.opts.Peer(peerCtx, m.opts.Prefix, held.At)
 	if err != nil {
 		m.opts.Log.Debug("peer gave no snapshot", zap.String("prefix", m.opts.Prefix), zap.Error(err))
 		return
 	}
-	if s != nil && s.Revision > held {
+	if s != nil && held.At.Before(s.At) {
 		m.opts.Log.Info("snapshot taken from a peer", zap.String("prefix", m.opts.Prefix),
-			zap.Int64("revision", s.Revision))
+			zap.Int64("era", s.At.Era), zap.Int64("revision", s.At.Revision))
+		m.noteEra(held, s)
 		m.publish(s)
 	}
 }
--- a/configsync/presence/presence.go
+++ b/configsync/presence/presence.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"lavendermoor.example/clients/kv"
@@ -47,6 +49,8 @@
 
 	members atomic.Pointer[[]Member]
 	lease   kv.LeaseID
+	// era is that of the service in which the lease was taken, readEra that of the last read.
+	era, readEra int64
 }
 
 // New returns the presence of a process below a prefix that ends with a slash. It is not listed before Run.
@@ -71,7 +75,7 @@
 		if err := p.keep(ctx); err != nil {
 			p.log.Info("presence not renewed", zap.Error(err))
 			pause = retryPause
-		} else if now := time.Now(); !now.Before(next) && p.read(ctx) {
+		} else if now := time.Now(); (!now.Before(next) || p.restored()) && p.read(ctx) {
 			reads++
 			next = now.Add(readEvery)
 			if reads == 1 {
@@ -86,16 +90,21 @@
 	p.leave(context.WithoutCancel(ctx))
 }
 
-// keep renews the lease, or takes a new one and writes the key under it.
+// restored says that the service has come back from an earlier copy since the last read.
+func (p *Presence) restored() bool { return kv.EraOf(p.store) != p.readEra }
+
+// keep renews the lease, or takes a new one and writes the key under it. A lease of an earlier era may be another process's by now:
+// the restored service gives the numbers after its copy out again.
 func (p *Presence) keep(ctx context.Context) error {
-	if p.lease != 0 {
+	if p.lease != 0 && p.era == kv.EraOf(p.store) {
 		_, err := p.store.KeepAlive(ctx, p.lease)
 		var expired *kv.LeaseExpiredError
-		if !errors.As(err, &expired) {
+		if !errors.As(err, &expired) && (err != nil || p.era == kv.EraOf(p.store)) {
 			return err
 		}
-		p.lease = 0
 	}
+	p.lease = 0
+	era := kv.EraOf(p.store)
 	lease, err := p.store.Grant(ctx, leaseTime)
 	if err != nil {
 		return err
@@ -103,7 +112,11 @@
 	if err := p.write(ctx, lease); err != nil {
 		return err
 	}
-	p.lease = lease
+	now := kv.EraOf(p.store)
+	if now != era && era != 0 { // It is 0 before the first answer.
+		return merry.Wrap(&kv.EraError{Era: era, Latest: now})
+	}
+	p.lease, p.era = lease, now
 	return nil
 }
 
@@ -133,6 +146,7 @@
 		p.log.Info("other processes not read", zap.Error(err))
 		return false
 	}
+	era := kv.EraOf(p.store)
 	members := make([]Member, 0, len(entries))
 	for _, e := range entries {
 		var m Member
@@ -142,6 +156,10 @@
 		}
 		members = append(members, m)
 	}
+	if era != p.readEra {
+		members = union(members, p.Members()) // Those that the copy lacks write their entries again.
+	}
+	p.readEra = era
 	if before := p.Members(); len(before) != len(members) {
 		p.log.Info("number of processes changed", zap.Int("before", len(before)), zap.Int("now", len(members)))
 	}
@@ -149,9 +167,20 @@
 	return true
 }
 
+// union adds those of the members known before that are not listed.
+func union(listed, before []Member) []Member {
+	for _, m := range before {
+		known := slices.ContainsFunc(listed, func(other Member) bool { return other.Name == m.Name })
+		if !known {
+			listed = append(listed, m)
+		}
+	}
+	return listed
+}
+
 // leave takes the process off the list, so that the others need not wait for the end of its lease.
 func (p *Presence) leave(ctx context.Context) {
-	if p.lease == 0 {
+	if p.lease == 0 || p.era != kv.EraOf(p.store) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, retryPause)
--- a/configsync/presence/presence_test.go
+++ b/configsync/presence/presence_test.go
@@ -22,8 +22,11 @@
 	leases   map[kv.LeaseID]time.Time
 	down     bool
 	calls    int
+	era      int64
 }
 
+func (s *fakeStore) Era() int64 { return s.era }
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		entries: map[string]kv.Entry{}, owner: map[string]kv.LeaseID{}, leases: map[kv.LeaseID]time.Time{},
@@ -161,3 +164,55 @@
 		stop()
 	})
 }
+
+// Guards against processes that count as gone after a restore of the service, by which the others' parts of the shared bounds grow,
+// and against one that goes on with a lease which is another process's by now.
+func TestRestoreOfTheServiceHidesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		p := New(store, "p/", Member{Name: "a"}, zap.NewNop())
+		_, err := store.Put(t.Context(), "p/b", []byte(`{"name":"b"}`), 0, 99)
+		require.NoError(t, err)
+		store.leases[99] = time.Now().Add(time.Hour)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Len(t, p.Members(), 2)
+		// The copy is empty, and the number of a's lease is another process's now.
+		store.era++
+		clear(store.entries)
+		clear(store.owner)
+		lost, end := p.lease, time.Now().Add(time.Hour)
+		store.leases[lost] = end
+		time.Sleep(renewEvery)
+		synctest.Wait()
+		require.Len(t, p.Members(), 2, "b has not been able to write its entry again yet")
+		require.Contains(t, store.entries, "p/a", "a is listed again")
+		require.NotEqual(t, lost, store.owner["p/a"])
+		time.Sleep(readEvery + renewEvery)
+		synctest.Wait()
+		require.Len(t, p.Members(), 1, "b has not come back")
+		stop()
+		<-done
+		require.Equal(t, end, store.leases[lost], "the other process's lease is left alone")
+	})
+}
+
+// Guards against a process that stops and ends another process's lease, because the service was restored since its last renewal.
+func TestStopAfterARestoreEndsNoLeaseOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		p := New(store, "p/", Member{Name: "a"}, zap.NewNop())
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		store.era++
+		stop()
+		<-done
+		require.Contains(t, store.leases, p.lease)
+	})
+}
--- a/expertmap/rollout/rank.go
+++ b/expertmap/rollout/rank.go
@@ -37,7 +37,11 @@
 	// Held is the pass that the group does not begin, nil if there is none.
 	Held *int64 `json:"held,omitempty"`
 	// Pace is above 1 when the rank is slow.
-	Pace             float64 `json:"pace"`
+	Pace float64 `json:"pace"`
+	// Leaving says that the rank takes no new work and ends soon; StartedMs is when it started, in Unix milliseconds, 0 if it does
+	// not say.
+	Leaving          bool  `json:"leaving,omitempty"`
+	StartedMs        int64 `json:"started_ms,omitempty"`
 	Running, Waiting int
 	// Counts hold how often the rank's requests chose each expert, in order of layer and expert, in units of CountUnit
 	// modulo 65,536; they grow from the rank's start. Nil unless asked for.
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -213,4 +213,6 @@
 	WarmupLeft time.Duration
 	// Started is when the server started, zero if it does not say; a server may start again under the ID that it had.
 	Started time.Time
+	// Seq counts the writes of the server's entry since its start; 0 if it does not say.
+	Seq int64
 }
--- a/gateway/exchange/types.go
+++ b/gateway/exchange/types.go
@@ -44,8 +44,11 @@
 	// NotExecuted says that the server did not run the request and will not.
 	NotExecuted bool
 	// FaultAt names the server that caused a refusal.
-	FaultAt    string
+	FaultAt string
+	// RetryAfter is how long the server that refused a request wants nothing from this process, 0 if it does not say.
 	RetryAfter time.Duration
+	// Leaving says that the server takes no new work and ends soon.
+	Leaving bool
 }
 
 // Dialect translates the headers of the protocol between gateway and servers.
@@ -81,6 +84,13 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// WithdrawnError says that nothing was sent because the server must not get the request any more.
+type WithdrawnError struct{ Address string }
+
+func (e *WithdrawnError) Error() string {
+	return "the server at " + e.Address + " has stopped taking requests before this one was sent"
+}
+
 // AnswerError says that an answer is not one to the request; the request may have run.
 type AnswerError struct{ Problem string }
 
--- a/orders/fake_test.go
+++ b/orders/fake_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavendermoor.example/clients/kv"
@@ -23,6 +26,49 @@
 	// fault decides what happens to each write.
 	fault func() writeFault
 	down  bool
+	era   int64
+}
+
+// copyOf returns what a backup of the service holds; restore brings it back under the next era.
+func (s *memoryStore) copyOf() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries, revision := maps.Clone(s.entries), s.revision
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.era++
+		s.entries, s.revision = maps.Clone(entries), revision
+	}
+}
+
+// eraView is the service as one process sees it, which learns of a new era with the answers that it gets.
+type eraView struct {
+	*memoryStore
+	seen atomic.Int64
+}
+
+// Era implements kv.EraSource.
+func (v *eraView) Era() int64 { return v.seen.Load() }
+
+func (v *eraView) learn() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seen.Store(v.era)
+}
+
+func (v *eraView) Get(ctx context.Context, key string) (kv.Entry, error) {
+	defer v.learn()
+	return v.memoryStore.Get(ctx, key)
+}
+
+func (v *eraView) Put(ctx context.Context, key string, value []byte, expected int64, lease kv.LeaseID) (int64, error) {
+	mod, err := v.memoryStore.Put(ctx, key, value, expected, lease)
+	var unknown *kv.UnknownOutcomeError
+	if !errors.As(err, &unknown) { // Otherwise there was no answer.
+		v.learn()
+	}
+	return mod, err
 }
 
 // writeFault delays a write and loses its answer. With late set the write takes effect that long after the
--- a/orders/gate.go
+++ b/orders/gate.go
@@ -39,13 +39,14 @@
 
 // Learn reads the floor from the lease of the server. Errors are those of kv.Store.Get and *RecordError.
 func (g *Gate) Learn(ctx context.Context, store kv.Store) error {
-	r, _, err := readRecord(ctx, store, LeaseKey(g.server))
+	era := kv.EraOf(store)
+	r, _, err := readRecord(ctx, store, LeaseKey(g.server, era))
 	if err != nil {
 		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.floor = max(g.floor, r.Fence)
+	g.floor = max(g.floor, r.Fence, era*eraFences)
 	g.learned = true
 	return nil
 }
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -6,7 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,8 +16,19 @@
 	"lavendermoor.example/clients/kv"
 )
 
-// LeaseKey returns the key of the lease of a backend server.
-func LeaseKey(server string) string { return "lease/" + server }
+// LeaseKey returns the key of the lease of a backend server in an era of the service. Each era has a key of its own: revisions
+// are given out again after a restore, so that a late write of an earlier era could meet the revision that it expects.
+func LeaseKey(server string, era int64) string {
+	key := "lease/" + server
+	if era > 0 {
+		key += "/" + strconv.FormatInt(era, 10)
+	}
+	return key
+}
+
+// eraFences is the number of fencing numbers of one era. A restored service does not know which numbers were used after its copy
+// was made, so that the numbers of each era lie above all earlier ones.
+const eraFences = 1 << 24
 
 // Record is the value of a lease key. The key is never deleted, so that the fencing number only grows.
 type Record struct {
@@ -31,50 +42,6 @@
 
 func (r Record) ttl() time.Duration { return time.Duration(r.TTLMs) * time.Millisecond }
 
-// HeldError says that another process holds the lease. Nothing was written.
-type HeldError struct {
-	Holder string
-	Fence  int64
-	// Wait is how long the record has to stay unchanged before it may be taken over.
-	Wait time.Duration
-}
-
-func (e *HeldError) Error() string {
-	return fmt.Sprintf("lease is held by %s with fencing number %d, to be taken over in %v", e.Holder, e.Fence, e.Wait)
-}
-
-// LapsedError says that the lease is not held, or not any more; no order may be sent.
-type LapsedError struct {
-	// Fence is the last number held, 0 if none.
-	Fence int64
-}
-
-func (e *LapsedError) Error() string {
-	return fmt.Sprintf("lease with fencing number %d has lapsed", e.Fence)
-}
-
-// UnresolvedError says that a write of the lease may have taken effect and could not be resolved by reading.
-// The lease does not count as held or extended.
-type UnresolvedError struct{ Cause error }
-
-func (e *UnresolvedError) Error() string {
-	return fmt.Sprintf("write of the lease is unresolved: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *UnresolvedError) Unwrap() error { return e.Cause }
-
-// RecordError says that a lease key holds something else than a Record.
-type RecordError struct {
-	Key   string
-	Cause error
-}
-
-func (e *RecordError) Error() string { return fmt.Sprintf("lease record %q: %v", e.Key, e.Cause) }
-
-// Unwrap returns the cause.
-func (e *RecordError) Unwrap() error { return e.Cause }
-
 // LeaseSettings are the times of a lease.
 type LeaseSettings struct {
 	TTL time.Duration
@@ -93,24 +60,31 @@
 
 // observation is a record that this process has seen unchanged since a time.
 type observation struct {
-	mod   int64
+	at    kv.Position
 	since time.Time
 }
 
 // Lease is one process's view of the lease of one backend server. Its methods may be called from any goroutine.
 type Lease struct {
 	store  kv.Store
-	key    string
+	server string
 	holder string
 	set    LeaseSettings
 
-	// calls is held by the one call in progress to the service; it guards mod and seen.
+	// calls is held by the one call in progress to the service; it guards mod, seen and eras.
 	calls sync.Mutex
 	mod   int64
 	seen  observation
+	// eras is since when this process knows the present era; since is zero before the first one.
+	eras struct {
+		era   int64
+		since time.Time
+	}
 
 	mu    sync.Mutex
 	fence int64
+	// era is that in which the lease was taken.
+	era   int64
 	until time.Time
 	// untilBoot is the same end by the time since the instance has started.
 	untilBoot time.Duration
@@ -121,7 +95,7 @@
 	if set.SinceBoot == nil {
 		set.SinceBoot = sinceBoot
 	}
-	return &Lease{store: store, key: LeaseKey(server), holder: holder, set: set}
+	return &Lease{store: store, server: server, holder: holder, set: set}
 }
 
 // Check returns the fencing number if the lease is held at this moment by the monotonic clock of this process and by the time since
@@ -142,7 +116,11 @@
 	return l.left()
 }
 
+// left returns for how long the lease is held. A lease of an earlier era is void: the service may have given it to another process.
 func (l *Lease) left() time.Duration {
+	if l.era != kv.EraOf(l.store) {
+		return 0
+	}
 	return min(time.Until(l.until), l.untilBoot-l.set.SinceBoot())
 }
 
@@ -154,10 +132,10 @@
 
 func (l *Lease) now() instant { return instant{at: time.Now(), boot: l.set.SinceBoot()} }
 
-func (l *Lease) hold(fence int64, start instant) {
+func (l *Lease) hold(fence, era int64, start instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fence = fence
+	l.fence, l.era = fence, era
 	l.until, l.untilBoot = start.at.Add(l.set.TTL-l.set.Margin), start.boot+l.set.TTL-l.set.Margin
 }
 
@@ -201,14 +179,48 @@
 
 func (l *Lease) acquire(ctx context.Context) error {
 	l.drop()
-	current, mod, err := l.read(ctx)
+	known := kv.EraOf(l.store)
+	current, mod, err := l.read(ctx, known)
 	if err != nil {
 		return err
 	}
-	if wait := l.waitFor(current, mod); wait > 0 {
+	// The first answer of all shows the era; its key is read then.
+	era := kv.EraOf(l.store)
+	if era != known {
+		if current, mod, err = l.read(ctx, era); err != nil {
+			return err
+		}
+	}
+	if err := l.sameEra(era); err != nil {
+		return err
+	}
+	wait := max(l.waitFor(current, mod, era), l.waitForEra(era, mod))
+	if wait > 0 {
 		return merry.Wrap(&HeldError{Holder: current.Holder, Fence: current.Fence, Wait: wait})
 	}
-	return l.write(ctx, l.record(current.Fence+1), mod)
+	return l.write(ctx, l.record(max(current.Fence, era*eraFences)+1), mod, era)
+}
+
+// waitForEra returns how long a lease that nobody has taken in this era has to be left alone. Its holder of the era before may not
+// have heard of the restore yet.
+func (l *Lease) waitForEra(era, mod int64) time.Duration {
+	now := time.Now()
+	if l.eras.since.IsZero() || l.eras.era != era {
+		l.eras.era, l.eras.since = era, now
+	}
+	if era == 0 || mod != kv.Absent {
+		return 0
+	}
+	return l.eras.since.Add(l.set.TTL).Sub(now)
+}
+
+// sameEra fails with a *RestoredError when a later era than that given has been seen.
+func (l *Lease) sameEra(era int64) error {
+	if now := kv.EraOf(l.store); now != era {
+		l.drop()
+		return merry.Wrap(&RestoredError{Before: era, Now: now})
+	}
+	return nil
 }
 
 func (l *Lease) record(fence int64) Record {
@@ -217,20 +229,20 @@
 
 // waitFor returns how long the record has to stay as it is. The time is counted from the answer that first
 // showed it, which comes after the holder's own start of the lease.
-func (l *Lease) waitFor(r Record, mod int64) time.Duration {
+func (l *Lease) waitFor(r Record, mod, era int64) time.Duration {
 	if r.Holder == "" || r.Holder == l.holder {
 		return 0
 	}
 	now := time.Now()
-	if l.seen.mod != mod {
-		l.seen = observation{mod: mod, since: now}
+	if at := (kv.Position{Era: era, Revision: mod}); l.seen.at != at {
+		l.seen = observation{at: at, since: now}
 	}
 	return l.seen.since.Add(r.ttl()).Sub(now)
 }
 
 // read returns the record, the zero Record with revision kv.Absent if there is none.
-func (l *Lease) read(ctx context.Context) (Record, int64, error) {
-	return readRecord(ctx, l.store, l.key)
+func (l *Lease) read(ctx context.Context, era int64) (Record, int64, error) {
+	return readRecord(ctx, l.store, LeaseKey(l.server, era))
 }
 
 func readRecord(ctx context.Context, store kv.Store, key string) (Record, int64, error) {
@@ -250,7 +262,8 @@
 }
 
 // Renew extends a held lease. It fails with a *LapsedError when the lease has ended, a *HeldError when another process
-// has taken it, an *UnresolvedError, or an error of kv.Store; after the last two the lease lasts for as long as it did.
+// has taken it, a *RestoredError, an *UnresolvedError, or an error of kv.Store; after the last two the lease lasts for as long as
+// it did.
 func (l *Lease) Renew(ctx context.Context) error {
 	l.calls.Lock()
 	defer l.calls.Unlock()
@@ -258,38 +271,52 @@
 	if err != nil {
 		return err
 	}
-	return l.write(ctx, l.record(fence), l.mod)
+	return l.write(ctx, l.record(fence), l.mod, l.takenIn())
+}
+
+// takenIn returns the era in which the lease was taken.
+func (l *Lease) takenIn() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
 }
 
 // maxWrites bounds the repeats of a write whose answer was lost.
 const maxWrites = 3
 
 // write brings the record into the service and holds the lease from the time before the first attempt. A
-// repeated write is the same as the first, so it does not matter which of them takes effect, or how late.
-func (l *Lease) write(ctx context.Context, r Record, expected int64) error {
+// repeated write is the same as the first, so it does not matter which of them takes effect, or how late. It fails with a
+// *RestoredError unless all answers were of the era in which the expected revision was given.
+func (l *Lease) write(ctx context.Context, r Record, expected, era int64) error {
 	start := l.now()
 	value, err := json.Marshal(r)
 	if err != nil {
 		return merry.Wrap(err)
 	}
 	for range maxWrites {
-		mod, putErr := l.store.Put(ctx, l.key, value, expected, 0)
+		mod, putErr := l.store.Put(ctx, LeaseKey(l.server, era), value, expected, 0)
+		if eraErr := l.sameEra(era); eraErr != nil {
+			return eraErr
+		}
 		if putErr == nil {
-			return l.written(r, mod, start)
+			return l.written(r, mod, era, start)
 		}
 		if !mayHaveWritten(putErr) {
 			return putErr
 		}
 		err = putErr
-		current, now, readErr := l.read(ctx)
+		current, now, readErr := l.read(ctx, era)
+		if eraErr := l.sameEra(era); eraErr != nil {
+			return eraErr
+		}
 		if readErr != nil {
 			return merry.Wrap(&UnresolvedError{Cause: readErr})
 		}
 		if current.Nonce == r.Nonce {
-			return l.written(r, now, start)
+			return l.written(r, now, era, start)
 		}
 		if now != expected && !l.own(current, r.Fence) {
-			return l.lost(current, now)
+			return l.lost(current, now, era)
 		}
 		expected = now // Unchanged, or an earlier write of this process that took effect late.
 	}
@@ -306,19 +333,19 @@
 	return errors.As(err, &conflict) || errors.As(err, &unknown)
 }
 
-func (l *Lease) written(r Record, mod int64, start instant) error {
+func (l *Lease) written(r Record, mod, era int64, start instant) error {
 	l.mod = mod
 	if r.Holder == "" {
 		return nil
 	}
-	l.hold(r.Fence, start)
+	l.hold(r.Fence, era, start)
 	_, err := l.Check()
 	return err // The answer may have taken longer than the lease lasts.
 }
 
-func (l *Lease) lost(current Record, mod int64) error {
+func (l *Lease) lost(current Record, mod, era int64) error {
 	l.drop()
-	return merry.Wrap(&HeldError{Holder: current.Holder, Fence: current.Fence, Wait: l.waitFor(current, mod)})
+	return merry.Wrap(&HeldError{Holder: current.Holder, Fence: current.Fence, Wait: l.waitFor(current, mod, era)})
 }
 
 // Release gives up the lease so that the next holder need not wait. No order may be in progress. Errors are
@@ -331,5 +358,5 @@
 	if err != nil {
 		return err
 	}
-	return l.write(ctx, Record{Fence: fence, Nonce: uuid.NewString()}, l.mod)
+	return l.write(ctx, Record{Fence: fence, Nonce: uuid.NewString()}, l.mod, l.takenIn())
 }
