Leave servers alone that leave, or that ask for it

Cause: the word of a server that it leaves, and the time for which a server that refuses a request wants none, were decoded and read by nobody. A list that is restored from an older copy showed draining servers as ready and gone ones as listed.

Change: a server that says in any answer that it leaves gets nothing more from this process, until it starts anew; planners tell it to all gateways of the group. A server that names a time gets nothing before its end and then one request as a trial; when all servers of a service want none, callers are refused at once with the earliest end. Both outlive the entry of the server. It is asked again directly before a request is written. Entries of the list count by the start of the server and its own count of writes: older ones change nothing.

--- a/cmd/internal/gatewayd/groups.go
+++ b/cmd/internal/gatewayd/groups.go
@@ -124,18 +124,22 @@
 	groups[n.Group] = datedNotice{Notice: n, at: at}
 }
 
-// apply sets the paces of a service's servers as all its groups report them.
+// apply sets the paces of a service's servers, and which of them leave, as all its groups report them.
 func (w *groupWatch) apply(service string, now time.Time) {
 	w.mu.Lock()
-	merged := map[string]float64{}
+	merged, leaving := map[string]float64{}, map[string]int64{}
 	for name, n := range w.notices[service] {
 		if now.Sub(n.at) > paceLife {
 			delete(w.notices[service], name)
 			continue
 		}
 		maps.Copy(merged, n.Paces)
+		maps.Copy(leaving, n.Leaving)
 	}
 	w.mu.Unlock()
+	for _, s := range w.gateway.fleet.SetLeaving(service, leaving) {
+		w.gateway.log.Info("backend server is said to leave", zap.String("server", s.ID), zap.String("service", service))
+	}
 	for _, s := range w.gateway.fleet.SetPaces(service, merged) {
 		w.gateway.log.Info("pace of a backend server changed", zap.String("server", s.ID), zap.String("service", service),
 			zap.Float64("pace", max(merged[s.Address], 1)))
--- a/cmd/internal/rankd/notice.go
+++ b/cmd/internal/rankd/notice.go
@@ -33,20 +33,25 @@
 	at   time.Time
 }
 
-// tell gives a notice when the slow ranks have changed, or when the last one is old.
+// tell gives a notice when the slow or leaving ranks have changed, or when the last one is old.
 func (a *announcer) tell(ctx context.Context, states []rollout.State, now time.Time) {
 	fence, err := a.lease.Check()
 	if err != nil || len(states) != len(a.addresses) {
 		return
 	}
-	n := agent.Notice{Group: a.group, Fence: fence, Paces: map[string]float64{}, Members: a.addresses}
+	n := agent.Notice{
+		Group: a.group, Fence: fence, Paces: map[string]float64{}, Leaving: map[string]int64{}, Members: a.addresses,
+	}
 	for i, s := range states {
 		if s.Pace >= slowPace {
 			n.Paces[a.addresses[i]] = s.Pace
 		}
+		if s.Leaving && s.StartedMs > 0 {
+			n.Leaving[a.addresses[i]] = s.StartedMs
+		}
 	}
-	same := fence == a.told.Fence && maps.Equal(n.Paces, a.told.Paces)
-	if same && (len(n.Paces) == 0 || now.Sub(a.at) < noticeEvery) {
+	same := fence == a.told.Fence && maps.Equal(n.Paces, a.told.Paces) && maps.Equal(n.Leaving, a.told.Leaving)
+	if same && (len(n.Paces)+len(n.Leaving) == 0 || now.Sub(a.at) < noticeEvery) {
 		return
 	}
 	a.told, a.at = n, now
--- a/expertmap/rollout/agent/notice.go
+++ b/expertmap/rollout/agent/notice.go
@@ -38,6 +38,8 @@
 	Fence int64 `json:"fence"`
 	// Paces are those of the slow ranks, above 1, by the address of the replica.
 	Paces map[string]float64 `json:"paces,omitempty"`
+	// Leaving are the ranks that leave, by the address of the replica, with the times of their starts in Unix milliseconds.
+	Leaving map[string]int64 `json:"leaving,omitempty"`
 	// Members are the addresses of the group's replicas in order of rank.
 	Members []string `json:"members,omitempty"`
 	// AgeMs is how long ago the planner gave the notice, in an answer.
@@ -95,7 +97,7 @@
 	}
 }
 
-// get returns the last notice, without paces once it is too old.
+// get returns the last notice, without what it says of ranks once it is too old.
 func (b *board) get(now time.Time) Notice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,9 +118,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if len(n.Paces) > 0 {
-		a.log.Info("slow ranks of the group", zap.String("group", n.Group), zap.Int64("fence", n.Fence),
-			zap.String("paces", fmt.Sprint(n.Paces)))
+	if len(n.Paces) > 0 || len(n.Leaving) > 0 {
+		a.log.Info("slow and leaving ranks of the group", zap.String("group", n.Group), zap.Int64("fence", n.Fence),
+			zap.String("paces", fmt.Sprint(n.Paces)), zap.String("leaving", fmt.Sprint(n.Leaving)))
 	}
 	a.Notify(n)
 }
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -43,9 +43,11 @@
 	Abandoned
 	// Moved: another server has the address.
 	Moved
+	// Withdrawn: nothing was sent, because the server stopped taking requests after it was chosen.
+	Withdrawn
 )
 
-var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "abandoned", "moved"}
+var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "abandoned", "moved", "withdrawn"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -84,6 +86,9 @@
 	// refusals counts the answers in a row by which the server refused to run a request; until restUntil it gets no other.
 	refusals  int
 	restUntil time.Time
+	// held is the server's wish to be left alone, leaving its word that it leaves.
+	held    hold
+	leaving bool
 }
 
 func newBackend(s catalog.Server, dialect exchange.Dialect) *Backend {
@@ -123,7 +128,7 @@
 		b.streak, b.ejects, b.refusals = 0, 0, 0
 	case Refused:
 		b.refuse(now)
-	case Abandoned:
+	case Abandoned, Withdrawn:
 	case Failed:
 		b.failures += failureWeight * (1 - b.failures)
 		b.fail(1, now)
@@ -299,7 +304,7 @@
 		group, serves = b.group.Name, b.group.Serves(now)
 	}
 	return status{
-		usable: !b.removed && !b.server.Draining, group: group, groupServes: serves, rejecting: resting && b.refusals >= rejectingAfter,
+		usable: !b.leaves() && !b.held.blocks(now), group: group, groupServes: serves, rejecting: resting && b.refusals >= rejectingAfter,
 		ejected: b.missing || resting || now.Before(b.until) || b.isSilent(now, silentAfter), slots: b.server.Slots,
 		inFlight: b.inFlight, tokens: b.tokens, pace: b.pace,
 		failures: b.failures, local: b.server.Domain == domain,
@@ -320,6 +325,8 @@
 	Ejected   bool    `json:"ejected"`
 	Group     string  `json:"group,omitempty"`
 	Refusals  int     `json:"refusals"`
+	Leaving   bool    `json:"leaving"`
+	HeldMs    int64   `json:"held_ms"`
 	Idle      int     `json:"idle_connections"`
 }
 
@@ -334,6 +341,6 @@
 	return Dump{
 		Group: group, Refusals: b.refusals, ID: b.server.ID, Service: b.server.Service, Address: b.server.Address, InFlight: b.inFlight, Tokens: b.tokens,
 		Failures: b.failures, LatencyMs: float64(b.latency) / float64(time.Millisecond), Pace: b.pace, Draining: b.server.Draining,
-		Ejected: now.Before(b.until), Idle: b.Pool.Idle(),
+		Ejected: now.Before(b.until), Idle: b.Pool.Idle(), Leaving: b.leaving, HeldMs: max(b.held.until.Sub(now), 0).Milliseconds(),
 	}
 }
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -18,6 +18,9 @@
 	updates sync.Mutex
 	current atomic.Pointer[view]
 
+	// past holds the starts of servers that went from the list. The lock of updates guards it.
+	past map[startKey]pastStart
+
 	groupsLock sync.Mutex
 	groups     map[groupKey]*Group
 }
@@ -36,7 +39,7 @@
 
 // NewFleet returns a fleet without backends for a process in a failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
-	f := &Fleet{dialect: dialect, domain: domain, groups: map[groupKey]*Group{}}
+	f := &Fleet{dialect: dialect, domain: domain, past: map[startKey]pastStart{}, groups: map[groupKey]*Group{}}
 	f.current.Store(newView())
 	return f
 }
@@ -49,22 +52,25 @@
 }
 
 // Update takes the servers listed. A server that is newly missing is kept until a time, zero for not at all, and gets
-// requests only when no other server of its service can; its entry may have run out in an outage although it lives. It
-// returns what has changed.
+// requests only when no other server of its service can; its entry may have run out in an outage although it lives. Entries
+// that are older than what is known of the same start of their server change nothing. It returns what has changed.
 func (f *Fleet) Update(servers []catalog.Server, keepUntil, now time.Time) []Change {
 	f.updates.Lock()
 	defer f.updates.Unlock()
 	old, next := f.current.Load(), newView()
 	var changes []Change
 	for _, s := range servers {
+		if f.outdated(s, now) {
+			continue
+		}
 		b, known := old.byID[s.ID]
 		if known && (b.Pool.Address() != s.Address || b.restarted(s)) {
 			// Nothing that was learnt of the earlier process holds for the new one.
-			b.remove()
+			f.retire(b, now)
 			known = false
 		}
 		if !known {
-			b = newBackend(s, f.dialect)
+			b = f.enlist(s)
 			changes = append(changes, Change{Server: s, What: "added"})
 		} else if b.relist(s) {
 			changes = append(changes, Change{Server: s, What: "draining"})
@@ -79,21 +85,22 @@
 		if !missing {
 			until = keepUntil
 		}
-		changes = next.keep(id, b, until, now, changes)
+		changes = f.keep(next, b, until, now, changes)
 	}
 	f.current.Store(next)
 	return changes
 }
 
-// keep keeps a server that the list lacks until a time, and removes it from then on. It returns the changes with that.
-func (v *view) keep(id string, b *Backend, until, now time.Time, changes []Change) []Change {
+// keep keeps a server that the list lacks in the view until a time, and removes it from then on. It returns the changes with that.
+func (f *Fleet) keep(v *view, b *Backend, until, now time.Time, changes []Change) []Change {
+	s := b.Server()
 	if !now.Before(until) {
-		b.remove()
-		return append(changes, Change{Server: b.Server(), What: "removed"})
+		f.retire(b, now)
+		return append(changes, Change{Server: s, What: "removed"})
 	}
 	b.setMissing(true)
-	v.missing[id] = until
-	v.add(id, b)
+	v.missing[s.ID] = until
+	v.add(s.ID, b)
 	return changes
 }
 
@@ -108,7 +115,7 @@
 	var changes []Change
 	for id, b := range old.byID {
 		if until, missing := old.missing[id]; missing {
-			changes = next.keep(id, b, until, now, changes)
+			changes = f.keep(next, b, until, now, changes)
 			continue
 		}
 		next.add(id, b)
@@ -125,13 +132,6 @@
 	v.byService[service] = append(v.byService[service], b)
 }
 
-func (b *Backend) remove() {
-	b.mu.Lock()
-	b.removed = true
-	b.mu.Unlock()
-	b.Pool.Close()
-}
-
 func (b *Backend) setMissing(missing bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -145,12 +145,18 @@
 	return !s.Started.IsZero() && !b.server.Started.IsZero() && !s.Started.Equal(b.server.Started)
 }
 
-// relist takes the server's new entry and says whether it has begun to drain.
+// relist takes the server's new entry and says whether it has begun to drain. An entry with a lower count is from an older copy
+// of the list, and a server that has begun to drain does so until it starts anew.
 func (b *Backend) relist(s catalog.Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.missing = false
+	if counted(s) && s.Started.Equal(b.server.Started) && s.Seq < b.server.Seq {
+		return false
+	}
 	began := s.Draining && !b.server.Draining
-	b.server, b.missing = s, false
+	s.Draining = s.Draining || (b.server.Draining && !s.Started.IsZero())
+	b.server = s
 	return began
 }
 
@@ -159,7 +165,7 @@
 func (f *Fleet) SetPaces(service string, paces map[string]float64) []catalog.Server {
 	backends := f.Backends(service)
 	elsewhere := slices.ContainsFunc(backends, func(b *Backend) bool {
-		return paces[b.Pool.Address()] < movePace && !b.Server().Draining
+		return paces[b.Pool.Address()] < movePace && !b.Leaves()
 	})
 	var changed []catalog.Server
 	for _, b := range backends {
@@ -202,7 +208,7 @@
 func (f *Fleet) Usable(service string) int {
 	n := 0
 	for _, b := range f.Backends(service) {
-		if s := b.Server(); !s.Draining {
+		if !b.Leaves() {
 			n++
 		}
 	}
--- a/gateway/balance/group.go
+++ b/gateway/balance/group.go
@@ -124,7 +124,7 @@
 		if byName[info.Name] == nil {
 			byName[info.Name] = &info
 		}
-		if !s.Draining {
+		if !b.Leaves() {
 			byName[info.Name].Slots += s.Slots
 		}
 	}
--- /dev/null
+++ b/gateway/balance/hold_test.go
@@ -0,0 +1,153 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/catalog"
+)
+
+var born = time.UnixMilli(1_700_000_000_000)
+
+// started is a server that says when it started and how often it has written its entry.
+func started(id string, at time.Time, seq int64) catalog.Server {
+	s := server(id)
+	s.Started, s.Seq = at, seq
+	return s
+}
+
+func pickErr(f *Fleet, now time.Time) error {
+	_, err := f.Pick(Query{Service: "s", Random: func() float64 { return 0.5 }, Now: now})
+	return err
+}
+
+// Guards against requests to a server that has asked for none for a while, and against a herd of them at the end of that time.
+// Pattern: callers that were refused come back together.
+func TestHeldServerGetsNothingAndThenOneRequest(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a")}, time.Time{}, now)
+	a := f.Backends("s")[0]
+	a.Hold(2*time.Second, now)
+	a.Hold(time.Second, now) // A shorter wish does not end a longer one.
+	later := now.Add(500 * time.Millisecond)
+	require.Error(t, pickErr(f, later))
+	require.Equal(t, 1500*time.Millisecond, f.HeldFor("s", later))
+	require.False(t, a.Takes(now.Add(1999*time.Millisecond)))
+
+	end := now.Add(2 * time.Second)
+	require.True(t, a.Takes(end))
+	require.NoError(t, pickErr(f, end), "the trial")
+	require.Error(t, pickErr(f, end.Add(time.Millisecond)), "the trial has not been answered")
+	a.Accepted(end.Add(-time.Millisecond))
+	require.Error(t, pickErr(f, end.Add(2*time.Millisecond)), "an answer to a request from before says nothing")
+	a.Accepted(end)
+	for range 3 {
+		require.NoError(t, pickErr(f, end.Add(3*time.Millisecond)))
+	}
+	require.Zero(t, f.HeldFor("s", end))
+}
+
+// Guards against callers that are told to wait for the end of a hold although another server takes requests, or for a server that
+// leaves.
+func TestHoldOfOneServerIsNotThatOfTheService(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b"), server("c")}, time.Time{}, now)
+	f.byID("a").Hold(3*time.Second, now)
+	f.byID("b").Hold(2*time.Second, now)
+	require.Zero(t, f.HeldFor("s", now))
+	f.byID("c").Leave()
+	require.Equal(t, 2*time.Second, f.HeldFor("s", now))
+}
+
+// Guards against a server that is never tried again because its trial was not answered, and against a second hold that is missed.
+func TestTrialAfterAHoldMayFail(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a")}, time.Time{}, now)
+	a := f.Backends("s")[0]
+	a.Hold(time.Second, now)
+	now = now.Add(time.Second)
+	require.NoError(t, pickErr(f, now))
+	now = now.Add(trialTime)
+	require.NoError(t, pickErr(f, now), "another trial")
+	a.Hold(time.Second, now)
+	require.Error(t, pickErr(f, now.Add(900*time.Millisecond)))
+}
+
+// Guards against a hold, or the word of a server that it leaves, that is lost when its entry is away for a while. It ends when the
+// server starts anew under its ID.
+func TestWordsOfAServerSurviveChangesOfTheList(t *testing.T) {
+	for name, say := range map[string]func(b *Backend, now time.Time){
+		"wants nothing": func(b *Backend, now time.Time) { b.Hold(time.Minute, now) },
+		"leaves":        func(b *Backend, _ time.Time) { require.True(t, b.Leave()); require.False(t, b.Leave()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			f := NewFleet(noDialect{}, "d")
+			f.Update([]catalog.Server{started("a", born, 1)}, time.Time{}, now)
+			say(f.Backends("s")[0], now)
+			require.Empty(t, pickID(t, f, now))
+			f.Update([]catalog.Server{started("a", born, 2)}, time.Time{}, now)
+			require.Empty(t, pickID(t, f, now), "its entry was written again")
+			f.Update(nil, time.Time{}, now)
+			f.Update([]catalog.Server{started("a", born, 3)}, time.Time{}, now)
+			require.Empty(t, pickID(t, f, now), "its entry has come back")
+			f.Update([]catalog.Server{started("a", born.Add(time.Second), 1)}, time.Time{}, now)
+			require.Equal(t, "a", pickID(t, f, now), "it has started anew")
+		})
+	}
+}
+
+// Guards against a list that was restored from an older copy and takes back what is known: a server that drains, and one that has
+// gone. A living one is used again as soon as it writes its entry.
+func TestOlderCopyOfTheListTakesNothingBack(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	old := []catalog.Server{started("a", born, 5), started("b", born, 5), started("c", born, 5)}
+	f.Update(old, time.Time{}, now)
+	drains := started("a", born, 7)
+	drains.Draining = true
+	f.Update([]catalog.Server{drains, started("c", born, 6)}, time.Time{}, now)
+	require.Equal(t, "c", pickID(t, f, now))
+
+	f.Update(old, now.Add(time.Second), now)
+	c := f.byID("c")
+	require.Equal(t, "c", pickID(t, f, now))
+	require.Empty(t, pickID(t, f, now, c), "a drains and b has gone")
+	require.EqualValues(t, 6, c.Server().Seq)
+	f.Update([]catalog.Server{started("a", born, 8), started("b", born, 7), started("c", born, 7)}, time.Time{}, now)
+	require.Equal(t, "b", pickID(t, f, now, c), "b lives, a has not started anew")
+	require.Empty(t, pickID(t, f, now, c, f.byID("b")))
+}
+
+// Guards against a copy that shows the start of a server before the present one, whose entry is then taken for a restart.
+func TestEntryOfAnEarlierStartIsNoRestart(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{started("a", born, 5)}, time.Time{}, now)
+	f.Update([]catalog.Server{started("a", born.Add(time.Minute), 2)}, time.Time{}, now)
+	present := f.byID("a")
+	present.Hold(time.Minute, now)
+	f.Update([]catalog.Server{started("a", born, 5)}, now.Add(time.Second), now)
+	require.Same(t, present, f.byID("a"))
+	require.Empty(t, pickID(t, f, now))
+}
+
+// Guards against a notice that outlives the start of the server which it means.
+func TestNoticeOfALeavingServerMeansOneStart(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{started("a", born, 1), started("b", born, 1)}, time.Time{}, now)
+	require.Empty(t, f.SetLeaving("s", map[string]int64{"a:80": born.UnixMilli() - 1, "b:80": 0}))
+	require.NotEmpty(t, pickID(t, f, now))
+	require.Len(t, f.SetLeaving("s", map[string]int64{"a:80": born.UnixMilli()}), 1)
+	require.Equal(t, "b", pickID(t, f, now))
+	require.Equal(t, 1, f.Usable("s"))
+	require.Equal(t, 4, f.Groups("s", now)[0].Slots)
+}
+
+func (f *Fleet) byID(id string) *Backend { return f.current.Load().byID[id] }
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -45,6 +45,16 @@
 // Pick returns the server with the lowest score. Servers that are left out after failures are taken only when there is
 // no other. It fails with a *NoBackendError.
 func (f *Fleet) Pick(q Query) (*Backend, error) {
+	for {
+		b, err := f.pick(q)
+		// Of requests that choose a server at once after it wanted none, one gets it.
+		if err != nil || b.claim(q.Now) {
+			return b, err
+		}
+	}
+}
+
+func (f *Fleet) pick(q Query) (*Backend, error) {
 	listed := f.Backends(q.Service)
 	var best, fallback choice
 	for _, b := range listed {
--- a/gateway/exchange/exchange_test.go
+++ b/gateway/exchange/exchange_test.go
@@ -197,3 +197,16 @@
 func (idDialect) Response(_ int, h http.Header) Verdict {
 	return Verdict{ID: h.Get("Id"), Signed: true}
 }
+
+// Guards against a request that reaches a server which asked for none while the connection was made.
+func TestNothingIsSentToAServerThatWantsNoneAnyMore(t *testing.T) {
+	got := make(chan struct{}, 1)
+	p := NewPool(serveBytes(t, func(net.Conn) { got <- struct{}{} }), openDialect{})
+	_, err := p.Do(t.Context(), &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Wanted: func() bool { return false }})
+	var withdrawn *WithdrawnError
+	require.ErrorAs(t, err, &withdrawn)
+	_, err = p.Do(t.Context(), &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Wanted: func() bool { return true }})
+	require.Error(t, err, "the server answers nothing")
+	<-got
+	require.Empty(t, got, "one of the two requests arrived")
+}
--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -106,13 +106,17 @@
 }
 
 // Do sends a request and returns the head of its answer; the body is read from the answer, which must be closed. When
-// the context ends, the connection is closed, also while the body is read. Errors are *ConnectError, *BrokenError and
-// *AnswerError.
+// the context ends, the connection is closed, also while the body is read. Errors are *ConnectError and *WithdrawnError, after
+// which nothing was sent, *BrokenError and *AnswerError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
 	c, err := p.connect(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if r.Wanted != nil && !r.Wanted() {
+		c.net.Close()
+		return nil, merry.Wrap(&WithdrawnError{Address: p.address})
+	}
 	a := &Answer{pool: p, conn: c}
 	a.stop = context.AfterFunc(ctx, c.abort)
 	if err := a.exchange(r, p.dialect); err != nil {
@@ -148,12 +152,15 @@
 // late may answer an older request first.
 func (a *Answer) exchange(r *Request, dialect Dialect) error {
 	written := r.write(a.conn.net)
+	leaving := false
 	for range maxStale + 1 {
 		resp, err := a.conn.readResponse(r.httpRequest()) //nolint:bodyclose // Answer.Close ends the exchange.
 		if err != nil {
 			return err
 		}
 		a.Response, a.Verdict = resp, dialect.Response(resp.StatusCode, resp.Header)
+		leaving = leaving || a.Verdict.Leaving // Late answers to other requests say it as well.
+		a.Verdict.Leaving = leaving
 		a.idle = announcedIdle(resp.Header.Get("Keep-Alive"))
 		if a.Verdict.ID == r.ID || a.Verdict.ID == "" {
 			return a.check(written)
--- a/gateway/exchange/request.go
+++ b/gateway/exchange/request.go
@@ -20,6 +20,8 @@
 	Body   []byte
 	// HasBody says that the caller sent a body, which may be empty.
 	HasBody bool
+	// Wanted is asked directly before the request is written, which may be some time after the server was chosen; nil for always.
+	Wanted func() bool
 }
 
 func (r *Request) httpRequest() *http.Request { return &http.Request{Method: r.Method} }
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -207,6 +207,10 @@
 	return c.comeBack(max(wait, time.Duration(lateShare*float64(latest))))
 }
 
+// comeBackAfter is comeBack for servers that take nothing before a time, also when callers do not wait for that long: before it they
+// would be refused once more.
+func (c *call) comeBackAfter(held time.Duration) time.Duration { return max(held, c.comeBack(held)) }
+
 // ended returns the failure of a request whose context has ended.
 func (c *call) ended(mayHaveRun bool) *Failure {
 	if c.r.Context().Err() == nil {
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
@@ -108,14 +110,14 @@
 func (c *call) sent() int {
 	n := 0
 	for _, a := range c.attempts {
-		if a.outcome != balance.Unreachable {
+		if a.outcome != balance.Unreachable && a.outcome != balance.Withdrawn {
 			n++
 		}
 	}
 	return n
 }
 
-// maxUnreachable bounds the servers that a request tries in vain to connect to.
+// maxUnreachable bounds the servers that a request is not sent to after they were chosen.
 const maxUnreachable = 3
 
 // mayRepeat says whether the request may be sent to another server.
@@ -136,6 +138,7 @@
 		detail += "; the last server: " + c.attempts[n-1].detail
 	}
 	var closed *ClosedError
+	held := c.server.opts.Fleet.HeldFor(c.service, time.Now())
 	switch {
 	case errors.As(why, &closed) && !c.mayHaveRun():
 		return &Failure{
@@ -144,6 +147,8 @@
 		}
 	case c.mayHaveRun():
 		return &Failure{Status: http.StatusBadGateway, Reason: reasonBroken, Detail: detail}
+	case held > 0:
+		return c.heldFailure(held, detail)
 	case len(c.attempts) == 0:
 		return &Failure{
 			Status: http.StatusServiceUnavailable, Reason: reasonNoServer, Detail: detail,
@@ -156,6 +161,13 @@
 	}
 }
 
+// heldFailure refuses a request to a service whose servers all want none for a time.
+func (c *call) heldFailure(held time.Duration, detail string) *Failure {
+	return &Failure{
+		Status: http.StatusServiceUnavailable, Reason: reasonHeld, Detail: detail, RetryAfter: c.comeBackAfter(held),
+	}
+}
+
 const (
 	// noServerWait is about the time after which a lost server is back in the list or replaced.
 	noServerWait = time.Second
@@ -223,18 +235,24 @@
 
 func (c *call) exchange(ctx context.Context, b *balance.Backend, a *attempt) result {
 	req := c.request(a.server)
+	req.Wanted = func() bool { return b.Takes(time.Now()) }
+	sent := time.Now()
 	ans, err := b.Pool.Do(ctx, req)
 	if err != nil {
 		c.classify(ctx, err, a)
 		return result{}
 	}
 	defer ans.Close()
+	c.takeVerdict(ans, b, a)
 	if ans.Verdict.NotExecuted {
 		c.refused(ans, b, a)
 		return result{}
 	}
 	first := time.Now()
 	b.Heard(first)
+	if ans.StatusCode != http.StatusServiceUnavailable {
+		b.Accepted(sent)
+	}
 	if isStream(ans) && ans.StatusCode < http.StatusMultipleChoices {
 		return result{answered: c.relayStream(ctx, ans, a), firstByte: first}
 	}
@@ -245,6 +263,24 @@
 	return result{answered: c.relayBody(ctx, ans, a), firstByte: first}
 }
 
+// takeVerdict takes what the server says of itself: that it leaves, or that it wants nothing for a while. The answer of another
+// server at the address says neither of this one.
+func (c *call) takeVerdict(ans *exchange.Answer, b *balance.Backend, a *attempt) {
+	v := ans.Verdict
+	if ans.StatusCode == http.StatusMisdirectedRequest && v.FaultAt != a.server {
+		return
+	}
+	log := c.server.opts.Log.With(zap.String("server", a.server), zap.String("service", c.service), zap.String("request", c.meta.ID))
+	if v.Leaving && b.Leave() {
+		log.Info("backend server says that it leaves")
+		c.server.RefreshGroups()
+	}
+	if ans.StatusCode == http.StatusServiceUnavailable && v.RetryAfter > 0 {
+		b.Hold(v.RetryAfter, time.Now())
+		log.Info("backend server wants no requests for a while", zap.Duration("retry_after", v.RetryAfter))
+	}
+}
+
 // refused takes an answer by which the server says that it did not run the request.
 func (c *call) refused(ans *exchange.Answer, b *balance.Backend, a *attempt) {
 	a.mayHaveRun = false
@@ -266,7 +302,10 @@
 func (c *call) classify(ctx context.Context, err error, a *attempt) {
 	a.detail = err.Error()
 	var connect *exchange.ConnectError
+	var withdrawn *exchange.WithdrawnError
 	switch {
+	case errors.As(err, &withdrawn):
+		a.outcome, a.mayHaveRun = balance.Withdrawn, false
 	case errors.As(err, &connect):
 		a.outcome, a.mayHaveRun = balance.Unreachable, false
 		if ctx.Err() != nil {
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -32,6 +32,8 @@
 	testLast     = "T-Last"
 	testFault    = "T-Fault"
 	testPriority = "T-Priority"
+	testRetry    = "T-Retry-After"
+	testLeaving  = "T-Leaving"
 )
 
 type testDialect struct{}
@@ -58,9 +60,11 @@
 }
 
 func (testDialect) Response(status int, h http.Header) exchange.Verdict {
+	retry, _ := strconv.ParseFloat(h.Get(testRetry), 64)
 	return exchange.Verdict{
 		ID: h.Get(testID), Signed: h.Get(testSeal) != "",
 		NotExecuted: h.Get(testRefused) != "" || status == http.StatusMisdirectedRequest, FaultAt: h.Get(testFault),
+		RetryAfter: time.Duration(retry * float64(time.Second)), Leaving: h.Get(testLeaving) != "",
 	}
 }
 
--- /dev/null
+++ b/gateway/ingress/hold_test.go
@@ -0,0 +1,107 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const notRunHead = "HTTP/1.1 503 Service Unavailable\r\nT-Id: ID\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n"
+
+// Guards against requests to a server that has refused one and named a time for which it wants nothing, on each way on which requests
+// are sent (BUDGET), and against callers that are kept waiting or told to come back before that time.
+func TestServerThatNamesATimeIsLeftAlone(t *testing.T) {
+	for _, path := range []string{"/once/x", "/idem/x", "/stream/x", "/fixed/x"} {
+		t.Run(path, func(t *testing.T) {
+			s := newReplica(t, "a", raw(notRunHead+"T-Retry-After: 30\r\n\r\n"))
+			g := newGateway(t, s)
+			for range 5 {
+				resp, body, err := g.get(t, path, testDeadline, "4000")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+				require.Contains(t, body, `"executed":"no"`)
+				after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.Greater(t, after, 29.0, "a caller that comes back sooner is refused again")
+			}
+			require.Equal(t, 1, s.count())
+		})
+	}
+}
+
+// Guards against a hold that keeps a request from another server, and against one that outlives its time.
+func TestOthersServeWhileAServerIsLeftAlone(t *testing.T) {
+	held := newReplica(t, "a", raw(notRunHead+"T-Retry-After: 0.4\r\n\r\n"), ok("back"))
+	other := newReplica(t, "b", ok("other"))
+	g := newGateway(t, held, other)
+	for range 6 {
+		_, body, err := g.get(t, "/once/x")
+		require.NoError(t, err)
+		require.Equal(t, "other", body)
+	}
+	require.Equal(t, 1, held.count())
+	require.Eventually(t, func() bool {
+		_, body, err := g.get(t, "/once/x")
+		return err == nil && body == "back"
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
+// Guards against callers of whom each tries a server that has asked for none.
+// Pattern: a herd of callers at a server that is full.
+func TestHerdIsTurnedAwayAfterTheFirstRefusal(t *testing.T) {
+	s := newReplica(t, "a", raw(notRunHead+"T-Retry-After: 30\r\n\r\n"))
+	g := newGateway(t, s)
+	_, _, err := g.get(t, "/once/x")
+	require.NoError(t, err)
+	var callers sync.WaitGroup
+	for range 30 {
+		callers.Go(func() { _, _, _ = g.get(t, "/idem/x") })
+	}
+	callers.Wait()
+	require.Equal(t, 1, s.count())
+}
+
+// Guards against new work at a server that has said in an answer that it leaves, whatever the list says (DRAIN). Streams that run
+// there go on to their end.
+func TestServerThatSaysItLeavesGetsNoMore(t *testing.T) {
+	const leaving = "T-Leaving: 1\r\n"
+	for name, first := range map[string]answer{
+		"success": raw(signed + leaving + "Content-Length: 2\r\n\r\nok"),
+		"refusal": raw(notRunHead + leaving + "\r\n"),
+		"failure": raw("HTTP/1.1 500 Internal Server Error\r\nT-Id: ID\r\n" + leaving + "Content-Length: 0\r\n\r\n"),
+		"stream": raw(signed + leaving + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			chunk("id: 1\ndata: x1\n\n") + lastChunk),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newReplica(t, "a", first, ok("again"))
+			g := newGateway(t, s)
+			path := "/once/x"
+			if name == "stream" {
+				path = "/fixed/x"
+			}
+			_, _, err := g.get(t, path)
+			require.NoError(t, err)
+			resp, _, err := g.get(t, path)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.Equal(t, 1, s.count())
+		})
+	}
+}
+
+// Guards against the word of another server at the address that is taken for that of the one listed there.
+func TestAnotherServersWordIsNotTaken(t *testing.T) {
+	moved := raw("HTTP/1.1 421 Misdirected Request\r\nT-Id: ID\r\nT-Leaving: 1\r\nT-Retry-After: 30\r\nContent-Length: 0\r\n\r\n")
+	s := newReplica(t, "a", moved, ok("it is back"))
+	g := newGateway(t, s)
+	_, _, err := g.get(t, "/once/x")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		_, body, err := g.get(t, "/once/x")
+		return err == nil && body == "it is back"
+	}, 10*time.Second, 50*time.Millisecond)
+}
