Forget what was in demand before a shift

Two or three maps were loaded for the mixture, and passes were long until then.

Change: where a quarter of a layer's choices go to other experts than before, its estimate begins anew.

--- a/expertmap/rollout/demand.go
+++ b/expertmap/rollout/demand.go
@@ -23,30 +23,74 @@
 	return &Demand{shape: s, memory: memory, last: make([]Counts, s.Ranks), chosen: make([]float64, s.Layers*s.Experts)}
 }
 
-// Observe takes the counts of all ranks. A rank whose counts started anew adds nothing this time.
+// Observe takes the counts of all ranks. A rank whose counts started anew adds nothing this time. Where a layer's choices differ much
+// from the estimate, what was seen before is forgotten: the content of requests has changed, and a map that is made for a mixture of
+// both serves neither.
 func (d *Demand) Observe(states []State, now time.Time) {
 	fade := math.Exp(-float64(now.Sub(d.at)) / float64(d.memory))
 	for i := range d.chosen {
 		d.chosen[i] *= fade
 	}
+	d.at = now
+	fresh := d.differences(states)
+	for l := range d.shape.Layers {
+		from, to := l*d.shape.Experts, (l+1)*d.shape.Experts
+		row, latest := d.chosen[from:to], fresh[from:to]
+		if distance(row, latest) > shiftDistance {
+			clear(row)
+		}
+		for e, n := range latest {
+			row[e] += n
+		}
+	}
+}
+
+// differences returns how often each expert was chosen since the last observation.
+func (d *Demand) differences(states []State) []float64 {
 	if len(states) > 0 && states[0].Epoch != d.epoch {
 		d.epoch = states[0].Epoch
 		clear(d.last) // The counts of another epoch are no base for differences.
 	}
+	fresh := make([]float64, len(d.chosen))
 	for r, s := range states {
 		if s.Counts == nil {
 			continue // Not asked this time.
 		}
 		before := d.last[r]
 		d.last[r] = s.Counts
-		if len(before) != len(d.chosen) || len(s.Counts) != len(d.chosen) {
+		if len(before) != len(fresh) || len(s.Counts) != len(fresh) {
 			continue
 		}
 		for i, n := range s.Counts {
-			d.chosen[i] += float64(n - before[i]) // The difference of counts modulo 65,536.
+			fresh[i] += float64(n - before[i]) // The difference of counts modulo 65,536.
 		}
 	}
-	d.at = now
+	return fresh
+}
+
+// shiftDistance is the part of the choices that have to go to other experts than before for the demand to count as another one. The
+// requests that happen to run together differ by less.
+const shiftDistance = 0.25
+
+// distance returns the part of the choices, 0 to 1, by which two layers differ (total variation), 0 while either says too little.
+func distance(a, b []float64) float64 {
+	sumA, sumB := sum(a), sum(b)
+	if sumA < minChosen || sumB < minChosen {
+		return 0
+	}
+	total := 0.0
+	for i := range a {
+		total += math.Abs(a[i]/sumA - b[i]/sumB)
+	}
+	return total / 2
+}
+
+func sum(row []float64) float64 {
+	total := 0.0
+	for _, n := range row {
+		total += n
+	}
+	return total
 }
 
 // minChosen is the number of choices in a layer, in units of CountUnit, below which an estimate says nothing.
@@ -57,15 +101,12 @@
 	load := expertmap.NewLoad(d.shape)
 	for l := range d.shape.Layers {
 		row := d.chosen[l*d.shape.Experts : (l+1)*d.shape.Experts]
-		sum := 0.0
-		for _, n := range row {
-			sum += n
-		}
-		if sum < minChosen {
+		total := sum(row)
+		if total < minChosen {
 			return nil, false
 		}
 		for e, n := range row {
-			load.Layer(l)[e] = n / sum
+			load.Layer(l)[e] = n / total
 		}
 	}
 	return load, true
--- /dev/null
+++ b/expertmap/rollout/demand_test.go
@@ -0,0 +1,109 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/expertmap"
+)
+
+// popularity is the share of each expert of a layer: a few are chosen often, and the others seldom.
+func popularity(order []int) []float64 {
+	out := make([]float64, len(order))
+	total := 0.0
+	for i, e := range order {
+		out[e] = 1 / float64((i+1)*(i+1))
+		total += out[e]
+	}
+	for e := range out {
+		out[e] /= total
+	}
+	return out
+}
+
+// demandTrial counts choices at the ranks and lets a Demand observe them.
+type demandTrial struct {
+	demand *Demand
+	shape  expertmap.Shape
+	rng    *rand.Rand
+	states []State
+	now    time.Time
+}
+
+func newDemandTrial(s expertmap.Shape) *demandTrial {
+	d := &demandTrial{
+		demand: NewDemand(s, 700*time.Millisecond), shape: s, rng: rand.New(rand.NewPCG(4, 4)), states: make([]State, s.Ranks),
+		now: time.Now(),
+	}
+	for r := range d.states {
+		d.states[r] = State{Epoch: 1, Counts: make(Counts, s.Layers*s.Experts)}
+	}
+	return d
+}
+
+// observe adds the choices of some time by a popularity, which single streams follow roughly, and returns the estimate.
+func (d *demandTrial) observe(shares []float64) []float64 {
+	const choices, spread = 4000, 0.4
+	for r := range d.states {
+		d.states[r].Counts = slices.Clone(d.states[r].Counts)
+		for i := range d.states[r].Counts {
+			share := shares[i%d.shape.Experts] * (1 + spread*(2*d.rng.Float64()-1))
+			d.states[r].Counts[i] += uint16(choices * share)
+		}
+	}
+	d.now = d.now.Add(200 * time.Millisecond)
+	d.demand.Observe(d.states, d.now)
+	load, known := d.demand.Load()
+	if !known {
+		return nil
+	}
+	return load.Layer(0)
+}
+
+// Guards against maps that are made for a mixture of what was in demand and what is: after a shift the estimate was wrong for more
+// than a second, in which two or three maps were loaded for nothing and passes were long. Pattern: other experts are in demand every
+// few seconds.
+func TestEstimateForgetsAfterAShift(t *testing.T) {
+	s := expertmap.Shape{Ranks: 4, Experts: 32, Layers: 2, Slots: 10}
+	d := newDemandTrial(s)
+	order := d.rng.Perm(s.Experts)
+	before := popularity(order)
+	d.observe(before)
+	for range 10 {
+		require.Less(t, totalVariation(d.observe(before), before), 0.1)
+	}
+	slices.Reverse(order)
+	after := popularity(order)
+	require.Less(t, totalVariation(d.observe(after), after), 0.15, "the first poll after the shift shows it")
+}
+
+// Guards against an estimate that follows each composition of the requests that happen to run together.
+func TestEstimateAveragesWhileNothingShifts(t *testing.T) {
+	s := expertmap.Shape{Ranks: 4, Experts: 32, Layers: 2, Slots: 10}
+	d := newDemandTrial(s)
+	shares := popularity(d.rng.Perm(s.Experts))
+	tilted := popularity(d.rng.Perm(s.Experts))
+	for e := range tilted {
+		tilted[e] = 0.85*shares[e] + 0.15*tilted[e]
+	}
+	d.observe(shares)
+	for range 10 {
+		d.observe(shares)
+	}
+	require.Less(t, totalVariation(d.observe(tilted), shares), 0.5*totalVariation(tilted, shares))
+}
+
+func totalVariation(a, b []float64) float64 {
+	scaled := func(row []float64) []float64 {
+		out := make([]float64, len(row))
+		for i := range row {
+			out[i] = row[i] * 1e6
+		}
+		return out
+	}
+	return distance(scaled(a), scaled(b))
+}
