Spread what a new expert map loads over the ranks

Cause: layers were searched one by one with a bound for each, so that 10 to 15 experts of a map fell on few ranks and the fullest loaded three or four of them. A map is in force when that rank is done: 0.44 to 0.59 s of copying after each shift, while 12 loads over 8 ranks need 0.3 s.

Change: expertmap.Relieve searches all layers together under one bound for each rank, the change with the largest gain for each load first. The planner weighs maps with one to six loads a rank.

Ruled out: fewer loads alone. The plans before had maps with one new expert a layer and rank, and these loaded up to six at one rank.

--- a/expertmap/placement_test.go
+++ b/expertmap/placement_test.go
@@ -72,7 +72,7 @@
 	require.NoError(t, err)
 	y := newLayer(m, 0, load.Layer(0), even(64), 0)
 	for range 40 {
-		c, ok := y.best(0)
+		c, _, ok := y.best(0)
 		if !ok {
 			break
 		}
--- a/expertmap/plan.go
+++ b/expertmap/plan.go
@@ -53,11 +53,8 @@
 // while the gain over the expected life exceeds the cost and the budget lasts (greedy rule for the fractional
 // knapsack, Dantzig, 1957). It fails with a *SizeError.
 func Improve(current *Map, load *Load, speed []float64, costs Costs) (Plan, error) {
-	if len(speed) != current.Shape.Ranks {
-		return Plan{}, &SizeError{What: "speeds", Want: current.Shape.Ranks, Got: len(speed)}
-	}
-	if want := current.Shape.Layers * current.Shape.Experts; len(load.Seconds) != want {
-		return Plan{}, &SizeError{What: "load", Want: want, Got: len(load.Seconds)}
+	if err := checkSizes(current, load, speed); err != nil {
+		return Plan{}, err
 	}
 	before := StepTimes(current, load, speed).Step
 	plan := Plan{Before: before, After: before}
@@ -79,6 +76,16 @@
 	return accept(plan, current, next, load, speed, costs), nil
 }
 
+func checkSizes(m *Map, load *Load, speed []float64) error {
+	if len(speed) != m.Shape.Ranks {
+		return &SizeError{What: "speeds", Want: m.Shape.Ranks, Got: len(speed)}
+	}
+	if want := m.Shape.Layers * m.Shape.Experts; len(load.Seconds) != want {
+		return &SizeError{What: "load", Want: want, Got: len(load.Seconds)}
+	}
+	return nil
+}
+
 // accept takes the new map if its gain over its life exceeds the cost of all its loads and of the switch.
 func accept(plan Plan, current, next *Map, load *Load, speed []float64, costs Costs) Plan {
 	after := StepTimes(next, load, speed).Step
@@ -101,7 +108,7 @@
 	var path [][]uint16
 	total := 0
 	for range maxLayerSteps {
-		c, ok := y.best(minGainShare * start)
+		c, _, ok := y.best(minGainShare * start)
 		if !ok {
 			break
 		}
--- /dev/null
+++ b/expertmap/relieve_test.go
@@ -0,0 +1,102 @@
+package expertmap
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a map that loads more at a rank, or in a layer of it, than allowed, that is worse than the one before, or whose
+// predicted times are not those of the map.
+func TestRelieveProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Shape{Ranks: rapid.IntRange(2, 8).Draw(t, "ranks"), Layers: 3, Slots: rapid.IntRange(2, 5).Draw(t, "slots")}
+		s.Experts = rapid.IntRange(s.Slots, s.Ranks*s.Slots).Draw(t, "experts")
+		load := skewedLoad(s, rapid.Uint64().Draw(t, "seed"), 1.5)
+		speed := even(s.Ranks)
+		speed[0] = rapid.Float64Range(0.3, 1).Draw(t, "speed")
+		start, err := Balanced(1, skewedLoad(s, 7, 1), even(s.Ranks))
+		require.NoError(t, err)
+		b := Bounds{LayerNew: rapid.IntRange(0, 3).Draw(t, "layer"), RankNew: rapid.IntRange(0, 4).Draw(t, "rank")}
+		plan, err := Relieve(start, load, speed, b)
+		require.NoError(t, err)
+		if plan.Map == nil {
+			require.Equal(t, plan.Before, plan.After)
+			return
+		}
+		require.InDelta(t, StepTimes(plan.Map, load, speed).Step, plan.After, 1e-12)
+		require.Less(t, plan.After, plan.Before)
+		for r, loads := range Loads(start, plan.Map) {
+			if b.RankNew > 0 {
+				require.LessOrEqual(t, loads, b.RankNew)
+			}
+			for l := range s.Layers {
+				fresh := 0
+				for _, e := range plan.Map.Slots(l, r) {
+					if e != Empty && !contains(start.Slots(l, r), e) {
+						fresh++
+					}
+				}
+				require.True(t, b.LayerNew == 0 || fresh <= b.LayerNew, "%d new experts", fresh)
+			}
+		}
+	})
+}
+
+func contains(slots []uint16, e uint16) bool {
+	for _, other := range slots {
+		if other == e {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a map that is in force late because one rank loads most of what is new. Pattern: other experts are in demand in all
+// layers at once, so that each layer has one rank that holds up the others.
+func TestRelieveSpreadsLoadsOverRanks(t *testing.T) {
+	s := Shape{Ranks: 8, Experts: 64, Layers: 6, Slots: 11}
+	speed := even(s.Ranks)
+	before := skewedLoad(s, 1, 1.2)
+	start, err := Balanced(1, before, speed)
+	require.NoError(t, err)
+	after := skewedLoad(s, 2, 1.2)
+	loads := func(p Plan) int {
+		most := 0
+		for _, n := range Loads(start, p.Map) {
+			most = max(most, n)
+		}
+		return most
+	}
+	free, err := Improve(start, after, speed, Costs{LifeSteps: 1, BudgetBytes: 1, LoadSeconds: 1e-6, MaxNew: 1})
+	require.NoError(t, err)
+	spread, err := Relieve(start, after, speed, Bounds{RankNew: 2})
+	require.NoError(t, err)
+	require.LessOrEqual(t, loads(spread), 2)
+	require.Greater(t, loads(free), 2, "the layers for themselves load more at one rank")
+	gain := func(p Plan) float64 { return (p.Before - p.After) / (p.Before - StepTimes(start, after, speed).Mean) }
+	require.Greater(t, gain(spread), 0.6, "most of what there is to gain")
+}
+
+// Guards against loads that cost more than they save.
+func TestRelieveWeighsEachLoad(t *testing.T) {
+	s := Shape{Ranks: 8, Experts: 64, Layers: 6, Slots: 11}
+	speed := even(s.Ranks)
+	start, err := Balanced(1, skewedLoad(s, 1, 1), speed)
+	require.NoError(t, err)
+	load := skewedLoad(s, 2, 1)
+	cheap, err := Relieve(start, load, speed, Bounds{})
+	require.NoError(t, err)
+	cost := (cheap.Before - cheap.After) / float64(cheap.Loads)
+	dear, err := Relieve(start, load, speed, Bounds{LoadSeconds: cost})
+	require.NoError(t, err)
+	require.Less(t, dear.Loads, cheap.Loads)
+	require.GreaterOrEqual(t, dear.Before-dear.After, cost*float64(dear.Loads))
+	none, err := Relieve(start, load, speed, Bounds{LoadSeconds: 1})
+	require.NoError(t, err)
+	require.Nil(t, none.Map)
+	_, err = Relieve(start, load, speed[1:], Bounds{})
+	var size *SizeError
+	require.ErrorAs(t, err, &size)
+}
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -277,9 +277,10 @@
 	var out candidate
 	speeds := p.speeds()
 	least := leastGain(p.set.MinGain, p.group.timing.each, p.set.PauseAim)
-	for most := 1; most <= max(p.set.MaxNew, 1); most++ {
-		costs := expertmap.Costs{BudgetBytes: 1, LifeSteps: 1, LoadSeconds: minLoadGain / float64(p.set.Shape.Ranks), MaxNew: min(most, p.set.MaxNew)}
-		plan, err := expertmap.Improve(p.current, load, speeds, costs)
+	for most := 1; most <= maxRankLoads; most++ {
+		plan, err := expertmap.Relieve(p.current, load, speeds, expertmap.Bounds{
+			LayerNew: p.set.MaxNew, RankNew: most, LoadSeconds: minLoadGain / float64(p.set.Shape.Ranks),
+		})
 		if err != nil {
 			return out, err
 		}
@@ -294,6 +295,9 @@
 	return out, nil
 }
 
+// maxRankLoads is the most experts that a rank loads for one map.
+const maxRankLoads = 6
+
 const (
 	// busyPass is the share of the aim for pauses from which passes count as long.
 	busyPass = 0.75
--- a/expertmap/search.go
+++ b/expertmap/search.go
@@ -20,6 +20,8 @@
 	had      []bool
 	fresh    []int
 	maxFresh int
+	// budget is the number of experts that each rank may still load for all layers, which share it; nil is no bound.
+	budget []int
 }
 
 func newLayer(m *Map, l int, work, speed []float64, maxFresh int) *layer {
@@ -74,24 +76,37 @@
 // allows says whether a rank may take an expert into a slot.
 func (y *layer) allows(slot int, e uint16) bool {
 	r := slot / y.s.Slots
-	if y.maxFresh == 0 || !y.isFresh(r, e) || y.isFresh(r, y.slots[slot]) {
+	if !y.isFresh(r, e) || y.isFresh(r, y.slots[slot]) {
 		return true
 	}
-	return y.fresh[r] < y.maxFresh
+	return (y.maxFresh == 0 || y.fresh[r] < y.maxFresh) && (y.budget == nil || y.budget[r] > 0)
+}
+
+// allowsStep says whether the ranks may load what a step needs.
+func (y *layer) allowsStep(c step) bool {
+	return y.allows(c.b, y.slots[c.a]) && (c.replicate || y.allows(c.a, y.slots[c.b]))
 }
 
 // exchange puts an expert into a slot and counts what is new to the rank.
 func (y *layer) exchange(slot int, e uint16) {
 	r := slot / y.s.Slots
 	if y.isFresh(r, y.slots[slot]) {
-		y.fresh[r]--
+		y.count(r, -1)
 	}
 	if y.isFresh(r, e) {
-		y.fresh[r]++
+		y.count(r, 1)
 	}
 	y.slots[slot] = e
 }
 
+// count counts experts that a rank has to load.
+func (y *layer) count(r, n int) {
+	y.fresh[r] += n
+	if y.budget != nil {
+		y.budget[r] -= n
+	}
+}
+
 func (y *layer) slowest() int {
 	slow := 0
 	for r, t := range y.time {
@@ -118,15 +133,16 @@
 }
 
 // best returns the step that takes the most time off the slowest rank for each expert loaded, without making
-// another rank as slow. It returns false when there is none that takes off at least minGain seconds.
-func (y *layer) best(minGain float64) (step, bool) {
+// another rank as slow, and the time taken off for each of them. It returns false when there is none that takes off at least
+// minGain seconds.
+func (y *layer) best(minGain float64) (c step, rate float64, found bool) {
 	b := bestStep{y: y, slow: y.slowest(), minGain: minGain}
 	for a := b.slow * y.s.Slots; a < (b.slow+1)*y.s.Slots; a++ {
 		if e := y.slots[a]; e != Empty {
 			b.from(a, e)
 		}
 	}
-	return b.step, b.found
+	return b.step, b.rate, b.found
 }
 
 // bestStep is the state of a search for the best step.
@@ -163,7 +179,7 @@
 
 func (b *bestStep) consider(c step) {
 	y := b.y
-	if !y.allows(c.b, y.slots[c.a]) || (!c.replicate && !y.allows(c.a, y.slots[c.b])) {
+	if !y.allowsStep(c) {
 		return
 	}
 	gain := y.time[b.slow] - y.after(c)
