Play restored stores, leaving replicas and refusals with a time on the stand-ins

The stand-in of the users' store keeps a copy of itself and comes back from it under the next era; its answers say the era. Replicas tell when they started, say in their answers that they leave, and refuse requests for a time. A replica that was down, drained or left starts anew after that.

--- a/standin/kvserver/kvserver.go
+++ b/standin/kvserver/kvserver.go
@@ -61,12 +61,15 @@
 	faults    Faults
 	counts    Counts
 	now       func() time.Time
+	// era counts the restores, from 1.
+	era    int64
+	backup *backup
 }
 
 // New returns an empty service.
 func New() *Server {
 	return &Server{
-		records: map[string]record{}, leases: map[int64]*lease{}, changed: make(chan struct{}), now: time.Now,
+		era: 1, records: map[string]record{}, leases: map[int64]*lease{}, changed: make(chan struct{}), now: time.Now,
 	}
 }
 
@@ -120,6 +123,7 @@
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
 	f := s.faults
+	s.stamp(w)
 	s.mu.Unlock()
 	if f.DelayMs > 0 {
 		select {
@@ -151,6 +155,7 @@
 		s.mu.Lock()
 		s.expire()
 		out, wrote := fn(&in)
+		s.stamp(w)
 		lost := wrote && s.faults.LoseAnswers > 0
 		if lost {
 			s.faults.LoseAnswers--
--- a/standin/kvserver/platform.go
+++ b/standin/kvserver/platform.go
@@ -40,8 +40,8 @@
 }
 
 // PlatformHandler returns the routes of the users' platform's store on the same state as Handler: GET and PUT
-// /standin/faults, POST /standin/forget, which drops the history, and PUT and DELETE /standin/key?Key=K for the operator
-// and the replicas.
+// /standin/faults, POST /standin/forget, which drops the history, /standin/backup and /standin/restore, and PUT and DELETE
+// /standin/key?Key=K for the operator and the replicas.
 func (s *Server) PlatformHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/kv-key", s.platformGet).Methods(http.MethodGet)
@@ -53,6 +53,8 @@
 	r.HandleFunc("/kv-lease-end/{id}", s.platformEnd).Methods(http.MethodDelete)
 	r.HandleFunc("/standin/faults", faultapi.Handler(s.Faults, s.SetFaults)).Methods(http.MethodGet, http.MethodPut)
 	r.HandleFunc("/standin/forget", func(http.ResponseWriter, *http.Request) { s.Forget() }).Methods(http.MethodPost)
+	r.HandleFunc("/standin/backup", func(http.ResponseWriter, *http.Request) { s.Backup() }).Methods(http.MethodPost)
+	r.HandleFunc("/standin/restore", func(http.ResponseWriter, *http.Request) { s.Restore() }).Methods(http.MethodPost)
 	r.HandleFunc("/standin/key", s.platformOwn).Methods(http.MethodPut, http.MethodDelete)
 	return r
 }
@@ -112,6 +114,7 @@
 	rec, ok := s.records[key]
 	item := rec.item(key)
 	item.At = s.revision
+	s.stamp(w)
 	s.mu.Unlock()
 	if !ok {
 		writeError(w, http.StatusNotFound, "no such key")
@@ -147,6 +150,7 @@
 		}
 		out.Items = append(out.Items, s.records[k].item(k))
 	}
+	s.stamp(w)
 	s.mu.Unlock()
 	reply(w, out)
 }
@@ -164,7 +168,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	events, at, status := s.platformEvents(ctx, q.Get("PathPrefix"), after)
+	events, at, status := s.platformEvents(ctx, w, q.Get("PathPrefix"), after)
 	if status != http.StatusOK {
 		writeError(w, status, "the history is gone, or the store is down")
 		return
@@ -172,8 +176,8 @@
 	reply(w, map[string]any{"events": events, "At": at})
 }
 
-// platformEvents waits for events below a prefix after a revision, until the context ends.
-func (s *Server) platformEvents(ctx context.Context, prefix string, after int64) ([]platformItem, int64, int) {
+// platformEvents waits for events below a prefix after a revision, until the context ends, and marks the answer with their era.
+func (s *Server) platformEvents(ctx context.Context, w http.ResponseWriter, prefix string, after int64) ([]platformItem, int64, int) {
 	for {
 		s.mu.Lock()
 		s.expire()
@@ -185,7 +189,8 @@
 				})
 			}
 		}
-		at, changed, down, gone := s.revision, s.changed, s.faults.Down, after < s.forgotten
+		at, changed, down, gone := s.revision, s.changed, s.faults.Down, after < s.forgotten || after > s.revision
+		s.stamp(w)
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -260,6 +265,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	s.stamp(w)
 	l, ok := s.leases[id]
 	if !ok {
 		writeError(w, http.StatusNotFound, "no such lease")
--- /dev/null
+++ b/standin/kvserver/restore.go
@@ -0,0 +1,68 @@
+package kvserver
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"lavendermoor.example/clients/kv"
+)
+
+// backup is a copy of the service's state.
+type backup struct {
+	revision, forgotten, nextID int64
+	records                     map[string]record
+	history                     []kv.WireEvent
+	leases                      map[int64]*lease
+}
+
+// eraHeader is in the answers of the users' platform.
+const eraHeader = "Store-Era"
+
+// stamp marks an answer with the era of what it says. The caller holds the lock.
+func (s *Server) stamp(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+}
+
+// Backup keeps a copy of the state for Restore.
+func (s *Server) Backup() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.backup = &backup{
+		revision: s.revision, forgotten: s.forgotten, nextID: s.nextID, records: maps.Clone(s.records),
+		history: slices.Clone(s.history), leases: copyLeases(s.leases),
+	}
+}
+
+func copyLeases(leases map[int64]*lease) map[int64]*lease {
+	out := map[int64]*lease{}
+	for id, l := range leases {
+		out[id] = &lease{ttl: l.ttl, expires: l.expires, keys: maps.Clone(l.keys)}
+	}
+	return out
+}
+
+// Restore brings the last copy back under the next era: what was written since is gone, leases too, and revisions are given out again.
+// The operator writes its keys once more; the replicas do so by themselves.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backup
+	if b == nil {
+		return
+	}
+	now := s.records
+	s.era++
+	s.revision, s.forgotten, s.nextID = b.revision, b.forgotten, b.nextID
+	s.records, s.history, s.leases = maps.Clone(b.records), slices.Clone(b.history), copyLeases(b.leases)
+	for key, r := range now {
+		if strings.HasPrefix(key, "op/") {
+			s.revision++
+			s.put(&kv.WirePut{Key: []byte(key), Value: r.value})
+		}
+	}
+	s.wake()
+}
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -43,8 +43,12 @@
 	LoseAnswers int `json:"lose_answers"`
 	// LateOrders is the number of orders to come that get no answer and are carried out half a second late.
 	LateOrders int `json:"late_orders"`
-	// Draining replicas say so in the store.
+	// Draining replicas say so in the store. One that does not drain any more has started anew, as has one that was down or left.
 	Draining bool `json:"draining"`
+	// Leaving replicas say so in their answers only.
+	Leaving bool `json:"leaving"`
+	// RetryAfterMs above 0 makes a replica refuse requests, and want none for so long.
+	RetryAfterMs int64 `json:"retry_after_ms"`
 }
 
 type armed struct {
@@ -55,6 +59,7 @@
 // rank is the state of one model replica, guarded by its group.
 type rank struct {
 	faults        Faults
+	born          time.Time // When the replica started.
 	version, top  int64
 	content, next [][]int
 	prepared      int64
@@ -109,7 +114,7 @@
 				content[l] = append(content[l], e)
 			}
 		}
-		g.ranks[i] = &rank{faults: r.faults, content: content, counts: r.counts, running: r.running}
+		g.ranks[i] = &rank{faults: r.faults, born: r.born, content: content, counts: r.counts, running: r.running}
 		if g.ranks[i].counts == nil {
 			g.ranks[i].counts = make([]int64, Layers*Experts)
 		}
--- a/standin/replicaserver/orders.go
+++ b/standin/replicaserver/orders.go
@@ -26,7 +26,7 @@
 	out := map[string]any{
 		"Running": r.running, "Waiting": 0, "size": len(g.ranks), "pace": max(r.faults.Pace, 1), "step": g.pass,
 		"group":   map[string]any{"Name": "g", "epoch": g.epoch, "rank": i, "State": state},
-		"Mapping": r.version, "Armed": r.armed, "held": r.held,
+		"Mapping": r.version, "Armed": r.armed, "held": r.held, "born": r.born.UnixMilli(),
 	}
 	if r.prepared != 0 && !now.Before(r.preparedAt) {
 		out["Prepared"] = r.prepared
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -84,6 +84,9 @@
 	faults   Faults
 	draining time.Time
 	running  int
+	// born is when the replica has started, seq counts the writes of its entry since.
+	born time.Time
+	seq  int64
 }
 
 // NewReplica returns a replica that is registered with an address. The group is nil for a plain one.
@@ -92,7 +95,13 @@
 	if group != nil {
 		service = ModelService
 	}
-	return &Replica{id: id, address: address, domain: domain, service: service, log: log, group: group, rank: rank}
+	r := &Replica{
+		id: id, address: address, domain: domain, service: service, log: log, group: group, rank: rank, born: time.Now(),
+	}
+	if group != nil {
+		group.setRank(rank, Faults{}, r.born)
+	}
+	return r
 }
 
 // Faults returns the faults in force.
@@ -105,35 +114,26 @@
 // SetFaults replaces the faults.
 func (r *Replica) SetFaults(f Faults) {
 	r.mu.Lock()
-	if f.Draining && !r.faults.Draining {
+	before := r.faults
+	if f.Draining && !before.Draining {
 		r.draining = time.Now()
 	}
+	if (before.Draining && !f.Draining) || (before.Down && !f.Down) || (before.Leaving && !f.Leaving) {
+		r.born, r.seq = time.Now(), 0
+	}
 	r.faults = f
+	born := r.born
 	r.mu.Unlock()
 	if r.group != nil {
-		r.group.mu.Lock()
-		r.group.ranks[r.rank].faults = f
-		r.group.mu.Unlock()
+		r.group.setRank(r.rank, f, born)
 	}
 }
 
 // Register keeps the replica's entry in the store until the context ends.
 func (r *Replica) Register(ctx context.Context, store Store) {
 	var written time.Time
-	for seq := int64(1); ctx.Err() == nil; seq++ {
-		f := r.Faults()
-		if !f.Down {
-			state := "ready"
-			if f.Draining {
-				state = "draining"
-			}
-			entry, err := json.Marshal(map[string]any{
-				"Service": r.service, "Address": r.address, "Zone": r.domain, "Version": "v1", "Slots": slots,
-				"State": state, "WarmupLeftMs": 0, "Seq": seq,
-			})
-			if err != nil {
-				panic(err) // The entry holds numbers and names only.
-			}
+	for ctx.Err() == nil {
+		if entry := r.entry(); entry != nil {
 			store.Write("servers/"+r.id, entry)
 			written = time.Now()
 		} else if !written.IsZero() && time.Since(written) > lifetime {
@@ -144,6 +144,28 @@
 	}
 }
 
+// entry returns the replica's entry for the store, nil while it is down.
+func (r *Replica) entry() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.Down {
+		return nil
+	}
+	state := "ready"
+	if r.faults.Draining {
+		state = "draining"
+	}
+	r.seq++
+	entry, err := json.Marshal(map[string]any{
+		"Service": r.service, "Address": r.address, "Zone": r.domain, "Version": "v1", "Slots": slots,
+		"State": state, "WarmupLeftMs": 0, "Seq": r.seq, "born": r.born.UnixMilli(),
+	})
+	if err != nil {
+		panic(err) // The entry holds numbers and names only.
+	}
+	return entry
+}
+
 // Handler returns the routes of the replica, and GET and PUT /standin/faults. Reports are fresh for callers that are near,
 // on the replica's own instance.
 func (r *Replica) Handler(near bool) http.Handler {
@@ -154,9 +176,13 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request, near bool) {
-	if r.Faults().Down {
+	f := r.Faults()
+	if f.Down {
 		panic(http.ErrAbortHandler)
 	}
+	if f.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case req.URL.Path == "/health":
 		w.Header().Set("X-Replica-Id", r.id)
@@ -194,6 +220,9 @@
 		return
 	}
 	f, admitted := r.admit()
+	if wait := f.RetryAfterMs; wait > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(wait)/1000, 'f', 3, 64))
+	}
 	if !admitted {
 		r.refuse(w, http.StatusServiceUnavailable)
 		return
@@ -218,7 +247,7 @@
 func (r *Replica) admit() (Faults, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= slots {
+	if r.running >= slots || r.faults.RetryAfterMs > 0 {
 		return r.faults, false
 	}
 	r.running++
@@ -293,6 +322,13 @@
 	}
 }
 
+// setRank takes the faults of a replica and when it has started.
+func (g *Group) setRank(i int, f Faults, born time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[i].faults, g.ranks[i].born = f, born
+}
+
 func (g *Group) enter(i, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
