--- a/proctest/fleet_check_test.go
+++ b/proctest/fleet_check_test.go
@@ -99,10 +99,52 @@
 			s.problem("request %s to %s ran as %+v", a.id, a.path, r)
 		}
 		s.checkDrained(a, r)
+		s.checkLeft(a, r)
 	}
 	s.checkStop(a, runs)
 }
 
+// checkLeft checks that a gateway sends nothing to a replica later than allowed after it has passed on an answer by which that one
+// leaves.
+func (s *fleetSoak) checkLeft(a *attempt, r replicaserver.Run) {
+	said, ok := s.saidLeaving(a.gateway, r.Replica, time.UnixMilli(r.At))
+	if !ok || !s.calm(said, a.ended, a.gateway.Name) {
+		return
+	}
+	s.counts["checked leaves"]++
+	if late := a.began.Sub(said); late > drainBound {
+		s.problem("request %s, sent %v after %s had passed on that %s leaves, reached it", a.id, late, a.gateway.Name, r.Replica)
+	}
+}
+
+// saidLeaving returns when a gateway first passed on an answer by which a replica leaves, in the same start of the replica as a time.
+func (s *fleetSoak) saidLeaving(g *Gateway, replica string, at time.Time) (time.Time, bool) {
+	from, to, ok := s.spanOf(leaving, replica, at)
+	if !ok {
+		return time.Time{}, false
+	}
+	var first time.Time
+	for _, a := range s.all() {
+		said := a.gateway == g && a.header.Get("Server-Leaving") != "" && a.header.Get("X-Replica-Seal") == replica
+		if said && a.ended.After(from) && (to.IsZero() || a.ended.Before(to)) && (first.IsZero() || a.ended.Before(first)) {
+			first = a.ended
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// spanOf returns the failure of a kind that struck something at a time.
+func (s *fleetSoak) spanOf(kind, what string, at time.Time) (from, to time.Time, ok bool) {
+	s.findings.mu.Lock()
+	defer s.findings.mu.Unlock()
+	for _, f := range s.spans {
+		if f.kind == kind && f.what == what && f.from.Before(at) && (f.to.IsZero() || f.to.After(at)) {
+			return f.from, f.to, true
+		}
+	}
+	return time.Time{}, time.Time{}, false
+}
+
 // checkDrained checks that a replica gets no request later than allowed after it has said that it leaves.
 func (s *fleetSoak) checkDrained(a *attempt, r replicaserver.Run) {
 	at, late := time.UnixMilli(r.At), time.Duration(r.DrainingMs)*time.Millisecond
--- a/proctest/fleet_soak_test.go
+++ b/proctest/fleet_soak_test.go
@@ -126,6 +126,7 @@
 	kinds := []func(*rand.Rand){
 		s.storeFails, s.storeForgets, s.linkFails, s.linkFails, s.gatewayFails, s.gatewayStops, s.gatewayStops, s.rankFails,
 		s.rankFails, s.replicaFails, s.replicaFails, s.replicaDrains, s.replicaCrashes, s.ordersLate, s.ordersLate,
+		s.storeRestores, s.replicaLeaves, s.replicaRefuses,
 	}
 	var wg sync.WaitGroup
 	for time.Now().Before(end) {
@@ -163,6 +164,18 @@
 	require.Equal(s.t, http.StatusOK, status, "%s", body)
 }
 
+// storeRestores has the store come back from a copy that is some seconds old.
+func (s *fleetSoak) storeRestores(rng *rand.Rand) {
+	heal, ok := s.strike("store is restored", "store")
+	if !ok {
+		return
+	}
+	defer heal()
+	s.f.store("backup")
+	hold(rng, 5*time.Second)
+	s.f.store("restore")
+}
+
 // linkFails strikes the link of one process to the store, or that to one replica.
 func (s *fleetSoak) linkFails(rng *rand.Rand) {
 	var what string
@@ -273,6 +286,19 @@
 	s.replica(rng, "replica drains", len(s.f.Replicas), replicaserver.Faults{Draining: true}, 8*time.Second)
 }
 
+// leaving is the kind of failure in which a replica says in its answers that it leaves.
+const leaving = "replica leaves"
+
+func (s *fleetSoak) replicaLeaves(rng *rand.Rand) {
+	s.replica(rng, leaving, len(s.f.Replicas), replicaserver.Faults{Leaving: true}, 8*time.Second)
+}
+
+// replicaRefuses has a replica refuse requests and want none for some seconds.
+func (s *fleetSoak) replicaRefuses(rng *rand.Rand) {
+	wait := 500 + rng.Int64N(3000)
+	s.replica(rng, "replica refuses", len(s.f.Replicas), replicaserver.Faults{RetryAfterMs: wait}, 4*time.Second)
+}
+
 // crash is the kind of failure that breaks the group of a model replica.
 const crash = "replica crashes"
 
