Show when streams were late or refused from the gateways' logs

lavendermoorctl timeline prints for each second and group of model engines how many streams ended served, late by the first event or by a pause, or refused, and why.

--- a/cmd/lavendermoorctl/commands.go
+++ b/cmd/lavendermoorctl/commands.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
@@ -85,9 +86,21 @@
 			details: "Prints what the gateway decided on the request, and what it and the planners of expert maps believed.",
 			run:     explain,
 		},
+		"timeline": {
+			args: "[FILE...]", summary: "Tell when streams were late or refused, from log files or standard input", offline: true,
+			details: "Prints for each second and group of model engines how many streams ended served, late by their first event or by a\n" +
+				"pause, or refused, and why.",
+			run: showTimeline, flags: timelineFlags,
+		},
 	}
 }
 
+func timelineFlags(fs *flag.FlagSet, c *cli) {
+	const defaultObjective, defaultPause = 500 * time.Millisecond, 120 * time.Millisecond
+	fs.DurationVar(&c.objective, "objective", defaultObjective, "time to the first event from which a stream is late")
+	fs.DurationVar(&c.maxPause, "pause", defaultPause, "pause between two events from which a stream is late")
+}
+
 func changeFlags(fs *flag.FlagSet, c *cli) {
 	fs.StringVar(&c.comment, "m", "", "comment kept with the change")
 	operationFlag(fs, c)
--- a/cmd/lavendermoorctl/main.go
+++ b/cmd/lavendermoorctl/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"sort"
 	"syscall"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -63,6 +64,7 @@
 	dryRun, failOnDiff  bool
 	expected, revision  int64
 	limit               int
+	objective, maxPause time.Duration
 }
 
 // UsageError says that the command line is wrong.
