Look for a place in one way

A free place was looked for among the groups in any order and then for the request that was found in the order of room; a refusal of a request whose group was closed while it waited was built in two places. Groups are now ordered by room once.

--- a/gateway/limit/lane.go
+++ b/gateway/limit/lane.go
@@ -43,6 +43,9 @@
 	return l.limiter.InFlight() < l.limiter.Limit()
 }
 
+// used is the share of the group's places that are taken.
+func (l *lane) used() float64 { return float64(l.limiter.InFlight()) / float64(l.limiter.Limit()) }
+
 // unserving says that the group has not served any of the last streams.
 func (l *lane) unserving() bool { return l.withoutEvent >= unservedStreams }
 
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -1,8 +1,10 @@
 package limit
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,18 +88,26 @@
 
 // free returns the group with the largest share of its places free, nil if none has one.
 func (q *Queue) free(except string, now time.Time) *lane {
-	var best *lane
-	share := 0.0
-	for _, l := range q.lanes {
-		if l.group == except && except != "" || !l.admits(now) {
-			continue
+	for _, l := range q.withRoom(now) {
+		if except == "" || l.group != except {
+			return l
 		}
-		left := 1 - float64(l.limiter.InFlight())/float64(l.limiter.Limit())
-		if best == nil || left > share || (left == share && l.group < best.group) {
-			best, share = l, left
+	}
+	return nil
+}
+
+// withRoom returns the groups that have a place, those with the largest share of their places free first.
+func (q *Queue) withRoom(now time.Time) []*lane {
+	var out []*lane
+	for _, l := range q.lanes {
+		if l.admits(now) {
+			out = append(out, l)
 		}
 	}
-	return best
+	slices.SortFunc(out, func(a, b *lane) int {
+		return cmp.Or(cmp.Compare(a.used(), b.used()), cmp.Compare(a.group, b.group))
+	})
+	return out
 }
 
 // refusal returns why a request must not wait, nil if it may.
@@ -163,10 +173,7 @@
 	defer timer.Stop()
 	select {
 	case l := <-w.admitted:
-		if l == nil {
-			return nil, merry.Wrap(q.closedError(w))
-		}
-		return q.place(l), nil
+		return q.given(w, l)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -174,15 +181,12 @@
 	defer q.mu.Unlock()
 	if w.done {
 		l := <-w.admitted
-		switch {
-		case l == nil:
-			return nil, merry.Wrap(q.fullError(w.except, 0, longest))
-		case ctx.Err() == nil:
-			return q.place(l), nil
+		if l != nil && ctx.Err() != nil {
+			l.limiter.Cancel()
+			q.admitWaiting(time.Now())
+			return nil, merry.Wrap(context.Cause(ctx))
 		}
-		l.limiter.Cancel()
-		q.admitWaiting(time.Now())
-		return nil, merry.Wrap(context.Cause(ctx))
+		return q.given(w, l)
 	}
 	ahead := q.forget(w)
 	if ctx.Err() != nil {
@@ -191,11 +195,12 @@
 	return nil, merry.Wrap(q.fullError(w.except, ahead, longest))
 }
 
-// closedError is the refusal of a request whose groups were closed while it waited.
-func (q *Queue) closedError(w *waiter) *FullError {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.fullError(w.except, 0, time.Since(w.arrived))
+// given returns the place that a request has waited for, or its refusal when its groups were closed meanwhile and it got none.
+func (q *Queue) given(w *waiter, l *lane) (*Place, error) {
+	if l == nil {
+		return nil, merry.Wrap(&FullError{Closed: true, Waited: time.Since(w.arrived)})
+	}
+	return q.place(l), nil
 }
 
 // refuseWaiting refuses the requests that wait when no group serves, but for those on their last try.
@@ -252,18 +257,12 @@
 
 // admitOne gives one free place to a request, and says whether it could.
 func (q *Queue) admitOne(now time.Time) bool {
-	for _, l := range q.lanes {
-		if !l.admits(now) {
-			continue
-		}
+	for _, l := range q.withRoom(now) {
 		i := next(q.waiting, l.group, now)
 		if i < 0 {
 			continue
 		}
 		w := q.waiting[i]
-		if better := q.free(w.except, now); better != nil {
-			l = better
-		}
 		q.forget(w)
 		l.admit(w.aim, now)
 		w.admitted <- l
