Begin limits with the process's own part once it is known

Cause: the limit of a group begins with a share of the slots known when its first server is listed, for one of 16 gateways. Both are wrong a moment later, and each of four gateways began with 4 places of 96 and stayed there.

Change: until pauses have moved the limit it follows the slots and the number of gateways, which is taken up within 0.1 s.

--- a/cmd/internal/gatewayd/shared.go
+++ b/cmd/internal/gatewayd/shared.go
@@ -19,7 +19,7 @@
 	// unknownGateways is the number of gateways that one assumes which does not know the others.
 	unknownGateways = 16
 	// presenceTick is how often it is looked whether the number of gateways has changed.
-	presenceTick = time.Second
+	presenceTick = 100 * time.Millisecond
 )
 
 // sharedBounds are the bounds of the retry budgets of all services. Its methods may be called from any goroutine.
@@ -63,11 +63,13 @@
 
 // followPresence takes up changes of the number of gateways until the context ends.
 func (g *gateway) followPresence(ctx context.Context) {
-	for ctx.Err() == nil {
+	for before := 0; ctx.Err() == nil; {
 		n := len(g.present.Members())
 		g.shared.set(g.retryBounds(n))
-		if n > 0 {
+		if n > 0 && n != before {
 			g.srv.SetShare(1 / float64(n))
+			g.srv.RefreshGroups()
+			before = n
 		}
 		process.Pause(ctx, presenceTick)
 	}
--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -12,7 +12,7 @@
 // Bounds and steps of the limit.
 const (
 	// initialLimit holds until the slots of the group are known. Then the limit starts at startShare of this process's part of
-	// them: how many streams the group can carry in time is not known yet.
+	// them, as far as it is known, until pauses have changed it: how many streams the group can carry in time is not known yet.
 	initialLimit = 24
 	startShare   = 0.5
 	minLimit     = 4
@@ -49,6 +49,8 @@
 	since       time.Time
 	pauses      []float64
 	lastPause   float64
+	// moved says that pauses have changed the limit.
+	moved bool
 	// empty is the time of a pass without streams, and aim that for the last pause.
 	empty, aim time.Duration
 }
@@ -63,7 +65,7 @@
 
 // SetMost bounds the limit by the slots of the group, of which the process may begin with a share.
 func (l *Limiter) SetMost(slots int, share float64) {
-	if math.IsInf(l.most, 1) && slots > 0 {
+	if !l.moved && slots > 0 {
 		l.limit = max(startShare*share*float64(slots), minLimit)
 	}
 	l.most = float64(max(slots, minLimit))
@@ -128,8 +130,10 @@
 	l.lastPause = l.pauses[int(quantile*float64(len(l.pauses)-1))]
 	switch {
 	case l.lastPause > highShare:
+		l.moved = true
 		l.limit = max(min(l.limit, float64(l.inFlight)+1)*decrease, minLimit)
 	case l.lastPause < lowShare && float64(l.inFlight) >= usedShare*l.limit:
+		l.moved = true
 		l.limit = min(max(l.limit+max(increase*l.limit, 1), l.predicted()), l.most)
 	}
 }
