Judge expert maps over one second

A switch takes 0.09 to 0.13 s beyond the copies, not the 0.25 s that were assumed.

Change: a horizon of one second and 0.15 s for the switch. A small map comes first and the next one refines it.

--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -36,7 +36,7 @@
 // DefaultSettings returns the usual settings for a shape.
 func DefaultSettings(s expertmap.Shape, maxNew int, copyTime time.Duration) Settings {
 	return Settings{
-		Shape: s, MaxNew: maxNew, CopyTime: copyTime, Memory: 700 * time.Millisecond, Horizon: 3 * time.Second,
+		Shape: s, MaxNew: maxNew, CopyTime: copyTime, Memory: 700 * time.Millisecond, Horizon: time.Second,
 		MinGain: 0.03, PrepareTimeout: 400 * time.Millisecond,
 		Every: pollEvery + time.Duration(s.Ranks)*pollPerRank,
 	}
@@ -54,7 +54,7 @@
 	// copySlowdown is how much longer passes take while a rank copies experts.
 	copySlowdown = 0.15
 	// switchTime is about the time from the last copy to the pass of the switch.
-	switchTime = 250 * time.Millisecond
+	switchTime = 150 * time.Millisecond
 	// minLease is the time that the lease must last for a switch to begin.
 	minLease = time.Second
 	// copyMargin is how much longer copies may take than planned before a map is given up.
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+
+	"lavendermoor.example/expertmap"
 )
 
 // Guards against counts that are late by several polls, because a large group was asked in turns: a shift of popularity was
@@ -154,3 +156,31 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against one large map in place of several small ones: while a rank loads four experts the group makes its passes with the old
+// map. Pattern: other experts are in demand in all layers at once.
+func TestSmallMapComesFirstAfterAShift(t *testing.T) {
+	s := expertmap.Shape{Ranks: 8, Experts: 64, Layers: 6, Slots: 11}
+	const copyTime = 148 * time.Millisecond
+	p := NewPlanner(DefaultSettings(s, 4, copyTime), NewGroup(make([]Rank, s.Ranks), 0, nil, zap.NewNop()), zap.NewNop())
+	for range s.Ranks {
+		p.group.states = append(p.group.states, State{Pace: 1})
+	}
+	d := newDemandTrial(s)
+	start, err := expertmap.Balanced(1, loadOf(s, popularity(d.rng.Perm(s.Experts))), p.speeds())
+	require.NoError(t, err)
+	p.current = start
+	best, err := p.best(loadOf(s, popularity(d.rng.Perm(s.Experts))))
+	require.NoError(t, err)
+	require.NotNil(t, best.plan.Map)
+	require.LessOrEqual(t, best.copying, 2*copyTime)
+	require.Less(t, best.plan.After, 0.7*best.plan.Before, "most of what there is to gain")
+}
+
+func loadOf(s expertmap.Shape, shares []float64) *expertmap.Load {
+	load := expertmap.NewLoad(s)
+	for l := range s.Layers {
+		copy(load.Layer(l), shares)
+	}
+	return load
+}
