Load experts that save less while passes are long

Cause: each expert loaded had to save 0.05 of a rank's mean work in a layer, however long passes were. On -grown the most loaded of 32 ranks had 1.85 times the mean.

Change: 0.02 while passes are long, more as they get shorter. The rule that says how much a whole map has to gain uses the same measure.

--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -276,10 +276,11 @@
 func (p *Planner) best(load *expertmap.Load) (candidate, error) {
 	var out candidate
 	speeds := p.speeds()
-	least := leastGain(p.set.MinGain, p.group.timing.each, p.set.PauseAim)
+	slack := slackOf(p.group.timing.each, p.set.PauseAim)
+	least := p.set.MinGain + slack*idleGain
 	for most := 1; most <= maxRankLoads; most++ {
 		plan, err := expertmap.Relieve(p.current, load, speeds, expertmap.Bounds{
-			LayerNew: p.set.MaxNew, RankNew: most, LoadSeconds: minLoadGain / float64(p.set.Shape.Ranks),
+			LayerNew: p.set.MaxNew, RankNew: most, LoadSeconds: (busyLoadGain + slack*idleLoadGain) / float64(p.set.Shape.Ranks),
 		})
 		if err != nil {
 			return out, err
@@ -304,21 +305,21 @@
 	// idleGain is what a map has to save in addition when passes take no time: nobody gains by passes that are shorter than
 	// callers need, and loading experts has its price.
 	idleGain = 0.25
+	// busyLoadGain is what one loaded expert has to save, as a part of the mean work of a rank in a layer, and idleLoadGain what it has
+	// to save in addition when passes take no time.
+	busyLoadGain = 0.02
+	idleLoadGain = 0.08
 )
 
-// leastGain returns the part of a pass that a map has to save, given the mean time of a pass and the aim for pauses. Without
-// either of them passes count as long.
-func leastGain(busy float64, pass, aim time.Duration) float64 {
+// slackOf returns by how much passes are shorter than those that count as long, 0 to 1, given the mean time of a pass and the aim for
+// pauses. Without either of them passes count as long.
+func slackOf(pass, aim time.Duration) float64 {
 	if pass <= 0 || aim <= 0 {
-		return busy
+		return 0
 	}
-	slack := max(1-float64(pass)/(busyPass*float64(aim)), 0)
-	return busy + slack*idleGain
+	return max(1-float64(pass)/(busyPass*float64(aim)), 0)
 }
 
-// minLoadGain is what one loaded expert has to save, as a part of the mean work of a rank in a layer.
-const minLoadGain = 0.05
-
 func (p *Planner) judge(plan expertmap.Plan) candidate {
 	most := 0
 	for _, n := range expertmap.Loads(p.current, plan.Map) {
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -114,13 +114,13 @@
 // Guards against experts that are loaded for passes which nobody waits for. Pattern: a calm day on which popularity drifts
 // (2,000 GB loaded on mfca-coachworks).
 func TestShortPassesHaveToGainMore(t *testing.T) {
-	const busy, aim = 0.03, 120 * time.Millisecond
-	require.InDelta(t, busy, leastGain(busy, aim, aim), 1e-9)
-	require.InDelta(t, busy, leastGain(busy, 90*time.Millisecond, aim), 1e-9)
-	require.Greater(t, leastGain(busy, 45*time.Millisecond, aim), 0.1)
-	require.Greater(t, leastGain(busy, 20*time.Millisecond, aim), leastGain(busy, 45*time.Millisecond, aim))
-	require.InDelta(t, busy, leastGain(busy, 0, aim), 1e-9, "the time of a pass is not known yet")
-	require.InDelta(t, busy, leastGain(busy, aim, 0), 1e-9, "the aim is not known")
+	const aim = 120 * time.Millisecond
+	require.Zero(t, slackOf(aim, aim))
+	require.InDelta(t, 0, slackOf(90*time.Millisecond, aim), 1e-9)
+	require.Greater(t, slackOf(45*time.Millisecond, aim)*idleGain, 0.07)
+	require.Greater(t, slackOf(20*time.Millisecond, aim), slackOf(45*time.Millisecond, aim))
+	require.Zero(t, slackOf(0, aim), "the time of a pass is not known yet")
+	require.Zero(t, slackOf(aim, 0), "the aim is not known")
 }
 
 // Guards against a group that is held again and again while orders to its ranks get lost: a switch is put off until they are
