Keep what a server says of itself in files of their own

Holds, leaving servers and remembered starts stood in one file. The fields of a log line are made only when the line is written, not for each answer.

--- /dev/null
+++ b/gateway/balance/leave.go
@@ -0,0 +1,49 @@
+package balance
+
+import (
+	"time"
+
+	"lavendermoor.example/gateway/catalog"
+)
+
+// Leave takes the word of the server itself that it leaves, and says whether that is news. It holds until the server starts anew.
+func (b *Backend) Leave() (news bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news = !b.leaves()
+	b.leaving = true
+	return news
+}
+
+// SetLeaving takes the servers of a service that leave, by address with the times of their starts in Unix milliseconds. A server that
+// has started anew since is not meant. It returns those of which that is news.
+func (f *Fleet) SetLeaving(service string, starts map[string]int64) []catalog.Server {
+	var news []catalog.Server
+	if len(starts) == 0 {
+		return nil
+	}
+	for _, b := range f.Backends(service) {
+		started, ok := starts[b.Pool.Address()]
+		if s := b.Server(); ok && started == keyOf(s.ID, s.Started).started && started != 0 && b.Leave() {
+			news = append(news, s)
+		}
+	}
+	return news
+}
+
+// leaves says whether the server takes no new work any more. The caller holds the lock.
+func (b *Backend) leaves() bool { return b.removed || b.leaving || b.server.Draining }
+
+// Leaves says whether the server takes no new work any more, by its own word or that of the list.
+func (b *Backend) Leaves() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaves()
+}
+
+// Takes says whether a request that was meant for the server may still be sent to it.
+func (b *Backend) Takes(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.leaves() && !b.held.active(now)
+}
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -270,17 +270,22 @@
 	if ans.StatusCode == http.StatusMisdirectedRequest && v.FaultAt != a.server {
 		return
 	}
-	log := c.server.opts.Log.With(zap.String("server", a.server), zap.String("service", c.service), zap.String("request", c.meta.ID))
 	if v.Leaving && b.Leave() {
-		log.Info("backend server says that it leaves")
+		c.server.opts.Log.Info("backend server says that it leaves", c.logFields(a)...)
 		c.server.RefreshGroups()
 	}
 	if ans.StatusCode == http.StatusServiceUnavailable && v.RetryAfter > 0 {
 		b.Hold(v.RetryAfter, time.Now())
-		log.Info("backend server wants no requests for a while", zap.Duration("retry_after", v.RetryAfter))
+		c.server.opts.Log.Info("backend server wants no requests for a while",
+			append(c.logFields(a), zap.Duration("retry_after", v.RetryAfter))...)
 	}
 }
 
+// logFields names a send in a log line.
+func (c *call) logFields(a *attempt) []zap.Field {
+	return []zap.Field{zap.String("server", a.server), zap.String("service", c.service), zap.String("request", c.meta.ID)}
+}
+
 // refused takes an answer by which the server says that it did not run the request.
 func (c *call) refused(ans *exchange.Answer, b *balance.Backend, a *attempt) {
 	a.mayHaveRun = false
