Give an address to the server that started there last

Cause: after all instances have lost power, servers start again under other IDs while the entries of their predecessors are listed for some seconds more.

Change: of the servers listed at one address that say when they started, the last one has it. The others are gone at once, also just after an outage.

--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -59,8 +59,9 @@
 	defer f.updates.Unlock()
 	old, next := f.current.Load(), newView()
 	var changes []Change
+	latest := latestStarts(servers)
 	for _, s := range servers {
-		if f.outdated(s, now) {
+		if f.outdated(s, now) || superseded(s, latest) {
 			continue
 		}
 		b, known := old.byID[s.ID]
@@ -85,6 +86,9 @@
 		if !missing {
 			until = keepUntil
 		}
+		if superseded(b.Server(), latest) {
+			until = now
+		}
 		changes = f.keep(next, b, until, now, changes)
 	}
 	f.current.Store(next)
--- a/gateway/balance/hold_test.go
+++ b/gateway/balance/hold_test.go
@@ -151,3 +151,21 @@
 }
 
 func (f *Fleet) byID(id string) *Backend { return f.current.Load().byID[id] }
+
+// Guards against requests to a server that has gone and whose entry is still listed, beside that of the next one at its address: all
+// of them are refused, and after two of them the caller is. Pattern: all instances lose power and start again under other IDs.
+func TestServerThatStartedLaterHasTheAddress(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	before, after := started("a", born, 5), started("b", born.Add(time.Second), 1)
+	after.Address = before.Address
+	other := started("c", born, 5)
+	f.Update([]catalog.Server{before, other}, time.Time{}, now)
+	f.Update([]catalog.Server{before, after, other}, now.Add(time.Minute), now)
+	require.Nil(t, f.byID("a"), "also just after an outage of the list")
+	require.Equal(t, "b", pickID(t, f, now, f.byID("c")))
+	require.Empty(t, pickID(t, f, now, f.byID("c"), f.byID("b")))
+	after.Started = time.Time{}
+	f.Update([]catalog.Server{before, after, other}, time.Time{}, now)
+	require.NotNil(t, f.byID("b"), "it does not say when it started")
+}
--- a/gateway/balance/starts.go
+++ b/gateway/balance/starts.go
@@ -72,3 +72,20 @@
 	}
 	return b
 }
+
+// latestStarts returns, by address, when the server that started last there did so.
+func latestStarts(servers []catalog.Server) map[string]time.Time {
+	out := make(map[string]time.Time, len(servers))
+	for _, s := range servers {
+		if s.Started.After(out[s.Address]) {
+			out[s.Address] = s.Started
+		}
+	}
+	return out
+}
+
+// superseded says whether another server has started later at the address. Its entry may be listed for some seconds more, and it would
+// get requests that the other one refuses.
+func superseded(s catalog.Server, latest map[string]time.Time) bool {
+	return !s.Started.IsZero() && latest[s.Address].After(s.Started)
+}
