Hold pauses at 0.77 of the aim

Change: the limit falls above 0.77 and rises under 0.62 of the aim, and climbs to where 0.55 is predicted.

--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -23,14 +23,14 @@
 	// quantile of the pauses that is held under the aim. A stream is late by its longest pause of some 25.
 	quantile = 0.9
 	// highShare and lowShare of the aim are where the limit is lowered and raised.
-	highShare = 0.70
-	lowShare  = 0.55
+	highShare = 0.77
+	lowShare  = 0.62
 	decrease  = 0.92
 	// increase is the share of the limit by which it is raised at least, and at least one.
 	increase = 0.04
 	// targetShare of the aim is what the limit that is predicted from the pauses leads to; approach is the part of the way to it that
 	// one step goes, and maxRise the factor by which one step raises the limit at most.
-	targetShare = 0.5
+	targetShare = 0.55
 	approach    = 0.65
 	maxRise     = 1.5
 	// usedShare of the limit has to be in use before it is raised.
