--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -86,7 +86,7 @@
 	// refusals counts the answers in a row by which the server refused to run a request; until restUntil it gets no other.
 	refusals  int
 	restUntil time.Time
-	// held is the server's wish to be left alone, leaving its word that it leaves.
+	// held is the time for which the server takes no requests; leaving says that it has said in an answer that it leaves.
 	held    hold
 	leaving bool
 }
--- a/gateway/balance/hold.go
+++ b/gateway/balance/hold.go
@@ -5,7 +5,7 @@
 // trialTime bounds how long one request after a hold keeps others away. A server that shows nothing in it gets another one.
 const trialTime = time.Second
 
-// hold is the wish of a server to be left alone for a time. The backend's lock guards it.
+// hold is the time for which a server takes no requests, as it has said in a refusal. The backend's lock guards it.
 type hold struct {
 	// until is its end; zero without one.
 	until time.Time
@@ -14,7 +14,7 @@
 	trial time.Time
 }
 
-// active says whether the server wants nothing now.
+// active says whether the time has not passed.
 func (h hold) active(now time.Time) bool { return now.Before(h.until) }
 
 // trying says that a trial is in progress.
@@ -25,7 +25,7 @@
 	return !h.until.IsZero() && (h.active(now) || h.trying(now))
 }
 
-// Hold takes the answer of a server that wants nothing from this process for a time.
+// Hold keeps requests from the server for a time that it has named in a refusal.
 func (b *Backend) Hold(d time.Duration, now time.Time) {
 	if d <= 0 {
 		return
@@ -61,14 +61,14 @@
 	return true
 }
 
-// heldFor returns for how long the server wants nothing, and whether it takes requests at all by then.
+// heldFor returns for how long the server takes no requests, and whether it takes any after that.
 func (b *Backend) heldFor(now time.Time) (left time.Duration, stays bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return max(b.held.until.Sub(now), 0), !b.leaves()
 }
 
-// HeldFor returns the time until the first server of a service takes requests again, 0 unless all of them want none.
+// HeldFor returns the time until the first server of a service takes requests again, 0 unless all of them are held.
 func (f *Fleet) HeldFor(service string, now time.Time) time.Duration {
 	first, found := time.Duration(0), false
 	for _, b := range f.Backends(service) {
--- a/gateway/balance/leave.go
+++ b/gateway/balance/leave.go
@@ -6,7 +6,7 @@
 	"lavendermoor.example/gateway/catalog"
 )
 
-// Leave takes the word of the server itself that it leaves, and says whether that is news. It holds until the server starts anew.
+// Leave marks the server as leaving, as it has said in an answer, and says whether that is news. It does so until it starts anew.
 func (b *Backend) Leave() (news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -47,7 +47,7 @@
 func (f *Fleet) Pick(q Query) (*Backend, error) {
 	for {
 		b, err := f.pick(q)
-		// Of requests that choose a server at once after it wanted none, one gets it.
+		// Of the requests that choose a server at the end of its hold, one gets it.
 		if err != nil || b.claim(q.Now) {
 			return b, err
 		}
--- a/gateway/exchange/types.go
+++ b/gateway/exchange/types.go
@@ -45,7 +45,7 @@
 	NotExecuted bool
 	// FaultAt names the server that caused a refusal.
 	FaultAt string
-	// RetryAfter is how long the server that refused a request wants nothing from this process, 0 if it does not say.
+	// RetryAfter is how long the server that refused a request takes none from this process, 0 if it does not say.
 	RetryAfter time.Duration
 	// Leaving says that the server takes no new work and ends soon.
 	Leaving bool
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -11,7 +11,7 @@
 )
 
 // admit waits for a place at a group of model engines. Plain services queue by themselves. Requests to a service whose servers all
-// want none for a while are refused at once.
+// take none for a while are refused at once.
 func (c *call) admit(ctx context.Context) *Failure {
 	if held := c.server.opts.Fleet.HeldFor(c.service, time.Now()); held > 0 {
 		return c.heldFailure(held, "no server of the service takes requests at present")
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -207,8 +207,8 @@
 	return c.comeBack(max(wait, time.Duration(lateShare*float64(latest))))
 }
 
-// comeBackAfter is comeBack for servers that take nothing before a time, also when callers do not wait for that long: before it they
-// would be refused once more.
+// comeBackAfter is comeBack for servers that take no requests before a time. Callers are told that time also when they will not wait
+// for so long, since they would be refused once more before it.
 func (c *call) comeBackAfter(held time.Duration) time.Duration { return max(held, c.comeBack(held)) }
 
 // ended returns the failure of a request whose context has ended.
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -27,7 +27,7 @@
 	reasonOverloaded  = "overloaded"
 	reasonNoServer    = "no_server"
 	reasonNoGroup     = "no_group"
-	reasonHeld        = "servers_want_none"
+	reasonHeld        = "servers_refusing"
 	reasonRefused     = "refused_by_server"
 	reasonExpired     = "deadline_passed"
 	reasonTimeout     = "timeout"
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// heldFailure refuses a request to a service whose servers all want none for a time.
+// heldFailure refuses a request to a service whose servers all take none for a time.
 func (c *call) heldFailure(held time.Duration, detail string) *Failure {
 	return &Failure{
 		Status: http.StatusServiceUnavailable, Reason: reasonHeld, Detail: detail, RetryAfter: c.comeBackAfter(held),
@@ -263,7 +263,7 @@
 	return result{answered: c.relayBody(ctx, ans, a), firstByte: first}
 }
 
-// takeVerdict takes what the server says of itself: that it leaves, or that it wants nothing for a while. The answer of another
+// takeVerdict takes what the server says of itself: that it leaves, or that it takes no requests for a while. The answer of another
 // server at the address says neither of this one.
 func (c *call) takeVerdict(ans *exchange.Answer, b *balance.Backend, a *attempt) {
 	v := ans.Verdict
@@ -276,7 +276,7 @@
 	}
 	if ans.StatusCode == http.StatusServiceUnavailable && v.RetryAfter > 0 {
 		b.Hold(v.RetryAfter, time.Now())
-		c.server.opts.Log.Info("backend server wants no requests for a while",
+		c.server.opts.Log.Info("backend server refuses requests for a while",
 			append(c.logFields(a), zap.Duration("retry_after", v.RetryAfter))...)
 	}
 }
