Notice a new era in one place

Publishing does it now, so that no further one can leave it out.

Run before: lint, the tests of configsync/mirror and gatewayd, and TestFleetFollowsARestoredStore and TestFleetServes; none failed.

--- a/configsync/mirror/follow.go
+++ b/configsync/mirror/follow.go
@@ -58,7 +58,6 @@
 	}
 	m.heard(a)
 	if s := a.Snapshot; s != nil && held.At.Before(s.At) {
-		m.noteEra(held, s)
 		m.publish(s)
 	}
 	return true
--- a/configsync/mirror/run.go
+++ b/configsync/mirror/run.go
@@ -139,8 +139,7 @@
 	}
 	m.answered()
 	m.lastRead = time.Now()
-	if held := m.Snapshot(); !s.At.Before(held.At) {
-		m.noteEra(held, s)
+	if !s.At.Before(m.Snapshot().At) {
 		m.publish(s)
 	}
 	return nil
@@ -158,6 +157,7 @@
 }
 
 func (m *Mirror) publish(s *Snapshot) {
+	m.noteEra(m.Snapshot(), s)
 	m.current.Store(s)
 	m.notifyFollowers()
 	m.opts.Changed(s, m.keepUntil(time.Now()))
@@ -233,7 +233,6 @@
 	if s != nil && held.At.Before(s.At) {
 		m.opts.Log.Info("snapshot taken from a peer", zap.String("prefix", m.opts.Prefix),
 			zap.Int64("era", s.At.Era), zap.Int64("revision", s.At.Revision))
-		m.noteEra(held, s)
 		m.publish(s)
 	}
 }
