Answer a keyed call once majorities of its holders have the outcome

Cause: the runner of a keyed call answered its caller right after the run and sent the outcome to the other holders in the background. If the runner was killed before the messages arrived, the others had only the grant, and a retry was answered with outcome_unknown.

Change: the runner waits until majorities of the holders have confirmed the outcome, at most 500 ms after the run. Nothing changes for holders that do not confirm: they query the runner.

Ruled out: a stale pooled connection to the killed holder. The next holder is tried then, and it has the outcome unless the message was late.

--- a/idempotency/holders.go
+++ b/idempotency/holders.go
@@ -157,6 +157,9 @@
 	return hasMajority(s.New, ok) && (len(s.Old) == 0 || hasMajority(s.Old, ok))
 }
 
+// HasMajorities reports whether the servers for which ok is true are majorities of the holders of the claim's key.
+func (c *Claim) HasMajorities(ok func(server string) bool) bool { return c.holders.hasMajorities(ok) }
+
 func hasMajority(members []cluster.Member, ok func(string) bool) bool {
 	n := 0
 	for _, m := range members {
--- a/idempotency/peer/keyed.go
+++ b/idempotency/peer/keyed.go
@@ -197,7 +197,7 @@
 	return notRun
 }
 
-// execute runs the call. The run continues after the caller has stopped waiting, because its outcome may be queried.
+// execute runs the call and records its outcome before it responds. The run continues after the caller has stopped waiting, because its outcome may be queried.
 func (c *keyedCall) execute(ctx context.Context, claim *idempotency.Claim, ended chan struct{}) response {
 	done := make(chan response, 1)
 	c.n.runInBackground(func() {
@@ -227,7 +227,7 @@
 	}
 	record := n.table.CompleteRun(time.Now(), claim, *o)
 	n.mu.Unlock()
-	n.pushRecord(claim, record)
+	n.awaitRecorded(claim, n.pushRecord(claim, record))
 }
 
 // awaitRunner queries the runner of another attempt until the attempt has ended or the deadline has passed. If the
--- a/idempotency/peer/node.go
+++ b/idempotency/peer/node.go
@@ -48,6 +48,8 @@
 	// claimTimeout bounds the wait for the verdicts of holders. A paused holder delays a call by at most this time,
 	// and only if its verdict is needed.
 	claimTimeout = 500 * time.Millisecond
+	// recordTimeout bounds the wait for holders to confirm an outcome before the caller receives it.
+	recordTimeout = 500 * time.Millisecond
 	// messageTimeout bounds any other message.
 	messageTimeout = 2 * time.Second
 	// maxAttemptWait is how long a runner delays its response to a query for an attempt in progress.
--- a/idempotency/peer/node_test.go
+++ b/idempotency/peer/node_test.go
@@ -32,7 +32,9 @@
 	nodes map[string]*Node
 	// silent servers accept messages and never respond.
 	silent map[string]bool
-	state  atomic.Pointer[cluster.State]
+	// recordsDelay delays the messages that carry outcomes.
+	recordsDelay time.Duration
+	state        atomic.Pointer[cluster.State]
 }
 
 func (w *network) State() *cluster.State { return w.state.Load() }
@@ -52,6 +54,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.URL.Path == peerapi.PathRecords {
+		time.Sleep(w.recordsDelay)
+	}
 	in := httptest.NewRequestWithContext(r.Context(), r.Method, r.URL.Path, bytes.NewReader(body))
 	out := httptest.NewRecorder()
 	node.Handler().ServeHTTP(out, in)
@@ -192,6 +197,32 @@
 	})
 }
 
+// TestOutcomeSurvivesRunnerThatDiesAfterItsResponse guards against an outcome that only the runner has when its caller
+// receives it: after the runner was killed, the caller's retry was answered with an unknown outcome. A holder that does
+// not confirm must delay the caller by a bounded time only.
+func TestOutcomeSurvivesRunnerThatDiesAfterItsResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t, 3)
+		b := &bookings{}
+		w.recordsDelay = 50 * time.Millisecond
+		runner := w.node(0)
+		_, e := runner.Call(t.Context(), keyedRequest("k"), b.run)
+		require.Nil(t, e)
+		w.stop(0)
+		result, e := w.node(1).Call(t.Context(), keyedRequest("k"), b.run)
+		require.Nil(t, e)
+		require.True(t, result.Replayed)
+		w.recordsDelay = time.Minute
+		began := time.Now()
+		_, e = w.node(1).Call(t.Context(), keyedRequest("slow holders"), b.run)
+		require.Nil(t, e)
+		require.Equal(t, recordTimeout, time.Since(began))
+		require.Equal(t, int64(2), b.runs.Load())
+		runner.Wait()
+		w.waitBackground()
+	})
+}
+
 // TestRestartedHolderCopiesBeforeGranting guards against a new incarnation that grants keys whose records it has
 // lost.
 func TestRestartedHolderCopiesBeforeGranting(t *testing.T) {
--- a/idempotency/peer/wire.go
+++ b/idempotency/peer/wire.go
@@ -114,18 +114,41 @@
 	}
 }
 
-// pushRecord sends an outcome to the other holders. A holder that does not receive it queries the runner when the key
-// is used again.
-func (n *Node) pushRecord(claim *idempotency.Claim, record peerapi.KeyRecord) {
+// pushRecord sends an outcome to the other holders. The returned channel receives the names of those that have it, or an
+// empty name for one that does not confirm. Such a holder queries the runner when the key is used again.
+func (n *Node) pushRecord(claim *idempotency.Claim, record peerapi.KeyRecord) <-chan string {
+	confirmed := make(chan string, len(claim.Peers))
 	for _, m := range claim.Peers {
 		n.runInBackground(func() {
 			for range pushAttempts {
 				if n.pushTo(m, claim.Epoch, record) == nil {
+					confirmed <- m.Name
 					return
 				}
 			}
+			confirmed <- ""
 		})
 	}
+	return confirmed
+}
+
+// awaitRecorded waits until majorities of the holders have an outcome that pushRecord sends, so that the outcome
+// survives the runner. It gives up after recordTimeout, or when a majority can no longer be reached.
+func (n *Node) awaitRecorded(claim *idempotency.Claim, confirmed <-chan string) {
+	timeout := time.NewTimer(recordTimeout)
+	defer timeout.Stop()
+	recordedBy := map[string]bool{n.opts.Self.Server: true}
+	for range claim.Peers {
+		if claim.HasMajorities(func(server string) bool { return recordedBy[server] }) {
+			return
+		}
+		select {
+		case server := <-confirmed:
+			recordedBy[server] = true
+		case <-timeout.C:
+			return
+		}
+	}
 }
 
 func (n *Node) pushTo(m cluster.Member, epoch int64, record peerapi.KeyRecord) error {
