Let callers refused without a serving group return as late as they allow

Cause: after the loss of all instances, callers refused before a group serves return while the group still uses map 0 and its places are taken, and callers retry once.

Change: their Retry-After is in the last fifth, not the last half, of the time that they allow.

--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -205,7 +205,7 @@
 }
 
 // lateRetryAfterFraction is the start of the range of lateRetryAfter as a fraction of the latest Retry-After.
-const lateRetryAfterFraction = 0.5
+const lateRetryAfterFraction = 0.8
 
 // lateRetryAfter is retryAfter for callers of a service without a group that serves. The time when a group will serve
 // again is unknown, and most callers retry only once. The Retry-After is therefore late in the range that the caller's
--- a/gateway/ingress/groups_test.go
+++ b/gateway/ingress/groups_test.go
@@ -31,8 +31,8 @@
 	require.Equal(t, 10, c.count())
 }
 
-// Guards against callers that wait for a group that does not serve, and against refusals without a useful Retry-After.
-// This occurs when the only group has lost a rank.
+// Guards against callers that wait for a group that does not serve, and against a Retry-After so early that callers, who
+// retry once, are refused again because the group has just been formed. This occurs when the only group has lost a rank.
 func TestCallersOfAFailedGroupAreRefusedImmediately(t *testing.T) {
 	a, b := newTestBackend(t, "a", respondRankLost), newTestBackend(t, "b", respondRankLost)
 	g := newGateway(t, a, b)
@@ -45,6 +45,9 @@
 		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		require.NoError(t, err)
 		require.GreaterOrEqual(t, after, 1.0, "not before the group can be formed again")
+		const allowed = 5 * maxRetryAfterFraction // The route's timeout is 5 s.
+		require.Greater(t, after, 0.75*allowed, "late in the time that the caller allows")
+		require.LessOrEqual(t, after, allowed)
 	}
 	require.Equal(t, 1, a.count()+b.count())
 }
