Raise the limit for late streams after an outage of all groups

Cause: after the loss of everything most streams of the next seconds belong to callers that were refused during it. Their first event is late already, so that short gaps no longer help them, but the limit kept gaps at 0.55 of the target and 40 to 140 callers were refused on their last try.

Change: for 8 s after an outage of all groups of a service the gap bounds of the limit are up to 1 + 1.2 x the share of streams that were late when they were admitted.

Test: TestLateStreamsRaiseLimitAfterOutage; fails with the tolerance at 0.

--- a/gateway/limit/group.go
+++ b/gateway/limit/group.go
@@ -63,8 +63,9 @@
 	return now.Sub(g.lastEvent) > max(stallGaps*g.targetGap, stallFirstEvents*g.limiter.FirstEventLatency())
 }
 
-// admit starts a stream with a target gap.
-func (g *group) admit(targetGap time.Duration, now time.Time) {
+// admit starts a stream with a target gap, which may be late already.
+func (g *group) admit(targetGap time.Duration, late bool, now time.Time) {
+	g.limiter.ObserveAdmission(late)
 	if g.limiter.InFlight() == 0 {
 		g.lastEvent = now
 	}
--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -15,11 +15,16 @@
 	NotServing bool
 }
 
+// recoveryTime is the time after an outage of all groups in which the callers refused during it are expected to return
+// and to be served.
+const recoveryTime = 8 * time.Second
+
 // SetGroups replaces the groups of the service. Streams in a group that is no longer listed continue until they end.
 func (q *Queue) SetGroups(states []GroupState) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
+	wasOutage := q.noGroupUsable()
 	listed := map[string]bool{}
 	for _, state := range states {
 		listed[state.Name] = true
@@ -44,10 +49,26 @@
 			delete(q.groups, name)
 		}
 	}
+	if wasOutage && !q.noGroupUsable() {
+		q.recoveryEnds = now.Add(recoveryTime)
+	}
+	for _, g := range q.groups {
+		g.limiter.SetRecoveryEnds(q.recoveryEnds)
+	}
 	q.refuseWaiting()
 	q.admitWaiting(now)
 }
 
+// noGroupUsable reports whether no group can serve a stream.
+func (q *Queue) noGroupUsable() bool {
+	for _, g := range q.groups {
+		if g.usable("") {
+			return false
+		}
+	}
+	return true
+}
+
 // FirstEventLatency returns the mean time from admission to the first event in the fastest group.
 func (q *Queue) FirstEventLatency() time.Duration {
 	q.mu.Lock()
--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -30,7 +30,7 @@
 	decreaseFactor = 0.92
 	// minIncrease is the minimum increase as a fraction of the limit. An increase is also at least 1 stream.
 	minIncrease = 0.04
-	// targetGapRatio is the gap ratio for which predictedLimit solves. One step covers stepGain of the difference to
+	// targetGapRatio is the gap ratio towards which the limit increases. One step covers stepGain of the difference to
 	// that limit, and multiplies the limit by at most maxStepFactor.
 	targetGapRatio = 0.55
 	stepGain       = 0.65
@@ -40,6 +40,10 @@
 	// durationWeight and firstEventWeight are the weights of the newest sample in the moving averages.
 	durationWeight   = 0.05
 	firstEventWeight = 0.1
+	// lateShareWeight is the weight of the newest stream in the moving average of late streams.
+	lateShareWeight = 0.05
+	// lateGapTolerance is the fraction by which gaps may be longer, during a recovery, if all streams are late.
+	lateGapTolerance = 1.2
 )
 
 // Limiter is the concurrency limit of one group. It is not safe for concurrent use.
@@ -60,6 +64,10 @@
 	// emptyPass is the time of a forward pass without streams, 0 if unknown. targetGap is the target for the last gap
 	// observed.
 	emptyPass, targetGap time.Duration
+	// lateShare is the moving average of the fraction of streams that were late when they were admitted.
+	lateShare float64
+	// recoveryEnds is the time until which late streams raise the limit.
+	recoveryEnds time.Time
 }
 
 // New returns a limiter with the initial limit.
@@ -83,6 +91,20 @@
 // SetEmptyPass sets the time of a forward pass of the group without any stream, 0 if unknown.
 func (l *Limiter) SetEmptyPass(d time.Duration) { l.emptyPass = d }
 
+// SetRecoveryEnds sets the time until which the limiter tolerates longer gaps the more streams are late. After an outage,
+// most streams are those of callers that were refused during it. A short gap no longer helps them, while a higher limit
+// serves more of them.
+func (l *Limiter) SetRecoveryEnds(t time.Time) { l.recoveryEnds = t }
+
+// ObserveAdmission records whether an admitted stream is late already, so that its gaps cannot make it late.
+func (l *Limiter) ObserveAdmission(late bool) {
+	sample := 0.0
+	if late {
+		sample = 1
+	}
+	l.lateShare += lateShareWeight * (sample - l.lateShare)
+}
+
 // Limit returns the number of streams allowed.
 func (l *Limiter) Limit() int { return int(l.limit) }
 
@@ -126,33 +148,43 @@
 		return
 	}
 	if len(l.gapRatios) >= minGaps {
-		l.adjust()
+		l.adjust(now)
 	}
 	l.windowStart, l.gapRatios = now, l.gapRatios[:0]
 }
 
 // adjust increases the limit in steps and decreases it by a factor. Like additive increase, multiplicative decrease
 // (Chiu and Jain, 1989), this converges to equal shares for the processes that share a group.
-func (l *Limiter) adjust() {
+func (l *Limiter) adjust(now time.Time) {
 	slices.Sort(l.gapRatios)
 	l.lastGapRatio = l.gapRatios[int(gapQuantile*float64(len(l.gapRatios)-1))]
+	tolerance := l.gapTolerance(now)
+	ratio := l.lastGapRatio / tolerance
 	switch {
-	case l.lastGapRatio > decreaseAbove:
+	case ratio > decreaseAbove:
 		l.adjusted = true
 		l.limit = max(min(l.limit, float64(l.inFlight)+1)*decreaseFactor, minLimit)
-	case l.lastGapRatio < increaseBelow && float64(l.inFlight) >= minUtilization*l.limit:
+	case ratio < increaseBelow && float64(l.inFlight) >= minUtilization*l.limit:
 		l.adjusted = true
-		l.limit = min(max(l.limit+max(minIncrease*l.limit, 1), l.predictedLimit()), l.capacity)
+		l.limit = min(max(l.limit+max(minIncrease*l.limit, 1), l.predictedLimit(targetGapRatio*tolerance)), l.capacity)
+	}
+}
+
+// gapTolerance returns the factor by which gaps may be longer than usual.
+func (l *Limiter) gapTolerance(now time.Time) float64 {
+	if !now.Before(l.recoveryEnds) {
+		return 1
 	}
+	return 1 + lateGapTolerance*l.lateShare
 }
 
-// predictedLimit returns the limit after a step towards targetGapRatio. The time of a forward pass is modeled as a
+// predictedLimit returns the limit after a step towards a gap ratio of target. The time of a forward pass is modeled as a
 // constant plus a term proportional to the streams. All processes that share the group observe the same gaps and scale
 // by the same factor, so that their steps together reach the target. A limit that fell during a fault, or started low,
 // recovers quickly in this way, and callers are not refused for long.
-func (l *Limiter) predictedLimit() float64 {
+func (l *Limiter) predictedLimit(target float64) float64 {
 	empty := min(float64(l.emptyPass)/float64(l.targetGap), l.lastGapRatio/2)
-	predicted := float64(l.inFlight) * (targetGapRatio - empty) / (l.lastGapRatio - empty)
+	predicted := float64(l.inFlight) * (target - empty) / (l.lastGapRatio - empty)
 	return min(l.limit+stepGain*(predicted-l.limit), maxStepFactor*l.limit)
 }
 
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -37,6 +37,8 @@
 	mu      sync.Mutex
 	groups  map[string]*group
 	waiting []*waiter
+	// recoveryEnds is the end of the recovery after the last time at which no group served.
+	recoveryEnds time.Time
 }
 
 // NewQueue returns a queue with one unnamed group, which runs the streams while the groups are unknown.
@@ -69,7 +71,7 @@
 	q.mu.Lock()
 	if len(q.waiting) == 0 || opts.isMove {
 		if g := q.leastUtilized(excluded, now); g != nil {
-			g.admit(opts.TargetGap, now)
+			g.admit(opts.TargetGap, opts.MaxOnTimeWait <= 0, now)
 			q.mu.Unlock()
 			return q.newPermit(g), nil
 		}
@@ -212,7 +214,7 @@
 
 // refuseWaiting refuses the waiting requests if no group is usable. Retries stay in the queue if a group may recover.
 func (q *Queue) refuseWaiting() {
-	if len(q.waiting) == 0 || !q.refusedError("", 0, 0).NoGroup {
+	if len(q.waiting) == 0 || !q.noGroupUsable() {
 		return
 	}
 	mayRecover := q.mayRecover("", time.Now())
@@ -271,7 +273,7 @@
 		}
 		w := q.waiting[i]
 		q.remove(w)
-		g.admit(w.targetGap, now)
+		g.admit(w.targetGap, w.isLate(now), now)
 		w.admitted <- g
 		return true
 	}
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -398,3 +398,34 @@
 		require.Equal(t, "g", next.Group())
 	})
 }
+
+// Guards against callers that are refused again after an outage of all groups, because the limit protects the gaps of
+// streams that are late already, and against longer gaps when there was no outage. Scenario: all instances lose power,
+// and the callers refused meanwhile return within seconds.
+func TestLateStreamsRaiseLimitAfterOutage(t *testing.T) {
+	const gap = testTargetGap * 9 / 10 // Above decreaseAbove.
+	late := AcquireOptions{MaxWait: time.Second, TargetGap: testTargetGap, IsRetry: true}
+	streams := map[*Queue]*Permit{} // One stream of each queue, which reports the gaps.
+	observe := func(q *Queue, d time.Duration) int {
+		for end := time.Now().Add(d); time.Now().Before(end); {
+			for q.Dump().InFlight < q.Dump().Limit {
+				p, err := q.Acquire(t.Context(), late)
+				require.NoError(t, err)
+				streams[q] = p
+			}
+			time.Sleep(10 * time.Millisecond)
+			streams[q].ObserveGap(gap, testTargetGap, time.Now())
+		}
+		return q.Dump().Limit
+	}
+	synctest.Test(t, func(t *testing.T) {
+		require.Less(t, observe(newTestQueue("g"), 2*time.Second), initialLimit, "there was no outage")
+		q := newTestQueue("g")
+		q.setGroups([]string{"g"}, "g")
+		time.Sleep(2 * time.Second)
+		q.setGroups([]string{"g"}, "")
+		recovered := observe(q, 2*time.Second)
+		require.Greater(t, recovered, initialLimit)
+		require.Less(t, observe(q, recoveryTime), recovered, "the recovery has ended")
+	})
+}
--- a/gateway/limit/waiter.go
+++ b/gateway/limit/waiter.go
@@ -28,8 +28,10 @@
 	// admitted receives the group of the permit, or nil if the request is refused because no group is usable any more.
 	admitted chan *group
 	// onTimeUntil is the time until which the request has precedence over late ones, zero for a request that is late on
-	// arrival.
+	// arrival and no retry.
 	onTimeUntil time.Time
+	// lateOnArrival is set if the request could not be on time even without a wait.
+	lateOnArrival bool
 	// arrived orders late requests.
 	arrived time.Time
 	// excluded is a group in which the request must not run, empty for none.
@@ -43,7 +45,10 @@
 
 // newWaiter returns the waiter of a request that arrives now.
 func newWaiter(opts AcquireOptions, now time.Time) *waiter {
-	w := &waiter{admitted: make(chan *group, 1), arrived: now, targetGap: opts.TargetGap, isRetry: opts.IsRetry, isMove: opts.isMove}
+	w := &waiter{
+		admitted: make(chan *group, 1), lateOnArrival: opts.MaxOnTimeWait <= 0, arrived: now, targetGap: opts.TargetGap,
+		isRetry: opts.IsRetry, isMove: opts.isMove,
+	}
 	switch {
 	case opts.MaxOnTimeWait > 0:
 		w.onTimeUntil = now.Add(opts.MaxOnTimeWait)
@@ -53,6 +58,9 @@
 	return w
 }
 
+// isLate reports whether the stream can no longer be on time.
+func (w *waiter) isLate(now time.Time) bool { return w.lateOnArrival || !now.Before(w.onTimeUntil) }
+
 // Classes of waiting requests, in the order in which they get permits.
 const (
 	classMove = iota
