Probe the ranks of a large group before each switch after a loss

Cause: after an order without a response, 12 responses in a row ended the suspicion, those to prepare a map included.

Change: within 10 s of a loss, each switch is preceded by at least one round of probes, as before the number of responses was counted, and by further rounds until there are 12.

Test: TestLargeGroupIsProbedAfterALoss, 16 ranks; no probe was sent before.

--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -184,9 +184,9 @@
 
 // probeOrders reports whether the ranks currently respond to orders. A group is held while its ranks are armed, so no
 // switch should begin while orders are lost. After a recent loss, probeOrders sends orders that change nothing to all
-// ranks until it has received enough responses.
+// ranks, in any case once, until it has received enough responses.
 func (g *Group) probeOrders(ctx context.Context) bool {
-	for g.suspectsLoss() {
+	for round := 0; g.suspectsLoss(round); round++ {
 		errs := make([]error, len(g.ranks))
 		g.forEachRank(func(i int) { errs[i] = g.retry(ctx, i, Order{Operation: Release, Pass: 0}, 1) })
 		if errors.Join(errs...) != nil {
@@ -196,10 +196,12 @@
 	return true
 }
 
-func (g *Group) suspectsLoss() bool {
+// suspectsLoss reports whether orders may still be lost after the given number of complete rounds of probes. Responses
+// to earlier orders alone do not end the suspicion: a large group sends enough of them with a single map.
+func (g *Group) suspectsLoss(rounds int) bool {
 	g.ordersMu.Lock()
 	defer g.ordersMu.Unlock()
-	return time.Since(g.lastNoResponseAt) < lossWindow && g.consecutiveResponses < minResponsesAfterLoss
+	return time.Since(g.lastNoResponseAt) < lossWindow && (rounds == 0 || g.consecutiveResponses < minResponsesAfterLoss)
 }
 
 // recordOutcome records whether an order got a response, and whether another issuer has taken over.
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -184,3 +184,25 @@
 	}
 	return load
 }
+
+// Guards against a switch of a large group that begins without a probe while orders are lost: the responses of all its
+// ranks to one new map ended the suspicion. The group is held if orders to arm its ranks are lost then.
+func TestLargeGroupIsProbedAfterALoss(t *testing.T) {
+	withFakeGroup(t, func(ctx context.Context, t *testing.T, _ *fakeGroup, experts [][][]uint16) {
+		const ranks = 16
+		large := newFakeGroup(ranks, experts, 1)
+		group := NewGroup(large.allRanks(), 0, (&issuer{fence: 1, leaseEnd: time.Now().Add(time.Hour)}).currentFence, zap.NewNop())
+		require.NoError(t, group.Poll(ctx, StateOptions{}))
+		require.True(t, group.probeOrders(ctx))
+		require.Empty(t, large.orders, "no order was lost")
+		large.withLock(func() { large.down[3] = true })
+		_, err := group.Prepare(ctx, experts)
+		require.Error(t, err)
+		large.withLock(func() { large.down[3] = false })
+		_, err = group.Prepare(ctx, experts)
+		require.NoError(t, err)
+		large.withLock(func() { large.orders = nil })
+		require.True(t, group.probeOrders(ctx))
+		require.Len(t, large.orders, ranks)
+	})
+}
