Report a gateway ready only once it knows the server list

Cause: a gateway was ready as soon as it had the configuration. Until the server list was read as well, it refused every request with no_group.

Change: ready also requires that the server list has been read.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -61,6 +61,8 @@
 	retryBudgets retryBudgets
 	conns        *connTracker
 	admin        *telemetry.Admin
+	// serversKnown is set once the server list has been read.
+	serversKnown atomic.Bool
 }
 
 // Run runs a gateway until the context ends and its running requests have completed. It applies changes of the settings
@@ -117,7 +119,7 @@
 		Name: "lavendermoor.gateway.peers", Description: "Gateways listed at the last read.",
 		Value: func() int64 { return int64(len(g.presence.Members())) },
 	}})
-	g.admin = obs.Admin(func() any { return g.srv.Dump() }, g.srv.Ready)
+	g.admin = obs.Admin(func() any { return g.srv.Dump() }, g.ready)
 	return g, err
 }
 
@@ -166,8 +168,12 @@
 		g.log.Debug("invalid entry of the server list skipped", zap.Error(err))
 	}
 	g.logServerChanges(g.fleet.Update(servers, keepUntil, time.Now()))
+	g.serversKnown.Store(true)
 }
 
+// ready reports whether the gateway can serve requests. Without the server list it would refuse all of them.
+func (g *gateway) ready() bool { return g.serversKnown.Load() && g.srv.Ready() }
+
 func (g *gateway) logServerChanges(changes []balance.Change) {
 	for _, c := range changes {
 		g.log.Info("backend server "+c.Kind, zap.String("server", c.Server.ID),
@@ -233,7 +239,7 @@
 func (g *gateway) readyHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !g.srv.Ready() {
+		if !g.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
