--- a/idempotency/peer/keyed.go
+++ b/idempotency/peer/keyed.go
@@ -197,7 +197,8 @@
 	return notRun
 }
 
-// execute runs the call and records its outcome before it responds. The run continues after the caller has stopped waiting, because its outcome may be queried.
+// execute runs the call and records its outcome before it responds. The run continues after the caller has stopped
+// waiting, because its outcome may be queried.
 func (c *keyedCall) execute(ctx context.Context, claim *idempotency.Claim, ended chan struct{}) response {
 	done := make(chan response, 1)
 	c.n.runInBackground(func() {
--- a/idempotency/peer/wire.go
+++ b/idempotency/peer/wire.go
@@ -133,7 +133,7 @@
 }
 
 // awaitRecorded waits until majorities of the holders have an outcome that pushRecord sends, so that the outcome
-// survives the runner. It gives up after recordTimeout, or when a majority can no longer be reached.
+// survives the runner. It gives up after recordTimeout, or when no message is left that could still be confirmed.
 func (n *Node) awaitRecorded(claim *idempotency.Claim, confirmed <-chan string) {
 	timeout := time.NewTimer(recordTimeout)
 	defer timeout.Stop()
