Log the shared parts of prompts and the event at which a stream broke off

A stream's line now names the parts of its prompt that other requests may hold, and the detail of a broken stream the number of events of that attempt. No decision changes. Tests of gateway and platform pass.

--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -74,7 +74,8 @@
 			fields = append(fields,
 				zap.Duration("queued", c.queueTime), zap.Duration("first", c.firstEventLatency),
 				zap.Duration("pause", c.longestGap),
-				zap.Int("events", c.eventCount), zap.String("group", c.group()), zap.Int("limit", limit),
+				zap.Int("events", c.eventCount), zap.String("prompt", strings.Join(c.meta.SharedParts, ",")),
+				zap.String("group", c.group()), zap.Int("limit", limit),
 				zap.Int("in_flight", inFlight), zap.Int("waiting", waiting))
 		}
 	}
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -113,17 +113,19 @@
 		a.outcome, a.detail = balance.Abandoned, context.Cause(ctx).Error()
 		return false
 	}
-	a.outcome, a.detail = balance.Failed, "the stream broke off: "+err.Error()
+	a.outcome, a.detail = balance.Failed, "the stream broke off after "+strconv.Itoa(r.eventCount)+" events: "+err.Error()
 	return false
 }
 
 // streamRelay relays the events of one response.
 type streamRelay struct {
-	call               *call
-	resp               *exchange.Response
-	attempt            *attempt
-	backend            *balance.Backend
-	lastEventAt        time.Time
+	call        *call
+	resp        *exchange.Response
+	attempt     *attempt
+	backend     *balance.Backend
+	lastEventAt time.Time
+	// eventCount counts the events with content of this response.
+	eventCount         int
 	callerDisconnected bool
 }
 
@@ -185,6 +187,7 @@
 	s.backend.ObserveActivity(now)
 	c.observeEvent(now, now.Sub(s.lastEventAt))
 	s.lastEventAt = now
+	s.eventCount++
 	if e.ID != "" {
 		c.lastEventID = e.ID
 	}
