--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,7 @@
 	testPriority     = "T-Priority"
 	testRetryAfter   = "T-Retry-After"
 	testLeaving      = "T-Leaving"
+	testPrompt       = "T-Prompt" // Shared parts of the prompt, separated by commas.
 )
 
 type testDialect struct{}
@@ -43,6 +45,9 @@
 	if ms, err := strconv.Atoi(h.Get(testDeadline)); err == nil {
 		m.Timeout, m.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
+	if prompt := h.Get(testPrompt); prompt != "" {
+		m.SharedParts = strings.Split(prompt, ",")
+	}
 	return m
 }
 
@@ -85,6 +90,7 @@
 	requests []*http.Request
 	bodies   []string
 	conns    int
+	crashed  bool
 }
 
 // responder handles a request: it may write to the connection, and returns false to close it.
@@ -169,6 +175,39 @@
 	}
 }
 
+// crash stops a server: it refuses connections and closes the current one.
+func (s *testBackend) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed = true
+	s.listener.Close()
+}
+
+func (s *testBackend) hasCrashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashed
+}
+
+// newFragileBackend starts a server that streams three events and crashes when it begins to answer a prompt that holds
+// the part.
+func newFragileBackend(t *testing.T, id, part string) *testBackend {
+	t.Helper()
+	var s *testBackend
+	ready := make(chan struct{})
+	s = newTestBackend(t, id, func(c net.Conn, r *http.Request) bool {
+		<-ready
+		if !slices.Contains(strings.Split(r.Header.Get(testPrompt), ","), part) {
+			return respond(eventStream(1, 3) + lastChunk)(c, r)
+		}
+		s.crash()
+		respond(eventStream(1, 0))(c, r)
+		return false
+	})
+	close(ready)
+	return s
+}
+
 const signed = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Seal: s\r\n"
 
 func respondOK(body string) responder {
