Keep prompts with a part that crashes servers from the servers

Cause: no process remembered what a crashed server had been working on. Each new request with the part was admitted as soon as a group opened, on any gateway, and a broken send was repeated at another server; of several groups one after the other was lost. The class of fault: a request that ends its server is handed to the next one. Change: gateway/quarantine remembers the parts of answered prompts. When a server breaks off before it was answering and refuses connections, the parts that no answer has shown to be sound become suspects. One crash blocks a part that the server had begun to answer, two without an answer in between a doubtful one. Gateways share the records in the store under leases; requests in flight are withdrawn; a block that has ended lets one request of the fleet through. Refusals are 503 with the rest of the block; a request that may have run gets 502.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -21,6 +21,7 @@
 	"lavendermoor.example/configsync/presence"
 	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/ingress"
+	"lavendermoor.example/gateway/quarantine"
 	"lavendermoor.example/platform"
 	"lavendermoor.example/telemetry"
 )
@@ -55,6 +56,9 @@
 	fleet    *balance.Fleet
 	config   *mirror.Mirror
 	servers  *mirror.Mirror
+	// suspects are the records of parts of prompts that are suspected to crash servers.
+	suspects *mirror.Mirror
+	sharing  *quarantine.Sharing
 	peers    *mirror.Peers
 	// presence lists the gateways that share the servers and the retry budget.
 	presence     *presence.Presence
@@ -107,18 +111,27 @@
 	dialect := platform.Dialect{}
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
 	store := platform.NewStore(s.Store, observeCall)
+	suspected := quarantine.New()
+	g.sharing = quarantine.NewSharing(store, suspected, g.log)
 	g.createMirrors(store)
 	self := presence.Member{Name: s.Name, Address: s.ControlListen, Domain: s.FailureDomain}
 	g.presence = presence.New(store, presencePrefix, self, g.log)
 	g.srv = ingress.New(ingress.Options{
 		Dialect: dialect, Fleet: g.fleet, Log: g.log, Metrics: metrics, Random: rand.Float64,
-		ConfigAge: g.config.Age,
-		NewBudget: func() ingress.RetryBudget { return g.retryBudgets.newBudget() },
+		ConfigAge:  g.config.Age,
+		NewBudget:  func() ingress.RetryBudget { return g.retryBudgets.newBudget() },
+		Quarantine: suspected, Sharing: g.sharing,
+	})
+	err = telemetry.RegisterInstruments(obs.Meter, []telemetry.Instrument{
+		{
+			Name: "lavendermoor.gateway.peers", Description: "Gateways listed at the last read.",
+			Value: func() int64 { return int64(len(g.presence.Members())) },
+		},
+		{
+			Name: "lavendermoor.gateway.quarantined_parts", Description: "Parts of prompts that are kept from servers.",
+			Value: suspected.CountBlocked,
+		},
 	})
-	err = telemetry.RegisterInstruments(obs.Meter, []telemetry.Instrument{{
-		Name: "lavendermoor.gateway.peers", Description: "Gateways listed at the last read.",
-		Value: func() int64 { return int64(len(g.presence.Members())) },
-	}})
 	g.admin = obs.Admin(func() any { return g.srv.Dump() }, g.ready)
 	return g, err
 }
@@ -132,7 +145,7 @@
 	process.SetMemoryLimit(s.MemoryMB)
 }
 
-// createMirrors creates the mirrors of the configuration and of the server list.
+// createMirrors creates the mirrors of the configuration, of the server list and of the suspected parts of prompts.
 func (g *gateway) createMirrors(store *platform.Store) {
 	s := g.settings.Load()
 	configPollWait := time.Duration(configPollWaitFraction * float64(s.ConfigMS) * float64(time.Millisecond))
@@ -147,6 +160,10 @@
 		FetchFromPeer: g.peers.FetchSnapshot, FollowReader: g.followReader,
 		OnChange: func(s *mirror.Snapshot, keepUntil time.Time) { g.onServersChange(s.Entries, keepUntil) }, Log: g.log,
 	})
+	g.suspects = mirror.New(mirror.Options{
+		Source: store, Prefix: quarantine.RecordPrefix, PollWait: configPollWait, PollDelay: configPollDelay,
+		FetchFromPeer: g.peers.FetchSnapshot, FollowReader: g.followReader, OnChange: g.sharing.OnChange, Log: g.log,
+	})
 }
 
 func (g *gateway) onConfigChange(s *mirror.Snapshot) {
@@ -205,6 +222,8 @@
 	start := func(serving context.Context, group *errgroup.Group) {
 		group.Go(func() error { g.config.Run(serving); return nil })
 		group.Go(func() error { g.servers.Run(serving); return nil })
+		group.Go(func() error { g.suspects.Run(serving); return nil })
+		group.Go(func() error { g.sharing.Run(serving); return nil })
 		group.Go(func() error { g.srv.RunHousekeeping(serving); return nil })
 		group.Go(func() error { g.removeExpiredServers(serving); return nil })
 		group.Go(func() error { g.presence.Run(serving); return nil })
@@ -248,7 +267,9 @@
 
 func (g *gateway) controlHandler() http.Handler {
 	r := mux.NewRouter()
-	mirrors := map[string]*mirror.Mirror{platform.ConfigPrefix: g.config, platform.ServersPrefix: g.servers}
+	mirrors := map[string]*mirror.Mirror{
+		platform.ConfigPrefix: g.config, platform.ServersPrefix: g.servers, quarantine.RecordPrefix: g.suspects,
+	}
 	r.HandleFunc(mirror.PathFollow, mirror.FollowHandler(mirrors, g.log)).Methods(http.MethodGet)
 	r.HandleFunc(mirror.PathSnapshot, mirror.SnapshotHandler(mirrors, g.log)).Methods(http.MethodGet)
 	r.PathPrefix("/").Handler(g.admin.Handler())
--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -134,6 +135,26 @@
 	return resp, nil
 }
 
+// aliveTimeout bounds IsAlive.
+const aliveTimeout = 300 * time.Millisecond
+
+// closedAtOnce is how long IsAlive waits for a server, or a proxy before it, to close a new connection.
+const closedAtOnce = 20 * time.Millisecond
+
+// IsAlive reports whether the server accepts a new connection and keeps it open.
+func (p *Pool) IsAlive(ctx context.Context) bool {
+	c, err := dial(ctx, p.address, aliveTimeout)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(closedAtOnce)); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Response is the response to one request.
 type Response struct {
 	*http.Response
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -11,8 +11,11 @@
 )
 
 // admit acquires a permit for a stream if its service has model engines. Other requests need no permit. Requests to a
-// service whose servers are all suspended are refused immediately.
+// service whose servers are all suspended, and prompts with a quarantined part, are refused immediately.
 func (c *call) admit(ctx context.Context) *Failure {
+	if f := c.checkQuarantine(ctx); f != nil {
+		return f
+	}
 	if suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now()); suspended > 0 {
 		return c.suspensionFailure(suspended, "no server of the service takes requests at present")
 	}
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -13,6 +13,7 @@
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
 	"lavendermoor.example/gateway/limit"
+	"lavendermoor.example/gateway/quarantine"
 )
 
 // defaultTimeout is the timeout of a request whose route sets none. The caller's deadline may be earlier.
@@ -38,6 +39,8 @@
 	deadline time.Time
 
 	attempts []attempt
+	// probe is the part of the prompt of which this request is the probe, zero if it is none.
+	probe quarantine.Part
 	// moved is set when an attempt was canceled because its server became slow or silent. The retry budget has already
 	// allowed the next attempt.
 	moved atomic.Bool
@@ -63,6 +66,16 @@
 	// mayHaveExecuted is false if the server reported that it did not execute the request, or if the request was not
 	// sent.
 	mayHaveExecuted bool
+	// broken is set if the server ended the exchange before the response was complete, answerBegun if it had sent the
+	// header of a response by then.
+	broken, answerBegun bool
+	// eventCount counts the events of this attempt with content.
+	eventCount int
+	sentAt     time.Time
+	// suspected is set if the server crashed and a part of the prompt became a suspect.
+	suspected bool
+	// unwatch ends the watch for a block of the prompt's parts.
+	unwatch func()
 	// detail describes the outcome in the log, and in the response to the caller if the request fails.
 	detail string
 }
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -30,6 +30,7 @@
 	reasonNoGroup         = "no_group"
 	reasonServersRefusing = "servers_refusing"
 	reasonRefusedByServer = "refused_by_server"
+	reasonQuarantined     = "quarantined"
 	reasonDeadlinePassed  = "deadline_passed"
 	reasonTimeout         = "timeout"
 	reasonBackendFailed   = "backend_failed"
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -24,6 +24,10 @@
 			c.fail(c.finalFailure(ctx, err))
 			return
 		}
+		if f := c.checkQuarantine(ctx); f != nil {
+			c.fail(f)
+			return
+		}
 		if len(c.attempts) > 0 && !c.moved.Swap(false) && !budget.TryRetry(time.Now()) {
 			c.fail(c.finalFailure(ctx, &RetryBudgetError{}))
 			return
@@ -31,6 +35,7 @@
 		if c.try(ctx, backend) {
 			return
 		}
+		c.examineCrash(ctx)
 		if ctx.Err() != nil {
 			c.fail(c.contextFailure(c.mayHaveExecuted()))
 			return
@@ -127,6 +132,9 @@
 
 // mayRetry reports whether the request may be sent to another server.
 func (c *call) mayRetry() bool {
+	if n := len(c.attempts); n > 0 && c.attempts[n-1].suspected {
+		return false
+	}
 	if c.sentAttempts() >= c.route.MaxAttempts || len(c.attempts)-c.sentAttempts() >= maxUnsentAttempts {
 		return false
 	}
@@ -190,7 +198,10 @@
 	tokens := c.tokenCost()
 	started := time.Now()
 	b.Begin(tokens, started)
-	a := attempt{backend: b, server: b.Server().ID, mayHaveExecuted: true}
+	a := attempt{
+		backend: b, server: b.Server().ID, mayHaveExecuted: true, sentAt: started, unwatch: c.watchQuarantine(cancel),
+	}
+	defer a.unwatch()
 	result := c.roundTrip(ctx, b, &a)
 	now := time.Now()
 	latency := time.Duration(0)
@@ -326,7 +337,8 @@
 	case ctx.Err() != nil:
 		a.outcome = balance.Abandoned
 	default:
-		a.outcome = balance.Failed
+		var broken *exchange.BrokenError
+		a.outcome, a.broken = balance.Failed, errors.As(err, &broken)
 	}
 }
 
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -20,6 +20,7 @@
 	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
+	"lavendermoor.example/gateway/quarantine"
 )
 
 // Header names of testDialect.
@@ -198,7 +199,7 @@
 	s = newTestBackend(t, id, func(c net.Conn, r *http.Request) bool {
 		<-ready
 		if !slices.Contains(strings.Split(r.Header.Get(testPrompt), ","), part) {
-			return respond(eventStream(1, 3) + lastChunk)(c, r)
+			return respond(eventStream(1, 3)+lastChunk)(c, r)
 		}
 		s.crash()
 		respond(eventStream(1, 0))(c, r)
@@ -261,6 +262,7 @@
 	s := New(Options{
 		Dialect: testDialect{}, Fleet: fleet, Log: zap.NewNop(), Random: func() float64 { return 0 },
 		ConfigAge: func() time.Duration { return 0 }, NewBudget: func() RetryBudget { return budget },
+		Quarantine: quarantine.New(),
 	})
 	route := func(name string, kind catalog.Kind, resumable bool) catalog.Route {
 		return catalog.Route{
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
 	"lavendermoor.example/gateway/limit"
+	"lavendermoor.example/gateway/quarantine"
 )
 
 // Dialect translates the headers of callers and servers.
@@ -37,6 +38,14 @@
 	TryRetry(now time.Time) bool
 }
 
+// QuarantineSharing makes what this gateway learns about parts of prompts known to the others.
+type QuarantineSharing interface {
+	ShareCrash(part quarantine.Part, crash quarantine.Crash)
+	ShareCleared(part quarantine.Part)
+	// ClaimProbe reports whether this gateway may send a request with a part whose block has ended.
+	ClaimProbe(ctx context.Context, part quarantine.Part) bool
+}
+
 // Options are the dependencies of a Server.
 type Options struct {
 	Dialect Dialect
@@ -47,6 +56,10 @@
 	Metrics   *Metrics
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// Quarantine keeps requests that crash servers from them.
+	Quarantine *quarantine.Quarantine
+	// Sharing tells the other gateways of suspected parts of prompts. It is nil if there are none.
+	Sharing QuarantineSharing
 	// ConfigAge returns the time since the catalog was last confirmed to be the latest.
 	ConfigAge func() time.Duration
 }
@@ -202,6 +215,8 @@
 	InFlight int64                 `json:"active"`
 	Queues   map[string]limit.Dump `json:"queues"`
 	Backends []balance.Dump        `json:"backends"`
+	// Quarantine lists the suspected parts of prompts.
+	Quarantine []quarantine.Dump `json:"quarantine,omitempty"`
 }
 
 // Dump returns the current state.
@@ -216,6 +231,7 @@
 	}
 	s.mu.Unlock()
 	now := time.Now()
+	d.Quarantine = s.opts.Quarantine.Dump(now)
 	for _, b := range s.opts.Fleet.All() {
 		d.Backends = append(d.Backends, b.Dump(now))
 	}
--- /dev/null
+++ b/gateway/ingress/quarantine.go
@@ -0,0 +1,108 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/quarantine"
+)
+
+// QuarantinedError reports that a part of the request's prompt crashes servers.
+type QuarantinedError struct{ Part string }
+
+func (e *QuarantinedError) Error() string {
+	return "part " + e.Part + " of the prompt has crashed the servers that began to answer it"
+}
+
+// checkQuarantine returns the failure of a request that is kept from servers because of a part of its prompt, nil if it
+// may be sent. When the block of the part has ended, one request may be sent as a probe.
+func (c *call) checkQuarantine(ctx context.Context) *Failure {
+	opts := &c.server.opts
+	v := opts.Quarantine.Check(c.service, c.meta.SharedParts, c.probe, time.Now())
+	if v.Passes() {
+		return nil
+	}
+	if v.Wait == 0 && c.probe == (quarantine.Part{}) && opts.Sharing != nil && opts.Sharing.ClaimProbe(ctx, v.Part) {
+		c.probe = v.Part
+		opts.Log.Info("probe of a suspected part of prompts", c.partFields(v.Part)...)
+		return c.checkQuarantine(ctx)
+	}
+	err := &QuarantinedError{Part: v.Part.ID}
+	if c.mayHaveExecuted() {
+		return &Failure{Status: http.StatusBadGateway, Reason: reasonBackendFailed, Detail: err.Error()}
+	}
+	return &Failure{
+		Status: http.StatusServiceUnavailable, Reason: reasonQuarantined, Detail: err.Error(),
+		RetryAfter: c.retryAfterSuspension(v.Wait),
+	}
+}
+
+func (c *call) partFields(part quarantine.Part) []zap.Field {
+	return []zap.Field{
+		zap.String("service", part.Service), zap.String("part", part.ID), zap.String("request", c.meta.ID),
+	}
+}
+
+// watchQuarantine cancels an attempt whose server has not begun to answer when a part of the prompt becomes blocked. It
+// does so until unwatch is called.
+func (c *call) watchQuarantine(cancel context.CancelCauseFunc) (unwatch func()) {
+	return c.server.opts.Quarantine.Watch(c.service, c.meta.SharedParts, func(part quarantine.Part) {
+		cancel(&QuarantinedError{Part: part.ID})
+	})
+}
+
+// answeringAfter is the number of events after which a server counts as one that can answer the prompt.
+const answeringAfter = 2
+
+// observeAnswerProgress records that the server is answering the prompt.
+func (c *call) observeAnswerProgress(a *attempt) {
+	switch a.eventCount {
+	case 1:
+		a.unwatch()
+	case answeringAfter:
+		c.recordAnswer(a)
+	}
+}
+
+// recordAnswer clears the parts of the prompt, which the server has answered.
+func (c *call) recordAnswer(a *attempt) {
+	opts := &c.server.opts
+	if len(c.meta.SharedParts) == 0 {
+		return
+	}
+	for _, part := range opts.Quarantine.RecordAnswer(c.service, c.meta.SharedParts, a.sentAt, time.Now()) {
+		opts.Log.Info("suspected part of prompts cleared", c.partFields(part)...)
+		if opts.Sharing != nil {
+			opts.Sharing.ShareCleared(part)
+		}
+	}
+}
+
+// examineCrash makes parts of the prompt suspects if the server of the last attempt broke off before it was answering
+// and does not accept connections any more.
+func (c *call) examineCrash(ctx context.Context) {
+	a := &c.attempts[len(c.attempts)-1]
+	if !a.broken || a.outcome != balance.Failed || a.eventCount >= answeringAfter || len(c.meta.SharedParts) == 0 {
+		return
+	}
+	opts := &c.server.opts
+	crash := quarantine.Crash{Server: a.server, AnswerBegun: a.answerBegun && a.eventCount == 0}
+	if len(opts.Quarantine.Suspects(c.service, c.meta.SharedParts, crash, time.Now())) == 0 {
+		return
+	}
+	if a.backend.Pool.IsAlive(ctx) || ctx.Err() != nil {
+		return
+	}
+	a.suspected = true
+	for _, part := range opts.Quarantine.RecordCrash(c.service, c.meta.SharedParts, crash, time.Now()) {
+		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it", append(c.partFields(part),
+			zap.String("server", a.server), zap.Bool("answer_begun", crash.AnswerBegun))...)
+		if opts.Sharing != nil {
+			opts.Sharing.ShareCrash(part, crash)
+		}
+	}
+}
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -29,6 +29,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
 		a.outcome, a.detail = balance.Failed, "the answer broke off: "+err.Error()
+		a.broken, a.answerBegun = true, true
 		if ctx.Err() != nil {
 			a.outcome = balance.Abandoned
 		}
@@ -44,6 +45,9 @@
 			return false
 		}
 	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		c.recordAnswer(a)
+	}
 	c.copyHeaders(resp.Response, complete, len(body))
 	if _, err := c.w.Write(body); err != nil {
 		a.detail = "the caller's connection: " + err.Error()
@@ -97,7 +101,8 @@
 	r := streamRelay{call: c, resp: resp, attempt: a, backend: a.backend, lastEventAt: time.Now()}
 	err := r.run()
 	switch {
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF) && !c.endsBeforeFirstEvent(resp, a):
+		c.recordAnswer(a)
 		resp.MarkComplete()
 		if !c.responseStarted {
 			c.copyHeaders(resp.Response, false, 0) // The caller resumed the stream after its last event.
@@ -113,19 +118,25 @@
 		a.outcome, a.detail = balance.Abandoned, context.Cause(ctx).Error()
 		return false
 	}
-	a.outcome, a.detail = balance.Failed, "the stream broke off after "+strconv.Itoa(r.eventCount)+" events: "+err.Error()
+	a.outcome, a.detail = balance.Failed, "the stream broke off after "+strconv.Itoa(a.eventCount)+" events: "+err.Error()
+	a.broken, a.answerBegun = true, true
 	return false
 }
 
+// endsBeforeFirstEvent reports whether a stream without any event ended with its connection. Such a stream has no
+// length, so that only its content shows that it is incomplete.
+func (c *call) endsBeforeFirstEvent(resp *exchange.Response, a *attempt) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return !framed && a.eventCount == 0 && c.lastEventID == ""
+}
+
 // streamRelay relays the events of one response.
 type streamRelay struct {
-	call        *call
-	resp        *exchange.Response
-	attempt     *attempt
-	backend     *balance.Backend
-	lastEventAt time.Time
-	// eventCount counts the events with content of this response.
-	eventCount         int
+	call               *call
+	resp               *exchange.Response
+	attempt            *attempt
+	backend            *balance.Backend
+	lastEventAt        time.Time
 	callerDisconnected bool
 }
 
@@ -187,7 +198,8 @@
 	s.backend.ObserveActivity(now)
 	c.observeEvent(now, now.Sub(s.lastEventAt))
 	s.lastEventAt = now
-	s.eventCount++
+	s.attempt.eventCount++
+	c.observeAnswerProgress(s.attempt)
 	if e.ID != "" {
 		c.lastEventID = e.ID
 	}
--- /dev/null
+++ b/gateway/quarantine/quarantine.go
@@ -0,0 +1,445 @@
+// Package quarantine decides which requests are kept from servers because a part of their prompt crashes every server
+// that begins to answer it. It learns from the outcomes of this process's requests and from the records that all
+// gateways share. It has no I/O.
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lavendermoor.example/clients/kv"
+)
+
+const (
+	// firstBlock is how long the first crash blocks a part that no answer has cleared. Each further crash doubles the
+	// time, up to maxBlock.
+	firstBlock = time.Minute
+	// firstDoubtfulBlock is firstBlock for a part that may be sound: it was part of an answered prompt before, or no
+	// crashed server had begun to answer it.
+	firstDoubtfulBlock = 5 * time.Second
+	maxBlock           = 5 * time.Minute
+	// doubtfulCrashes is the number of crashes, without an answer in between, that block a part that may be sound.
+	doubtfulCrashes = 2
+	// probeTime is how long a claimed probe keeps other requests away.
+	probeTime = 10 * time.Second
+	// RecordTTL is how long a record is kept after the last crash or probe. It exceeds maxBlock, so that a part whose
+	// block has ended is probed and not forgotten.
+	RecordTTL = 10 * time.Minute
+	// maxSuspects bounds the suspected parts that a process remembers.
+	maxSuspects = 1024
+	// sameCrashWindow is the time within which requests that fail at one server count as one crash.
+	sameCrashWindow = 2 * time.Second
+	// recentAnswer is the time after an answer during which a part is not suspected because of a server that had not
+	// begun to answer. The server was answering other requests too.
+	recentAnswer = 30 * time.Second
+	// minAnswers is the number of answered parts of a service from which an unanswered part is unusual.
+	minAnswers = 8
+)
+
+// Part is a part of a prompt. Servers of other services may be able to answer it.
+type Part struct {
+	Service, ID string
+}
+
+// Crash is a server that ended while it worked on a request.
+type Crash struct {
+	Server string
+	// AnswerBegun is set if the server had begun to answer this request and had sent nothing of its content. This is
+	// rarely true for more than one request at a server.
+	AnswerBegun bool
+}
+
+// Record is what all gateways know about a suspected part.
+type Record struct {
+	Part Part
+	// Crashes counts the crashes since the part was last in an answered prompt.
+	Crashes int
+	// AnswerBegun is set if it was for any of the crashes.
+	AnswerBegun bool
+	// LastServer is the server of the last crash.
+	LastServer string
+	// Probes counts the probes claimed.
+	Probes int
+}
+
+// Shared is a record with its position in the key-value service.
+type Shared struct {
+	Record
+	At kv.Position
+}
+
+// suspect is a part that may have crashed a server.
+type suspect struct {
+	record Record
+	// at is the position of the shared record, zero before it is known.
+	at kv.Position
+	// answeredBefore is set if the part was in an answered prompt before the first crash.
+	answeredBefore bool
+	// cleared is set when a later request with the part was answered. The shared record may still exist.
+	cleared bool
+	// changedAt is when this process learned of the last crash or probe, lastCrashAt of the last crash.
+	changedAt, lastCrashAt time.Time
+	blockedUntil           time.Time
+}
+
+// blocking reports whether requests with the part are kept from servers, except for probes.
+func (s *suspect) blocking() bool {
+	return !s.cleared && s.record.Crashes >= s.blockingCrashes()
+}
+
+// blockingCrashes returns the number of crashes from which the part is blocked.
+func (s *suspect) blockingCrashes() int {
+	if s.doubtful() {
+		return doubtfulCrashes
+	}
+	return 1
+}
+
+func (s *suspect) doubtful() bool { return s.answeredBefore || !s.record.AnswerBegun }
+
+// recordCrash starts or prolongs the block.
+func (s *suspect) recordCrash(now time.Time) {
+	s.changedAt, s.lastCrashAt, s.cleared = now, now, false
+	if !s.blocking() {
+		return
+	}
+	block := firstBlock
+	if s.doubtful() {
+		block = firstDoubtfulBlock
+	}
+	doublings := min(s.record.Crashes-s.blockingCrashes(), 8)
+	s.blockedUntil = now.Add(min(block<<doublings, maxBlock))
+}
+
+// Quarantine holds the suspected parts of a process. Its methods are safe for concurrent use.
+type Quarantine struct {
+	// count is the number of suspects. Most of the time it is 0, and requests need no lock.
+	count atomic.Int64
+
+	mu       sync.Mutex
+	suspects map[Part]*suspect
+	answered memory
+	// watchers holds the functions that withdraw requests in flight.
+	watchers map[Part]map[*func(Part)]struct{}
+}
+
+// New returns an empty quarantine.
+func New() *Quarantine {
+	return &Quarantine{suspects: map[Part]*suspect{}, watchers: map[Part]map[*func(Part)]struct{}{}}
+}
+
+// Verdict is the decision on a request. The zero value lets it pass.
+type Verdict struct {
+	// Part is the part because of which the request does not pass, zero if it passes.
+	Part Part
+	// Wait is the remaining time of the block. It is 0 if the request passes as a probe once the probe is claimed.
+	Wait time.Duration
+}
+
+// Passes reports whether the request may be sent to a server.
+func (v Verdict) Passes() bool { return v.Part == Part{} }
+
+// Check decides on a request whose prompt holds the given parts. Its probe of a part, if it has claimed one, is not
+// subject to the block of that part.
+func (q *Quarantine) Check(service string, parts []string, probe Part, now time.Time) Verdict {
+	if len(parts) == 0 || q.count.Load() == 0 {
+		return Verdict{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var v Verdict
+	for _, id := range parts {
+		part := Part{service, id}
+		s := q.suspects[part]
+		if s == nil || part == probe || !s.blocking() {
+			continue
+		}
+		if wait := max(s.blockedUntil.Sub(now), 0); v.Passes() || wait > v.Wait {
+			v = Verdict{Part: part, Wait: wait}
+		}
+	}
+	return v
+}
+
+// Shared returns the shared record of a part as far as this process knows it.
+func (q *Quarantine) Shared(part Part) (Shared, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.suspects[part]
+	if s == nil || s.at.IsZero() {
+		return Shared{}, false
+	}
+	return Shared{Record: s.record, At: s.at}, true
+}
+
+// RecordAnswer records that a server has answered a request that was sent at the given time, beyond the beginning. It
+// returns the suspects that this clears.
+func (q *Quarantine) RecordAnswer(service string, parts []string, sent, now time.Time) (cleared []Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range parts {
+		part := Part{service, id}
+		q.answered.add(part, now)
+		if s := q.suspects[part]; s != nil && !s.cleared && sent.After(s.changedAt) {
+			s.cleared = true
+			cleared = append(cleared, part)
+		}
+	}
+	return cleared
+}
+
+// Suspects returns the parts of a prompt that a crash would make suspects: those that were never in an answered prompt,
+// or else the one that was so the longest ago.
+func (q *Quarantine) Suspects(service string, parts []string, crash Crash, now time.Time) []Part {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.suspectParts(service, parts, crash, now)
+}
+
+func (q *Quarantine) suspectParts(service string, parts []string, crash Crash, now time.Time) []Part {
+	var unanswered []Part
+	var oldest Part
+	var oldestAt time.Time
+	for _, id := range parts {
+		part := Part{service, id}
+		at, ok := q.answered.at(part)
+		switch {
+		case !ok:
+			unanswered = append(unanswered, part)
+		case oldestAt.IsZero() || at.Before(oldestAt):
+			oldest, oldestAt = part, at
+		}
+	}
+	switch {
+	case len(unanswered) > 0:
+		return unanswered
+	case oldestAt.IsZero() || (!crash.AnswerBegun && now.Sub(oldestAt) < recentAnswer):
+		return nil
+	}
+	return []Part{oldest}
+}
+
+// RecordCrash makes parts of the prompt of a request suspects after its server crashed. It returns them.
+func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Part {
+	q.mu.Lock()
+	accused := q.suspectParts(service, parts, crash, now)
+	if q.answered.count(service) < minAnswers {
+		crash.AnswerBegun = false // Right after a start, no part is known to be sound.
+	}
+	var withdraw []func()
+	accused = slices.DeleteFunc(accused, func(part Part) bool {
+		s := q.suspect(part, now)
+		if s == nil || (s.record.LastServer == crash.Server && now.Sub(s.lastCrashAt) < sameCrashWindow) {
+			return true
+		}
+		if s.cleared {
+			s.record.Crashes = 0
+		}
+		s.record.Crashes++
+		s.record.AnswerBegun = s.record.AnswerBegun || crash.AnswerBegun
+		s.record.LastServer = crash.Server
+		s.recordCrash(now)
+		withdraw = append(withdraw, q.watchersOf(s)...)
+		return false
+	})
+	q.mu.Unlock()
+	for _, fn := range withdraw {
+		fn()
+	}
+	return accused
+}
+
+// suspect returns the suspect of a part and creates it if needed, nil if there is no room.
+func (q *Quarantine) suspect(part Part, now time.Time) *suspect {
+	if s := q.suspects[part]; s != nil {
+		return s
+	}
+	if len(q.suspects) >= maxSuspects {
+		q.removeExpired(now)
+	}
+	if len(q.suspects) >= maxSuspects {
+		return nil
+	}
+	_, answered := q.answered.at(part)
+	s := &suspect{record: Record{Part: part}, answeredBefore: answered}
+	q.suspects[part] = s
+	q.count.Store(int64(len(q.suspects)))
+	return s
+}
+
+func (q *Quarantine) removeExpired(now time.Time) {
+	for part, s := range q.suspects {
+		if now.Sub(s.changedAt) > RecordTTL {
+			delete(q.suspects, part)
+		}
+	}
+	q.count.Store(int64(len(q.suspects)))
+}
+
+// RemoveExpired forgets the suspects without a crash or a probe for RecordTTL.
+func (q *Quarantine) RemoveExpired(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.removeExpired(now)
+}
+
+// ApplyShared takes over the shared records of all gateways. A suspect without a record was cleared by another gateway;
+// if complete is false, it may be missing for another reason and is kept.
+func (q *Quarantine) ApplyShared(records []Shared, complete bool, now time.Time) (blocked []Part) {
+	q.mu.Lock()
+	listed := make(map[Part]bool, len(records))
+	var withdraw []func()
+	for _, r := range records {
+		listed[r.Part] = true
+		s := q.suspect(r.Part, now)
+		if s == nil || !s.at.Before(r.At) {
+			continue
+		}
+		wasBlocking := s.blocking()
+		s.apply(r, now)
+		if s.blocking() && !wasBlocking {
+			blocked = append(blocked, r.Part)
+			withdraw = append(withdraw, q.watchersOf(s)...)
+		}
+	}
+	for part, s := range q.suspects {
+		if complete && !listed[part] && !s.at.IsZero() {
+			delete(q.suspects, part)
+		}
+	}
+	q.count.Store(int64(len(q.suspects)))
+	q.mu.Unlock()
+	for _, fn := range withdraw {
+		fn()
+	}
+	return blocked
+}
+
+// apply takes over a later shared record.
+func (s *suspect) apply(r Shared, now time.Time) {
+	s.at = r.At
+	crashed := r.Crashes > s.record.Crashes || (s.cleared && r.Crashes > 0 && r.LastServer != s.record.LastServer)
+	probed := r.Probes > s.record.Probes
+	s.record = Record{
+		Part: r.Part, Crashes: max(r.Crashes, s.record.Crashes), AnswerBegun: r.AnswerBegun || s.record.AnswerBegun,
+		LastServer: r.LastServer, Probes: max(r.Probes, s.record.Probes),
+	}
+	switch {
+	case crashed:
+		s.record.Crashes = r.Crashes
+		s.recordCrash(now)
+	case probed:
+		s.recordProbe(now)
+	}
+}
+
+// recordProbe keeps other requests away while a probe is in progress.
+func (s *suspect) recordProbe(now time.Time) {
+	s.changedAt = now
+	if until := now.Add(probeTime); until.After(s.blockedUntil) {
+		s.blockedUntil = until
+	}
+}
+
+// BeginProbe records that this process has claimed a probe, with the position of the changed record.
+func (q *Quarantine) BeginProbe(part Part, at kv.Position, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.suspects[part]; s != nil {
+		s.at = s.at.Max(at)
+		s.record.Probes++
+		s.recordProbe(now)
+	}
+}
+
+// Watch registers a function that withdraws a request in flight. It is called from another goroutine when a part of the
+// request's prompt becomes blocked, until unregister is called. Parts of answered prompts are not watched.
+func (q *Quarantine) Watch(service string, parts []string, withdraw func(Part)) (unregister func()) {
+	if len(parts) == 0 {
+		return func() {}
+	}
+	key := &withdraw
+	var watched []Part
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range parts {
+		part := Part{service, id}
+		if _, ok := q.answered.at(part); ok {
+			continue
+		}
+		if q.watchers[part] == nil {
+			q.watchers[part] = map[*func(Part)]struct{}{}
+		}
+		q.watchers[part][key] = struct{}{}
+		watched = append(watched, part)
+	}
+	if watched == nil {
+		return func() {}
+	}
+	return func() { q.unwatch(watched, key) }
+}
+
+func (q *Quarantine) unwatch(parts []Part, key *func(Part)) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range parts {
+		delete(q.watchers[part], key)
+		if len(q.watchers[part]) == 0 {
+			delete(q.watchers, part)
+		}
+	}
+}
+
+// watchersOf returns the functions that withdraw the requests in flight with a suspect that is blocked. The caller
+// holds the lock.
+func (q *Quarantine) watchersOf(s *suspect) []func() {
+	if !s.blocking() {
+		return nil
+	}
+	var out []func()
+	for fn := range q.watchers[s.record.Part] {
+		out = append(out, func() { (*fn)(s.record.Part) })
+	}
+	return out
+}
+
+// Dump is the state of one suspect in the state dump.
+type Dump struct {
+	Service   string `json:"service"`
+	Part      string `json:"part"`
+	Crashes   int    `json:"crashes"`
+	Blocked   bool   `json:"blocked"`
+	BlockedMs int64  `json:"blocked_ms"`
+}
+
+// Dump returns the suspects that are not cleared.
+func (q *Quarantine) Dump(now time.Time) []Dump {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []Dump
+	for part, s := range q.suspects {
+		if s.cleared {
+			continue
+		}
+		out = append(out, Dump{
+			Service: part.Service, Part: part.ID, Crashes: s.record.Crashes, Blocked: s.blocking(),
+			BlockedMs: max(s.blockedUntil.Sub(now), 0).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// CountBlocked returns the number of parts that are blocked.
+func (q *Quarantine) CountBlocked() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := int64(0)
+	for _, s := range q.suspects {
+		if s.blocking() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/quarantine/sharing.go
@@ -0,0 +1,228 @@
+package quarantine
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/configsync/mirror"
+)
+
+// RecordPrefix is the key prefix of the shared records.
+const RecordPrefix = "quarantine/"
+
+const (
+	// maxPendingChanges bounds the changes that wait to be written.
+	maxPendingChanges = 256
+	// writeAttempts and writeRetryDelay bound how long the write of a crash is retried.
+	writeAttempts   = 40
+	writeRetryDelay = 250 * time.Millisecond
+	// probeTimeout bounds the calls that claim a probe, while a caller waits.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// Sharing exchanges the records of a quarantine with other gateways through the key-value service. Each record is under
+// a lease, so that it is removed when no gateway needs it. Its methods may be called from any goroutine.
+type Sharing struct {
+	store      kv.Store
+	quarantine *Quarantine
+	log        *zap.Logger
+	changes    chan change
+}
+
+// change is a crash or the clearing of a part that the other gateways do not know yet.
+type change struct {
+	part Part
+	// crash is nil if the part was cleared.
+	crash *Crash
+}
+
+// NewSharing returns the sharing of a quarantine. Run writes the changes.
+func NewSharing(store kv.Store, q *Quarantine, log *zap.Logger) *Sharing {
+	return &Sharing{store: store, quarantine: q, log: log, changes: make(chan change, maxPendingChanges)}
+}
+
+// wireRecord is a Record in the service.
+type wireRecord struct {
+	Service     string `json:"service"`
+	Part        string `json:"part"`
+	Crashes     int    `json:"crashes"`
+	AnswerBegun bool   `json:"answer_begun"`
+	LastServer  string `json:"last_server"`
+	Probes      int    `json:"probes"`
+}
+
+// recordKey returns the key of a part's record. Names of parts and services may be longer than a key.
+func recordKey(p Part) string {
+	hash := sha256.Sum256([]byte(p.Service + "\x00" + p.ID))
+	return RecordPrefix + hex.EncodeToString(hash[:16])
+}
+
+func encodeRecord(r Record) []byte {
+	// Encoding a struct of strings and numbers cannot fail.
+	value, _ := json.Marshal(wireRecord{
+		Service: r.Part.Service, Part: r.Part.ID, Crashes: r.Crashes, AnswerBegun: r.AnswerBegun,
+		LastServer: r.LastServer, Probes: r.Probes,
+	})
+	return value
+}
+
+// InvalidRecordError reports an entry below RecordPrefix that no gateway has written.
+type InvalidRecordError struct{ Key string }
+
+func (e *InvalidRecordError) Error() string {
+	return fmt.Sprintf("entry %q is not the record of a part", e.Key)
+}
+
+// decodeRecord fails with an *InvalidRecordError.
+func decodeRecord(e kv.Entry) (Record, error) {
+	var w wireRecord
+	err := json.Unmarshal(e.Value, &w)
+	r := Record{
+		Part: Part{w.Service, w.Part}, Crashes: w.Crashes, AnswerBegun: w.AnswerBegun, LastServer: w.LastServer,
+		Probes: w.Probes,
+	}
+	if err != nil || w.Crashes < 1 || recordKey(r.Part) != e.Key {
+		return Record{}, merry.Wrap(&InvalidRecordError{Key: e.Key})
+	}
+	return r, nil
+}
+
+// OnChange takes over a snapshot of all records.
+func (s *Sharing) OnChange(snapshot *mirror.Snapshot, keepUntil time.Time) {
+	records := make([]Shared, 0, len(snapshot.Entries))
+	for _, e := range snapshot.Entries {
+		r, err := decodeRecord(e)
+		if err != nil {
+			s.log.Info("ignoring an invalid record of a suspected part", zap.Error(err))
+			continue
+		}
+		at := kv.Position{Era: snapshot.At.Era, Revision: e.ModRevision}
+		records = append(records, Shared{Record: r, At: at})
+	}
+	for _, part := range s.quarantine.ApplyShared(records, keepUntil.IsZero(), time.Now()) {
+		s.log.Warn("part of prompts blocked by another gateway", zap.String("service", part.Service), zap.String("part", part.ID))
+	}
+}
+
+// ShareCrash makes a crash known to the other gateways. Only the log shows a failure.
+func (s *Sharing) ShareCrash(part Part, crash Crash) { s.enqueue(change{part: part, crash: &crash}) }
+
+// ShareCleared removes the shared record of a part. Only the log shows a failure.
+func (s *Sharing) ShareCleared(part Part) { s.enqueue(change{part: part}) }
+
+func (s *Sharing) enqueue(c change) {
+	select {
+	case s.changes <- c:
+	default:
+		s.log.Warn("too many changes of suspected parts to share", zap.String("part", c.part.ID))
+	}
+}
+
+// Run writes the changes until the context ends.
+func (s *Sharing) Run(ctx context.Context) {
+	expire := time.NewTicker(time.Minute)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-expire.C:
+			s.quarantine.RemoveExpired(now)
+		case c := <-s.changes:
+			s.write(ctx, c)
+		}
+	}
+}
+
+// write writes one change. A crash is retried, also after a lost response: the record names the server, so that one
+// crash counts once.
+func (s *Sharing) write(ctx context.Context, c change) {
+	if c.crash == nil {
+		s.removeRecord(ctx, c.part)
+		return
+	}
+	var err error
+	for range writeAttempts {
+		if err = s.addCrash(ctx, c.part, *c.crash); err == nil || ctx.Err() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(writeRetryDelay):
+		}
+	}
+	s.log.Warn("crash not shared with other gateways", zap.String("part", c.part.ID), zap.Error(err))
+}
+
+// addCrash counts a crash in the shared record.
+func (s *Sharing) addCrash(ctx context.Context, part Part, crash Crash) error {
+	record, revision := Record{Part: part}, kv.Absent
+	entry, err := s.store.Get(ctx, recordKey(part))
+	var notFound *kv.NotFoundError
+	switch {
+	case err == nil:
+		revision = entry.ModRevision
+		if known, err := decodeRecord(entry); err == nil {
+			record = known
+		}
+	case !errors.As(err, &notFound):
+		return err
+	}
+	if record.LastServer == crash.Server {
+		return nil
+	}
+	record.Crashes++
+	record.AnswerBegun = record.AnswerBegun || crash.AnswerBegun
+	record.LastServer = crash.Server
+	_, err = s.put(ctx, record, revision)
+	return err
+}
+
+func (s *Sharing) put(ctx context.Context, r Record, expected int64) (int64, error) {
+	lease, err := s.store.Grant(ctx, RecordTTL)
+	if err != nil {
+		return 0, err
+	}
+	return s.store.Put(ctx, recordKey(r.Part), encodeRecord(r), expected, lease)
+}
+
+// removeRecord removes the record unless a crash has changed it since. A record that remains ends with its lease.
+func (s *Sharing) removeRecord(ctx context.Context, part Part) {
+	shared, ok := s.quarantine.Shared(part)
+	if !ok {
+		return
+	}
+	if err := s.store.Delete(ctx, recordKey(part), shared.At.Revision); err != nil {
+		s.log.Info("record of a cleared part not removed", zap.String("part", part.ID), zap.Error(err))
+	}
+}
+
+// ClaimProbe claims the next probe of a part whose block has ended, and reports whether this process may send it. At
+// most one gateway gets the claim.
+func (s *Sharing) ClaimProbe(ctx context.Context, part Part) bool {
+	shared, ok := s.quarantine.Shared(part)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	record := shared.Record
+	record.Probes++
+	revision, err := s.put(ctx, record, shared.At.Revision)
+	if err != nil {
+		s.log.Info("probe of a suspected part not claimed", zap.String("part", part.ID), zap.Error(err))
+		return false
+	}
+	s.quarantine.BeginProbe(part, kv.Position{Era: shared.At.Era, Revision: revision}, time.Now())
+	return true
+}
