Tell sound parts from deadly ones by what all gateways have answered

Now other gateways note in the record that they had the part in an answered prompt; crashes within 2 s count once for a doubtful part; a request that lacks another suspect of the same crash may probe after 5 s; a probe is claimed only when a server is chosen; a first record is written without reading it before.

--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -13,7 +13,7 @@
 // admit acquires a permit for a stream if its service has model engines. Other requests need no permit. Requests to a
 // service whose servers are all suspended, and prompts with a quarantined part, are refused immediately.
 func (c *call) admit(ctx context.Context) *Failure {
-	if f := c.checkQuarantine(ctx); f != nil {
+	if f := c.checkQuarantine(); f != nil {
 		return f
 	}
 	if suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now()); suspended > 0 {
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -39,8 +39,8 @@
 	deadline time.Time
 
 	attempts []attempt
-	// probe is the part of the prompt of which this request is the probe, zero if it is none.
-	probe quarantine.Part
+	// probes are the parts of the prompt of which this request is a probe.
+	probes []quarantine.Part
 	// moved is set when an attempt was canceled because its server became slow or silent. The retry budget has already
 	// allowed the next attempt.
 	moved atomic.Bool
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -24,7 +24,7 @@
 			c.fail(c.finalFailure(ctx, err))
 			return
 		}
-		if f := c.checkQuarantine(ctx); f != nil {
+		if f := c.claimProbes(ctx); f != nil {
 			c.fail(f)
 			return
 		}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -40,7 +40,8 @@
 
 // QuarantineSharing makes what this gateway learns about parts of prompts known to the others.
 type QuarantineSharing interface {
-	ShareCrash(part quarantine.Part, crash quarantine.Crash)
+	// ShareCrash makes a crash known. first is the record of the part if it is the first crash.
+	ShareCrash(first quarantine.Record)
 	ShareCleared(part quarantine.Part)
 	// ClaimProbe reports whether this gateway may send a request with a part whose block has ended.
 	ClaimProbe(ctx context.Context, part quarantine.Part) bool
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -19,18 +19,34 @@
 }
 
 // checkQuarantine returns the failure of a request that is kept from servers because of a part of its prompt, nil if it
-// may be sent. When the block of the part has ended, one request may be sent as a probe.
-func (c *call) checkQuarantine(ctx context.Context) *Failure {
-	opts := &c.server.opts
-	v := opts.Quarantine.Check(c.service, c.meta.SharedParts, c.probe, time.Now())
-	if v.Passes() {
+// may be sent, also as a probe.
+func (c *call) checkQuarantine() *Failure {
+	v := c.server.opts.Quarantine.Check(c.service, c.meta.SharedParts, c.probes, time.Now())
+	if v.Passes() || v.CanProbe {
 		return nil
 	}
-	if v.Wait == 0 && c.probe == (quarantine.Part{}) && opts.Sharing != nil && opts.Sharing.ClaimProbe(ctx, v.Part) {
-		c.probe = v.Part
+	return c.quarantineFailure(v)
+}
+
+// claimProbes returns the failure of a request that must not be sent because of a part of its prompt. When the block of
+// a part has ended, the request is sent if it can claim the probe. This is done only when a server has been chosen, so
+// that no probe is claimed in vain.
+func (c *call) claimProbes(ctx context.Context) *Failure {
+	opts := &c.server.opts
+	for {
+		v := opts.Quarantine.Check(c.service, c.meta.SharedParts, c.probes, time.Now())
+		if v.Passes() {
+			return nil
+		}
+		if !v.CanProbe || opts.Sharing == nil || !opts.Sharing.ClaimProbe(ctx, v.Part) {
+			return c.quarantineFailure(v)
+		}
+		c.probes = append(c.probes, v.Part)
 		opts.Log.Info("probe of a suspected part of prompts", c.partFields(v.Part)...)
-		return c.checkQuarantine(ctx)
 	}
+}
+
+func (c *call) quarantineFailure(v quarantine.Verdict) *Failure {
 	err := &QuarantinedError{Part: v.Part.ID}
 	if c.mayHaveExecuted() {
 		return &Failure{Status: http.StatusBadGateway, Reason: reasonBackendFailed, Detail: err.Error()}
@@ -98,11 +114,12 @@
 		return
 	}
 	a.suspected = true
-	for _, part := range opts.Quarantine.RecordCrash(c.service, c.meta.SharedParts, crash, time.Now()) {
-		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it", append(c.partFields(part),
-			zap.String("server", a.server), zap.Bool("answer_begun", crash.AnswerBegun))...)
+	for _, r := range opts.Quarantine.RecordCrash(c.service, c.meta.SharedParts, crash, time.Now()) {
+		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it", append(c.partFields(r.Part),
+			zap.String("server", a.server), zap.Bool("answer_begun", r.AnswerBegun), zap.Bool("answered_before", r.Answered),
+			zap.Strings("with", r.With))...)
 		if opts.Sharing != nil {
-			opts.Sharing.ShareCrash(part, crash)
+			opts.Sharing.ShareCrash(r)
 		}
 	}
 }
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -16,20 +16,26 @@
 	// firstBlock is how long the first crash blocks a part that no answer has cleared. Each further crash doubles the
 	// time, up to maxBlock.
 	firstBlock = time.Minute
-	// firstDoubtfulBlock is firstBlock for a part that may be sound: it was part of an answered prompt before, or no
-	// crashed server had begun to answer it.
-	firstDoubtfulBlock = 5 * time.Second
+	// firstAnsweredBlock is firstBlock for a part that was in an answered prompt before the first crash.
+	firstAnsweredBlock = 5 * time.Second
 	maxBlock           = 5 * time.Minute
 	// doubtfulCrashes is the number of crashes, without an answer in between, that block a part that may be sound.
 	doubtfulCrashes = 2
 	// probeTime is how long a claimed probe keeps other requests away.
 	probeTime = 10 * time.Second
+	// jointProbeDelay is how long after the end of its block a part may be probed together with other suspects. A
+	// request with a single one tells more.
+	jointProbeDelay = 30 * time.Second
+	// partialProbeDelay is how long after a crash a part may be probed by a request that lacks another suspect of the same
+	// crash. Such a request is likely to be sound, and shows which of the suspects is.
+	partialProbeDelay = 5 * time.Second
 	// RecordTTL is how long a record is kept after the last crash or probe. It exceeds maxBlock, so that a part whose
 	// block has ended is probed and not forgotten.
 	RecordTTL = 10 * time.Minute
 	// maxSuspects bounds the suspected parts that a process remembers.
 	maxSuspects = 1024
-	// sameCrashWindow is the time within which requests that fail at one server count as one crash.
+	// sameCrashWindow is the time within which the requests that fail at one server count as one crash. Crashes of
+	// several servers in this time count once for a part that may be sound, because no answer can come in between.
 	sameCrashWindow = 2 * time.Second
 	// recentAnswer is the time after an answer during which a part is not suspected because of a server that had not
 	// begun to answer. The server was answering other requests too.
@@ -58,6 +64,10 @@
 	Crashes int
 	// AnswerBegun is set if it was for any of the crashes.
 	AnswerBegun bool
+	// With are the IDs of the other parts that the last crash made suspects together with this one.
+	With []string
+	// Answered is set if the part was in an answered prompt before the first crash, at any gateway.
+	Answered bool
 	// LastServer is the server of the last crash.
 	LastServer string
 	// Probes counts the probes claimed.
@@ -75,13 +85,13 @@
 	record Record
 	// at is the position of the shared record, zero before it is known.
 	at kv.Position
-	// answeredBefore is set if the part was in an answered prompt before the first crash.
-	answeredBefore bool
 	// cleared is set when a later request with the part was answered. The shared record may still exist.
 	cleared bool
 	// changedAt is when this process learned of the last crash or probe, lastCrashAt of the last crash.
 	changedAt, lastCrashAt time.Time
-	blockedUntil           time.Time
+	// probedAt is when this process learned of the last probe, zero without one.
+	probedAt     time.Time
+	blockedUntil time.Time
 }
 
 // blocking reports whether requests with the part are kept from servers, except for probes.
@@ -97,7 +107,23 @@
 	return 1
 }
 
-func (s *suspect) doubtful() bool { return s.answeredBefore || !s.record.AnswerBegun }
+// doubtful reports whether the part may be sound although a server crashed.
+func (s *suspect) doubtful() bool { return s.record.Answered || !s.record.AnswerBegun }
+
+// probeFrom returns when a request whose prompt holds the given parts may be a probe of the part.
+func (s *suspect) probeFrom(parts []string) time.Time {
+	lacksOther := slices.ContainsFunc(s.record.With, func(id string) bool { return !slices.Contains(parts, id) })
+	early := s.lastCrashAt.Add(partialProbeDelay)
+	if lacksOther && s.probedAt.Before(s.lastCrashAt) && early.Before(s.blockedUntil) {
+		return early
+	}
+	return s.blockedUntil
+}
+
+// sameCrash reports whether a crash is not counted because another one was just before.
+func (s *suspect) sameCrash(crash Crash, now time.Time) bool {
+	return !s.cleared && now.Sub(s.lastCrashAt) < sameCrashWindow && (s.doubtful() || s.record.LastServer == crash.Server)
+}
 
 // recordCrash starts or prolongs the block.
 func (s *suspect) recordCrash(now time.Time) {
@@ -106,8 +132,8 @@
 		return
 	}
 	block := firstBlock
-	if s.doubtful() {
-		block = firstDoubtfulBlock
+	if s.record.Answered {
+		block = firstAnsweredBlock
 	}
 	doublings := min(s.record.Crashes-s.blockingCrashes(), 8)
 	s.blockedUntil = now.Add(min(block<<doublings, maxBlock))
@@ -134,33 +160,39 @@
 type Verdict struct {
 	// Part is the part because of which the request does not pass, zero if it passes.
 	Part Part
-	// Wait is the remaining time of the block. It is 0 if the request passes as a probe once the probe is claimed.
+	// Wait is the remaining time of the block, at least 0.
 	Wait time.Duration
+	// CanProbe is set if the request passes as a probe of the part once that is claimed.
+	CanProbe bool
 }
 
 // Passes reports whether the request may be sent to a server.
 func (v Verdict) Passes() bool { return v.Part == Part{} }
 
-// Check decides on a request whose prompt holds the given parts. Its probe of a part, if it has claimed one, is not
-// subject to the block of that part.
-func (q *Quarantine) Check(service string, parts []string, probe Part, now time.Time) Verdict {
+// Check decides on a request whose prompt holds the given parts. The blocks of the parts of which the request is a probe
+// do not apply to it.
+func (q *Quarantine) Check(service string, parts []string, probes []Part, now time.Time) Verdict {
 	if len(parts) == 0 || q.count.Load() == 0 {
 		return Verdict{}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var v Verdict
+	var blocked []*suspect
 	for _, id := range parts {
 		part := Part{service, id}
-		s := q.suspects[part]
-		if s == nil || part == probe || !s.blocking() {
-			continue
-		}
-		if wait := max(s.blockedUntil.Sub(now), 0); v.Passes() || wait > v.Wait {
-			v = Verdict{Part: part, Wait: wait}
+		if s := q.suspects[part]; s != nil && s.blocking() && !slices.Contains(probes, part) {
+			blocked = append(blocked, s)
 		}
 	}
-	return v
+	if len(blocked) == 0 {
+		return Verdict{}
+	}
+	last := slices.MaxFunc(blocked, func(a, b *suspect) int { return a.probeFrom(parts).Compare(b.probeFrom(parts)) })
+	from := last.probeFrom(parts)
+	if len(blocked) > 1 && !from.Before(last.blockedUntil) {
+		from = from.Add(jointProbeDelay)
+	}
+	return Verdict{Part: last.record.Part, Wait: max(from.Sub(now), 0), CanProbe: !now.Before(from)}
 }
 
 // Shared returns the shared record of a part as far as this process knows it.
@@ -221,34 +253,51 @@
 	return []Part{oldest}
 }
 
-// RecordCrash makes parts of the prompt of a request suspects after its server crashed. It returns them.
-func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Part {
+// RecordCrash makes parts of the prompt of a request suspects after its server crashed. It returns the records of a
+// first crash of these parts, to be shared. Suspects for which the crash is not counted are left out. Right after a
+// start, when no part is known to be sound, AnswerBegun does not count for a single suspect, which all sound requests
+// may hold too.
+func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Record {
 	q.mu.Lock()
 	accused := q.suspectParts(service, parts, crash, now)
-	if q.answered.count(service) < minAnswers {
-		crash.AnswerBegun = false // Right after a start, no part is known to be sound.
+	if len(accused) == 1 && q.answered.count(service) < minAnswers {
+		crash.AnswerBegun = false
 	}
+	var records []Record
 	var withdraw []func()
-	accused = slices.DeleteFunc(accused, func(part Part) bool {
+	for _, part := range accused {
 		s := q.suspect(part, now)
-		if s == nil || (s.record.LastServer == crash.Server && now.Sub(s.lastCrashAt) < sameCrashWindow) {
-			return true
+		if s == nil || s.sameCrash(crash, now) {
+			continue
 		}
 		if s.cleared {
 			s.record.Crashes = 0
 		}
 		s.record.Crashes++
 		s.record.AnswerBegun = s.record.AnswerBegun || crash.AnswerBegun
-		s.record.LastServer = crash.Server
+		s.record.LastServer, s.record.With = crash.Server, otherIDs(accused, part)
 		s.recordCrash(now)
 		withdraw = append(withdraw, q.watchersOf(s)...)
-		return false
-	})
+		first := s.record
+		first.Crashes, first.AnswerBegun, first.Probes = 1, crash.AnswerBegun, 0
+		records = append(records, first)
+	}
 	q.mu.Unlock()
 	for _, fn := range withdraw {
 		fn()
 	}
-	return accused
+	return records
+}
+
+// otherIDs returns the IDs of the parts other than the given one.
+func otherIDs(parts []Part, part Part) []string {
+	var out []string
+	for _, p := range parts {
+		if p != part {
+			out = append(out, p.ID)
+		}
+	}
+	return out
 }
 
 // suspect returns the suspect of a part and creates it if needed, nil if there is no room.
@@ -263,7 +312,7 @@
 		return nil
 	}
 	_, answered := q.answered.at(part)
-	s := &suspect{record: Record{Part: part}, answeredBefore: answered}
+	s := &suspect{record: Record{Part: part, Answered: answered}}
 	q.suspects[part] = s
 	q.count.Store(int64(len(q.suspects)))
 	return s
@@ -285,9 +334,17 @@
 	q.removeExpired(now)
 }
 
+// Applied is the effect of shared records.
+type Applied struct {
+	// Blocked are the parts that are blocked from now on.
+	Blocked []Part
+	// Answered are the parts that were in prompts answered by this process, which the records do not say.
+	Answered []Part
+}
+
 // ApplyShared takes over the shared records of all gateways. A suspect without a record was cleared by another gateway;
 // if complete is false, it may be missing for another reason and is kept.
-func (q *Quarantine) ApplyShared(records []Shared, complete bool, now time.Time) (blocked []Part) {
+func (q *Quarantine) ApplyShared(records []Shared, complete bool, now time.Time) (out Applied) {
 	q.mu.Lock()
 	listed := make(map[Part]bool, len(records))
 	var withdraw []func()
@@ -299,8 +356,11 @@
 		}
 		wasBlocking := s.blocking()
 		s.apply(r, now)
+		if s.record.Answered && !r.Answered {
+			out.Answered = append(out.Answered, r.Part)
+		}
 		if s.blocking() && !wasBlocking {
-			blocked = append(blocked, r.Part)
+			out.Blocked = append(out.Blocked, r.Part)
 			withdraw = append(withdraw, q.watchersOf(s)...)
 		}
 	}
@@ -314,7 +374,7 @@
 	for _, fn := range withdraw {
 		fn()
 	}
-	return blocked
+	return out
 }
 
 // apply takes over a later shared record.
@@ -324,7 +384,7 @@
 	probed := r.Probes > s.record.Probes
 	s.record = Record{
 		Part: r.Part, Crashes: max(r.Crashes, s.record.Crashes), AnswerBegun: r.AnswerBegun || s.record.AnswerBegun,
-		LastServer: r.LastServer, Probes: max(r.Probes, s.record.Probes),
+		Answered: r.Answered || s.record.Answered, With: r.With, LastServer: r.LastServer, Probes: max(r.Probes, s.record.Probes),
 	}
 	switch {
 	case crashed:
@@ -337,7 +397,7 @@
 
 // recordProbe keeps other requests away while a probe is in progress.
 func (s *suspect) recordProbe(now time.Time) {
-	s.changedAt = now
+	s.changedAt, s.probedAt = now, now
 	if until := now.Add(probeTime); until.After(s.blockedUntil) {
 		s.blockedUntil = until
 	}
--- a/gateway/quarantine/sharing.go
+++ b/gateway/quarantine/sharing.go
@@ -38,13 +38,25 @@
 	changes    chan change
 }
 
-// change is a crash or the clearing of a part that the other gateways do not know yet.
+// change is what the other gateways do not know yet of a part.
 type change struct {
 	part Part
-	// crash is nil if the part was cleared.
-	crash *Crash
+	kind changeKind
+	// record is the record of a first crash, set for crashed.
+	record Record
 }
 
+type changeKind uint8
+
+const (
+	// crashed: a server crashed on a request with the part.
+	crashed changeKind = iota
+	// cleared: a request with the part was answered after the last crash.
+	cleared
+	// answered: a request with the part was answered before the first crash.
+	answered
+)
+
 // NewSharing returns the sharing of a quarantine. Run writes the changes.
 func NewSharing(store kv.Store, q *Quarantine, log *zap.Logger) *Sharing {
 	return &Sharing{store: store, quarantine: q, log: log, changes: make(chan change, maxPendingChanges)}
@@ -52,12 +64,14 @@
 
 // wireRecord is a Record in the service.
 type wireRecord struct {
-	Service     string `json:"service"`
-	Part        string `json:"part"`
-	Crashes     int    `json:"crashes"`
-	AnswerBegun bool   `json:"answer_begun"`
-	LastServer  string `json:"last_server"`
-	Probes      int    `json:"probes"`
+	Service     string   `json:"service"`
+	Part        string   `json:"part"`
+	Crashes     int      `json:"crashes"`
+	AnswerBegun bool     `json:"answer_begun"`
+	Answered    bool     `json:"answered"`
+	With        []string `json:"with,omitempty"`
+	LastServer  string   `json:"last_server"`
+	Probes      int      `json:"probes"`
 }
 
 // recordKey returns the key of a part's record. Names of parts and services may be longer than a key.
@@ -70,7 +84,7 @@
 	// Encoding a struct of strings and numbers cannot fail.
 	value, _ := json.Marshal(wireRecord{
 		Service: r.Part.Service, Part: r.Part.ID, Crashes: r.Crashes, AnswerBegun: r.AnswerBegun,
-		LastServer: r.LastServer, Probes: r.Probes,
+		Answered: r.Answered, With: r.With, LastServer: r.LastServer, Probes: r.Probes,
 	})
 	return value
 }
@@ -87,8 +101,8 @@
 	var w wireRecord
 	err := json.Unmarshal(e.Value, &w)
 	r := Record{
-		Part: Part{w.Service, w.Part}, Crashes: w.Crashes, AnswerBegun: w.AnswerBegun, LastServer: w.LastServer,
-		Probes: w.Probes,
+		Part: Part{w.Service, w.Part}, Crashes: w.Crashes, AnswerBegun: w.AnswerBegun, Answered: w.Answered, With: w.With,
+		LastServer: w.LastServer, Probes: w.Probes,
 	}
 	if err != nil || w.Crashes < 1 || recordKey(r.Part) != e.Key {
 		return Record{}, merry.Wrap(&InvalidRecordError{Key: e.Key})
@@ -108,16 +122,23 @@
 		at := kv.Position{Era: snapshot.At.Era, Revision: e.ModRevision}
 		records = append(records, Shared{Record: r, At: at})
 	}
-	for _, part := range s.quarantine.ApplyShared(records, keepUntil.IsZero(), time.Now()) {
+	applied := s.quarantine.ApplyShared(records, keepUntil.IsZero(), time.Now())
+	for _, part := range applied.Answered {
+		s.enqueue(change{part: part, kind: answered})
+	}
+	for _, part := range applied.Blocked {
 		s.log.Warn("part of prompts blocked by another gateway", zap.String("service", part.Service), zap.String("part", part.ID))
 	}
 }
 
-// ShareCrash makes a crash known to the other gateways. Only the log shows a failure.
-func (s *Sharing) ShareCrash(part Part, crash Crash) { s.enqueue(change{part: part, crash: &crash}) }
+// ShareCrash makes a crash known to the other gateways. first is the record of the part if it is the first crash. Only
+// the log shows a failure.
+func (s *Sharing) ShareCrash(first Record) {
+	s.enqueue(change{part: first.Part, kind: crashed, record: first})
+}
 
 // ShareCleared removes the shared record of a part. Only the log shows a failure.
-func (s *Sharing) ShareCleared(part Part) { s.enqueue(change{part: part}) }
+func (s *Sharing) ShareCleared(part Part) { s.enqueue(change{part: part, kind: cleared}) }
 
 func (s *Sharing) enqueue(c change) {
 	select {
@@ -146,13 +167,17 @@
 // write writes one change. A crash is retried, also after a lost response: the record names the server, so that one
 // crash counts once.
 func (s *Sharing) write(ctx context.Context, c change) {
-	if c.crash == nil {
+	switch c.kind {
+	case cleared:
 		s.removeRecord(ctx, c.part)
 		return
+	case answered:
+		s.markAnswered(ctx, c.part)
+		return
 	}
 	var err error
 	for range writeAttempts {
-		if err = s.addCrash(ctx, c.part, *c.crash); err == nil || ctx.Err() != nil {
+		if err = s.addCrash(ctx, c.record); err == nil || ctx.Err() != nil {
 			return
 		}
 		select {
@@ -164,10 +189,17 @@
 	s.log.Warn("crash not shared with other gateways", zap.String("part", c.part.ID), zap.Error(err))
 }
 
-// addCrash counts a crash in the shared record.
-func (s *Sharing) addCrash(ctx context.Context, part Part, crash Crash) error {
-	record, revision := Record{Part: part}, kv.Absent
-	entry, err := s.store.Get(ctx, recordKey(part))
+// addCrash counts a crash in the shared record. Most parts have none yet.
+func (s *Sharing) addCrash(ctx context.Context, first Record) error {
+	if _, known := s.quarantine.Shared(first.Part); !known {
+		_, err := s.put(ctx, first, kv.Absent)
+		var conflict *kv.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	record, revision := Record{Part: first.Part}, kv.Absent
+	entry, err := s.store.Get(ctx, recordKey(first.Part))
 	var notFound *kv.NotFoundError
 	switch {
 	case err == nil:
@@ -178,16 +210,30 @@
 	case !errors.As(err, &notFound):
 		return err
 	}
-	if record.LastServer == crash.Server {
+	if record.LastServer == first.LastServer {
 		return nil
 	}
 	record.Crashes++
-	record.AnswerBegun = record.AnswerBegun || crash.AnswerBegun
-	record.LastServer = crash.Server
+	record.AnswerBegun = record.AnswerBegun || first.AnswerBegun
+	record.Answered = record.Answered || first.Answered
+	record.LastServer, record.With = first.LastServer, first.With
 	_, err = s.put(ctx, record, revision)
 	return err
 }
 
+// markAnswered notes in the shared record that the part was in an answered prompt before the first crash. If another
+// gateway has changed the record, that gateway's change is applied first and leads here again.
+func (s *Sharing) markAnswered(ctx context.Context, part Part) {
+	shared, ok := s.quarantine.Shared(part)
+	if !ok {
+		return
+	}
+	shared.Record.Answered = true
+	if _, err := s.put(ctx, shared.Record, shared.At.Revision); err != nil {
+		s.log.Debug("record of a suspected part not changed", zap.String("part", part.ID), zap.Error(err))
+	}
+}
+
 func (s *Sharing) put(ctx context.Context, r Record, expected int64) (int64, error) {
 	lease, err := s.store.Grant(ctx, RecordTTL)
 	if err != nil {
