--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -112,7 +113,9 @@
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
 	store := platform.NewStore(s.Store, observeCall)
 	suspected := quarantine.New()
-	g.sharing = quarantine.NewSharing(store, suspected, g.log)
+	g.sharing = quarantine.NewSharing(quarantine.SharingOptions{
+		Store: store, Quarantine: suspected, Client: process.PeerClient(0), Peers: g.peerAddresses, Log: g.log,
+	})
 	g.createMirrors(store)
 	self := presence.Member{Name: s.Name, Address: s.ControlListen, Domain: s.FailureDomain}
 	g.presence = presence.New(store, presencePrefix, self, g.log)
@@ -241,6 +244,18 @@
 	return process.RunUntilDone(ctx, start, g.drain)
 }
 
+// peerAddresses returns the control addresses of the other gateways, those of the settings while the list is unknown.
+func (g *gateway) peerAddresses() []string {
+	s := g.settings.Load()
+	addresses := slices.Clone(s.Peers)
+	for _, m := range g.presence.Members() {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	isSelf := func(address string) bool { return address == s.ControlListen }
+	return slices.DeleteFunc(slices.Compact(addresses), isSelf)
+}
+
 // drain makes the readiness probe fail and each connection close after its response, and waits for the running
 // requests.
 func (g *gateway) drain() {
@@ -271,6 +286,7 @@
 		platform.ConfigPrefix: g.config, platform.ServersPrefix: g.servers, quarantine.RecordPrefix: g.suspects,
 	}
 	r.HandleFunc(mirror.PathFollow, mirror.FollowHandler(mirrors, g.log)).Methods(http.MethodGet)
+	r.HandleFunc(quarantine.PathCrash, g.sharing.CrashHandler()).Methods(http.MethodPost)
 	r.HandleFunc(mirror.PathSnapshot, mirror.SnapshotHandler(mirrors, g.log)).Methods(http.MethodGet)
 	r.PathPrefix("/").Handler(g.admin.Handler())
 	return r
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -121,8 +121,20 @@
 }
 
 // sameCrash reports whether a crash is not counted because another one was just before.
-func (s *suspect) sameCrash(crash Crash, now time.Time) bool {
-	return !s.cleared && now.Sub(s.lastCrashAt) < sameCrashWindow && (s.doubtful() || s.record.LastServer == crash.Server)
+func (s *suspect) sameCrash(server string, now time.Time) bool {
+	return !s.cleared && now.Sub(s.lastCrashAt) < sameCrashWindow && (s.doubtful() || s.record.LastServer == server)
+}
+
+// addCrash adds a first crash to those of the suspect.
+func (s *suspect) addCrash(first Record, now time.Time) {
+	if s.cleared {
+		s.record.Crashes = 0
+	}
+	s.record.Crashes++
+	s.record.AnswerBegun = s.record.AnswerBegun || first.AnswerBegun
+	s.record.Answered = s.record.Answered || first.Answered
+	s.record.LastServer, s.record.With = first.LastServer, first.With
+	s.recordCrash(now)
 }
 
 // recordCrash starts or prolongs the block.
@@ -131,12 +143,20 @@
 	if !s.blocking() {
 		return
 	}
+	s.blockedUntil = now.Add(s.blockTime())
+}
+
+// blockTime returns how long the last crash blocks the part, 0 if it does not.
+func (s *suspect) blockTime() time.Duration {
+	doublings := s.record.Crashes - s.blockingCrashes()
+	if doublings < 0 {
+		return 0
+	}
 	block := firstBlock
 	if s.record.Answered {
 		block = firstAnsweredBlock
 	}
-	doublings := min(s.record.Crashes-s.blockingCrashes(), 8)
-	s.blockedUntil = now.Add(min(block<<doublings, maxBlock))
+	return min(block<<min(doublings, 8), maxBlock)
 }
 
 // Quarantine holds the suspected parts of a process. Its methods are safe for concurrent use.
@@ -267,19 +287,15 @@
 	var withdraw []func()
 	for _, part := range accused {
 		s := q.suspect(part, now)
-		if s == nil || s.sameCrash(crash, now) {
+		if s == nil || s.sameCrash(crash.Server, now) {
 			continue
 		}
-		if s.cleared {
-			s.record.Crashes = 0
+		first := Record{
+			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun, Answered: s.record.Answered, LastServer: crash.Server,
+			With: otherIDs(accused, part),
 		}
-		s.record.Crashes++
-		s.record.AnswerBegun = s.record.AnswerBegun || crash.AnswerBegun
-		s.record.LastServer, s.record.With = crash.Server, otherIDs(accused, part)
-		s.recordCrash(now)
+		s.addCrash(first, now)
 		withdraw = append(withdraw, q.watchersOf(s)...)
-		first := s.record
-		first.Crashes, first.AnswerBegun, first.Probes = 1, crash.AnswerBegun, 0
 		records = append(records, first)
 	}
 	q.mu.Unlock()
@@ -334,6 +350,37 @@
 	q.removeExpired(now)
 }
 
+// ApplyPeer takes over a first crash from another gateway. It reports whether the part was in a prompt answered by this
+// process before, and whether it is blocked from now on.
+func (q *Quarantine) ApplyPeer(first Record, now time.Time) (answered, blocked bool) {
+	q.mu.Lock()
+	s := q.suspect(first.Part, now)
+	if s == nil || s.record.LastServer == first.LastServer || s.sameCrash(first.LastServer, now) {
+		answered = s != nil && s.record.Answered
+		q.mu.Unlock()
+		return answered, false
+	}
+	wasBlocking := s.blocking()
+	s.addCrash(first, now)
+	answered, blocked = s.record.Answered, s.blocking() && !wasBlocking
+	withdraw := q.watchersOf(s)
+	q.mu.Unlock()
+	for _, fn := range withdraw {
+		fn()
+	}
+	return answered, blocked
+}
+
+// markAnswered records that another gateway had the part in an answered prompt before the first crash.
+func (q *Quarantine) markAnswered(part Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.suspects[part]; s != nil && !s.record.Answered {
+		s.record.Answered = true
+		s.blockedUntil = s.lastCrashAt.Add(s.blockTime())
+	}
+}
+
 // Applied is the effect of shared records.
 type Applied struct {
 	// Blocked are the parts that are blocked from now on.
--- a/gateway/quarantine/sharing.go
+++ b/gateway/quarantine/sharing.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,8 +24,8 @@
 const (
 	// maxPendingChanges bounds the changes that wait to be written.
 	maxPendingChanges = 256
-	// writeAttempts and writeRetryDelay bound how long the write of a crash is retried.
-	writeAttempts   = 40
+	// writeAttempts and writeRetryDelay bound how long the write of a crash is retried, about as long as firstBlock.
+	writeAttempts   = 240
 	writeRetryDelay = 250 * time.Millisecond
 	// probeTimeout bounds the calls that claim a probe, while a caller waits.
 	probeTimeout = 500 * time.Millisecond
@@ -33,9 +35,13 @@
 // a lease, so that it is removed when no gateway needs it. Its methods may be called from any goroutine.
 type Sharing struct {
 	store      kv.Store
+	client     *http.Client
+	peers      func() []string
 	quarantine *Quarantine
 	log        *zap.Logger
 	changes    chan change
+	// untold are the crashes that the peers do not know yet.
+	untold chan Record
 }
 
 // change is what the other gateways do not know yet of a part.
@@ -57,9 +63,23 @@
 	answered
 )
 
-// NewSharing returns the sharing of a quarantine. Run writes the changes.
-func NewSharing(store kv.Store, q *Quarantine, log *zap.Logger) *Sharing {
-	return &Sharing{store: store, quarantine: q, log: log, changes: make(chan change, maxPendingChanges)}
+// SharingOptions are the dependencies of a Sharing.
+type SharingOptions struct {
+	Store      kv.Store
+	Quarantine *Quarantine
+	// Client calls the peers.
+	Client *http.Client
+	// Peers returns the addresses of the other gateways, each "IP:port". The slice is not used by others.
+	Peers func() []string
+	Log   *zap.Logger
+}
+
+// NewSharing returns the sharing of a quarantine. Run tells the other gateways of changes.
+func NewSharing(o SharingOptions) *Sharing {
+	return &Sharing{
+		store: o.Store, quarantine: o.Quarantine, client: o.Client, peers: o.Peers, log: o.Log,
+		changes: make(chan change, maxPendingChanges), untold: make(chan Record, maxPendingChanges),
+	}
 }
 
 // wireRecord is a Record in the service.
@@ -89,6 +109,13 @@
 	return value
 }
 
+func (w *wireRecord) record() Record {
+	return Record{
+		Part: Part{w.Service, w.Part}, Crashes: w.Crashes, AnswerBegun: w.AnswerBegun, Answered: w.Answered, With: w.With,
+		LastServer: w.LastServer, Probes: w.Probes,
+	}
+}
+
 // InvalidRecordError reports an entry below RecordPrefix that no gateway has written.
 type InvalidRecordError struct{ Key string }
 
@@ -100,10 +127,7 @@
 func decodeRecord(e kv.Entry) (Record, error) {
 	var w wireRecord
 	err := json.Unmarshal(e.Value, &w)
-	r := Record{
-		Part: Part{w.Service, w.Part}, Crashes: w.Crashes, AnswerBegun: w.AnswerBegun, Answered: w.Answered, With: w.With,
-		LastServer: w.LastServer, Probes: w.Probes,
-	}
+	r := w.record()
 	if err != nil || w.Crashes < 1 || recordKey(r.Part) != e.Key {
 		return Record{}, merry.Wrap(&InvalidRecordError{Key: e.Key})
 	}
@@ -127,14 +151,22 @@
 		s.enqueue(change{part: part, kind: answered})
 	}
 	for _, part := range applied.Blocked {
-		s.log.Warn("part of prompts blocked by another gateway", zap.String("service", part.Service), zap.String("part", part.ID))
+		s.logBlocked(part)
 	}
 }
 
+func (s *Sharing) logBlocked(part Part) {
+	s.log.Warn("part of prompts blocked by another gateway", zap.String("service", part.Service), zap.String("part", part.ID))
+}
+
 // ShareCrash makes a crash known to the other gateways. first is the record of the part if it is the first crash. Only
 // the log shows a failure.
 func (s *Sharing) ShareCrash(first Record) {
 	s.enqueue(change{part: first.Part, kind: crashed, record: first})
+	select {
+	case s.untold <- first:
+	default: // The record in the service follows.
+	}
 }
 
 // ShareCleared removes the shared record of a part. Only the log shows a failure.
@@ -148,8 +180,25 @@
 	}
 }
 
-// Run writes the changes until the context ends.
+// Run tells the other gateways of changes until the context ends: directly, and through the service.
 func (s *Sharing) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case first := <-s.untold:
+				s.tellPeers(ctx, first)
+			}
+		}
+	})
+	s.runWrites(ctx)
+}
+
+// runWrites writes the changes to the service until the context ends.
+func (s *Sharing) runWrites(ctx context.Context) {
 	expire := time.NewTicker(time.Minute)
 	defer expire.Stop()
 	for {
@@ -248,11 +297,33 @@
 	if !ok {
 		return
 	}
-	if err := s.store.Delete(ctx, recordKey(part), shared.At.Revision); err != nil {
+	err := s.store.Delete(ctx, recordKey(part), shared.At.Revision)
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		err = s.removeChangedRecord(ctx, shared.Record)
+	}
+	if err != nil {
 		s.log.Info("record of a cleared part not removed", zap.String("part", part.ID), zap.Error(err))
 	}
 }
 
+// removeChangedRecord removes a record that has changed if there was no further crash.
+func (s *Sharing) removeChangedRecord(ctx context.Context, known Record) error {
+	entry, err := s.store.Get(ctx, recordKey(known.Part))
+	var notFound *kv.NotFoundError
+	if errors.As(err, &notFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	record, err := decodeRecord(entry)
+	if err != nil || record.Crashes > known.Crashes || record.LastServer != known.LastServer {
+		return err
+	}
+	return s.store.Delete(ctx, entry.Key, entry.ModRevision)
+}
+
 // ClaimProbe claims the next probe of a part whose block has ended, and reports whether this process may send it. At
 // most one gateway gets the claim.
 func (s *Sharing) ClaimProbe(ctx context.Context, part Part) bool {
