--- a/gateway/quarantine/sharing.go
+++ b/gateway/quarantine/sharing.go
@@ -277,7 +277,7 @@
 	if !ok {
 		return
 	}
-	shared.Record.Answered = true
+	shared.Answered = true
 	if _, err := s.put(ctx, shared.Record, shared.At.Revision); err != nil {
 		s.log.Debug("record of a suspected part not changed", zap.String("part", part.ID), zap.Error(err))
 	}
