Test the quarantine of prompt parts, alone and in a fleet of processes

Decisions with a clock of their own, sharing through the stand-in of the key-value service and between peers, the request path with servers that crash, and three gateways with three replicas as processes (also with the store down and with a gateway that starts anew). The replica stand-in crashes on a part of a prompt: header, no event, connections refused for a second. A crash is now counted by the run of a server, since a server may start again under its ID.

--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -123,7 +123,11 @@
 			return err
 		}
 		fmt.Println("listening on", l.Addr())
-		group.Go(func() error { return telemetry.Serve(ctx, l, handlerOf(i), shutdownGrace) })
+		h := handlerOf(i)
+		if r, ok := h.(refuser); ok {
+			l = &refusingListener{Listener: l, refuser: r}
+		}
+		group.Go(func() error { return telemetry.Serve(ctx, l, h, shutdownGrace) })
 	}
 	err = group.Wait()
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -132,6 +136,26 @@
 	return err
 }
 
+// refuser is a handler of a server that accepts no connections at times.
+type refuser interface{ RefusesConnections() bool }
+
+// refusingListener closes the connections that its server does not accept.
+type refusingListener struct {
+	net.Listener
+	refuser refuser
+}
+
+// Accept returns the next connection that the server accepts.
+func (l *refusingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || !l.refuser.RefusesConnections() {
+			return c, err
+		}
+		c.Close()
+	}
+}
+
 // handlers returns a function that returns the handler for the listener with the given index.
 func handlers(ctx context.Context, o options) (func(i int) http.Handler, error) {
 	switch o.role {
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -62,7 +62,9 @@
 type attempt struct {
 	backend *balance.Backend
 	server  string
-	outcome balance.Outcome
+	// incarnation identifies the run of the server.
+	incarnation string
+	outcome     balance.Outcome
 	// mayHaveExecuted is false if the server reported that it did not execute the request, or if the request was not
 	// sent.
 	mayHaveExecuted bool
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -198,8 +198,9 @@
 	tokens := c.tokenCost()
 	started := time.Now()
 	b.Begin(tokens, started)
+	server := b.Server()
 	a := attempt{
-		backend: b, server: b.Server().ID, mayHaveExecuted: true, sentAt: started, unwatch: c.watchQuarantine(cancel),
+		backend: b, server: server.ID, incarnation: incarnation(server), mayHaveExecuted: true, sentAt: started, unwatch: c.watchQuarantine(cancel),
 	}
 	defer a.unwatch()
 	result := c.roundTrip(ctx, b, &a)
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/quarantine"
 )
 
@@ -98,6 +100,14 @@
 	}
 }
 
+// incarnation identifies a run of a server between its start and its end.
+func incarnation(s catalog.Server) string {
+	if s.Started.IsZero() {
+		return s.ID
+	}
+	return s.ID + "@" + strconv.FormatInt(s.Started.UnixMilli(), 10)
+}
+
 // examineCrash makes parts of the prompt suspects if the server of the last attempt broke off before it was answering
 // and does not accept connections any more.
 func (c *call) examineCrash(ctx context.Context) {
@@ -106,7 +116,7 @@
 		return
 	}
 	opts := &c.server.opts
-	crash := quarantine.Crash{Server: a.server, AnswerBegun: a.answerBegun && a.eventCount == 0}
+	crash := quarantine.Crash{Server: a.incarnation, AnswerBegun: a.answerBegun && a.eventCount == 0}
 	if len(opts.Quarantine.Suspects(c.service, c.meta.SharedParts, crash, time.Now())) == 0 {
 		return
 	}
--- a/gateway/ingress/quarantine_test.go
+++ b/gateway/ingress/quarantine_test.go
@@ -1,11 +1,17 @@
 package ingress
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/quarantine"
 )
 
 // newFragileGateway starts a gateway with servers that crash when they begin to answer a prompt with the part "deadly".
@@ -54,3 +60,110 @@
 	}
 	require.Equal(t, 1, countCrashed(backends))
 }
+
+// Guards against a request in flight that crashes a further server after its part has become known.
+func TestRequestInFlightIsWithdrawnWhenItsPartIsBlocked(t *testing.T) {
+	received := make(chan struct{}, 1)
+	closed := make(chan error, 1)
+	s := newTestBackend(t, "a", func(c net.Conn, _ *http.Request) bool {
+		received <- struct{}{}
+		_, err := c.Read(make([]byte, 1))
+		closed <- err
+		return false
+	})
+	g := newGateway(t, s, newTestBackend(t, "b", respondOK("")))
+	g.fleet.Backends("s")[1].Begin(5000, time.Now()) // The other server is the better choice.
+	done := make(chan int, 1)
+	go func() {
+		resp, _, _ := g.get(t, "/stream/x", testPrompt, "common,deadly")
+		done <- resp.StatusCode
+	}()
+	<-received
+	g.opts.Quarantine.ApplyPeer(quarantine.Record{
+		Part: quarantine.Part{Service: "s", ID: "deadly"}, Crashes: 1, AnswerBegun: true, LastServer: "c",
+	}, time.Now())
+	require.Error(t, <-closed, "the server sees that the request was given up")
+	require.Equal(t, http.StatusBadGateway, <-done, "the request may have run")
+}
+
+// Guards against suspecting prompts because a connection broke although the server runs on.
+func TestBrokenConnectionOfALiveServerSuspectsNothing(t *testing.T) {
+	breakOff := respondAndClose(eventStream(1, 0))
+	ok := respond(eventStream(1, 3) + lastChunk)
+	a, b := newTestBackend(t, "a", breakOff, ok), newTestBackend(t, "b", breakOff, ok)
+	g := newGateway(t, a, b)
+	_, _, _ = g.get(t, "/stream/x", testPrompt, "rare")
+	requireAnswered(t, g, "rare")
+	require.Empty(t, g.opts.Quarantine.Dump(time.Now()))
+}
+
+// stubSharing grants every probe and records what it is told.
+type stubSharing struct {
+	mu      sync.Mutex
+	crashes []quarantine.Record
+	cleared []quarantine.Part
+	probes  int
+}
+
+func (s *stubSharing) ShareCrash(first quarantine.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, first)
+}
+
+func (s *stubSharing) ShareCleared(part quarantine.Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cleared = append(s.cleared, part)
+}
+
+func (s *stubSharing) ClaimProbe(context.Context, quarantine.Part) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probes++
+	return true
+}
+
+// Guards against a part that stays blocked for good, and against more than the probe after its block.
+func TestPartIsProbedAfterItsBlock(t *testing.T) {
+	g, backends := newFragileGateway(t, 4)
+	sharing := &stubSharing{}
+	g.opts.Sharing = sharing
+	longAgo := time.Now().Add(-2 * time.Minute)
+	for _, part := range []string{"sound", "deadly"} {
+		g.opts.Quarantine.RecordCrash("s", []string{part}, quarantine.Crash{Server: "gone", AnswerBegun: true}, longAgo)
+	}
+	requireAnswered(t, g, "common,sound")
+	require.Equal(t, []quarantine.Part{{Service: "s", ID: "sound"}}, sharing.cleared)
+	require.Equal(t, 1, sharing.probes)
+	requireAnswered(t, g, "common,sound")
+	require.Equal(t, 1, sharing.probes)
+
+	resp, _, _ := g.get(t, "/stream/x", testPrompt, "common,deadly")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Equal(t, 1, countCrashed(backends))
+	require.Len(t, sharing.crashes, 1)
+	require.Equal(t, "deadly", sharing.crashes[0].Part.ID)
+	resp, _, _ = g.get(t, "/stream/x", testPrompt, "common,deadly")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, 1, countCrashed(backends))
+}
+
+// Guards against passing on a stream as complete that its server ended, with its connection, before the first event.
+func TestStreamThatEndsBeforeItsFirstEventIsNotComplete(t *testing.T) {
+	unframed := respondAndClose(signed + "Content-Type: text/event-stream\r\n\r\n")
+	whole := respondAndClose(signed + "Content-Type: text/event-stream\r\n\r\n" + eventsText(3))
+	cut := respondAndClose(signed + "Content-Type: text/event-stream\r\n\r\n" + eventsText(2) + "id: 3\nda")
+	g := newGateway(t, newTestBackend(t, "a", unframed, whole), newTestBackend(t, "b", unframed, whole))
+	resp, body, err := g.get(t, "/fixed/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.NotContains(t, body, "data:")
+	g = newGateway(t, newTestBackend(t, "a", whole))
+	_, body, err = g.get(t, "/fixed/x")
+	require.NoError(t, err)
+	require.Equal(t, eventsText(3), body)
+	g = newGateway(t, newTestBackend(t, "a", cut))
+	_, _, err = g.get(t, "/fixed/x")
+	require.Error(t, err, "a stream that ends inside an event must not look complete")
+}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -51,6 +51,7 @@
 
 // Crash is a server that ended while it worked on a request.
 type Crash struct {
+	// Server identifies the run of the server between its start and its end.
 	Server string
 	// AnswerBegun is set if the server had begun to answer this request and had sent nothing of its content. This is
 	// rarely true for more than one request at a server.
@@ -68,7 +69,7 @@
 	With []string
 	// Answered is set if the part was in an answered prompt before the first crash, at any gateway.
 	Answered bool
-	// LastServer is the server of the last crash.
+	// LastServer is the Server of the last crash.
 	LastServer string
 	// Probes counts the probes claimed.
 	Probes int
--- /dev/null
+++ b/gateway/quarantine/quarantine_test.go
@@ -0,0 +1,263 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/clients/kv"
+)
+
+const service = "s"
+
+// clock is the time of a test.
+type clock struct{ now time.Time }
+
+func newClock() *clock { return &clock{now: time.Unix(1_000_000, 0)} }
+
+func (c *clock) advance(d time.Duration) time.Time {
+	c.now = c.now.Add(d)
+	return c.now
+}
+
+// newWarm returns a quarantine that has seen answers to prompts with the given parts and some others.
+func newWarm(c *clock, parts ...string) *Quarantine {
+	q := New()
+	for i := range minAnswers {
+		parts = append(parts, fmt.Sprint("other-", i))
+	}
+	q.RecordAnswer(service, parts, c.now, c.now)
+	c.advance(time.Second)
+	return q
+}
+
+func begun(server string) Crash { return Crash{Server: server, AnswerBegun: true} }
+
+func check(q *Quarantine, c *clock, parts ...string) Verdict {
+	return q.Check(service, parts, nil, c.now)
+}
+
+// requireBlocked requires that requests with the parts are blocked for the given time and can then be a probe.
+func requireBlocked(t *testing.T, q *Quarantine, c *clock, d time.Duration, parts ...string) {
+	t.Helper()
+	v := check(q, c, parts...)
+	require.False(t, v.Passes())
+	require.False(t, v.CanProbe)
+	require.Equal(t, d, v.Wait)
+	require.True(t, q.Check(service, parts, nil, c.now.Add(d)).CanProbe)
+}
+
+// Guards against a part that crashes servers reaching a second one, and against blocking what other requests share.
+func TestFirstCrashBlocksThePartThatNoAnswerHadShownToBeSound(t *testing.T) {
+	c := newClock()
+	q := newWarm(c, "common")
+	records := q.RecordCrash(service, []string{"common", "deadly"}, begun("a"), c.now)
+	require.Len(t, records, 1)
+	require.Equal(t, Part{service, "deadly"}, records[0].Part)
+	requireBlocked(t, q, c, firstBlock, "common", "deadly")
+	requireBlocked(t, q, c, firstBlock, "deadly", "unknown")
+	require.True(t, check(q, c, "common").Passes())
+	require.True(t, q.Check("another", []string{"deadly"}, nil, c.now).Passes(), "servers of another service may answer it")
+}
+
+// Guards against blocking the requests that a crashed server was reading: it had not begun to answer them.
+func TestCrashOfAServerThatHadNotBegunBlocksAtTheSecondTime(t *testing.T) {
+	c := newClock()
+	q := newWarm(c)
+	reading := Crash{Server: "a"}
+	q.RecordCrash(service, []string{"x"}, reading, c.now)
+	require.True(t, check(q, c, "x").Passes())
+	q.RecordCrash(service, []string{"x"}, Crash{Server: "b"}, c.advance(sameCrashWindow/2))
+	require.True(t, check(q, c, "x").Passes(), "no answer can come between crashes in quick succession")
+	q.RecordCrash(service, []string{"x"}, Crash{Server: "c"}, c.advance(sameCrashWindow))
+	requireBlocked(t, q, c, firstBlock, "x")
+}
+
+// Guards against blocking a common part because of a crash for another reason.
+func TestCommonPartIsNotSuspectedByServersThatHadNotBegun(t *testing.T) {
+	c := newClock()
+	q := newWarm(c, "common")
+	for i := range 10 {
+		require.Empty(t, q.RecordCrash(service, []string{"common"}, Crash{Server: fmt.Sprint(i)}, c.advance(time.Second)))
+	}
+	require.True(t, check(q, c, "common").Passes())
+}
+
+// Guards against a part that was sound and turns deadly, for example with a new version of the servers: it is the one
+// that was answered the longest ago.
+func TestPartThatTurnsDeadlyIsBlockedAtTheSecondCrash(t *testing.T) {
+	c := newClock()
+	q := newWarm(c, "turned")
+	q.RecordAnswer(service, []string{"common"}, c.now, c.now)
+	prompt := []string{"common", "turned"}
+	c.advance(time.Second)
+	require.Len(t, q.RecordCrash(service, prompt, begun("a"), c.now), 1)
+	require.True(t, check(q, c, prompt...).Passes(), "one crash may have another reason")
+	q.RecordCrash(service, prompt, begun("b"), c.advance(2*sameCrashWindow))
+	requireBlocked(t, q, c, firstAnsweredBlock, prompt...)
+	require.True(t, check(q, c, "common").Passes())
+	q.RecordCrash(service, prompt, begun("c"), c.advance(firstAnsweredBlock))
+	requireBlocked(t, q, c, 2*firstAnsweredBlock, prompt...)
+}
+
+// Guards against a suspect that stays blocked although a server has answered it since, and against an answer that had
+// begun before the crash.
+func TestLaterAnswerClearsASuspect(t *testing.T) {
+	c := newClock()
+	q := newWarm(c)
+	sent := c.now
+	q.RecordCrash(service, []string{"x"}, begun("a"), c.advance(time.Second))
+	require.Empty(t, q.RecordAnswer(service, []string{"x"}, sent, c.now))
+	require.False(t, check(q, c, "x").Passes())
+	c.advance(time.Second)
+	require.Equal(t, []Part{{service, "x"}}, q.RecordAnswer(service, []string{"x"}, c.now, c.now))
+	require.True(t, check(q, c, "x").Passes())
+}
+
+// Guards against blocks without end, and against many requests with a deadly part as soon as its block ends.
+func TestBlocksGrowAndLetOneProbeThrough(t *testing.T) {
+	c := newClock()
+	q := newWarm(c)
+	part := Part{service, "x"}
+	q.RecordCrash(service, []string{"x"}, begun("0"), c.now)
+	for i, want := range []time.Duration{firstBlock, 2 * firstBlock, 4 * firstBlock, maxBlock, maxBlock} {
+		requireBlocked(t, q, c, want, "x")
+		c.advance(want)
+		q.BeginProbe(part, kv.Position{Revision: int64(i) + 1}, c.now)
+		require.True(t, q.Check(service, []string{"x"}, []Part{part}, c.now).Passes(), "the probe")
+		require.False(t, check(q, c, "x").CanProbe, "no second probe")
+		q.RecordCrash(service, []string{"x"}, begun(fmt.Sprint("s", i)), c.now)
+	}
+	require.Less(t, maxBlock, RecordTTL, "a blocked part is probed before it is forgotten")
+}
+
+// Guards against a common part that stays blocked after a crash right after a start, when all parts are unknown.
+func TestRequestThatLacksAnotherSuspectProbesSooner(t *testing.T) {
+	c := newClock()
+	q := New()
+	q.RecordCrash(service, []string{"common", "deadly"}, begun("a"), c.now)
+	requireBlocked(t, q, c, partialProbeDelay, "common")
+	requireBlocked(t, q, c, firstBlock+jointProbeDelay, "common", "deadly")
+	c.advance(partialProbeDelay)
+	q.BeginProbe(Part{service, "common"}, kv.Position{Revision: 1}, c.now)
+	c.advance(time.Second)
+	q.RecordAnswer(service, []string{"common"}, c.now, c.now)
+	require.True(t, check(q, c, "common").Passes())
+	requireBlocked(t, q, c, firstBlock-partialProbeDelay-time.Second, "common", "deadly")
+}
+
+// Guards against blocking the only part that all requests share because of a crash right after a start.
+func TestSingleUnknownPartIsDoubtfulRightAfterAStart(t *testing.T) {
+	c := newClock()
+	q := New()
+	q.RecordCrash(service, []string{"common"}, begun("a"), c.now)
+	require.True(t, check(q, c, "common").Passes())
+}
+
+// Guards against requests in flight that crash a further server after the part is known, and against withdrawing others.
+func TestRequestsInFlightAreWithdrawn(t *testing.T) {
+	c := newClock()
+	q := newWarm(c, "common")
+	withdrawn := map[string]int{}
+	for name, parts := range map[string][]string{"deadly": {"common", "x"}, "sound": {"common", "y"}, "common": {"common"}} {
+		defer q.Watch(service, parts, func(Part) { withdrawn[name]++ })()
+	}
+	q.Watch(service, []string{"x"}, func(Part) { withdrawn["ended"]++ })()
+	q.RecordCrash(service, []string{"common", "x"}, begun("a"), c.now)
+	require.Equal(t, map[string]int{"deadly": 1}, withdrawn)
+	answered, blocked := q.ApplyPeer(Record{Part: Part{service, "y"}, Crashes: 1, AnswerBegun: true, LastServer: "b"}, c.now)
+	require.False(t, answered)
+	require.True(t, blocked)
+	require.Equal(t, map[string]int{"deadly": 1, "sound": 1}, withdrawn)
+}
+
+func shared(part string, crashes int, revision int64) Shared {
+	return Shared{
+		Record: Record{
+			Part: Part{service, part}, Crashes: crashes, AnswerBegun: true, LastServer: fmt.Sprint("server-", crashes),
+		},
+		At: kv.Position{Revision: revision},
+	}
+}
+
+// Guards against gateways that do not follow the shared records: new, changed, older and removed ones.
+func TestSharedRecordsAreFollowed(t *testing.T) {
+	c := newClock()
+	q := newWarm(c)
+	require.Equal(t, []Part{{service, "x"}}, q.ApplyShared([]Shared{shared("x", 1, 5)}, true, c.now).Blocked)
+	requireBlocked(t, q, c, firstBlock, "x")
+	q.ApplyShared([]Shared{shared("x", 1, 4)}, true, c.advance(time.Second))
+	requireBlocked(t, q, c, firstBlock-time.Second, "x")
+	q.ApplyShared([]Shared{shared("x", 2, 6)}, true, c.now)
+	requireBlocked(t, q, c, 2*firstBlock, "x")
+	q.ApplyShared(nil, false, c.now)
+	require.False(t, check(q, c, "x").Passes(), "the record may be missing because of an outage of the service")
+	q.ApplyShared(nil, true, c.now)
+	require.True(t, check(q, c, "x").Passes(), "another gateway has removed the record after an answer")
+	later := shared("x", 1, 2)
+	later.At.Era = 1
+	q.ApplyShared([]Shared{later}, true, c.now)
+	requireBlocked(t, q, c, firstBlock, "x")
+}
+
+// Guards against blocking a part at a gateway that has seen it answered, and at the others once they know.
+func TestPartAnsweredAtAnotherGatewayIsDoubtful(t *testing.T) {
+	c := newClock()
+	accuser, witness, third := newWarm(c), newWarm(c, "x"), newWarm(c)
+	first := accuser.RecordCrash(service, []string{"x"}, begun("a"), c.now)[0]
+	answered, blocked := witness.ApplyPeer(first, c.now)
+	require.True(t, answered)
+	require.False(t, blocked)
+	accuser.markAnswered(first.Part)
+	require.True(t, check(accuser, c, "x").Passes())
+	record := Shared{Record: first, At: kv.Position{Revision: 1}}
+	require.Equal(t, []Part{first.Part}, witness.ApplyShared([]Shared{record}, true, c.now).Answered)
+	third.ApplyShared([]Shared{record}, true, c.now)
+	require.False(t, check(third, c, "x").Passes())
+	record.Answered, record.At.Revision = true, 2
+	require.Empty(t, witness.ApplyShared([]Shared{record}, true, c.now).Answered)
+	third.ApplyShared([]Shared{record}, true, c.now)
+	require.True(t, check(third, c, "x").Passes())
+}
+
+// Guards against counting one crash twice because it arrives from a peer and through the service.
+func TestCrashIsCountedOnceForEachServer(t *testing.T) {
+	c := newClock()
+	accuser, other := newWarm(c), newWarm(c)
+	first := accuser.RecordCrash(service, []string{"x"}, begun("a"), c.now)[0]
+	require.Empty(t, accuser.RecordCrash(service, []string{"x"}, begun("a"), c.now), "two requests at the server")
+	for range 2 {
+		other.ApplyPeer(first, c.now)
+		other.ApplyShared([]Shared{{Record: first, At: kv.Position{Revision: 1}}}, true, c.now)
+	}
+	requireBlocked(t, other, c, firstBlock, "x")
+	requireBlocked(t, accuser, c, firstBlock, "x")
+}
+
+// Guards against memory that grows with the number of different parts, and against suspects that are never forgotten.
+func TestMemoryIsBounded(t *testing.T) {
+	c := newClock()
+	q := newWarm(c, "used")
+	for i := range 3 * maxGeneration {
+		q.RecordAnswer(service, []string{fmt.Sprint("p", i)}, c.now, c.now)
+		if i%1000 == 0 {
+			q.RecordAnswer(service, []string{"used"}, c.now, c.now)
+		}
+	}
+	require.LessOrEqual(t, len(q.answered.young)+len(q.answered.old), 2*maxGeneration)
+	_, known := q.answered.at(Part{service, "used"})
+	require.True(t, known)
+	for i := range 2 * maxSuspects {
+		q.RecordCrash(service, []string{fmt.Sprint("q", i)}, begun(fmt.Sprint(i)), c.now)
+	}
+	require.Len(t, q.suspects, maxSuspects)
+	q.RemoveExpired(c.advance(RecordTTL + time.Second))
+	require.Empty(t, q.suspects)
+	require.Zero(t, q.count.Load())
+	for i := range 2 * maxServices {
+		q.RecordAnswer(fmt.Sprint("service", i), []string{"x"}, c.now, c.now)
+	}
+	require.LessOrEqual(t, len(q.answered.answers), maxServices)
+}
--- a/proctest/fleet_calls_test.go
+++ b/proctest/fleet_calls_test.go
@@ -95,6 +95,11 @@
 
 // send sends one request and records it; events is the length of a stream, 0 for a plain request.
 func (c *fleetClient) send(httpClient *http.Client, g *Gateway, path, key string, events int) *attempt {
+	return c.sendPrompt(httpClient, g, path, key, events, "")
+}
+
+// sendPrompt is send with the parts of the prompt, "ID:TOKENS" separated by commas.
+func (c *fleetClient) sendPrompt(httpClient *http.Client, g *Gateway, path, key string, events int, parts string) *attempt {
 	n := c.nextID.Add(1)
 	a := &attempt{
 		id: fmt.Sprintf("a%x", n), path: path, gateway: g, startedAt: time.Now(), events: events,
@@ -115,6 +120,9 @@
 	if events > 0 {
 		req.Header.Set("X-Token-Usage", fmt.Sprintf("100,%d", events))
 	}
+	if parts != "" {
+		req.Header.Set("X-Prompt-Prefix", parts)
+	}
 	c.receive(httpClient, req, a)
 	a.endedAt = time.Now()
 	c.mu.Lock()
--- /dev/null
+++ b/proctest/quarantine_test.go
@@ -0,0 +1,117 @@
+package proctest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/standin/kvserver"
+	"lavendermoor.example/standin/replicaserver"
+)
+
+const (
+	commonPart = "c0ffee"
+	deadlyPart = "dead1"
+)
+
+// poisonedFleet is a fleet whose model replicas crash on a part of prompts, with callers of its gateways.
+type poisonedFleet struct {
+	*Fleet
+	client *fleetClient
+	calls  int
+}
+
+func newPoisonedFleet(t *testing.T) *poisonedFleet {
+	t.Helper()
+	f := DeployFleet(t, FleetSize{Gateways: 3, ModelReplicas: 3, PlainReplicas: 2})
+	for i := range 3 {
+		f.SetReplicaFaults(i, replicaserver.Faults{DeadlyPart: deadlyPart})
+	}
+	return &poisonedFleet{Fleet: f, client: &fleetClient{fleet: f, ctx: context.Background()}}
+}
+
+// stream sends a stream with the given shared parts, and a last part of its own, to a gateway.
+func (f *poisonedFleet) stream(g *Gateway, shared string) *attempt {
+	f.calls++
+	return f.client.sendPrompt(newCallerHTTPClient(), g, "/stream/x", CallerKey, 4, fmt.Sprintf("%s,%x:100", shared, f.calls))
+}
+
+func (f *poisonedFleet) sendSound(g *Gateway) *attempt { return f.stream(g, commonPart+":40") }
+
+func (f *poisonedFleet) sendPoisoned(g *Gateway) *attempt {
+	return f.stream(g, commonPart+":40,"+deadlyPart+":60")
+}
+
+// requireServing waits until each gateway has answered enough sound requests to know them.
+func (f *poisonedFleet) requireServing() {
+	f.t.Helper()
+	for _, g := range f.Gateways {
+		for range 12 {
+			Eventually(f.t, "a sound request is answered by "+g.Name, func() bool { return f.sendSound(g).complete })
+		}
+	}
+}
+
+// storedSuspects returns the number of suspected parts in the store.
+func (f *poisonedFleet) storedSuspects() int {
+	var page struct{ Items []any }
+	require.NoError(f.t, getJSON(f.StoreURL+"/kv-range?PathPrefix=quarantine/", &page))
+	return len(page.Items)
+}
+
+// requireContained sends poisoned requests to all gateways and requires that they reach no replica.
+func (f *poisonedFleet) requireContained(crashes int) {
+	f.t.Helper()
+	for range 5 {
+		for _, g := range f.Gateways {
+			a := f.sendPoisoned(g)
+			require.Equal(f.t, http.StatusServiceUnavailable, a.status, "%s: %s", g.Name, a.body)
+			require.Contains(f.t, a.body, "quarantined")
+			require.NotEmpty(f.t, a.retryAfter)
+		}
+	}
+	require.Equal(f.t, crashes, f.GroupCounts().Crashes)
+	for _, g := range f.Gateways {
+		Eventually(f.t, "a sound request is answered by "+g.Name, func() bool { return f.sendSound(g).complete })
+	}
+}
+
+// Guards against gateways that each let a part of prompts crash a replica before they keep it from the replicas, and
+// against a gateway that forgets such a part when it starts anew.
+func TestFleetCrashesOnceByADeadlyPart(t *testing.T) {
+	t.Parallel()
+	f := newPoisonedFleet(t)
+	f.requireServing()
+	require.NotEqual(t, http.StatusOK, f.sendPoisoned(f.Gateways[0]).status)
+	Eventually(t, "the part is known to the store", func() bool { return f.storedSuspects() == 1 })
+	f.requireContained(1)
+	g := f.Gateways[1]
+	g.Kill()
+	f.RestartGateway(g)
+	Eventually(t, g.Name+" is ready", func() bool { return statusCode(g.readyURL+"/readyz") == http.StatusOK })
+	f.requireContained(1)
+}
+
+// Guards against gateways that learn of a deadly part only through the store.
+func TestFleetContainsADeadlyPartWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newPoisonedFleet(t)
+	f.requireServing()
+	putJSON(t, f.StoreURL+"/standin/faults", kvserver.Faults{Down: true})
+	require.NotEqual(t, http.StatusOK, f.sendPoisoned(f.Gateways[2]).status)
+	Eventually(t, "all gateways block the part", func() bool {
+		for _, g := range f.Gateways {
+			if a := f.sendPoisoned(g); !strings.Contains(a.body, "quarantined") {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second) // The group forms again.
+	f.requireContained(1)
+}
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -31,6 +31,8 @@
 	// time that a failed group needs to form again once all ranks are up.
 	rankTimeout = 600 * time.Millisecond
 	reformTime  = 300 * time.Millisecond
+	// crashTime is the time between a crash of a replica and its next start.
+	crashTime = time.Second
 )
 
 // Faults are the injected faults of one replica. The zero value injects none.
@@ -50,6 +52,9 @@
 	Draining bool `json:"draining"`
 	// Leaving makes the replica report that it is leaving only in its responses, not in the store.
 	Leaving bool `json:"leaving"`
+	// DeadlyPart is a part of prompts. The replica crashes when it begins to answer a prompt that holds it, and starts
+	// again after crashTime.
+	DeadlyPart string `json:"deadly_part"`
 	// RetryAfterMs above 0 makes the replica refuse requests with this Retry-After time.
 	RetryAfterMs int64 `json:"retry_after_ms"`
 }
@@ -94,6 +99,7 @@
 	// passStarted is closed and replaced at the start of each pass, and when the group fails.
 	passStarted chan struct{}
 	violations  []string
+	crashes     int
 	// consecutiveHolds is the number of consecutive attempts to start a pass that a hold has prevented.
 	consecutiveHolds, maxConsecutiveHolds int
 	switches                              int
@@ -259,6 +265,8 @@
 	ConsecutiveHolds    int      `json:"standing"`
 	MaxConsecutiveHolds int      `json:"longest_standing"`
 	Violations          []string `json:"violations"`
+	// Crashes counts the crashes by a deadly part of a prompt.
+	Crashes int `json:"crashes"`
 }
 
 // Counts returns the group's counters.
@@ -267,6 +275,12 @@
 	defer g.mu.Unlock()
 	return Counts{
 		Pass: g.pass, Switches: g.switches, ConsecutiveHolds: g.consecutiveHolds, MaxConsecutiveHolds: g.maxConsecutiveHolds,
-		Violations: slices.Clone(g.violations),
+		Violations: slices.Clone(g.violations), Crashes: g.crashes,
 	}
 }
+
+func (g *Group) countCrash() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes++
+}
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -85,6 +85,8 @@
 	faults        Faults
 	drainingSince time.Time
 	running       int
+	// crashed is set while the replica accepts no connections after a crash.
+	crashed bool
 	// startedAt is the time of the last start or restart, seq the number of writes of the store entry since then.
 	startedAt time.Time
 	seq       int64
@@ -130,6 +132,35 @@
 	}
 }
 
+// crash ends the replica, as if its process had ended, and starts it again after crashTime.
+func (r *Replica) crash() {
+	f := r.Faults()
+	r.mu.Lock()
+	if r.crashed {
+		r.mu.Unlock()
+		return
+	}
+	r.crashed = true
+	r.mu.Unlock()
+	r.group.countCrash()
+	down := f
+	down.Down = true
+	r.SetFaults(down)
+	time.AfterFunc(crashTime, func() {
+		r.SetFaults(f)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.crashed = false
+	})
+}
+
+// RefusesConnections reports whether the replica accepts no connections because it has crashed.
+func (r *Replica) RefusesConnections() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashed
+}
+
 // Register keeps the replica's store entry up to date until the context ends. It deletes the entry of a replica that
 // has been down for entryTTL.
 func (r *Replica) Register(ctx context.Context, store Store) {
@@ -168,13 +199,19 @@
 	return entry
 }
 
-// Handler serves the replica, and GET and PUT /standin/faults. Callers on the replica's own instance get current
+// handler is the HTTP handler of a replica.
+type handler struct {
+	http.Handler
+	*Replica
+}
+
+// Handler serves the replica, and GET and PUT /standin/faults. The handler has a method RefusesConnections. Callers on the replica's own instance get current
 // reports, other callers get reports that are reportLag old.
 func (r *Replica) Handler(sameInstance bool) http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/standin/faults", faultapi.Handler(r.Faults, r.SetFaults)).Methods(http.MethodGet, http.MethodPut)
 	m.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, req *http.Request) { r.serve(w, req, sameInstance) })
-	return m
+	return handler{Handler: m, Replica: r}
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request, sameInstance bool) {
@@ -310,6 +347,13 @@
 		if !r.group.waitForPass(req.Context()) {
 			panic(http.ErrAbortHandler)
 		}
+		if f.DeadlyPart != "" && strings.Contains(req.Header.Get("X-Prompt-Prefix"), f.DeadlyPart+":") {
+			_ = out.Flush()
+			r.crash()
+		}
+		if r.RefusesConnections() {
+			panic(http.ErrAbortHandler)
+		}
 		r.group.countExperts(r.rank, prompt)
 		text := Event(prompt, n)
 		if f.BreakAfter > 0 && n-first > f.BreakAfter {
