--- a/proctest/fleet_platform_test.go
+++ b/proctest/fleet_platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,54 @@
 	}
 	return n
 }
+
+// Guards against an entry of another writer in the list of servers that ends the processes which read the list, or with
+// which they stop to follow it.
+func TestFleetFollowsAListWithOddEntries(t *testing.T) {
+	t.Parallel()
+	f := DeployFleet(t, FleetSize{Gateways: 2, ModelReplicas: 3, PlainReplicas: 2})
+	c := &fleetClient{fleet: f, ctx: context.Background()}
+	deep := strings.Repeat("[", 200_000)
+	for name, value := range map[string]string{
+		"nested": deep,
+		"field":  `{"Service":"model","Address":"127.0.0.1:9","Slots":8,"State":"ready","Other":` + deep + strings.Repeat("]", len(deep)) + "}",
+		"number": `{"Service":"model","Address":"127.0.0.1:9","Slots":1e400,"State":"ready"}`,
+		"slots":  `{"Service":"model","Address":"127.0.0.1:9","Slots":9000000000000000000,"State":"ready"}`,
+		"port":   `{"Service":"model","Address":"` + instanceIP(0) + `:70000","Slots":8,"State":"ready"}`,
+		"plain":  `{"Service":"booking","Address":"127.0.0.1:70000","Slots":8000,"State":"ready"}`,
+	} {
+		status, _, body := Do(t, http.MethodPut, f.StoreURL+"/standin/key?Key=servers/odd-"+name, nil, []byte(value))
+		require.Equal(t, http.StatusOK, status, "%s", body)
+	}
+	time.Sleep(configBound)
+	f.RestartRankSidecar(killed(f.RankSidecars[1]))
+	for _, g := range f.Gateways {
+		for range 20 {
+			require.Equal(t, http.StatusOK, c.send(newCallerHTTPClient(), g, "/once/x", CallerKey, 0).status, g.Name)
+		}
+		Eventually(t, "a stream is answered by "+g.Name, func() bool {
+			return c.send(newCallerHTTPClient(), g, "/stream/x", CallerKey, 5).complete
+		})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	c.ctx = ctx
+	go c.sendLoop(rand.New(rand.NewPCG(1, 1)), "/stream/x", true)
+	Eventually(t, "the expert map of the group is switched", func() bool { return f.GroupCounts().Switches > 0 })
+	f.SetReplicaFaults(3, replicaserver.Faults{Draining: true})
+	time.Sleep(drainBound)
+	before := f.runCountAt(3)
+	for range 20 {
+		require.Equal(t, http.StatusOK, c.send(newCallerHTTPClient(), f.Gateways[0], "/once/x", CallerKey, 0).status)
+	}
+	require.Equal(t, before, f.runCountAt(3), "the list is followed")
+	for _, p := range f.RankSidecars {
+		require.False(t, p.HasExited(), p.Name)
+	}
+}
+
+// killed kills a rank sidecar and returns it.
+func killed(r *RankSidecar) *RankSidecar {
+	r.Kill()
+	return r
+}
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -187,6 +187,16 @@
 // Resume resumes a paused process.
 func (p *Proc) Resume() { require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGCONT)) }
 
+// HasExited reports whether the process has exited.
+func (p *Proc) HasExited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // WaitExit waits for the process to exit and returns the error of exec.Cmd.Wait. It fails the test after the timeout.
 func (p *Proc) WaitExit(timeout time.Duration) error {
 	select {
