Do not take a refusal without an id for that of the current request on a connection in use again

Report of another operator: a faulty replica wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran, or these ran at a second replica. A response without an id now counts only as the first one on a connection, where no earlier request can have left it. Otherwise the request may have run: 502, or a repeat if allowed.

--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -177,7 +177,7 @@
 func (r *Response) roundTrip(req *Request, dialect Dialect) error {
 	written := req.write(r.conn.net)
 	leaving := false
-	for range maxStaleResponses + 1 {
+	for i := range maxStaleResponses + 1 {
 		resp, err := r.conn.readResponse(req.parserRequest()) //nolint:bodyclose // Response.Close ends the exchange.
 		if err != nil {
 			return err
@@ -186,7 +186,14 @@
 		leaving = leaving || r.Info.Leaving // Late responses to other requests report it too.
 		r.Info.Leaving = leaving
 		r.idleTimeout = idleTimeout(resp.Header.Get("Keep-Alive"))
-		if r.Info.ID == req.ID || r.Info.ID == "" {
+		if r.Info.ID == req.ID {
+			return r.validate(written)
+		}
+		if r.Info.ID == "" {
+			// Only the first response on a connection can belong to no earlier request.
+			if r.conn.reused || i > 0 {
+				return merry.Wrap(&InvalidResponseError{Problem: "it has no id, on a connection in use again"})
+			}
 			return r.validate(written)
 		}
 		if !drain(resp.Body) {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -266,6 +267,39 @@
 	require.NotContains(t, body, "oops")
 }
 
+// Guards against a refusal that belongs to an earlier request on a connection in use again. The caller would be told that
+// its request was not run although the server is running it, or the request would run at a second server.
+func TestRepeatedRefusalIsNotTakenForThatOfTheNextRequest(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n"
+	for name, id := range map[string]string{"with its id": "T-Id: earlier\r\n", "without an id": ""} {
+		for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "408 Request Timeout"} {
+			t.Run(name+" "+status, func(t *testing.T) {
+				repeated := strings.Replace(refusal, "503 Service Unavailable", status, 1) + id + "\r\n"
+				var runs atomic.Int64
+				serve := func(c net.Conn, r *http.Request) bool {
+					if runs.Add(1) == 1 {
+						return respondOK("first")(c, r)
+					}
+					return respond(repeated)(c, r) && respondOK("mine")(c, r)
+				}
+				g := newGateway(t, newTestBackend(t, "a", serve), newTestBackend(t, "b", serve))
+				g.fleet.Backends("s")[1].Begin(5000, time.Now()) // The first server is the better choice.
+				_, body, err := g.send(t, http.MethodPost, "/once/x", "")
+				require.NoError(t, err)
+				require.Equal(t, "first", body)
+				resp, body, err := g.send(t, http.MethodPost, "/once/x", "")
+				require.NoError(t, err)
+				require.EqualValues(t, 2, runs.Load(), "the request runs once")
+				if resp.StatusCode == http.StatusOK {
+					require.Equal(t, "mine", body)
+					return
+				}
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode, "the request has run, so that no refusal is true")
+			})
+		}
+	}
+}
+
 // Guards against a server that continues to process a request whose caller has disconnected.
 func TestServerRequestIsCanceledWhenTheCallerDisconnects(t *testing.T) {
 	for _, path := range []string{"/idem/x", "/stream/x", "/once/x"} {
