Do not end a stream that has begun with an empty answer of the next server

Report of another operator: a stream broke off, the next replica answered with an error, and clients found its text in their stream, or the stream ended as if it were complete. A stream is now continued only by status 200, and one that ends with its connection and holds no event is broken off.

--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -271,7 +271,7 @@
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		b.ObserveAccepted(sent)
 	}
-	if isStream(resp) && resp.StatusCode < http.StatusMultipleChoices {
+	if isStream(resp) && resp.StatusCode == http.StatusOK {
 		return attemptResult{responded: c.relayStream(ctx, resp, a), firstByte: firstByte}
 	}
 	if c.responseStarted {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -267,6 +267,38 @@
 	require.NotContains(t, body, "oops")
 }
 
+// Guards against the text or the head of a failure in the middle of a stream that has begun, and against ending such a
+// stream as if it were complete.
+func TestFailureOfTheNextServerDoesNotReachAStreamThatHasBegun(t *testing.T) {
+	head := func(status, contentType string) string {
+		return "HTTP/1.1 " + status + "\r\nT-Id: ID\r\nT-Seal: s\r\nContent-Type: " + contentType + "\r\n"
+	}
+	for name, failure := range map[string]string{
+		"text":               head("500 Oops", "text/plain") + "Content-Length: 4\r\n\r\noops",
+		"events":             head("500 Oops", "text/event-stream") + "Content-Length: 18\r\n\r\nid: 3\ndata: oops\n\n",
+		"until the end":      head("502 Oops", "text/event-stream") + "\r\nid: 3\ndata: oops\n\n",
+		"success of no kind": head("200 OK", "application/json") + "Content-Length: 4\r\n\r\noops",
+		"empty success":      head("200 OK", "application/json") + "Content-Length: 0\r\n\r\n",
+		"no content":         head("204 No Content", "text/event-stream") + "\r\n",
+		"refusal":            head("503 Busy", "text/event-stream") + "T-Not-Run: 1\r\nContent-Length: 4\r\n\r\noops",
+		"another id":         strings.ReplaceAll(head("500 Oops", "text/plain"), "ID", "older") + "Content-Length: 4\r\n\r\noops",
+		"two failures":       strings.Repeat(head("500 Oops", "text/plain")+"Content-Length: 4\r\n\r\noops", 2),
+		"no answer":          "oops oops\r\n\r\n",
+		"unframed, no event": head("200 OK", "text/event-stream") + "\r\n",
+		"unframed, cut":      head("200 OK", "text/event-stream") + "\r\nid: 3\ndata: oops",
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin, next := respondAndClose(eventStream(1, 2)), respondAndClose(failure)
+			g := newGateway(t, newTestBackend(t, "a", begin, next), newTestBackend(t, "b", next, next))
+			g.fleet.Backends("s")[1].Begin(5000, time.Now()) // The first server is the better choice.
+			resp, body, err := g.get(t, "/stream/x")
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Error(t, err, "the stream must not look complete")
+			require.Equal(t, eventsText(2), body)
+		})
+	}
+}
+
 // Guards against a refusal that belongs to an earlier request on a connection in use again. The caller would be told that
 // its request was not run although the server is running it, or the request would run at a second server.
 func TestRepeatedRefusalIsNotTakenForThatOfTheNextRequest(t *testing.T) {
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -101,7 +101,7 @@
 	r := streamRelay{call: c, resp: resp, attempt: a, backend: a.backend, lastEventAt: time.Now()}
 	err := r.run()
 	switch {
-	case errors.Is(err, io.EOF) && !c.endsBeforeFirstEvent(resp, a):
+	case errors.Is(err, io.EOF) && !endsBeforeFirstEvent(resp, a):
 		c.recordAnswer(a)
 		resp.MarkComplete()
 		if !c.responseStarted {
@@ -123,11 +123,11 @@
 	return false
 }
 
-// endsBeforeFirstEvent reports whether a stream without any event ended with its connection. Such a stream has no
-// length, so that only its content shows that it is incomplete.
-func (c *call) endsBeforeFirstEvent(resp *exchange.Response, a *attempt) bool {
+// endsBeforeFirstEvent reports whether a stream ended with its connection and has no event. It has no length, so that
+// nothing shows that it is complete.
+func endsBeforeFirstEvent(resp *exchange.Response, a *attempt) bool {
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return !framed && a.eventCount == 0 && c.lastEventID == ""
+	return !framed && a.eventCount == 0
 }
 
 // streamRelay relays the events of one response.
