--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -98,7 +98,7 @@
 type responder func(c net.Conn, r *http.Request) bool
 
 // newTestBackend starts a server that handles request i with responders[i], and all further requests with the last one.
-func newTestBackend(t *testing.T, id string, responders ...responder) *testBackend {
+func newTestBackend(t testing.TB, id string, responders ...responder) *testBackend {
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -254,7 +254,7 @@
 
 // newGateway starts a gateway with the routes /once/, /idem/, /stream/ and /fixed/ (a stream that is not resumable) to
 // the given servers.
-func newGateway(t *testing.T, servers ...*testBackend) *testGateway {
+func newGateway(t testing.TB, servers ...*testBackend) *testGateway {
 	t.Helper()
 	budget := &countingBudget{}
 	budget.remaining.Store(100)
