--- /dev/null
+++ b/gateway/quarantine/suspect.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"lavendermoor.example/clients/kv"
+)
+
+// suspect is a part that may have crashed a server.
+type suspect struct {
+	record Record
+	// at is the position of the shared record, zero before it is known.
+	at kv.Position
+	// cleared is set when a later request with the part was answered. The shared record may still exist.
+	cleared bool
+	// changedAt is when this process learned of the last crash or probe, lastCrashAt of the last crash.
+	changedAt, lastCrashAt time.Time
+	// probedAt is when this process learned of the last probe, zero without one.
+	probedAt     time.Time
+	blockedUntil time.Time
+}
+
+// blocking reports whether requests with the part are kept from servers, except for probes.
+func (s *suspect) blocking() bool {
+	return !s.cleared && s.record.Crashes >= s.blockingCrashes()
+}
+
+// blockingCrashes returns the number of crashes from which the part is blocked.
+func (s *suspect) blockingCrashes() int {
+	if s.doubtful() {
+		return doubtfulCrashes
+	}
+	return 1
+}
+
+// doubtful reports whether the part may be sound although a server crashed.
+func (s *suspect) doubtful() bool { return s.record.Answered || !s.record.AnswerBegun }
+
+// probeFrom returns when a request whose prompt holds the given parts may be a probe of the part.
+func (s *suspect) probeFrom(parts []string) time.Time {
+	lacksOther := slices.ContainsFunc(s.record.With, func(id string) bool { return !slices.Contains(parts, id) })
+	early := s.lastCrashAt.Add(partialProbeDelay)
+	if lacksOther && s.probedAt.Before(s.lastCrashAt) && early.Before(s.blockedUntil) {
+		return early
+	}
+	return s.blockedUntil
+}
+
+// sameCrash reports whether a crash is not counted because another one was just before.
+func (s *suspect) sameCrash(server string, now time.Time) bool {
+	return !s.cleared && now.Sub(s.lastCrashAt) < sameCrashWindow && (s.doubtful() || s.record.LastServer == server)
+}
+
+// addCrash adds a first crash to those of the suspect.
+func (s *suspect) addCrash(first Record, now time.Time) {
+	if s.cleared {
+		s.record.Crashes = 0
+	}
+	s.record.Crashes++
+	s.record.AnswerBegun = s.record.AnswerBegun || first.AnswerBegun
+	s.record.Answered = s.record.Answered || first.Answered
+	s.record.LastServer, s.record.With = first.LastServer, first.With
+	s.recordCrash(now)
+}
+
+// recordCrash starts or prolongs the block.
+func (s *suspect) recordCrash(now time.Time) {
+	s.changedAt, s.lastCrashAt, s.cleared = now, now, false
+	if !s.blocking() {
+		return
+	}
+	s.blockedUntil = now.Add(s.blockTime())
+}
+
+// blockTime returns how long the last crash blocks the part, 0 if it does not.
+func (s *suspect) blockTime() time.Duration {
+	doublings := s.record.Crashes - s.blockingCrashes()
+	if doublings < 0 {
+		return 0
+	}
+	block := firstBlock
+	if s.record.Answered && s.record.Probes == 0 {
+		block = firstAnsweredBlock
+	}
+	return min(block<<min(doublings, 8), maxBlock)
+}
