--- /dev/null
+++ b/cmd/internal/gatewayd/mirrors.go
@@ -0,0 +1,79 @@
+package gatewayd
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/cmd/internal/process"
+	"lavendermoor.example/configsync/mirror"
+	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/quarantine"
+	"lavendermoor.example/platform"
+)
+
+// createMirrors creates the mirrors of the configuration, of the server list and of the suspected parts of prompts.
+func (g *gateway) createMirrors(store *platform.Store) {
+	s := g.settings.Load()
+	configPollWait := time.Duration(configPollWaitFraction * float64(s.ConfigMS) * float64(time.Millisecond))
+	serversPollDelay := time.Duration(serversPollDelayFraction * float64(s.DrainMS) * float64(time.Millisecond))
+	g.config = mirror.New(mirror.Options{
+		Source: store, Prefix: platform.ConfigPrefix, PollWait: configPollWait, PollDelay: configPollDelay,
+		FetchFromPeer: g.peers.FetchSnapshot, FollowReader: g.followReader,
+		OnChange: func(s *mirror.Snapshot, _ time.Time) { g.onConfigChange(s) }, Log: g.log,
+	})
+	g.servers = mirror.New(mirror.Options{
+		Source: store, Prefix: platform.ServersPrefix, PollWait: serversPollWait, PollDelay: serversPollDelay,
+		FetchFromPeer: g.peers.FetchSnapshot, FollowReader: g.followReader,
+		OnChange: func(s *mirror.Snapshot, keepUntil time.Time) { g.onServersChange(s.Entries, keepUntil) }, Log: g.log,
+	})
+	g.suspects = mirror.New(mirror.Options{
+		Source: store, Prefix: quarantine.RecordPrefix, PollWait: configPollWait, PollDelay: configPollDelay,
+		FetchFromPeer: g.peers.FetchSnapshot, FollowReader: g.followReader, OnChange: g.sharing.OnChange, Log: g.log,
+	})
+}
+
+func (g *gateway) onConfigChange(s *mirror.Snapshot) {
+	c, err := platform.DecodeCatalog(s.Entries)
+	if err != nil {
+		g.log.Warn("configuration not applied", zap.Int64("era", s.At.Era), zap.Int64("revision", s.At.Revision), zap.Error(err))
+		return
+	}
+	if g.srv.SetCatalog(c) {
+		g.log.Info("configuration in force", zap.Int64("config_version", c.Version), zap.Int64("era", s.At.Era),
+			zap.Int64("revision", s.At.Revision),
+			zap.Int("routes", len(c.Routes)), zap.Int("keys", len(c.Keys)))
+	}
+}
+
+func (g *gateway) onServersChange(entries map[string]kv.Entry, keepUntil time.Time) {
+	servers, failed := platform.DecodeServers(entries)
+	for _, err := range failed {
+		g.log.Debug("invalid entry of the server list skipped", zap.Error(err))
+	}
+	g.logServerChanges(g.fleet.Update(servers, keepUntil, time.Now()))
+	g.serversKnown.Store(true)
+}
+
+func (g *gateway) logServerChanges(changes []balance.Change) {
+	for _, c := range changes {
+		g.log.Info("backend server "+c.Kind, zap.String("server", c.Server.ID),
+			zap.String("service", c.Server.Service), zap.String("address", c.Server.Address),
+			zap.Duration("list_age", g.servers.Age()))
+	}
+}
+
+// removeExpiredServers removes servers whose entries have not reappeared after an outage. It returns when the context
+// ends.
+func (g *gateway) removeExpiredServers(ctx context.Context) {
+	const interval = 100 * time.Millisecond
+	for {
+		process.Sleep(ctx, interval)
+		if ctx.Err() != nil {
+			return
+		}
+		g.logServerChanges(g.fleet.RemoveExpired(time.Now()))
+	}
+}
--- /dev/null
+++ b/gateway/balance/status.go
@@ -0,0 +1,93 @@
+package balance
+
+import "time"
+
+// status is a snapshot of the properties of a backend on which a choice depends.
+type status struct {
+	// available is false for servers that are leaving or suspended, and while a probe is in progress after a
+	// suspension.
+	available bool
+	// refusing servers refuse every request.
+	refusing bool
+	// group is empty while unknown. groupServing reports whether the group accepts new requests.
+	group        string
+	groupServing bool
+	// lastResort is set for servers that get requests only if there is no other server: those that are missing,
+	// ejected, silent or in a backoff.
+	lastResort bool
+	slots      int
+	inFlight   int
+	tokens     int
+	pace       float64
+	failures   float64
+	local      bool
+}
+
+func (b *Backend) status(now time.Time, domain string) status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	backingOff := now.Before(b.backoffUntil)
+	group, serving := "", true
+	if b.group != nil {
+		group, serving = b.group.Name, b.group.Serving(now)
+	}
+	return status{
+		available:    !b.isLeaving() && !b.suspension.blocks(now),
+		refusing:     backingOff && b.refusals >= refusingAfter,
+		group:        group,
+		groupServing: serving,
+		lastResort:   b.missing || backingOff || now.Before(b.ejectedUntil) || b.isSilent(now, silentAfter),
+		slots:        b.server.Slots,
+		inFlight:     b.inFlight,
+		tokens:       b.tokens,
+		pace:         b.pace,
+		failures:     b.failures,
+		local:        b.server.Domain == domain,
+	}
+}
+
+// Dump is the state dump of a backend.
+type Dump struct {
+	ID          string  `json:"id"`
+	Service     string  `json:"service"`
+	Address     string  `json:"address"`
+	InFlight    int     `json:"in_flight"`
+	Tokens      int     `json:"tokens"`
+	Failures    float64 `json:"failures"`
+	LatencyMs   float64 `json:"latency_ms"`
+	Pace        float64 `json:"pace"`
+	Draining    bool    `json:"draining"`
+	Ejected     bool    `json:"ejected"`
+	Group       string  `json:"group,omitempty"`
+	Refusals    int     `json:"refusals"`
+	Leaving     bool    `json:"leaving"`
+	SuspendedMs int64   `json:"held_ms"`
+	Idle        int     `json:"idle_connections"`
+}
+
+// Dump returns the state dump.
+func (b *Backend) Dump(now time.Time) Dump {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	group := ""
+	if b.group != nil {
+		group = b.group.Name
+	}
+	return Dump{
+		ID:          b.server.ID,
+		Service:     b.server.Service,
+		Address:     b.server.Address,
+		Group:       group,
+		InFlight:    b.inFlight,
+		Tokens:      b.tokens,
+		Failures:    b.failures,
+		LatencyMs:   float64(b.latency) / float64(time.Millisecond),
+		Pace:        b.pace,
+		Draining:    b.server.Draining,
+		Ejected:     now.Before(b.ejectedUntil),
+		Refusals:    b.refusals,
+		Leaving:     b.leaving,
+		SuspendedMs: max(b.suspension.until.Sub(now), 0).Milliseconds(),
+		Idle:        b.Pool.Idle(),
+	}
+}
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
 	"lavendermoor.example/gateway/limit"
@@ -58,30 +57,6 @@
 	completed bool
 }
 
-// attempt is one attempt to forward the request to a server.
-type attempt struct {
-	backend *balance.Backend
-	server  string
-	// incarnation identifies the run of the server.
-	incarnation string
-	outcome     balance.Outcome
-	// mayHaveExecuted is false if the server reported that it did not execute the request, or if the request was not
-	// sent.
-	mayHaveExecuted bool
-	// broken is set if the server ended the exchange before the response was complete, answerBegun if it had sent the
-	// header of a response by then.
-	broken, answerBegun bool
-	// eventCount counts the events of this attempt with content.
-	eventCount int
-	sentAt     time.Time
-	// suspected is set if the server crashed and a part of the prompt became a suspect.
-	suspected bool
-	// unwatch ends the watch for a block of the prompt's parts.
-	unwatch func()
-	// detail describes the outcome in the log, and in the response to the caller if the request fails.
-	detail string
-}
-
 func (c *call) serve() {
 	if f := c.prepare(); f != nil {
 		c.fail(f)
