Show that the product's own entry hands a deadly generation on

Prompts of this interface are bytes without parts, and a sidecar outlives its engine, so that the gateways' mechanism does not fit as it is.

--- a/entry/upstream/generate_test.go
+++ b/entry/upstream/generate_test.go
@@ -275,3 +275,24 @@
 	got := generate(t, newTestClient(t, a, b))
 	require.Equal(t, callerapi.ExecutedUnknown, got.e.Executed)
 }
+
+// Guards against a generation that crashes engines and is sent to one after the other. As on the users' platform, five
+// engines may be lost before it is known, and three more requests with it may reach one.
+func TestGenerationThatCrashesEnginesIsContained(t *testing.T) {
+	const maxReached = 5 + 3
+	var sidecars []*fakeSidecar
+	for i := range 16 {
+		s := newFakeSidecar(t, fmt.Sprint("m", i))
+		s.generate = func(resp *fakeResponse, _ *peerapi.GenerateRequest, _ int) { resp.abort() }
+		sidecars = append(sidecars, s)
+	}
+	c := newTestClient(t, sidecars...)
+	for range 6 {
+		require.NotNil(t, generate(t, c).e)
+	}
+	reached := 0
+	for _, s := range sidecars {
+		reached += len(s.generations())
+	}
+	require.LessOrEqual(t, reached, maxReached)
+}
