Count a crash only when a new connection is refused or closed at once

A connection attempt that runs out of time says little: on lossy links the first packet may be lost, and a sound part at a broken stream would have been blocked. RefusesConnections replaces IsAlive; TestRefusedConnectionsAreRecognized.

--- a/gateway/exchange/exchange_test.go
+++ b/gateway/exchange/exchange_test.go
@@ -214,3 +214,34 @@
 	<-received
 	require.Empty(t, received, "only one of the two requests must arrive")
 }
+
+// Guards against taking a server that is alive, or to which packets are lost, for one that has crashed, and the reverse.
+func TestRefusedConnectionsAreRecognized(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closing := make(chan bool, 3)
+	go func() {
+		for closeAtOnce := range closing {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if closeAtOnce {
+				c.Close()
+			} else {
+				defer c.Close()
+			}
+		}
+	}()
+	defer close(closing)
+	pool := NewPool(l.Addr().String(), nil)
+	closing <- false
+	require.False(t, pool.RefusesConnections(t.Context()))
+	closing <- true
+	require.True(t, pool.RefusesConnections(t.Context()), "a proxy has accepted the connection")
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, pool.RefusesConnections(ended))
+	require.NoError(t, l.Close())
+	require.True(t, pool.RefusesConnections(t.Context()))
+}
--- a/gateway/exchange/pool.go
+++ b/gateway/exchange/pool.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -135,24 +135,31 @@
 	return resp, nil
 }
 
-// aliveTimeout bounds IsAlive.
-const aliveTimeout = 300 * time.Millisecond
-
-// closedAtOnce is how long IsAlive waits for a server, or a proxy before it, to close a new connection.
-const closedAtOnce = 20 * time.Millisecond
+const (
+	// refusalTimeout bounds the connection attempt of RefusesConnections.
+	refusalTimeout = 300 * time.Millisecond
+	// closedAtOnce is how long RefusesConnections waits for a proxy before the server to close a new connection.
+	closedAtOnce = 20 * time.Millisecond
+)
 
-// IsAlive reports whether the server accepts a new connection and keeps it open.
-func (p *Pool) IsAlive(ctx context.Context) bool {
-	c, err := dial(ctx, p.address, aliveTimeout)
+// RefusesConnections reports whether a new connection to the server is refused, or closed at once. It returns false if
+// the attempt takes too long, since packets may be lost on the way.
+func (p *Pool) RefusesConnections(ctx context.Context) bool {
+	c, err := dial(ctx, p.address, refusalTimeout)
 	if err != nil {
-		return false
+		return !isTimeout(err)
 	}
 	defer c.Close()
 	if err := c.SetReadDeadline(time.Now().Add(closedAtOnce)); err != nil {
 		return false
 	}
 	_, err = c.Read(make([]byte, 1))
-	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+	return err != nil && !isTimeout(err)
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.Canceled) || (errors.As(err, &netErr) && netErr.Timeout())
 }
 
 // Response is the response to one request.
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -109,7 +109,7 @@
 }
 
 // examineCrash makes parts of the prompt suspects if the server of the last attempt broke off before it was answering
-// and does not accept connections any more.
+// and refuses connections.
 func (c *call) examineCrash(ctx context.Context) {
 	a := &c.attempts[len(c.attempts)-1]
 	if !a.broken || a.outcome != balance.Failed || a.eventCount >= answeringAfter || len(c.meta.SharedParts) == 0 {
@@ -120,7 +120,7 @@
 	if len(opts.Quarantine.Suspects(c.service, c.meta.SharedParts, crash, time.Now())) == 0 {
 		return
 	}
-	if a.backend.Pool.IsAlive(ctx) || ctx.Err() != nil {
+	if !a.backend.Pool.RefusesConnections(ctx) {
 		return
 	}
 	a.suspected = true
