Share crashes and clearings without waiting for each other

Found by reading: a crash that could not be written while the store was down was written later although the part had been answered, and its record stayed, because the clearing needed a record that this process had not read. A silent peer delayed the messages of all later crashes by half a second each. A withdrawal read the suspect without its lock. A full list of suspects had no room for a part to block.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -49,7 +49,8 @@
 	b.Begin(tokens, started)
 	server := b.Server()
 	a := attempt{
-		backend: b, server: server.ID, incarnation: incarnation(server), mayHaveExecuted: true, sentAt: started, unwatch: c.watchQuarantine(cancel),
+		backend: b, server: server.ID, incarnation: incarnation(server), mayHaveExecuted: true, sentAt: started,
+		unwatch: c.watchQuarantine(cancel),
 	}
 	defer a.unwatch()
 	result := c.roundTrip(ctx, b, &a)
--- a/gateway/quarantine/others.go
+++ b/gateway/quarantine/others.go
@@ -37,6 +37,22 @@
 	}
 }
 
+// isCleared reports whether a suspect was cleared by a later answer.
+func (q *Quarantine) isCleared(part Part) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.suspects[part]
+	return s != nil && s.cleared
+}
+
+// hasUnknownCrash reports whether a shared record has a crash that this process does not know.
+func (q *Quarantine) hasUnknownCrash(r Record) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.suspects[r.Part]
+	return s != nil && (r.Crashes > s.record.Crashes || r.LastServer != s.record.LastServer)
+}
+
 // Applied is the effect of shared records.
 type Applied struct {
 	// Blocked are the parts that are blocked from now on.
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -247,7 +247,7 @@
 	if len(q.suspects) >= maxSuspects {
 		q.removeExpired(now)
 	}
-	if len(q.suspects) >= maxSuspects {
+	if len(q.suspects) >= maxSuspects && !q.removeHarmless() {
 		return nil
 	}
 	_, answered := q.answered.at(part)
@@ -266,6 +266,17 @@
 	q.count.Store(int64(len(q.suspects)))
 }
 
+// removeHarmless forgets one suspect that is not blocked, and reports whether there was one.
+func (q *Quarantine) removeHarmless() bool {
+	for part, s := range q.suspects {
+		if !s.blocking() {
+			delete(q.suspects, part)
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveExpired forgets the suspects without a crash or a probe for RecordTTL.
 func (q *Quarantine) RemoveExpired(now time.Time) {
 	q.mu.Lock()
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -255,9 +255,17 @@
 		q.RecordCrash(service, []string{fmt.Sprint("q", i)}, begun(fmt.Sprint(i)), c.now)
 	}
 	require.Len(t, q.suspects, maxSuspects)
+	require.False(t, check(q, c, "q0").Passes())
+	require.True(t, check(q, c, fmt.Sprint("q", 2*maxSuspects-1)).Passes(), "there is no room for more")
 	q.RemoveExpired(c.advance(RecordTTL + time.Second))
 	require.Empty(t, q.suspects)
 	require.Zero(t, q.count.Load())
+	for i := range 2 * maxSuspects {
+		q.RecordCrash(service, []string{fmt.Sprint("r", i)}, Crash{Server: fmt.Sprint(i)}, c.now)
+	}
+	q.RecordCrash(service, []string{"deadly"}, begun("z"), c.now)
+	require.False(t, check(q, c, "deadly").Passes(), "suspects that are not blocked make room")
+	require.Len(t, q.suspects, maxSuspects)
 	for i := range 2 * maxServices {
 		q.RecordAnswer(fmt.Sprint("service", i), []string{"x"}, c.now, c.now)
 	}
--- a/gateway/quarantine/sharing.go
+++ b/gateway/quarantine/sharing.go
@@ -24,7 +24,9 @@
 const (
 	// maxPendingChanges bounds the changes that wait to be written.
 	maxPendingChanges = 256
-	// writeAttempts and writeRetryDelay bound how long the write of a crash is retried, about as long as firstBlock.
+	// maxTells bounds the crashes of which peers are told at the same time.
+	maxTells = 8
+	// writeAttempts and writeRetryDelay bound how long the write of a crash is retried, at least as long as firstBlock.
 	writeAttempts   = 240
 	writeRetryDelay = 250 * time.Millisecond
 	// probeTimeout bounds the calls that claim a probe, while a caller waits.
@@ -184,19 +186,25 @@
 func (s *Sharing) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case first := <-s.untold:
-				s.tellPeers(ctx, first)
-			}
-		}
-	})
+	for range maxTells {
+		wg.Go(func() { s.runTells(ctx) })
+	}
 	s.runWrites(ctx)
 }
 
+// runTells tells peers of crashes until the context ends. A peer that does not respond delays one crash and not the
+// others.
+func (s *Sharing) runTells(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.untold:
+			s.tellPeers(ctx, first)
+		}
+	}
+}
+
 // runWrites writes the changes to the service until the context ends.
 func (s *Sharing) runWrites(ctx context.Context) {
 	expire := time.NewTicker(time.Minute)
@@ -213,8 +221,8 @@
 	}
 }
 
-// write writes one change. A crash is retried, also after a lost response: the record names the server, so that one
-// crash counts once.
+// write writes one change. A crash is retried until the part is cleared, also after a lost response: the record names the
+// server, so that one crash counts once.
 func (s *Sharing) write(ctx context.Context, c change) {
 	switch c.kind {
 	case cleared:
@@ -226,6 +234,9 @@
 	}
 	var err error
 	for range writeAttempts {
+		if s.quarantine.isCleared(c.part) {
+			return
+		}
 		if err = s.addCrash(ctx, c.record); err == nil || ctx.Err() != nil {
 			return
 		}
@@ -291,25 +302,16 @@
 	return s.store.Put(ctx, recordKey(r.Part), encodeRecord(r), expected, lease)
 }
 
-// removeRecord removes the record unless a crash has changed it since. A record that remains ends with its lease.
+// removeRecord removes the record of a part unless it has a crash that this process does not know. A record that remains
+// ends with its lease.
 func (s *Sharing) removeRecord(ctx context.Context, part Part) {
-	shared, ok := s.quarantine.Shared(part)
-	if !ok {
-		return
-	}
-	err := s.store.Delete(ctx, recordKey(part), shared.At.Revision)
-	var conflict *kv.ConflictError
-	if errors.As(err, &conflict) {
-		err = s.removeChangedRecord(ctx, shared.Record)
-	}
-	if err != nil {
+	if err := s.tryRemoveRecord(ctx, part); err != nil {
 		s.log.Info("record of a cleared part not removed", zap.String("part", part.ID), zap.Error(err))
 	}
 }
 
-// removeChangedRecord removes a record that has changed if there was no further crash.
-func (s *Sharing) removeChangedRecord(ctx context.Context, known Record) error {
-	entry, err := s.store.Get(ctx, recordKey(known.Part))
+func (s *Sharing) tryRemoveRecord(ctx context.Context, part Part) error {
+	entry, err := s.store.Get(ctx, recordKey(part))
 	var notFound *kv.NotFoundError
 	if errors.As(err, &notFound) {
 		return nil
@@ -318,7 +320,7 @@
 		return err
 	}
 	record, err := decodeRecord(entry)
-	if err != nil || record.Crashes > known.Crashes || record.LastServer != known.LastServer {
+	if err != nil || s.quarantine.hasUnknownCrash(record) {
 		return err
 	}
 	return s.store.Delete(ctx, entry.Key, entry.ModRevision)
--- a/gateway/quarantine/sharing_test.go
+++ b/gateway/quarantine/sharing_test.go
@@ -216,3 +216,23 @@
 	}
 	require.Zero(t, g.count.Load())
 }
+
+// Guards against writing a crash, late, of a part that was answered in the meantime, and against leaving the record of
+// such a part because this process has not read it yet.
+func TestCrashOfAClearedPartIsNotShared(t *testing.T) {
+	server := kvserver.New()
+	g := newGatewayStub(server, nil)
+	first := g.RecordCrash(service, []string{"x"}, begun("s1"), time.Now())[0]
+	g.RecordAnswer(service, []string{"x"}, time.Now(), time.Now())
+	g.write(t.Context(), change{part: first.Part, kind: crashed, record: first})
+	_, ok := g.storedX(t)
+	require.False(t, ok)
+
+	g.crashX(t, "s2")
+	g.RecordAnswer(service, []string{"x"}, time.Now(), time.Now())
+	_, ok = g.storedX(t)
+	require.True(t, ok)
+	g.write(t.Context(), change{part: first.Part, kind: cleared})
+	_, ok = g.storedX(t)
+	require.False(t, ok)
+}
--- a/gateway/quarantine/watch.go
+++ b/gateway/quarantine/watch.go
@@ -44,9 +44,10 @@
 	if !s.blocking() {
 		return nil
 	}
+	part := s.record.Part
 	var out []func()
-	for fn := range q.watchers[s.record.Part] {
-		out = append(out, func() { (*fn)(s.record.Part) })
+	for fn := range q.watchers[part] {
+		out = append(out, func() { (*fn)(part) })
 	}
 	return out
 }
