Count crashes of different servers at once, except for what many requests share

A part that no answer has shown to be sound, at two servers that crashed within 2 s before they had begun to answer, was counted once, so that a burst of such requests at servers that send no header first could take many of them in that time. The window now protects only parts that were answered before, and all parts right after a start. TestCrashOfAServerThatHadNotBegunBlocksAtTheSecondTime now asserts the second crash where it asserted the third; TestSimultaneousCrashesCountOnceForACommonPart holds the protection.

--- a/gateway/quarantine/others.go
+++ b/gateway/quarantine/others.go
@@ -11,7 +11,7 @@
 func (q *Quarantine) ApplyPeer(first Record, now time.Time) (answered, blocked bool) {
 	q.mu.Lock()
 	s := q.suspect(first.Part, now)
-	if s == nil || s.record.LastServer == first.LastServer || s.sameCrash(first.LastServer, now) {
+	if s == nil || s.record.LastServer == first.LastServer || s.sameCrash(first.LastServer, q.justStarted(first.Part.Service), now) {
 		answered = s != nil && s.record.Answered
 		q.mu.Unlock()
 		return answered, false
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -36,7 +36,8 @@
 	// maxSuspects bounds the suspected parts that a process remembers.
 	maxSuspects = 1024
 	// sameCrashWindow is the time within which the requests that fail at one server count as one crash. Crashes of
-	// several servers in this time count once for a part that may be sound, because no answer can come in between.
+	// several servers in this time count once for a part that many requests may share, because no answer can come in
+	// between.
 	sameCrashWindow = 2 * time.Second
 	// recentAnswer is the time after an answer during which a part is not suspected because of a server that had not
 	// begun to answer. The server was answering other requests too.
@@ -203,14 +204,15 @@
 func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Record {
 	q.mu.Lock()
 	accused := q.suspectParts(service, parts, crash, now)
-	if len(accused) == 1 && q.answered.count(service) < minAnswers {
+	started := q.justStarted(service)
+	if len(accused) == 1 && started {
 		crash.AnswerBegun = false
 	}
 	var records []Record
 	var withdraw []func()
 	for _, part := range accused {
 		s := q.suspect(part, now)
-		if s == nil || s.sameCrash(crash.Server, now) {
+		if s == nil || s.sameCrash(crash.Server, started, now) {
 			continue
 		}
 		first := Record{
@@ -228,6 +230,9 @@
 	return records
 }
 
+// justStarted reports whether this process has seen too few answers of a service to know which parts are sound.
+func (q *Quarantine) justStarted(service string) bool { return q.answered.count(service) < minAnswers }
+
 // otherIDs returns the IDs of the parts other than the given one.
 func otherIDs(parts []Part, part Part) []string {
 	var out []string
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -69,12 +69,25 @@
 	reading := Crash{Server: "a"}
 	q.RecordCrash(service, []string{"x"}, reading, c.now)
 	require.True(t, check(q, c, "x").Passes())
-	q.RecordCrash(service, []string{"x"}, Crash{Server: "b"}, c.advance(sameCrashWindow/2))
-	require.True(t, check(q, c, "x").Passes(), "no answer can come between crashes in quick succession")
-	q.RecordCrash(service, []string{"x"}, Crash{Server: "c"}, c.advance(sameCrashWindow))
+	q.RecordCrash(service, []string{"x"}, reading, c.now)
+	require.True(t, check(q, c, "x").Passes(), "another request at the same server")
+	q.RecordCrash(service, []string{"x"}, Crash{Server: "b"}, c.advance(time.Millisecond))
 	requireBlocked(t, q, c, firstBlock, "x")
 }
 
+// Guards against blocking a common part because two servers crash at once: no answer can come in between.
+func TestSimultaneousCrashesCountOnceForACommonPart(t *testing.T) {
+	c := newClock()
+	for name, q := range map[string]*Quarantine{"answered before": newWarm(c, "x"), "right after a start": New()} {
+		for i := range 5 {
+			q.RecordCrash(service, []string{"x"}, begun(fmt.Sprint(i)), c.advance(sameCrashWindow/10))
+		}
+		require.True(t, check(q, c, "x").Passes(), name)
+		q.RecordCrash(service, []string{"x"}, begun("later"), c.advance(sameCrashWindow))
+		require.False(t, check(q, c, "x").Passes(), name)
+	}
+}
+
 // Guards against blocking a common part because of a crash for another reason.
 func TestCommonPartIsNotSuspectedByServersThatHadNotBegun(t *testing.T) {
 	c := newClock()
--- a/gateway/quarantine/suspect.go
+++ b/gateway/quarantine/suspect.go
@@ -47,9 +47,11 @@
 	return s.blockedUntil
 }
 
-// sameCrash reports whether a crash is not counted because another one was just before.
-func (s *suspect) sameCrash(server string, now time.Time) bool {
-	return !s.cleared && now.Sub(s.lastCrashAt) < sameCrashWindow && (s.doubtful() || s.record.LastServer == server)
+// sameCrash reports whether a crash is not counted because another one was just before. started is set right after a
+// start of this process, when parts that all requests share are unknown too.
+func (s *suspect) sameCrash(server string, started bool, now time.Time) bool {
+	common := s.record.Answered || (started && s.doubtful())
+	return !s.cleared && now.Sub(s.lastCrashAt) < sameCrashWindow && (common || s.record.LastServer == server)
 }
 
 // addCrash adds a first crash to those of the suspect.
