--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -15,8 +15,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -75,9 +77,14 @@
 	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
 }
 
-// allocatedAddresses holds the addresses that listenOn has allocated. The kernel may choose a port again before the
-// program that it was allocated for listens on it.
-var allocatedAddresses sync.Map
+const (
+	// firstPort and portCount are the ports that tests allocate. The kernel chooses none of them for other sockets.
+	firstPort = 12_000
+	portCount = 20_000
+)
+
+// allocatedPorts counts the ports that listenOn has allocated, so that it allocates none twice.
+var allocatedPorts atomic.Int64
 
 // FreeAddress returns an address on the IP of this test process with a currently free port. It never returns the same
 // address twice.
@@ -95,14 +102,14 @@
 // itself keeps other processes from taking the port.
 func listenOn(t testing.TB, ip string) net.Listener {
 	t.Helper()
-	for {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
-		require.NoError(t, err)
-		if _, allocated := allocatedAddresses.LoadOrStore(l.Addr().String(), true); !allocated {
+	for n := allocatedPorts.Add(1); n <= portCount; n = allocatedPorts.Add(1) {
+		address := net.JoinHostPort(ip, strconv.FormatInt(firstPort+n, 10))
+		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address); err == nil {
 			return l
 		}
-		l.Close()
 	}
+	require.FailNow(t, "no port is left")
+	return nil
 }
 
 // Proc is a running process. Its output is logged if the test fails.
