--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -19,7 +19,7 @@
 	current atomic.Pointer[snapshot]
 
 	// former holds the incarnations that are no longer listed. It is guarded by updates.
-	former map[incarnation]formerIncarnation
+	former map[catalog.Incarnation]formerIncarnation
 
 	groupsLock sync.Mutex
 	groups     map[groupKey]*Group
@@ -39,7 +39,7 @@
 
 // NewFleet returns a fleet without backends for a process in the given failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
-	f := &Fleet{dialect: dialect, domain: domain, former: map[incarnation]formerIncarnation{}, groups: map[groupKey]*Group{}}
+	f := &Fleet{dialect: dialect, domain: domain, former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{}}
 	f.current.Store(newSnapshot())
 	return f
 }
--- a/gateway/balance/incarnation.go
+++ b/gateway/balance/incarnation.go
@@ -6,12 +6,6 @@
 	"lavendermoor.example/gateway/catalog"
 )
 
-// incarnation identifies one run of a server between its start and its end.
-type incarnation struct {
-	id      string
-	started int64 // Unix milliseconds, 0 if unknown.
-}
-
 // formerIncarnation is the remembered state of an incarnation that is no longer listed. A list restored from an older
 // copy may contain it again.
 type formerIncarnation struct {
@@ -24,18 +18,10 @@
 // formerIncarnationTTL is how long a former incarnation is remembered.
 const formerIncarnationTTL = 10 * time.Minute
 
-func incarnationOf(id string, started time.Time) incarnation {
-	key := incarnation{id: id}
-	if !started.IsZero() {
-		key.started = started.UnixMilli()
-	}
-	return key
-}
-
 // retire takes a server out of use and remembers the state that a list restored from an older copy must not revert.
 func (f *Fleet) retire(b *Backend, now time.Time) {
 	b.mu.Lock()
-	key := incarnationOf(b.server.ID, b.server.Started)
+	key := b.server.Incarnation()
 	former := formerIncarnation{seq: b.server.Seq, leaving: b.leaving || b.server.Draining, suspension: b.suspension, retiredAt: now}
 	b.removed = true
 	b.mu.Unlock()
@@ -55,7 +41,7 @@
 // isStale reports whether an entry is not newer than the last one of the same incarnation before it was removed from
 // the list. A live server keeps increasing its sequence number.
 func (f *Fleet) isStale(s catalog.Server, now time.Time) bool {
-	former, ok := f.former[incarnationOf(s.ID, s.Started)]
+	former, ok := f.former[s.Incarnation()]
 	return ok && hasSequence(s) && s.Seq <= former.seq && now.Sub(former.retiredAt) < staleEntryWindow
 }
 
@@ -67,8 +53,8 @@
 // incarnation still applies.
 func (f *Fleet) addBackend(s catalog.Server) *Backend {
 	b := newBackend(s, f.dialect)
-	key := incarnationOf(s.ID, s.Started)
-	if former, ok := f.former[key]; ok && key.started != 0 {
+	key := s.Incarnation()
+	if former, ok := f.former[key]; ok && key.StartedMs != 0 {
 		b.leaving, b.suspension = former.leaving, former.suspension
 		delete(f.former, key)
 	}
--- a/gateway/balance/leaving.go
+++ b/gateway/balance/leaving.go
@@ -26,7 +26,7 @@
 	}
 	for _, b := range f.Backends(service) {
 		started, ok := starts[b.Pool.Address()]
-		if s := b.Server(); ok && started == incarnationOf(s.ID, s.Started).started && started != 0 && b.MarkLeaving() {
+		if s := b.Server(); ok && started == s.Incarnation().StartedMs && started != 0 && b.MarkLeaving() {
 			changed = append(changed, s)
 		}
 	}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -221,3 +222,27 @@
 	// Seq is the sequence number of the entry, which counts its writes since the server's start, 0 if unknown.
 	Seq int64
 }
+
+// Incarnation identifies one run of a server between its start and its end.
+type Incarnation struct {
+	ID string
+	// StartedMs is the start in Unix milliseconds, 0 if unknown.
+	StartedMs int64
+}
+
+// Incarnation returns the run of the server to which the entry belongs.
+func (s Server) Incarnation() Incarnation {
+	run := Incarnation{ID: s.ID}
+	if !s.Started.IsZero() {
+		run.StartedMs = s.Started.UnixMilli()
+	}
+	return run
+}
+
+// String returns the ID, with the start if it is known.
+func (i Incarnation) String() string {
+	if i.StartedMs == 0 {
+		return i.ID
+	}
+	return i.ID + "@" + strconv.FormatInt(i.StartedMs, 10)
+}
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -19,7 +19,7 @@
 	backend *balance.Backend
 	server  string
 	// incarnation identifies the run of the server.
-	incarnation string
+	incarnation catalog.Incarnation
 	outcome     balance.Outcome
 	// mayHaveExecuted is false if the server reported that it did not execute the request, or if the request was not
 	// sent.
@@ -49,7 +49,7 @@
 	b.Begin(tokens, started)
 	server := b.Server()
 	a := attempt{
-		backend: b, server: server.ID, incarnation: incarnation(server), mayHaveExecuted: true, sentAt: started,
+		backend: b, server: server.ID, incarnation: server.Incarnation(), mayHaveExecuted: true, sentAt: started,
 		unwatch: c.watchQuarantine(cancel),
 	}
 	defer a.unwatch()
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lavendermoor.example/gateway/balance"
-	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/quarantine"
 )
 
@@ -100,14 +98,6 @@
 	}
 }
 
-// incarnation identifies a run of a server between its start and its end.
-func incarnation(s catalog.Server) string {
-	if s.Started.IsZero() {
-		return s.ID
-	}
-	return s.ID + "@" + strconv.FormatInt(s.Started.UnixMilli(), 10)
-}
-
 // examineCrash makes parts of the prompt suspects if the server of the last attempt broke off before it was answering
 // and refuses connections.
 func (c *call) examineCrash(ctx context.Context) {
@@ -117,7 +107,7 @@
 	}
 	opts := &c.server.opts
 	crash := quarantine.Crash{
-		Server: a.incarnation, Sent: a.sentAt, AnswerBegun: a.answerBegun && a.eventCount == 0,
+		Server: a.incarnation.String(), Sent: a.sentAt, AnswerBegun: a.answerBegun && a.eventCount == 0,
 	}
 	if len(opts.Quarantine.Suspects(c.service, c.meta.SharedParts, crash, time.Now())) == 0 {
 		return
--- a/gateway/quarantine/others.go
+++ b/gateway/quarantine/others.go
@@ -21,9 +21,7 @@
 	answered, blocked = s.record.Answered, s.blocking() && !wasBlocking
 	withdraw := q.watchersOf(s)
 	q.mu.Unlock()
-	for _, fn := range withdraw {
-		fn()
-	}
+	callAll(withdraw)
 	return answered, blocked
 }
 
@@ -90,9 +88,7 @@
 	}
 	q.count.Store(int64(len(q.suspects)))
 	q.mu.Unlock()
-	for _, fn := range withdraw {
-		fn()
-	}
+	callAll(withdraw)
 	return out
 }
 
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -1,6 +1,6 @@
 // Package quarantine decides which requests are kept from servers because a part of their prompt crashes every server
 // that begins to answer it. It learns from the outcomes of this process's requests and from the records that all
-// gateways share. It has no I/O.
+// gateways share. A Quarantine has no I/O; Sharing exchanges the records.
 package quarantine
 
 import (
@@ -229,9 +229,7 @@
 		records = append(records, first)
 	}
 	q.mu.Unlock()
-	for _, fn := range withdraw {
-		fn()
-	}
+	callAll(withdraw)
 	return records
 }
 
--- a/gateway/quarantine/watch.go
+++ b/gateway/quarantine/watch.go
@@ -51,3 +51,10 @@
 	}
 	return out
 }
+
+// callAll calls the functions of watchersOf. The caller does not hold the lock.
+func callAll(withdraw []func()) {
+	for _, fn := range withdraw {
+		fn()
+	}
+}
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -205,8 +205,8 @@
 	*Replica
 }
 
-// Handler serves the replica, and GET and PUT /standin/faults. The handler has a method RefusesConnections. Callers on the replica's own instance get current
-// reports, other callers get reports that are reportLag old.
+// Handler serves the replica, and GET and PUT /standin/faults. The handler has a method RefusesConnections. Callers on
+// the replica's own instance get current reports, other callers get reports that are reportLag old.
 func (r *Replica) Handler(sameInstance bool) http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/standin/faults", faultapi.Handler(r.Faults, r.SetFaults)).Methods(http.MethodGet, http.MethodPut)
