Keep the stronger evidence of a crash that two gateways saw

Cause: a request of one gateway was still being read by the crashed server (doubtful), one of another had begun to be answered. Records of one server count once, so the first gateway, and the store, dropped the stronger record and went on sending the part. Change: the same crash counts once, but its stronger evidence is taken over, from this process, a peer and the store. TestStrongerEvidenceOfTheSameCrashBlocks and TestStoreKeepsTheStrongerEvidenceOfACrash guard it.

--- a/gateway/quarantine/others.go
+++ b/gateway/quarantine/others.go
@@ -11,15 +11,21 @@
 func (q *Quarantine) ApplyPeer(first Record, now time.Time) (answered, blocked bool) {
 	q.mu.Lock()
 	s := q.suspect(first.Part, now)
-	if s == nil || s.record.LastServer == first.LastServer || s.sameCrash(first.LastServer, q.justStarted(first.Part.Service), now) {
-		answered = s != nil && s.record.Answered
+	if s == nil {
 		q.mu.Unlock()
-		return answered, false
+		return false, false
 	}
 	wasBlocking := s.blocking()
-	s.addCrash(first, now)
+	if s.record.LastServer == first.LastServer || s.sameCrash(first.LastServer, q.justStarted(first.Part.Service), now) {
+		s.strengthen(first)
+	} else {
+		s.addCrash(first, now)
+	}
 	answered, blocked = s.record.Answered, s.blocking() && !wasBlocking
-	withdraw := q.watchersOf(s)
+	var withdraw []func()
+	if blocked {
+		withdraw = q.watchersOf(s)
+	}
 	q.mu.Unlock()
 	callAll(withdraw)
 	return answered, blocked
@@ -97,6 +103,7 @@
 	s.at = r.At
 	crashed := r.Crashes > s.record.Crashes || (s.cleared && r.Crashes > 0 && r.LastServer != s.record.LastServer)
 	probed := r.Probes > s.record.Probes
+	wasBlocking := s.blocking()
 	s.record = Record{
 		Part: r.Part, Crashes: max(r.Crashes, s.record.Crashes), AnswerBegun: r.AnswerBegun || s.record.AnswerBegun,
 		Answered: r.Answered || s.record.Answered, With: r.With, LastServer: r.LastServer, Probes: max(r.Probes, s.record.Probes),
@@ -107,6 +114,8 @@
 		s.recordCrash(now)
 	case probed:
 		s.recordProbe(now)
+	case s.blocking() && !wasBlocking:
+		s.blockedUntil = s.lastCrashAt.Add(s.blockTime())
 	}
 }
 
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -217,14 +217,18 @@
 	var withdraw []func()
 	for _, part := range accused {
 		s := q.suspect(part, now)
-		if s == nil || s.sameCrash(crash.Server, started, now) {
+		if s == nil {
 			continue
 		}
 		first := Record{
 			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun, Answered: s.record.Answered, LastServer: crash.Server,
 			With: otherIDs(accused, part),
 		}
-		s.addCrash(first, now)
+		if !s.sameCrash(crash.Server, started, now) {
+			s.addCrash(first, now)
+		} else if !s.strengthen(first) {
+			continue
+		}
 		withdraw = append(withdraw, q.watchersOf(s)...)
 		records = append(records, first)
 	}
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -320,3 +320,30 @@
 	}
 	require.LessOrEqual(t, len(q.answered.answers), maxServices)
 }
+
+// Guards against a part that stays unblocked at a gateway whose request the crashed server was still reading, although
+// another request at that server, of this or another gateway, had begun to be answered.
+func TestStrongerEvidenceOfTheSameCrashBlocks(t *testing.T) {
+	c := newClock()
+	reading, answering := newWarm(c), newWarm(c)
+	weak := reading.RecordCrash(service, []string{"x"}, Crash{Server: "a"}, c.now)[0]
+	require.True(t, check(reading, c, "x").Passes())
+	strong := answering.RecordCrash(service, []string{"x"}, begun("a"), c.now)[0]
+	_, blocked := reading.ApplyPeer(strong, c.now)
+	require.True(t, blocked)
+	requireBlocked(t, reading, c, firstBlock, "x")
+	_, blocked = answering.ApplyPeer(weak, c.now)
+	require.False(t, blocked)
+	requireBlocked(t, answering, c, firstBlock, "x")
+
+	both := newWarm(c)
+	both.RecordCrash(service, []string{"x"}, Crash{Server: "a"}, c.now)
+	require.Len(t, both.RecordCrash(service, []string{"x"}, begun("a"), c.now), 1)
+	requireBlocked(t, both, c, firstBlock, "x")
+
+	stored := newWarm(c)
+	stored.ApplyShared([]Shared{{Record: weak, At: kv.Position{Revision: 1}}}, true, c.now)
+	require.True(t, check(stored, c, "x").Passes())
+	stored.ApplyShared([]Shared{{Record: strong, At: kv.Position{Revision: 2}}}, true, c.now)
+	requireBlocked(t, stored, c, firstBlock, "x")
+}
--- a/gateway/quarantine/sharing.go
+++ b/gateway/quarantine/sharing.go
@@ -271,7 +271,10 @@
 		return err
 	}
 	if record.LastServer == first.LastServer {
-		return nil
+		if record.AnswerBegun || !first.AnswerBegun {
+			return nil
+		}
+		record.Crashes-- // The same crash, seen from a request that the server had begun to answer.
 	}
 	record.Crashes++
 	record.AnswerBegun = record.AnswerBegun || first.AnswerBegun
--- a/gateway/quarantine/sharing_test.go
+++ b/gateway/quarantine/sharing_test.go
@@ -236,3 +236,18 @@
 	_, ok = g.storedX(t)
 	require.False(t, ok)
 }
+
+// Guards against losing in the store that a server had begun to answer, because a weaker record of its crash was first.
+func TestStoreKeepsTheStrongerEvidenceOfACrash(t *testing.T) {
+	server := kvserver.New()
+	weak, strong := newGatewayStub(server, nil), newGatewayStub(server, nil)
+	for _, first := range weak.RecordCrash(service, []string{"x"}, Crash{Server: "s1"}, time.Now()) {
+		weak.write(t.Context(), change{part: first.Part, kind: crashed, record: first})
+	}
+	strong.crashX(t, "s1")
+	r, _ := strong.storedX(t)
+	require.True(t, r.AnswerBegun)
+	require.Equal(t, 1, r.Crashes)
+	weak.read(t)
+	require.False(t, weak.passes("x"))
+}
--- a/gateway/quarantine/suspect.go
+++ b/gateway/quarantine/suspect.go
@@ -79,6 +79,17 @@
 	s.recordCrash(now)
 }
 
+// strengthen takes over that the server of the last crash had begun to answer another request with the part, and reports
+// whether this blocks the part.
+func (s *suspect) strengthen(first Record) bool {
+	if s.cleared || s.blocking() || s.record.LastServer != first.LastServer || !first.AnswerBegun {
+		return false
+	}
+	s.record.AnswerBegun = true
+	s.blockedUntil = s.lastCrashAt.Add(s.blockTime())
+	return s.blocking()
+}
+
 // recordCrash starts or prolongs the block.
 func (s *suspect) recordCrash(now time.Time) {
 	s.changedAt, s.lastCrashAt, s.cleared = now, now, false
