--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -61,6 +61,9 @@
 // order at once and carries it out at once.
 type Group struct {
 	Name string
+	// Late returns how much later an order to a rank is carried out without an answer, 0 for an order that is answered.
+	// It is nil without that disruption.
+	Late func(rank int, operation string) time.Duration
 
 	rec   *Record
 	mu    sync.Mutex
@@ -357,6 +360,14 @@
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	if g.Late != nil {
+		if delay := g.Late(i, o.Operation); delay > 0 {
+			g.rec.Add("group: rank %d: order %s version %d pass %d fence %d: not answered, carried out %v later", i, o.Operation,
+				o.Version, o.Step, o.FenceToken, delay)
+			time.AfterFunc(delay, func() { g.execute(i, o) })
+			panic(http.ErrAbortHandler) // Ends the connection without an answer.
+		}
+	}
 	status := g.execute(i, o)
 	writeJSON(w, status, struct{}{})
 }
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -41,6 +41,8 @@
 	seq   int64
 	// Work replaces the time that a plain request takes, if it is set.
 	Work time.Duration
+	// EventStep is the difference between the ids of two events of a stream, 1 if it is 0.
+	EventStep int
 }
 
 // NewReplica returns a replica. The group is nil for one of the plain service.
@@ -197,26 +199,37 @@
 	fmt.Fprintf(w, "done %s %s\n", id, strings.Repeat("x", 780))
 }
 
-// Event returns event n of the stream for a prompt.
-func Event(prompt string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %d of %.40s\n\n", n, n, prompt)
+// Event returns event n, from 1, of the stream for a prompt. step is the difference between two ids.
+func Event(prompt string, n, step int) string {
+	return fmt.Sprintf("id: %d\ndata: %d of %.40s\n\n", n*step, n, prompt)
 }
 
-// tokensPerEvent is the number of tokens in an event of a stream.
-const tokensPerEvent = 4
+// Stream returns all events of the stream with the given number of tokens.
+func Stream(prompt string, tokens, step int) string {
+	var b strings.Builder
+	for n := 1; n <= tokens/TokensPerEvent; n++ {
+		b.WriteString(Event(prompt, n, step))
+	}
+	return b.String()
+}
+
+// TokensPerEvent is the number of tokens in an event of a stream.
+const TokensPerEvent = 4
 
 // stream sends one event a pass, from the one after Last-Event-Id to the end given by X-Token-Usage.
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request, id, prompt string) {
 	_, output, _ := strings.Cut(req.Header.Get("X-Token-Usage"), ",")
 	tokens, _ := strconv.Atoi(output)
-	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	step := max(r.EventStep, 1)
+	first := last / step
 	r.group.addRunning(r.rank, 1)
 	defer r.group.addRunning(r.rank, -1)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Replica-Seal", "seal."+r.ID+"."+id)
 	w.Header().Set("X-Weight-Versions", "1")
 	out := http.NewResponseController(w)
-	for n := first + 1; n <= tokens/tokensPerEvent; n++ {
+	for n := first + 1; n <= tokens/TokensPerEvent; n++ {
 		select {
 		case <-r.group.nextPass():
 		case <-req.Context().Done():
@@ -226,11 +239,12 @@
 			r.addRun(id)
 		}
 		r.group.countEvent(r.rank, prompt, n)
-		if _, err := io.WriteString(w, Event(prompt, n)); err != nil {
+		if _, err := io.WriteString(w, Event(prompt, n, step)); err != nil {
 			return
 		}
 		if err := out.Flush(); err != nil {
 			return
 		}
 	}
+	r.rec.Add("replica %s: request %s is done", r.ID, id)
 }
