--- a/review/rig/proc.go
+++ b/review/rig/proc.go
@@ -4,11 +4,36 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
 )
 
+// starts are the commands to start. One thread starts them all: Pdeathsig acts when the thread that started a process
+// ends, and the Go runtime ends threads while the program runs on.
+var starts = make(chan startRequest)
+
+type startRequest struct {
+	cmd    *exec.Cmd
+	result chan error
+}
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for s := range starts {
+			s.result <- s.cmd.Start()
+		}
+	}()
+}
+
+func startCommand(cmd *exec.Cmd) error {
+	s := startRequest{cmd: cmd, result: make(chan error)}
+	starts <- s
+	return <-s.result
+}
+
 // Proc is a program of the deploy file that runs as a separate process.
 type Proc struct {
 	Name string
@@ -34,7 +59,7 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	// The kernel ends the process if this one ends first.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := startCommand(cmd); err != nil {
 		return err
 	}
 	done := make(chan struct{})
