--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-go build -o ../target/review/ ./1 ./2
+go build -o ../target/review/ ./1 ./2 ./4
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -105,6 +105,20 @@
 	return append(out, r.Sides...)
 }
 
+// KillAll kills all processes and starts them again after a time.
+func (r *Rig) KillAll(down time.Duration) error {
+	for _, p := range r.procs() {
+		p.Kill()
+	}
+	time.Sleep(down)
+	for _, p := range r.procs() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // listen listens on a free port of the machine with an index.
 func (r *Rig) listen(machine int) (net.Listener, error) {
 	return net.Listen("tcp", fmt.Sprintf("%s%d:0", r.prefix, machine))
