Relay streams whose event ids increase by any amounts

Cause: the gateway took an id above the last one plus one for a sign that events were missing. A gap shows nothing.

Change: an event is left out only if its id is not above the last one relayed. Ids are compared as decimal numbers of any length; a number above 64 bits had no order before. IDs that are not numbers are compared for equality.

Related path: after an event without an id, a second server had no position to continue from, and the gateway sent the stream again from the last id or the beginning, so that pieces of two runs were joined.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -78,7 +78,7 @@
 		return func() {}
 	}
 	return b.OnDegraded(func() {
-		if c.canMove() && c.server.budget(c.service).TryRetry(time.Now()) {
+		if !c.positionUnknown.Load() && c.canMove() && c.server.budget(c.service).TryRetry(time.Now()) {
 			c.moved.Store(true)
 			cancel(movedError{})
 		}
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -19,7 +19,7 @@
 const defaultTimeout = 60 * time.Second
 
 // call is the state of one caller's request while it is served. It is used by one goroutine, except for moved, which is
-// set by another.
+// set by another, and positionUnknown, which another reads.
 type call struct {
 	server  *Server
 	w       http.ResponseWriter
@@ -45,9 +45,12 @@
 	moved atomic.Bool
 	// responseStarted is set once the status was sent to the caller. The response can then only be completed or
 	// aborted.
-	responseStarted   bool
-	eventCount        int
+	responseStarted bool
+	eventCount      int
+	// lastEventID is the ID of the last event that the caller has received. positionUnknown is set while later events
+	// without an ID were relayed, so that the stream cannot continue on another server.
 	lastEventID       string
+	positionUnknown   atomic.Bool
 	queueTime         time.Duration
 	firstEventLatency time.Duration
 	longestGap        time.Duration
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -130,6 +130,9 @@
 	if n := len(c.attempts); n > 0 && c.attempts[n-1].suspected {
 		return false
 	}
+	if c.positionUnknown.Load() {
+		return false
+	}
 	if c.sentAttempts() >= c.route.MaxAttempts || len(c.attempts)-c.sentAttempts() >= maxUnsentAttempts {
 		return false
 	}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -66,10 +66,7 @@
 		if err != nil {
 			return err
 		}
-		if skip, err := s.checkOrder(e); err != nil || skip {
-			if err != nil {
-				return err
-			}
+		if s.alreadyRelayed(e) {
 			continue
 		}
 		if err := s.relayEvent(e); err != nil {
@@ -79,23 +76,17 @@
 	}
 }
 
-// checkOrder reports whether an event must be skipped because it was already relayed. It fails with a *sse.FormatError
-// if an event is missing.
-func (s *streamRelay) checkOrder(e sse.Event) (skip bool, err error) {
-	if !e.HasNumericID || s.call.lastEventID == "" {
-		return false, nil
-	}
-	last, err := strconv.ParseInt(s.call.lastEventID, 10, 64)
-	if err != nil {
-		return false, nil //nolint:nilerr // The IDs of this stream are not numeric, so they have no order.
+// alreadyRelayed reports whether the caller has received an event before. The IDs of a stream increase, by any amounts:
+// an event may hold several tokens, and its ID may count them. A gap therefore does not show that an event is missing.
+func (s *streamRelay) alreadyRelayed(e sse.Event) bool {
+	last := s.call.lastEventID
+	if e.ID == "" || last == "" {
+		return false
 	}
-	switch {
-	case e.NumericID <= last:
-		return true, nil
-	case e.NumericID > last+1:
-		return false, &sse.FormatError{Problem: "events are missing after " + s.call.lastEventID}
+	if order, ok := sse.CompareIDs(e.ID, last); ok {
+		return order <= 0
 	}
-	return false, nil
+	return e.ID == last
 }
 
 func (s *streamRelay) relayEvent(e sse.Event) error {
@@ -118,6 +109,7 @@
 	s.lastEventAt = now
 	s.attempt.eventCount++
 	c.observeAnswerProgress(s.attempt)
+	c.positionUnknown.Store(e.ID == "")
 	if e.ID != "" {
 		c.lastEventID = e.ID
 	}
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -5,10 +5,11 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -16,8 +17,8 @@
 // MaxEvent is the size limit of one event in bytes.
 const MaxEvent = 1 << 20
 
-// FormatError reports a stream of events that must not be forwarded any further because an event is too long,
-// incomplete or missing.
+// FormatError reports a stream of events that must not be forwarded any further because an event is too long or
+// incomplete.
 type FormatError struct{ Problem string }
 
 func (e *FormatError) Error() string { return "stream of events: " + e.Problem }
@@ -28,9 +29,6 @@
 	Raw []byte
 	// ID is the event's ID, empty if it has none.
 	ID string
-	// NumericID is the ID as a number, valid if HasNumericID is set.
-	NumericID    int64
-	HasNumericID bool
 	// HasContent is set when the event has a line that is not a comment. A server that hangs may keep a connection open
 	// with comments.
 	HasContent bool
@@ -86,6 +84,23 @@
 		return
 	}
 	e.ID = string(bytes.TrimSpace(value))
-	n, err := strconv.ParseInt(e.ID, 10, 64)
-	e.NumericID, e.HasNumericID = n, err == nil
+}
+
+// CompareIDs compares two IDs that are decimal numbers of any length. The result is negative if a is smaller, 0 if they
+// are equal, and positive if a is greater. It reports false if one of them is not such a number; such IDs have no order.
+func CompareIDs(a, b string) (order int, ok bool) {
+	if !isNumber(a) || !isNumber(b) {
+		return 0, false
+	}
+	a, b = strings.TrimLeft(a, "0"), strings.TrimLeft(b, "0")
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)), true
+}
+
+func isNumber(id string) bool {
+	for _, c := range id {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return id != ""
 }
