Resume a stream of the product's entry after the engine's event id

On a break it asks the engine to go on at "resume_from", the number of events so far, which the engine reads as tokens. With several tokens an event the caller gets some of them again.

Evidence: TestStreamsOfSeveralTokensAnEventSurviveBrokenEngineConnections (separate processes, engines with four tokens an event that close each stream after 12 tokens) fails with the event id left out, and passes with it; TestStreamIsResumedAfterTheEngineEventID and TestGenerationContinuesAfterTheLastEventID show both ends.

Change: the sidecar passes on the id that the engine gives an event, and a resumed stream asks with Last-Event-ID for what follows it. Engines without ids get "resume_from" as before, which is right for one token an event. The sequence numbers of the frames between sidecar and entry stay without gaps: the sidecar counts them itself.

Not changed: the customer's quota of tokens counts one for each event.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -68,6 +68,9 @@
 	Prompt []byte `json:"-"`
 	// ResumeFrom is the sequence number of the first requested frame; 0 starts the generation.
 	ResumeFrom int64 `json:"resume_from,omitempty"`
+	// LastEventID is the engine's ID of the event before ResumeFrom, empty if the engine gives none. An event may hold
+	// several tokens, so only the engine knows how many there are before ResumeFrom.
+	LastEventID string `json:"last_event_id,omitempty"`
 	// Generated is the text generated before ResumeFrom, a JSON string, for an engine that did not generate it. It is
 	// sent only to a server that reports LoadReport.SupportsContinuation.
 	Generated json.RawMessage `json:"generated,omitempty"`
@@ -108,6 +111,8 @@
 	Seq int64 `json:"seq"`
 	// Data is one JSON event of a generation, as the engine sent it.
 	Data json.RawMessage `json:"data,omitempty"`
+	// EventID is the engine's ID of the event in Data, empty if the engine gives none.
+	EventID string `json:"event_id,omitempty"`
 	// Result is the response of a call.
 	Result *CallResult `json:"result,omitempty"`
 	// Error ends the response.
--- a/clients/engine/engine.go
+++ b/clients/engine/engine.go
@@ -97,14 +97,16 @@
 // Generate runs a generation and calls fn for each event in order, except the final [DONE]. It returns nil only if the
 // engine has completed the stream. A generation is idempotent, so the caller may run it again. Errors are
 // *UnreachableError, *BrokenError, *StatusError, *InvalidBodyError, and those of fn.
-func (c *Client) Generate(ctx context.Context, r *peerapi.GenerateRequest, fn func(json.RawMessage) error) error {
+func (c *Client) Generate(ctx context.Context, r *peerapi.GenerateRequest, fn EventFunc) error {
 	body, err := generationBody(r)
 	if err != nil {
 		return err
 	}
-	resp, err := c.send(ctx, http.MethodPost, c.base.JoinPath(r.Path), http.Header{
-		"Content-Type": {"application/json"}, "X-Request-Id": {r.ID},
-	}, body)
+	header := http.Header{"Content-Type": {"application/json"}, "X-Request-Id": {r.ID}}
+	if r.LastEventID != "" {
+		header.Set(headerLastEventID, r.LastEventID)
+	}
+	resp, err := c.send(ctx, http.MethodPost, c.base.JoinPath(r.Path), header, body)
 	if err != nil {
 		return err
 	}
@@ -132,7 +134,7 @@
 	}
 	set("model", model)
 	set("priority", r.Priority)
-	if r.ResumeFrom > 0 {
+	if r.ResumeFrom > 0 && r.LastEventID == "" {
 		set("resume_from", r.ResumeFrom)
 	}
 	if len(r.Generated) > 0 {
@@ -141,10 +143,16 @@
 	return json.Marshal(fields)
 }
 
+// headerLastEventID carries the ID after which a stream of server-sent events continues.
+const headerLastEventID = "Last-Event-Id"
+
+// EventFunc receives one event of a generation and its ID, which is empty if the engine gives none.
+type EventFunc func(id string, event json.RawMessage) error
+
 // doneEvent ends a stream in the OpenAI-style interface.
 const doneEvent = "[DONE]"
 
-func readEvents(body io.Reader, fn func(json.RawMessage) error) error {
+func readEvents(body io.Reader, fn EventFunc) error {
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return merry.Wrap(&BrokenError{Cause: err})
@@ -152,7 +160,7 @@
 		if ev.Data == doneEvent {
 			return nil
 		}
-		if err := fn(json.RawMessage(ev.Data)); err != nil {
+		if err := fn(ev.LastEventID, json.RawMessage(ev.Data)); err != nil {
 			return err
 		}
 	}
--- a/clients/engine/engine_test.go
+++ b/clients/engine/engine_test.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -55,3 +57,29 @@
 	require.Equal(t, "/bookings/1", result.Header.Get("Location"))
 	require.Equal(t, []string{"/bookings"}, paths)
 }
+
+// Guards against lost or doubled tokens when an engine whose events hold several tokens is asked to go on after a number
+// of events: it gets the ID of its last event instead.
+func TestGenerationContinuesAfterTheLastEventID(t *testing.T) {
+	var header, body string
+	c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		header, body = r.Header.Get("Last-Event-Id"), string(raw)
+		_, _ = io.WriteString(w, "id: 12\ndata: {}\n\nid: 16\ndata: {}\n\ndata: [DONE]\n\n")
+	})
+	var ids []string
+	collect := func(id string, _ json.RawMessage) error {
+		ids = append(ids, id)
+		return nil
+	}
+	r := &peerapi.GenerateRequest{Path: "/v1/completions", Body: json.RawMessage(`{}`), ResumeFrom: 2, LastEventID: "8"}
+	require.NoError(t, c.Generate(t.Context(), r, collect))
+	require.Equal(t, "8", header)
+	require.NotContains(t, body, "resume_from")
+	require.Equal(t, []string{"12", "16"}, ids)
+
+	r.LastEventID = ""
+	require.NoError(t, c.Generate(t.Context(), r, collect))
+	require.Empty(t, header)
+	require.Contains(t, body, `"resume_from":2`)
+}
--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -37,10 +37,11 @@
 
 	lag time.Duration
 
-	slots        int
-	prefillPerKB time.Duration
-	tokenTime    time.Duration
-	tokens       int
+	slots          int
+	prefillPerKB   time.Duration
+	tokenTime      time.Duration
+	tokens         int
+	tokensPerEvent int
 
 	checksFencing bool
 	loadTime      time.Duration
@@ -74,6 +75,7 @@
 	flags.DurationVar(&o.prefillPerKB, "prefill-per-kb", 2*time.Millisecond, "engine: prefill time of 1,024 bytes of prompt")
 	flags.DurationVar(&o.tokenTime, "token-time", 5*time.Millisecond, "engine: time between tokens")
 	flags.IntVar(&o.tokens, "tokens", 32, "engine: tokens of a response to a request without max_tokens")
+	flags.IntVar(&o.tokensPerEvent, "tokens-per-event", 1, "engine: tokens in an event; above 1, events have IDs that count tokens")
 	flags.BoolVar(&o.checksFencing, "checks-fencing", true, "engine: reject orders with an old fencing token")
 	flags.DurationVar(&o.loadTime, "load-time", time.Second, "engine: time to load a model")
 	flags.IntVar(&o.weights.RateBytes, "rate", 1<<30, "weights: total bytes/s of all readers")
@@ -196,7 +198,7 @@
 	engineorders.New(engineorders.Settings{ChecksFencing: o.checksFencing, LoadTime: o.loadTime}).Register(r)
 	r.PathPrefix("/").Handler(engineserver.New(engineserver.Options{
 		Name: fmt.Sprintf("engine-%d", i), Slots: o.slots, PrefillPerKB: o.prefillPerKB,
-		TokenTime: o.tokenTime, DefaultTokens: o.tokens,
+		TokenTime: o.tokenTime, DefaultTokens: o.tokens, TokensPerEvent: o.tokensPerEvent,
 	}).Handler())
 	return r
 }
--- a/entry/upstream/attempt.go
+++ b/entry/upstream/attempt.go
@@ -34,6 +34,8 @@
 	request any
 	// nextSeq is the sequence number of the first event that has not been received from a sidecar; run advances it.
 	nextSeq int64
+	// lastEventID is the engine's ID of the event before nextSeq, empty if it gave none; run advances it.
+	lastEventID string
 	// onEvent receives the data of each event, which is valid until onEvent returns.
 	onEvent func(data []byte) error
 	// newConnection forces a new connection after one to the same replica has failed, because other pooled connections
@@ -139,7 +141,9 @@
 	frames := newFrameReader(body, a.id, a.nextSeq, &a.c.counters)
 	for {
 		data, last, err := frames.read()
-		a.nextSeq = frames.nextSeq
+		if a.nextSeq != frames.nextSeq {
+			a.nextSeq, a.lastEventID = frames.nextSeq, frames.lastEventID
+		}
 		switch {
 		case err != nil:
 			return attemptResult{err: err}
--- a/entry/upstream/frames.go
+++ b/entry/upstream/frames.go
@@ -25,8 +25,10 @@
 	id     string
 	prefix []byte
 	// nextSeq is the expected sequence number of the next data frame.
-	nextSeq  int64
-	counters *counters
+	nextSeq int64
+	// lastEventID is the engine's ID of the last event, empty if it gave none.
+	lastEventID string
+	counters    *counters
 }
 
 func newFrameReader(r io.Reader, id string, nextSeq int64, c *counters) *frameReader {
@@ -44,7 +46,11 @@
 	for f.lines.Scan() {
 		line := f.lines.Bytes()
 		if seq, data, ok := f.parseDataFrame(line); ok {
-			if expected, err := f.acceptSeq(seq); expected || err != nil {
+			expected, err := f.acceptSeq(seq)
+			if expected {
+				f.lastEventID = ""
+			}
+			if expected || err != nil {
 				return data, nil, err
 			}
 			continue
@@ -115,6 +121,7 @@
 		if !expected {
 			return nil, nil, err
 		}
+		f.lastEventID = frame.EventID
 		return frame.Data, nil, nil
 	}
 	return nil, nil, nil // a keep-alive
--- a/entry/upstream/generate.go
+++ b/entry/upstream/generate.go
@@ -21,7 +21,9 @@
 	request *peerapi.GenerateRequest
 	onEvent func(json.RawMessage) error
 	// nextSeq is the sequence number of the first event that the caller has not received.
-	nextSeq      int64
+	nextSeq int64
+	// lastEventID is the engine's ID of the last event that the caller has received, empty if it gave none.
+	lastEventID  string
 	continuation continuation
 	// totalFailures counts all attempts that did not complete the response.
 	totalFailures int
@@ -70,12 +72,13 @@
 func (g *generation) attempt(ctx context.Context, replica *routing.Replica) attemptResult {
 	r := *g.request
 	r.Server, r.ResumeFrom, r.Generated = replica.Name, g.nextSeq, g.continuation.generated(replica, g.query.Tried)
-	r.DeadlineMs = remainingMs(ctx, r.DeadlineMs)
+	r.LastEventID, r.DeadlineMs = g.lastEventID, remainingMs(ctx, r.DeadlineMs)
 	a := &attempt{
-		c: g.c, replica: replica, path: peerapi.PathGenerate, id: r.ID, request: &r, nextSeq: g.nextSeq, onEvent: g.relayEvent,
-		newConnection: g.resuming || g.retriedSame,
+		c: g.c, replica: replica, path: peerapi.PathGenerate, id: r.ID, request: &r, nextSeq: g.nextSeq,
+		lastEventID: g.lastEventID, onEvent: g.relayEvent, newConnection: g.resuming || g.retriedSame,
 	}
 	res := a.run(ctx)
+	g.lastEventID = a.lastEventID
 	if res.ok() {
 		invariant.Check(a.nextSeq == g.nextSeq, invariant.CompleteResponse,
 			"request %s ended after %d events, but %d were relayed", r.ID, a.nextSeq, g.nextSeq)
--- a/entry/upstream/generate_test.go
+++ b/entry/upstream/generate_test.go
@@ -52,6 +52,28 @@
 	}
 }
 
+// Guards against a lost or duplicate token when a stream is resumed whose events hold several tokens: the sidecar gets
+// the ID of the last event, which the engine understands, and not only the number of events.
+func TestStreamIsResumedAfterTheEngineEventID(t *testing.T) {
+	failOnViolation(t)
+	a := newFakeSidecar(t, "m1")
+	a.generate = func(resp *fakeResponse, r *peerapi.GenerateRequest, n int) {
+		for i := int(r.ResumeFrom); i < tokens; i++ {
+			resp.frame(peerapi.Frame{Seq: int64(i), Data: eventOf(i), EventID: fmt.Sprint(4 * (i + 1))})
+			if n == 1 && i == 2 {
+				resp.abort()
+			}
+		}
+		resp.end(tokens)
+	}
+	c := newTestClient(t, a)
+	got := generate(t, c)
+	require.Nil(t, got.e)
+	require.Equal(t, words(tokens), got.text.String())
+	require.Empty(t, a.generations()[0].LastEventID)
+	require.Equal(t, "12", a.generations()[1].LastEventID)
+}
+
 // Guards against a lost, duplicate or misplaced token when the sidecar fails, after any number of events, and another
 // replica continues from the text generated so far.
 func TestStreamContinuesAtAnotherReplica(t *testing.T) {
--- a/proctest/end_to_end_test.go
+++ b/proctest/end_to_end_test.go
@@ -19,11 +19,11 @@
 	os.Exit(code)
 }
 
-func deploySmall(t *testing.T) *Deployment {
+func deploySmall(t *testing.T, engineArgs ...string) *Deployment {
 	t.Helper()
 	return Deploy(t, DeploymentOptions{
 		Entries: 2, Models: 3, Services: 3, Slots: 8, InstanceListLag: 100 * time.Millisecond, DrainTimeout: 20 * time.Second,
-		EngineArgs: []string{"-token-time", "5ms", "-slots", "8"},
+		EngineArgs: append([]string{"-token-time", "5ms", "-slots", "8"}, engineArgs...),
 	})
 }
 
--- a/proctest/failover_test.go
+++ b/proctest/failover_test.go
@@ -19,6 +19,16 @@
 	requireComplete(t, d.startStreams(6, 30)(), 30)
 }
 
+// Guards against lost or doubled tokens when a stream is resumed at an engine whose events hold several tokens, so that
+// the number of events is not a position in the response.
+func TestStreamsOfSeveralTokensAnEventSurviveBrokenEngineConnections(t *testing.T) {
+	d := deploySmall(t, "-tokens-per-event", "4")
+	for _, s := range d.ModelSidecars {
+		d.SetEngineFaults(s, engineserver.Faults{BreakAfter: 12})
+	}
+	requireComplete(t, d.startStreams(6, 30)(), 30)
+}
+
 // Guards against streams that wait for a paused sidecar instead of moving to another replica, which is allowed because
 // they are idempotent, and against a sidecar that disrupts other streams after it resumes.
 func TestPausedSidecarDoesNotDelayStreams(t *testing.T) {
--- a/side/frames.go
+++ b/side/frames.go
@@ -91,9 +91,9 @@
 	return f.out.Flush()
 }
 
-// writeEvent sends one event of a generation.
-func (f *frameWriter) writeEvent(event json.RawMessage) error {
-	return f.write(peerapi.Frame{Data: event})
+// writeEvent sends one event of a generation, with the ID that the engine gave it.
+func (f *frameWriter) writeEvent(id string, event json.RawMessage) error {
+	return f.write(peerapi.Frame{Data: event, EventID: id})
 }
 
 // finish sends the last frame, which marks the response as complete or contains the error.
--- a/side/requests.go
+++ b/side/requests.go
@@ -46,9 +46,9 @@
 	tokens := 0
 	ok := false
 	defer func() { release(tokens, ok) }()
-	err := s.opts.Backend.Generate(ctx, in, func(event json.RawMessage) error {
+	err := s.opts.Backend.Generate(ctx, in, func(id string, event json.RawMessage) error {
 		tokens++
-		return f.writeEvent(event)
+		return f.writeEvent(id, event)
 	})
 	if err != nil {
 		return s.translateError(ctx, &in.Work, err)
--- a/side/settings.go
+++ b/side/settings.go
@@ -24,7 +24,8 @@
 	// Instances is the URL of the instance list.
 	Instances string `json:"instances" validate:"required,url"`
 	// EngineContinues declares that the engine can continue a response that another engine began, given the text so far
-	// ("generated") and the number of tokens in it ("resume_from").
+	// ("generated") and the number of tokens in it ("resume_from"). An engine whose events have IDs gets the ID of the last
+	// event (Last-Event-ID) instead of the number.
 	EngineContinues bool `json:"engine_continues,omitempty"`
 	// Slots is the number of requests that the backend server runs concurrently, unless the configuration sets another
 	// number. The concurrency limit starts at this number and then adapts to service times.
--- a/standin/engineserver/engine.go
+++ b/standin/engineserver/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	TokenTime time.Duration
 	// DefaultTokens is the number of tokens in a response to a request without max_tokens.
 	DefaultTokens int
+	// TokensPerEvent is the number of tokens in one event. Above 1, the ID of an event is the number of tokens up to its
+	// end, and a stream continues after the ID in Last-Event-Id; otherwise events have no IDs.
+	TokensPerEvent int
 }
 
 // Faults are the injected faults. The zero value injects none.
@@ -198,16 +202,21 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
 	chat := r.URL.Path == "/v1/chat/completions"
-	for i := in.ResumeFrom; i < in.MaxTokens; i++ {
-		if !s.wait(r, s.opts.TokenTime) {
+	first, step := s.startOf(r, in), max(s.opts.TokensPerEvent, 1)
+	for i := first; i < in.MaxTokens; i += step {
+		end := min(i+step, in.MaxTokens)
+		if !s.wait(r, time.Duration(end-i)*s.opts.TokenTime) {
 			return false
 		}
-		s.breakStream(i - in.ResumeFrom)
-		last := i == in.MaxTokens-1
-		if !writeEvent(w, out, event(in.Model, chat, Token(text, i), last)) {
+		s.breakStream(i - first)
+		tokens := ""
+		for n := i; n < end; n++ {
+			tokens += Token(text, n)
+		}
+		if !writeEvent(w, out, s.eventID(end), event(in.Model, chat, tokens, end == in.MaxTokens)) {
 			return false
 		}
-		s.count(func(c *Counts) { c.Tokens++ })
+		s.count(func(c *Counts) { c.Tokens += int64(end - i) })
 	}
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 	return true
@@ -223,12 +232,28 @@
 	}
 }
 
-func writeEvent(w http.ResponseWriter, out *http.ResponseController, v any) bool {
+// startOf returns the index of the first token of a response.
+func (s *Server) startOf(r *http.Request, in *request) int {
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil && s.opts.TokensPerEvent > 1 {
+		return after
+	}
+	return in.ResumeFrom
+}
+
+// eventID returns the line with the ID of an event that ends before the token with the given index.
+func (s *Server) eventID(end int) string {
+	if s.opts.TokensPerEvent <= 1 {
+		return ""
+	}
+	return "id: " + strconv.Itoa(end) + "\n"
+}
+
+func writeEvent(w http.ResponseWriter, out *http.ResponseController, id string, v any) bool {
 	line, err := json.Marshal(v)
 	if err != nil {
 		return false
 	}
-	if _, err := fmt.Fprintf(w, "data: %s\n\n", line); err != nil {
+	if _, err := fmt.Fprintf(w, "%sdata: %s\n\n", id, line); err != nil {
 		return false
 	}
 	return out.Flush() == nil
