Keep a request that crashes its servers from further ones

The quarantine knew the shared parts of a prompt only. The one of this prompt is in sound requests too, so a crash left it doubtful, the next answer cleared it, and nothing was known of the request itself.

Change: the whole request, by the hash of method, target, shared parts and body, is one more part for the quarantine. One crash with a header blocks it, two without one. Streams without a prompt and plain requests are examined too; where the request as a whole is the only, doubtful suspect, it is still repeated on another server, and the examination runs beside that. A request that comes again with a later deadline (a retry keeps its deadline) is the likely cause: the parts that the same crash accused may then be probed at once by other requests. The request lines in the log have the content's id.

--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,9 +33,11 @@
 	service  string
 	customer *catalog.Customer
 	// permit is the permit of a stream in a group of model engines, nil for other requests.
-	permit   *limit.Permit
-	body     []byte
-	hasBody  bool
+	permit  *limit.Permit
+	body    []byte
+	hasBody bool
+	// parts are the shared parts of the prompt and the whole request, by which the quarantine knows the request.
+	parts    []string
 	deadline time.Time
 
 	attempts []attempt
@@ -109,7 +112,12 @@
 			Detail: "this process stops before the request would end", RetryAfter: otherGatewayRetryAfter,
 		}
 	}
-	return c.readBody()
+	if f := c.readBody(); f != nil {
+		return f
+	}
+	shared := c.meta.SharedParts
+	c.parts = append(slices.Clip(shared), quarantine.RequestID(c.r.Method, c.r.RequestURI, shared, c.body))
+	return nil
 }
 
 // otherGatewayRetryAfter is the Retry-After for callers that another gateway can serve immediately.
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,13 +16,22 @@
 type QuarantinedError struct{ Part string }
 
 func (e *QuarantinedError) Error() string {
-	return "part " + e.Part + " of the prompt has crashed the servers that began to answer it"
+	return "servers have crashed when they began to answer " + e.Part + " of this request"
+}
+
+// contentID returns the ID of the whole request, the same for all its repeats. It is empty before the body has arrived.
+func (c *call) contentID() string {
+	if len(c.parts) == 0 {
+		return ""
+	}
+	return c.parts[len(c.parts)-1]
 }
 
 // checkQuarantine returns the failure of a request that is kept from servers because of a part of its prompt, nil if it
 // may be sent, also as a probe.
 func (c *call) checkQuarantine() *Failure {
-	v := c.server.opts.Quarantine.Check(c.service, c.meta.SharedParts, c.probes, time.Now())
+	c.server.opts.Quarantine.RecordArrival(c.service, c.parts, c.deadline)
+	v := c.server.opts.Quarantine.Check(c.service, c.parts, c.probes, time.Now())
 	if v.Passes() || v.CanProbe {
 		return nil
 	}
@@ -34,7 +44,7 @@
 func (c *call) claimProbes(ctx context.Context) *Failure {
 	opts := &c.server.opts
 	for {
-		v := opts.Quarantine.Check(c.service, c.meta.SharedParts, c.probes, time.Now())
+		v := opts.Quarantine.Check(c.service, c.parts, c.probes, time.Now())
 		if v.Passes() {
 			return nil
 		}
@@ -66,7 +76,7 @@
 // watchQuarantine cancels an attempt whose server has not begun to answer when a part of the prompt becomes blocked. It
 // does so until unwatch is called.
 func (c *call) watchQuarantine(cancel context.CancelCauseFunc) (unwatch func()) {
-	return c.server.opts.Quarantine.Watch(c.service, c.meta.SharedParts, func(part quarantine.Part) {
+	return c.server.opts.Quarantine.Watch(c.service, c.parts, func(part quarantine.Part) {
 		cancel(&QuarantinedError{Part: part.ID})
 	})
 }
@@ -87,10 +97,7 @@
 // recordAnswer clears the parts of the prompt, which the server has answered.
 func (c *call) recordAnswer(a *attempt) {
 	opts := &c.server.opts
-	if len(c.meta.SharedParts) == 0 {
-		return
-	}
-	for _, part := range opts.Quarantine.RecordAnswer(c.service, c.meta.SharedParts, a.sentAt, time.Now()) {
+	for _, part := range opts.Quarantine.RecordAnswer(c.service, c.parts, a.sentAt, time.Now()) {
 		opts.Log.Info("suspected part of prompts cleared", c.partFields(part)...)
 		if opts.Sharing != nil {
 			opts.Sharing.ShareCleared(part)
@@ -98,30 +105,56 @@
 	}
 }
 
-// examineCrash makes parts of the prompt suspects if the server of the last attempt broke off before it was answering
-// and refuses connections.
+// crashReport is what is known of a server that broke off before it was answering a request.
+type crashReport struct {
+	server  *Server
+	backend *balance.Backend
+	service string
+	request string
+	parts   []string
+	crash   quarantine.Crash
+}
+
+// examineCrash makes the request or parts of its prompt suspects if the server of the last attempt broke off before it
+// was answering and refuses connections. It waits for the result where that decides whether the request may be sent to
+// another server.
 func (c *call) examineCrash(ctx context.Context) {
 	a := &c.attempts[len(c.attempts)-1]
-	if !a.broken || a.outcome != balance.Failed || a.eventCount >= answeringAfter || len(c.meta.SharedParts) == 0 {
+	if !a.broken || a.outcome != balance.Failed || a.eventCount >= answeringAfter {
 		return
 	}
-	opts := &c.server.opts
-	crash := quarantine.Crash{
-		Server: a.incarnation.String(), Sent: a.sentAt, AnswerBegun: a.answerBegun && a.eventCount == 0,
+	r := &crashReport{
+		server: c.server, backend: a.backend, service: c.service, request: c.meta.ID, parts: c.parts,
+		crash: quarantine.Crash{
+			Server: a.incarnation.String(), Sent: a.sentAt, AnswerBegun: a.answerBegun && a.eventCount == 0,
+			Deadline: c.deadline,
+		},
 	}
-	if len(opts.Quarantine.Suspects(c.service, c.meta.SharedParts, crash, time.Now())) == 0 {
-		return
+	suspects := c.server.opts.Quarantine.Suspects(r.service, r.parts, r.crash, time.Now())
+	partSuspected := slices.ContainsFunc(suspects, func(p quarantine.Part) bool { return !p.IsRequest() })
+	switch {
+	case len(suspects) == 0:
+	case partSuspected || r.crash.AnswerBegun:
+		a.suspected = r.examine(ctx) && partSuspected
+	default:
+		go r.examine(context.WithoutCancel(ctx))
 	}
-	if !a.backend.Pool.RefusesConnections(ctx) {
-		return
+}
+
+// examine reports whether the server refuses connections, and then records and shares the crash.
+func (r *crashReport) examine(ctx context.Context) (crashed bool) {
+	if !r.backend.Pool.RefusesConnections(ctx) {
+		return false
 	}
-	a.suspected = true
-	for _, r := range opts.Quarantine.RecordCrash(c.service, c.meta.SharedParts, crash, time.Now()) {
-		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it", append(c.partFields(r.Part),
-			zap.String("server", a.server), zap.Bool("answer_begun", r.AnswerBegun), zap.Bool("answered_before", r.Answered),
-			zap.Strings("with", r.With))...)
+	opts := &r.server.opts
+	for _, record := range opts.Quarantine.RecordCrash(r.service, r.parts, r.crash, time.Now()) {
+		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it",
+			zap.String("service", r.service), zap.String("part", record.Part.ID), zap.String("request", r.request),
+			zap.String("server", r.crash.Server), zap.Bool("answer_begun", record.AnswerBegun),
+			zap.Bool("answered_before", record.Answered), zap.Strings("with", record.With))
 		if opts.Sharing != nil {
-			opts.Sharing.ShareCrash(r)
+			opts.Sharing.ShareCrash(record)
 		}
 	}
+	return true
 }
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -66,6 +66,7 @@
 		zap.Int("status", c.status), zap.String("result", c.result()), zap.Duration("took", elapsed),
 		zap.Duration("deadline", c.meta.Timeout), zap.String("sends", c.describeAttempts()),
 		zap.Int64("config_version", c.configVersion()), zap.Duration("config_age", s.opts.ConfigAge()),
+		zap.String("content", c.contentID()),
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -27,7 +27,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
 		a.outcome, a.detail = balance.Failed, "the answer broke off: "+err.Error()
-		a.broken, a.answerBegun = true, true
+		a.broken, a.answerBegun = true, len(body) == 0
 		if ctx.Err() != nil {
 			a.outcome = balance.Abandoned
 		}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -1,10 +1,14 @@
-// Package quarantine decides which requests are kept from servers because a part of their prompt crashes every server
-// that begins to answer it. It learns from the outcomes of this process's requests and from the records that all
+// Package quarantine decides which requests are kept from servers because they crash every server that begins to answer
+// them: a part of their prompt does, whatever else they hold, or the request as a whole, which comes again. It learns from the outcomes of this process's requests and from the records that all
 // gateways share. A Quarantine has no I/O; Sharing exchanges the records.
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,11 +53,31 @@
 	minAnswers = 8
 )
 
-// Part is a part of a prompt. Servers of other services may be able to answer it.
+// Part is a part of a prompt, or a whole request, which is a part that all its repeats share. Servers of other services
+// may be able to answer it.
 type Part struct {
-	Service, ID string
+	Service string
+	// ID is the ID of a part of a prompt, without a colon, or a RequestID.
+	ID string
 }
 
+// requestPrefix is the beginning of the ID of a whole request.
+const requestPrefix = "request:"
+
+// RequestID returns the ID of a whole request whose prompt holds the given shared parts. It depends on the content only,
+// so that repeats with another ID of the caller's have the same one.
+func RequestID(method, target string, parts []string, body []byte) string {
+	hash := sha256.New()
+	// Writes to a hash never fail. What precedes the body comes from a header and holds no line feed.
+	_, _ = io.WriteString(hash, method+"\n"+target+"\n"+strings.Join(parts, ",")+"\n")
+	_, _ = hash.Write(body)
+	const idBytes = 16
+	return requestPrefix + hex.EncodeToString(hash.Sum(nil)[:idBytes])
+}
+
+// IsRequest reports whether the part is a whole request.
+func (p Part) IsRequest() bool { return strings.HasPrefix(p.ID, requestPrefix) }
+
 // Crash is a server that ended while it worked on a request.
 type Crash struct {
 	// Server identifies the run of the server between its start and its end.
@@ -63,6 +87,8 @@
 	// AnswerBegun is set if the server had begun to answer this request and had sent nothing of its content. This is
 	// rarely true for more than one request at a server.
 	AnswerBegun bool
+	// Deadline is when the caller of the request gives up, zero if unknown.
+	Deadline time.Time
 }
 
 // Record is what all gateways know about a suspected part.
@@ -72,7 +98,7 @@
 	Crashes int
 	// AnswerBegun is set if it was for any of the crashes.
 	AnswerBegun bool
-	// With are the IDs of the other parts that the last crash made suspects together with this one.
+	// With are the IDs of the other parts of the prompt that the last crash made suspects together with this one.
 	With []string
 	// Answered is set if the part was in an answered prompt before the first crash, at any gateway.
 	Answered bool
@@ -96,6 +122,8 @@
 	mu       sync.Mutex
 	suspects map[Part]*suspect
 	answered memory
+	// answeredRequests holds the whole requests. They are many, and would displace the parts in the same memory.
+	answeredRequests memory
 	// watchers holds the functions that withdraw requests in flight.
 	watchers map[Part]map[*func(Part)]struct{}
 }
@@ -162,7 +190,7 @@
 	defer q.mu.Unlock()
 	for _, id := range parts {
 		part := Part{service, id}
-		q.answered.add(part, now)
+		q.memoryOf(part).add(part, now)
 		if s := q.suspects[part]; s != nil && !s.cleared && !sent.Before(s.changedAt) {
 			s.cleared = true
 			cleared = append(cleared, part)
@@ -171,9 +199,17 @@
 	return cleared
 }
 
+// memoryOf returns the memory of answers to which a part belongs.
+func (q *Quarantine) memoryOf(part Part) *memory {
+	if part.IsRequest() {
+		return &q.answeredRequests
+	}
+	return &q.answered
+}
+
 // Suspects returns the parts of a prompt that a crash would make suspects: those that were never in an answered prompt. If
 // there is none, a part may have turned deadly, and those are suspects that were in none since the request was sent, or
-// for some time if the server had not begun to answer.
+// for some time if the server had not begun to answer. The whole request is one too, unless it was answered since then.
 func (q *Quarantine) Suspects(service string, parts []string, crash Crash, now time.Time) []Part {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -185,34 +221,38 @@
 	if !crash.AnswerBegun {
 		answeredUntil = now.Add(-recentAnswer)
 	}
-	var unanswered, earlier []Part
+	var unanswered, earlier, requests []Part
 	for _, id := range parts {
 		part := Part{service, id}
-		at, ok := q.answered.at(part)
+		at, ok := q.memoryOf(part).at(part)
 		switch {
+		case ok && !at.Before(answeredUntil):
+		case part.IsRequest():
+			requests = append(requests, part)
 		case !ok:
 			unanswered = append(unanswered, part)
-		case at.Before(answeredUntil):
+		default:
 			earlier = append(earlier, part)
 		}
 	}
-	if len(unanswered) > 0 {
-		return unanswered
+	switch {
+	case q.isRepeated(service, parts):
+		return requests
+	case len(unanswered) > 0:
+		return append(unanswered, requests...)
 	}
-	return earlier
+	return append(earlier, requests...)
 }
 
 // RecordCrash makes parts of the prompt of a request suspects after its server crashed. It returns the records of a
 // first crash of these parts, to be shared. Suspects for which the crash is not counted are left out. Right after a
-// start, when no part is known to be sound, AnswerBegun does not count for a single suspect, which all sound requests
-// may hold too.
+// start, when no part is known to be sound, AnswerBegun does not count for a single part, which all sound requests may
+// hold too.
 func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Record {
 	q.mu.Lock()
 	accused := q.suspectParts(service, parts, crash, now)
 	started := q.justStarted(service)
-	if len(accused) == 1 && started {
-		crash.AnswerBegun = false
-	}
+	single := len(accused) == 1 || (len(accused) == 2 && accused[1].IsRequest())
 	var records []Record
 	var withdraw []func()
 	for _, part := range accused {
@@ -220,9 +260,12 @@
 		if s == nil {
 			continue
 		}
+		if part.IsRequest() && !crash.Deadline.IsZero() && s.firstDeadline.IsZero() {
+			s.firstDeadline = crash.Deadline
+		}
 		first := Record{
-			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun, Answered: s.record.Answered, LastServer: crash.Server,
-			With: otherIDs(accused, part),
+			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun && (part.IsRequest() || !started || !single),
+			Answered: s.record.Answered, LastServer: crash.Server, With: otherIDs(accused, part),
 		}
 		if !s.sameCrash(crash.Server, started, now) {
 			s.addCrash(first, now)
@@ -240,11 +283,12 @@
 // justStarted reports whether this process has seen too few answers of a service to know which parts are sound.
 func (q *Quarantine) justStarted(service string) bool { return q.answered.count(service) < minAnswers }
 
-// otherIDs returns the IDs of the parts other than the given one.
+// otherIDs returns the IDs of the parts other than the given one. The whole request is left out: nearly all requests
+// lack it, and that does not make them likely to be sound.
 func otherIDs(parts []Part, part Part) []string {
 	var out []string
 	for _, p := range parts {
-		if p != part {
+		if p != part && !p.IsRequest() {
 			out = append(out, p.ID)
 		}
 	}
@@ -262,7 +306,7 @@
 	if len(q.suspects) >= maxSuspects && !q.removeHarmless() {
 		return nil
 	}
-	_, answered := q.answered.at(part)
+	_, answered := q.memoryOf(part).at(part)
 	s := &suspect{record: Record{Part: part, Answered: answered}}
 	q.suspects[part] = s
 	q.count.Store(int64(len(q.suspects)))
--- a/gateway/quarantine/suspect.go
+++ b/gateway/quarantine/suspect.go
@@ -17,6 +17,10 @@
 	// changedAt is when this process learned of the last crash or probe, lastCrashAt of the last crash.
 	changedAt, lastCrashAt time.Time
 	blockedUntil           time.Time
+	// firstDeadline is the deadline of the first request with the content of a whole request, and repeated is set once it
+	// came again after that. likelySound is set for a part that was accused together with such a request.
+	firstDeadline         time.Time
+	repeated, likelySound bool
 	// burst holds the servers of the last crashes within sameCrashWindow, at most burstCrashes.
 	burst []string
 }
@@ -42,7 +46,10 @@
 func (s *suspect) probeFrom(parts []string) time.Time {
 	lacksOther := slices.ContainsFunc(s.record.With, func(id string) bool { return !slices.Contains(parts, id) })
 	early := s.lastCrashAt.Add(partialProbeDelay)
-	if lacksOther && s.record.Probes == 0 && early.Before(s.blockedUntil) {
+	if s.likelySound && s.record.Probes == 0 {
+		return s.lastCrashAt
+	}
+	if lacksOther && !s.record.Part.IsRequest() && s.record.Probes == 0 && early.Before(s.blockedUntil) {
 		return early
 	}
 	return s.blockedUntil
@@ -59,7 +66,7 @@
 		return true
 	}
 	s.burst = append(s.burst, server)
-	common := s.record.Answered || (started && s.doubtful())
+	common := s.record.Answered || (started && s.doubtful() && !s.record.Part.IsRequest())
 	if n := len(s.burst); !common || n == 1 || n >= burstCrashes {
 		s.burst = s.burst[max(0, n-burstCrashes):]
 		return false
@@ -76,6 +83,7 @@
 	s.record.AnswerBegun = s.record.AnswerBegun || first.AnswerBegun
 	s.record.Answered = s.record.Answered || first.Answered
 	s.record.LastServer, s.record.With = first.LastServer, first.With
+	s.likelySound = false
 	s.recordCrash(now)
 }
 
--- a/gateway/quarantine/watch.go
+++ b/gateway/quarantine/watch.go
@@ -12,7 +12,7 @@
 	defer q.mu.Unlock()
 	for _, id := range parts {
 		part := Part{service, id}
-		if _, ok := q.answered.at(part); ok {
+		if _, ok := q.memoryOf(part).at(part); ok {
 			continue
 		}
 		if q.watchers[part] == nil {
