Answer what a stopping gateway can't finish

* A request whose head came before the refusals begin, but whose body came slowly, or that waited for a place, was passed on whenever it was ready, also just before the end.
* What still ran at the end lost its connection.

Change: the check that refuses a request whose deadline is after the end is made again directly before it is sent to a server, unless it may have run. At the end the context of all requests ends with a cause of its own: callers get 504 if a server may have run the request, 503 if not, and a stream that has begun is cut. 150 ms are left for these responses.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -42,9 +42,11 @@
 	// shutdownMargin is left between the end of the drain and the time at which the platform kills the process.
 	shutdownMargin          = 700 * time.Millisecond
 	listenerShutdownTimeout = 300 * time.Millisecond
-	headerTimeout           = 10 * time.Second
-	idleTimeout             = 60 * time.Second
-	maxHeaderBytes          = 256 << 10
+	// lastResponsesTime is left after the end of the drain for the responses to the requests that are given up then.
+	lastResponsesTime = 150 * time.Millisecond
+	headerTimeout        = 10 * time.Second
+	idleTimeout          = 60 * time.Second
+	maxHeaderBytes       = 256 << 10
 )
 
 // gateway holds the parts of the process.
@@ -155,7 +157,7 @@
 func (g *gateway) run(ctx context.Context, listeners []net.Listener) error {
 	callers := &http.Server{
 		Handler: g.srv, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.conns.onStateChange,
+		ConnState: g.conns.onStateChange, BaseContext: g.srv.BaseContext,
 	}
 	start := func(serving context.Context, group *errgroup.Group) {
 		group.Go(func() error { g.config.Run(serving); return nil })
@@ -200,7 +202,7 @@
 	g.log.Info("stopping", zap.Int64("active", g.srv.InFlight()))
 	time.Sleep(drainDelay)
 	g.conns.closeIdle()
-	for g.srv.InFlight()+int64(g.conns.busyCount()) > 0 && time.Now().Before(end) {
+	for g.srv.InFlight()+int64(g.conns.busyCount()) > 0 && time.Now().Before(end.Add(lastResponsesTime)) {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -106,11 +106,8 @@
 	c.customer = customer
 	c.service = c.chooseService()
 	c.deadline = c.arrived.Add(c.timeout())
-	if d := c.server.drain.Load(); d != nil && c.arrived.After(d.refuseAfter) && c.deadline.After(d.end) {
-		return &Failure{
-			Status: http.StatusServiceUnavailable, Reason: reasonStopping,
-			Detail: "this process stops before the request would end", RetryAfter: otherGatewayRetryAfter,
-		}
+	if f := c.stoppingFailure(c.arrived); f != nil {
+		return f
 	}
 	if f := c.readBody(); f != nil {
 		return f
@@ -120,6 +117,18 @@
 	return nil
 }
 
+// stoppingFailure returns the failure of a request that no server has, if the process stops before its end.
+func (c *call) stoppingFailure(now time.Time) *Failure {
+	d := c.server.drain.Load()
+	if d == nil || !now.After(d.refuseAfter) || !c.deadline.After(d.end) {
+		return nil
+	}
+	return &Failure{
+		Status: http.StatusServiceUnavailable, Reason: reasonStopping,
+		Detail: "this process stops before the request would end", RetryAfter: otherGatewayRetryAfter,
+	}
+}
+
 // otherGatewayRetryAfter is the Retry-After for callers that another gateway can serve immediately.
 const otherGatewayRetryAfter = 50 * time.Millisecond
 
@@ -224,7 +233,16 @@
 
 // contextFailure returns the failure of a request whose context has ended.
 func (c *call) contextFailure(mayHaveExecuted bool) *Failure {
-	if c.r.Context().Err() == nil {
+	cause := context.Cause(c.r.Context())
+	switch {
+	case errors.Is(cause, errStopped) && mayHaveExecuted:
+		return &Failure{Status: http.StatusGatewayTimeout, Reason: reasonStopping, Detail: cause.Error()}
+	case errors.Is(cause, errStopped):
+		return &Failure{
+			Status: http.StatusServiceUnavailable, Reason: reasonStopping, Detail: cause.Error(),
+			RetryAfter: otherGatewayRetryAfter,
+		}
+	case cause == nil:
 		f := &Failure{Status: http.StatusGatewayTimeout, Reason: reasonTimeout, Detail: errExpired.Error()}
 		if !mayHaveExecuted {
 			f.Status, f.Reason, f.RetryAfter = http.StatusServiceUnavailable, reasonDeadlinePassed, minRetryAfter
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -23,6 +23,10 @@
 			c.fail(f)
 			return
 		}
+		if f := c.stoppingFailure(time.Now()); f != nil && !c.mayHaveExecuted() {
+			c.fail(f)
+			return
+		}
 		if len(c.attempts) > 0 && !c.moved.Swap(false) && !budget.TryRetry(time.Now()) {
 			c.fail(c.finalFailure(ctx, &RetryBudgetError{}))
 			return
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -291,7 +291,9 @@
 		})
 	}
 	fleet.Update(listed, time.Time{}, time.Now())
-	srv := httptest.NewServer(s)
+	srv := httptest.NewUnstartedServer(s)
+	srv.Config.BaseContext = s.BaseContext
+	srv.Start()
 	t.Cleanup(srv.Close)
 	return &testGateway{Server: s, url: srv.URL, fleet: fleet, budget: budget, doc: doc}
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,9 @@
 type Server struct {
 	opts    Options
 	catalog atomic.Pointer[catalog.Catalog]
+	// base is the context of all requests. cancelBase ends it with errStopped at the end of a graceful shutdown.
+	base       context.Context
+	cancelBase context.CancelCauseFunc
 	// drain is nil until the process starts to stop.
 	drain    atomic.Pointer[drain]
 	inFlight atomic.Int64
@@ -85,12 +89,17 @@
 
 // New returns a server without a catalog, which refuses every request.
 func New(opts Options) *Server {
-	return &Server{
+	s := &Server{
 		opts: opts, queues: map[string]*limit.Queue{}, budgets: map[string]RetryBudget{},
 		longestTimeouts: map[string]time.Duration{},
 	}
+	s.base, s.cancelBase = context.WithCancelCause(context.Background())
+	return s
 }
 
+// BaseContext is the BaseContext of the HTTP server whose handler is s.
+func (s *Server) BaseContext(net.Listener) context.Context { return s.base }
+
 // SetCatalog applies a catalog if its version is newer than that of the active one, and reports whether it did.
 func (s *Server) SetCatalog(c *catalog.Catalog) bool {
 	if old := s.catalog.Load(); old != nil && c.Version <= old.Version {
@@ -103,14 +112,29 @@
 // Catalog returns the active catalog, nil before the first one.
 func (s *Server) Catalog() *catalog.Catalog { return s.catalog.Load() }
 
-// drain describes a graceful shutdown. Requests that arrive after refuseAfter are served only if their deadline is
-// before end.
-type drain struct{ refuseAfter, end time.Time }
+// drain describes a graceful shutdown. Requests that arrive, or would be sent to a server, after refuseAfter are served
+// only if their deadline is before end.
+type drain struct {
+	refuseAfter, end time.Time
+	// stop ends the requests that are still running at the end.
+	stop *time.Timer
+}
+
+// stoppedError is the cancellation cause of requests that run at the end of a graceful shutdown.
+type stoppedError struct{}
 
-// Drain makes the server close each connection after its response. Requests that arrive after refuseAfter are refused
-// unless their deadline is before end.
+func (stoppedError) Error() string { return "this process has stopped" }
+
+var errStopped = stoppedError{}
+
+// Drain makes the server close each connection after its response. Requests that arrive, or would be sent to a server,
+// after refuseAfter are refused unless their deadline is before end. Those that still run at the end are given up: their
+// callers get a response that says so, if none has begun.
 func (s *Server) Drain(refuseAfter, end time.Time) {
-	s.drain.Store(&drain{refuseAfter: refuseAfter, end: end})
+	stop := time.AfterFunc(time.Until(end), func() { s.cancelBase(errStopped) })
+	if earlier := s.drain.Swap(&drain{refuseAfter: refuseAfter, end: end, stop: stop}); earlier != nil {
+		earlier.stop.Stop()
+	}
 }
 
 // Ready reports whether the server accepts new connections.
