Bound the memory of long events and bodies over all responses

Heads, chunks and single events had limits, but each stream could hold 1 MB of an event and each plain response 256 KB, on any number of connections. What a response holds beyond 16 KB now comes out of a budget for the whole gateway, an eighth of its memory. Without room, a body is relayed as it arrives and an event ends its attempt; sound ones hold it only until they are passed on. Beside it: heads of engines (64 KB instead of net/http's 10 MB, TestEndlessHeaderIsRejected), one line of a watch of the key-value service, the status of a process. * A server that stops in the middle of its head: impossible here. TestResponseCutAtEachByteIsNotComplete and TestStreamCutInItsHeadIsNotComplete cut at each byte of head and body; none is answered with 200. They pass on the code before too.

Seen by the review and mended on the way: the panic that cuts a long response skipped the end of the attempt, and the server counted one request in flight for good (TestCutLongResponseLeavesNoRequestInFlight, fails on the code before).

--- a/clients/engine/engine.go
+++ b/clients/engine/engine.go
@@ -79,6 +79,7 @@
 	idleTimeout     = 15 * time.Second
 	maxResultBytes  = 64 << 20
 	maxEventBytes   = 1 << 20
+	maxHeaderBytes  = 64 << 10
 	maxErrorBytes   = 4 << 10
 )
 
@@ -86,6 +87,7 @@
 func NewClient(base *url.URL) *Client {
 	transport := &http.Transport{
 		MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{base: base, http: &http.Client{
 		Transport: transport,
--- a/clients/engine/engine_test.go
+++ b/clients/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -83,3 +84,23 @@
 	require.Empty(t, header)
 	require.Contains(t, body, `"resume_from":2`)
 }
+
+// Guards against a faulty engine that exhausts the sidecar's memory with a header without end.
+func TestEndlessHeaderIsRejected(t *testing.T) {
+	c := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		sent := 0
+		for err == nil && sent < 1<<30 {
+			var n int
+			n, err = io.WriteString(conn, "X: "+strings.Repeat("x", 1<<10)+"\r\n")
+			sent += n
+		}
+	})
+	_, err := c.Call(t.Context(), &peerapi.CallRequest{Method: http.MethodGet, Path: "/"})
+	require.ErrorContains(t, err, "exceeded 65536 bytes")
+}
--- a/clients/kv/client.go
+++ b/clients/kv/client.go
@@ -228,8 +228,10 @@
 }
 
 func readWatch(body io.Reader, fn func(Event)) error {
-	dec := json.NewDecoder(bufio.NewReader(body))
+	limited := &io.LimitedReader{R: body}
+	dec := json.NewDecoder(bufio.NewReader(limited))
 	for {
+		limited.N = maxResponseBytes // A line without end must not be read into memory.
 		var line WireWatchLine
 		if err := dec.Decode(&line); err != nil {
 			return merry.Wrap(&UnavailableError{Cause: err})
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -44,6 +44,8 @@
 	listenerShutdownTimeout = 300 * time.Millisecond
 	// lastResponsesTime is left after the end of the drain for the responses to the requests that are given up then.
 	lastResponsesTime = 150 * time.Millisecond
+	// bufferMemoryFraction is the part of the memory that long events and bodies of servers may hold.
+	bufferMemoryFraction = 0.125
 	headerTimeout        = 10 * time.Second
 	idleTimeout          = 60 * time.Second
 	maxHeaderBytes       = 256 << 10
@@ -125,6 +127,7 @@
 		ConfigAge:  g.config.Age,
 		NewBudget:  func() ingress.RetryBudget { return g.retryBudgets.newBudget() },
 		Quarantine: suspected, Sharing: g.sharing,
+		BufferBytes: int64(bufferMemoryFraction * float64(s.MemoryMB<<20)),
 	})
 	err = telemetry.RegisterInstruments(obs.Meter, []telemetry.Instrument{
 		{
--- a/entry/operator/read.go
+++ b/entry/operator/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -176,6 +177,9 @@
 	return out
 }
 
+// maxStatusBytes bounds the status of a process.
+const maxStatusBytes = 4 << 20
+
 func (s *Service) requestStatus(ctx context.Context, p feed.Peer) (*peerapi.Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+peerapi.PathStatus, nil)
 	if err != nil {
@@ -190,7 +194,7 @@
 		return nil, &feed.StatusError{Status: resp.StatusCode}
 	}
 	var report peerapi.Status
-	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&report); err != nil {
 		return nil, err
 	}
 	return &report, nil
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -53,14 +53,18 @@
 		unwatch: c.watchQuarantine(cancel),
 	}
 	defer a.unwatch()
-	result := c.roundTrip(ctx, b, &a)
-	now := time.Now()
-	latency := time.Duration(0)
-	if !result.firstByte.IsZero() {
-		latency = result.firstByte.Sub(started)
-	}
-	b.End(tokens, a.outcome, latency, now)
-	c.attempts = append(c.attempts, a)
+	var result attemptResult
+	// A response that breaks off after its beginning was relayed ends this function with a panic, which cuts the caller's
+	// connection.
+	defer func() {
+		latency := time.Duration(0)
+		if !result.firstByte.IsZero() {
+			latency = result.firstByte.Sub(started)
+		}
+		b.End(tokens, a.outcome, latency, time.Now())
+		c.attempts = append(c.attempts, a)
+	}()
+	result = c.roundTrip(ctx, b, &a)
 	return result.responded
 }
 
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/buffer"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
 	"lavendermoor.example/gateway/limit"
@@ -62,6 +63,8 @@
 	Quarantine *quarantine.Quarantine
 	// Sharing tells the other gateways of suspected parts of prompts. It is nil if there are none.
 	Sharing QuarantineSharing
+	// BufferBytes bounds the memory of long events and bodies, defaultBufferBytes if it is 0.
+	BufferBytes int64
 	// ConfigAge returns the time since the catalog was last confirmed to be the latest.
 	ConfigAge func() time.Duration
 }
@@ -70,6 +73,8 @@
 type Server struct {
 	opts    Options
 	catalog atomic.Pointer[catalog.Catalog]
+	// buffers is the memory for long events and bodies of all responses.
+	buffers *buffer.Budget
 	// base is the context of all requests. cancelBase ends it with errStopped at the end of a graceful shutdown.
 	base       context.Context
 	cancelBase context.CancelCauseFunc
@@ -89,14 +94,20 @@
 
 // New returns a server without a catalog, which refuses every request.
 func New(opts Options) *Server {
+	if opts.BufferBytes == 0 {
+		opts.BufferBytes = defaultBufferBytes
+	}
 	s := &Server{
 		opts: opts, queues: map[string]*limit.Queue{}, budgets: map[string]RetryBudget{},
-		longestTimeouts: map[string]time.Duration{},
+		longestTimeouts: map[string]time.Duration{}, buffers: buffer.NewBudget(opts.BufferBytes),
 	}
 	s.base, s.cancelBase = context.WithCancelCause(context.Background())
 	return s
 }
 
+// defaultBufferBytes is the memory for long events and bodies if the options set none.
+const defaultBufferBytes = 32 << 20
+
 // BaseContext is the BaseContext of the HTTP server whose handler is s.
 func (s *Server) BaseContext(net.Listener) context.Context { return s.base }
 
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"lavendermoor.example/gateway/balance"
+	"lavendermoor.example/gateway/buffer"
 	"lavendermoor.example/gateway/exchange"
 )
 
@@ -24,7 +26,8 @@
 // complete. relayBody returns false if the response was truncated, or if it is a server error and the request may be
 // sent to another server.
 func (c *call) relayBody(ctx context.Context, resp *exchange.Response, a *attempt) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+	body, complete, release, err := c.bufferBody(resp.Body)
+	defer release()
 	if err != nil {
 		a.outcome, a.detail = balance.Failed, "the answer broke off: "+err.Error()
 		a.broken, a.answerBegun = true, len(body) == 0
@@ -33,7 +36,6 @@
 		}
 		return false
 	}
-	complete := len(body) < maxBuffered
 	if complete {
 		resp.MarkComplete()
 	}
@@ -58,6 +60,25 @@
 	return true
 }
 
+// bufferBody reads a body of less than maxBuffered whole, and the beginning of a longer one. While long bodies of other
+// responses hold the memory for them, it reads the beginning only, unless the body is short. release returns the memory.
+func (c *call) bufferBody(r io.Reader) (body []byte, complete bool, release func(), err error) {
+	release = func() {}
+	body, err = io.ReadAll(io.LimitReader(r, buffer.Free))
+	if err != nil || len(body) < buffer.Free {
+		return body, err == nil, release, err
+	}
+	if !c.server.buffers.Take(maxBuffered) {
+		return body, false, release, nil
+	}
+	release = func() { c.server.buffers.Give(maxBuffered) }
+	var long bytes.Buffer
+	long.Grow(maxBuffered)
+	_, _ = long.Write(body) // Writes to a buffer never fail.
+	_, err = long.ReadFrom(io.LimitReader(r, int64(maxBuffered-len(body))))
+	return long.Bytes(), err == nil && long.Len() < maxBuffered, release, err
+}
+
 // shouldRetryFailure reports whether another attempt is worthwhile after a server error.
 func (c *call) shouldRetryFailure() bool {
 	return c.route.Retryable() && c.sentAttempts()+1 < c.route.MaxAttempts &&
--- a/gateway/ingress/reports_test.go
+++ b/gateway/ingress/reports_test.go
@@ -5,15 +5,150 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/buffer"
 )
 
 // Tests of what operators of similar systems have reported.
 
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc) //nolint:gosec // The heap of a test fits.
+}
+
+// Guards against a faulty server that exhausts the gateway's memory with events or bodies without end on many connections
+// at once, so that the requests of other callers end with the process, and against cutting sound responses meanwhile.
+func TestEndlessResponsesShareABoundedBuffer(t *testing.T) {
+	const (
+		callers   = 64
+		sent      = 200 << 10 // Less than the limits of a single event or buffered body.
+		budget    = 2 << 20
+		maxGrowth = 10 << 20 // The budget, and buffer.Free and a connection's buffers for each caller, twice.
+	)
+	for name, begin := range map[string]string{
+		"an event":       signed + "Content-Type: text/event-stream\r\n\r\ndata: ",
+		"a body":         signed + "\r\n",
+		"a chunked body": signed + "Transfer-Encoding: chunked\r\n\r\nFFFFFF\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var stalled sync.WaitGroup
+			stalled.Add(callers)
+			s := newTestBackend(t, "a", func(c net.Conn, r *http.Request) bool {
+				if r.RequestURI == "/once/sound" {
+					return respondOK("sound")(c, r)
+				}
+				_ = respond(begin)(c, r)
+				_, _ = c.Write([]byte(strings.Repeat("x", sent))) // Fails if the gateway has closed the connection.
+				stalled.Done()
+				_, _ = c.Read(make([]byte, 1))
+				return false
+			})
+			g := newGateway(t, s)
+			g.buffers = buffer.NewBudget(budget)
+			before := heapBytes()
+			var done sync.WaitGroup
+			for i := range callers {
+				done.Go(func() {
+					conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(g.url, "http://"))
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					_, _ = fmt.Fprintf(conn, "GET /once/x HTTP/1.1\r\nHost: h\r\n%s: e-%d\r\n%s: 2000\r\n\r\n", testID, i, testDeadline)
+					_, _ = bufio.NewReader(conn).ReadByte()
+					<-t.Context().Done()
+				})
+			}
+			t.Cleanup(done.Wait)
+			stalled.Wait()
+			require.Less(t, heapBytes(), before+maxGrowth)
+			resp, body, err := g.get(t, "/once/sound")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Equal(t, "sound", body)
+			require.Eventually(t, func() bool { return g.InFlight() == 0 }, time.Minute, time.Millisecond)
+			require.EqualValues(t, budget, g.buffers.Remaining(), "all memory is given back")
+		})
+	}
+}
+
+// Guards against cutting sound responses that are longer than what each may hold without the shared memory.
+func TestLongSoundResponsesAreRelayedWhole(t *testing.T) {
+	long := strings.Repeat("y", 5*buffer.Free)
+	event := "id: 1\ndata: " + long + "\n\n"
+	s := newTestBackend(t, "a", func(c net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.RequestURI, "/stream/") {
+			return respond(eventStream(1, 0)+chunk(event)+chunk("id: 2\ndata: z\n\n")+lastChunk)(c, r)
+		}
+		return respondOK(long)(c, r)
+	})
+	g := newGateway(t, s)
+	remaining := g.buffers.Remaining()
+	for range 3 {
+		_, body, err := g.get(t, "/stream/x")
+		require.NoError(t, err)
+		require.Equal(t, event+"id: 2\ndata: z\n\n", body)
+	}
+	_, body, err := g.get(t, "/once/x")
+	require.NoError(t, err)
+	require.Equal(t, long, body)
+	require.Equal(t, remaining, g.buffers.Remaining())
+	g.buffers = buffer.NewBudget(0)
+	_, body, err = g.get(t, "/once/x")
+	require.NoError(t, err, "without room, the body is relayed as it arrives")
+	require.Equal(t, long, body)
+}
+
+// Guards against a response that looks whole although its server stopped in the middle of the head, or of a body with a
+// length, and closed the connection.
+func TestResponseCutAtEachByteIsNotComplete(t *testing.T) {
+	whole := strings.ReplaceAll(signed, "\r\n", "\r\nX-Note: a b\r\n") + "Content-Length: 12\r\n\r\nhello, world"
+	cut := atomic.Int64{}
+	s := newTestBackend(t, "a", func(c net.Conn, r *http.Request) bool {
+		return respondAndClose(strings.ReplaceAll(whole, "ID", r.Header.Get(testID))[:cut.Load()])(c, r)
+	})
+	g := newGateway(t, s)
+	length := int64(len(whole) - len("ID") + len("cut-00000"))
+	for n := range length {
+		cut.Store(n)
+		resp, _, err := g.get(t, "/once/x", testID, fmt.Sprintf("cut-%05d", n))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode, "cut after %d bytes", n)
+	}
+	cut.Store(length)
+	resp, body, err := g.get(t, "/once/x", testID, "cut-whole")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "hello, world", body)
+}
+
+// Guards against a stream that ends as complete because its server stopped in the middle of the head.
+func TestStreamCutInItsHeadIsNotComplete(t *testing.T) {
+	head := eventStream(1, 0)
+	cut := atomic.Int64{}
+	s := newTestBackend(t, "a", func(c net.Conn, r *http.Request) bool {
+		return respondAndClose(strings.ReplaceAll(head, "ID", r.Header.Get(testID))[:cut.Load()])(c, r)
+	})
+	g := newGateway(t, s)
+	for n := range int64(len(head) - len("ID") + len("cut-00000")) {
+		cut.Store(n)
+		resp, _, err := g.get(t, "/fixed/x", testID, fmt.Sprintf("cut-%05d", n))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode, "cut after %d bytes", n)
+	}
+}
+
 // Guards against a request that is passed on late in a planned stop, here because its body arrives slowly, and cut without
 // a response when the process ends. It may not be repeated.
 func TestRequestThatArrivesWholeLateInAStopIsRefused(t *testing.T) {
@@ -60,3 +195,14 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "this one has not")
 	require.Equal(t, 1, s.count())
 }
+
+// Guards against a server that counts a request in flight for good after a long response broke off.
+func TestCutLongResponseLeavesNoRequestInFlight(t *testing.T) {
+	s := newTestBackend(t, "a", respondAndClose(
+		signed+"Content-Length: "+strconv.Itoa(2*maxBuffered)+"\r\n\r\n"+strings.Repeat("x", maxBuffered+1)))
+	g := newGateway(t, s)
+	_, _, err := g.get(t, "/once/x")
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return g.InFlight() == 0 }, time.Minute, time.Millisecond)
+	require.Zero(t, g.fleet.Backends("s")[0].Dump(time.Now()).InFlight)
+}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -60,7 +60,8 @@
 
 // run relays events until the stream ends. It returns io.EOF if the stream is complete.
 func (s *streamRelay) run() error {
-	reader := sse.NewReader(s.resp.Body)
+	reader := sse.NewReader(s.resp.Body, s.call.server.buffers)
+	defer reader.Close()
 	for {
 		e, err := reader.Next()
 		if err != nil {
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -12,6 +12,8 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/gateway/buffer"
 )
 
 // MaxEvent is the size limit of one event in bytes.
@@ -38,23 +40,54 @@
 type Reader struct {
 	br  *bufio.Reader
 	buf []byte
+	// budget is where the bytes of an event beyond buffer.Free are taken from; taken is their number.
+	budget *buffer.Budget
+	taken  int
 }
 
-// NewReader returns a reader of the events of a body.
-func NewReader(r io.Reader) *Reader { return &Reader{br: bufio.NewReaderSize(r, 2048)} }
+// NewReader returns a reader of the events of a body. Close must be called when it is no longer used.
+func NewReader(r io.Reader, budget *buffer.Budget) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, 2048), budget: budget}
+}
+
+// Close returns the memory of the last event.
+func (r *Reader) Close() {
+	if r.taken > 0 {
+		r.buf = nil
+		r.budget.Give(r.taken)
+		r.taken = 0
+	}
+}
+
+// grow makes room for n more bytes of an event.
+func (r *Reader) grow(n int) error {
+	size := len(r.buf) + n
+	if size > MaxEvent {
+		return merry.Wrap(&FormatError{Problem: fmt.Sprintf("an event is longer than %d bytes", MaxEvent)})
+	}
+	for size > buffer.Free+r.taken {
+		step := max(r.taken, buffer.Free)
+		if !r.budget.Take(step) {
+			return merry.Wrap(&FormatError{Problem: "long events of many responses have used up the memory for them"})
+		}
+		r.taken += step
+	}
+	return nil
+}
 
 // Next returns the next complete event, or io.EOF at the end of the body. It fails with a *FormatError when the body
-// ends inside an event or an event exceeds MaxEvent, and with the errors of the body.
+// ends inside an event, an event exceeds MaxEvent or the budget has no room for it, and with the errors of the body.
 func (r *Reader) Next() (Event, error) {
+	r.Close()
 	r.buf = r.buf[:0]
 	var e Event
 	continued := false // The line continues one that is longer than the buffer.
 	for {
 		line, err := r.br.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
-		if len(r.buf) > MaxEvent {
-			return Event{}, merry.Wrap(&FormatError{Problem: fmt.Sprintf("an event is longer than %d bytes", MaxEvent)})
+		if err := r.grow(len(line)); err != nil {
+			return Event{}, err
 		}
+		r.buf = append(r.buf, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continued = true
