Let no order of a planner outlive what the planner remembers of it

* After an incomplete poll a planner looks for its ranks again and continues with a new Group under the same fencing token, which the ranks don't tell from the old one.
It forgot arms without an answer, the passes that were held, the number of the last assignment of a deputy, and that a deputy may act.
Now it continues from the old Group.
TestGroupFoundAgainRemembersUnansweredOrders fails without.
* A rank reports a version once it is loaded, so that a new planner could order a version again, with other experts, that some ranks were still loading; these refuse, the others load the new one, and the switch mixes two contents of one version.
Each fencing token has versions of its own now.
TestNewPlannerDoesNotReuseAVersionThatIsBeingLoaded begins a pass with two maps without that.
A margin above the reported versions was tried first and does not help, as both planners begin at the same one.
The fake group now compares contents, too.
* The sidecar read its own replica's state without a timeout; a connection that went silent stopped it from ever planning.

--- a/cmd/internal/rankd/planner.go
+++ b/cmd/internal/rankd/planner.go
@@ -89,7 +89,7 @@
 
 // runPlanner runs a planner for the ranks of the group. It discovers the ranks again whenever the group is incomplete.
 func (p *rankSidecar) runPlanner(ctx context.Context, lease *orders.Lease, group string) {
-	var g *plannedGroup
+	var g, earlier *plannedGroup
 	for ctx.Err() == nil {
 		if g == nil {
 			var err error
@@ -98,6 +98,9 @@
 				process.Sleep(ctx, retryDelay)
 				continue
 			}
+			if earlier != nil {
+				g.ranks.ContinueFrom(earlier.ranks)
+			}
 		}
 		started := time.Now()
 		// A switch that has begun is completed even if the lease or the context ends: the group is held until then.
@@ -110,7 +113,7 @@
 			return
 		}
 		if p.needsDiscovery(err) {
-			g = nil
+			g, earlier = nil, g
 			process.Sleep(ctx, retryDelay)
 			continue
 		}
@@ -270,7 +273,7 @@
 		})
 	}
 	_ = all.Wait()
-	own, err := p.replica.State(ctx, rollout.StateOptions{})
+	own, err := p.ownState(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -296,6 +299,14 @@
 	return out, nil
 }
 
+// ownState reads the state of this sidecar's replica. A connection that has gone silent must not stop the sidecar from
+// planning.
+func (p *rankSidecar) ownState(ctx context.Context) (rollout.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
+	defer cancel()
+	return p.replica.State(ctx, rollout.StateOptions{})
+}
+
 // rank returns a client of the rank of the replica at an address, through its agent if possible.
 func (p *rankSidecar) rank(address string, codec *agent.Codec) rollout.Rank {
 	direct := platform.NewRank(address, p.http)
--- a/cmd/internal/rankd/rankd.go
+++ b/cmd/internal/rankd/rankd.go
@@ -153,7 +153,7 @@
 	var lease *orders.Lease
 	group := ""
 	for ctx.Err() == nil {
-		s, err := p.replica.State(ctx, rollout.StateOptions{})
+		s, err := p.ownState(ctx)
 		if err != nil || s.Group == "" {
 			process.Sleep(ctx, retryDelay)
 			continue
--- a/expertmap/rollout/fake_test.go
+++ b/expertmap/rollout/fake_test.go
@@ -126,13 +126,16 @@
 		}
 	}
 	for _, r := range g.ranks {
-		g.mixedMaps = g.mixedMaps || r.version != g.ranks[0].version
+		g.mixedMaps = g.mixedMaps || r.version != g.ranks[0].version || !slices.EqualFunc(r.experts, g.ranks[0].experts, equalLayers)
 	}
 	if g.ranks[0].version != before {
 		g.switches++
 	}
 }
 
+// equalLayers reports whether two maps have the same content in one layer.
+func equalLayers(a, b [][]uint16) bool { return slices.EqualFunc(a, b, slices.Equal[[]uint16]) }
+
 // reform forms the group again in a new epoch, as after the failure of a rank.
 func (g *fakeGroup) reform(experts [][][]uint16) {
 	g.mu.Lock()
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// ContinueFrom makes g remember what the orders of an earlier Group for the same ranks may still cause. Both have the same
+// fencing token, so the ranks do not refuse late orders of the earlier one. It must be called before the first Poll.
+func (g *Group) ContinueFrom(earlier *Group) {
+	g.epoch, g.pendingArms, g.highestVersion = earlier.epoch, earlier.pendingArms, earlier.highestVersion
+	g.lastHeldPass, g.lastAssignment = earlier.lastHeldPass, earlier.lastAssignment
+	g.fencedOff.Store(earlier.fencedOff.Load())
+	earlier.ordersMu.Lock()
+	defer earlier.ordersMu.Unlock()
+	g.lastOrderAt, g.lastNoResponseAt = earlier.lastOrderAt, earlier.lastNoResponseAt
+	g.consecutiveResponses = earlier.consecutiveResponses
+}
+
+// versionsPerFence is the number of versions that belong to one fencing token. A rank reports a version only once it is
+// loaded, so an issuer does not know all versions that earlier ones have ordered. A version that is ordered again with
+// another content could leave two ranks with different maps of the same version.
+const versionsPerFence = 1 << 16
+
 func (g *Group) stateTimeout() time.Duration {
 	return stateTimeout + time.Duration(len(g.ranks))*stateTimeoutPerRank
 }
@@ -316,10 +333,14 @@
 	return layers, nil
 }
 
-// Prepare orders every rank to load a map and returns the map's version. Ranks that did not respond may load it
-// nevertheless.
+// Prepare orders every rank to load a map and returns the map's version, which no other issuer uses. Ranks that did not
+// respond may load it nevertheless.
 func (g *Group) Prepare(ctx context.Context, experts [][][]uint16) (int64, error) {
-	g.highestVersion++
+	fence, err := g.currentFence()
+	if err != nil {
+		return 0, err
+	}
+	g.highestVersion = max(g.highestVersion, fence*versionsPerFence) + 1
 	version := g.highestVersion
 	errs := make([]error, len(g.ranks))
 	g.forEachRank(func(i int) {
