Let entries of services that are not named supersede no server

Cause: of several entries with one address the gateway uses only the one that started last, whatever its service, since addresses of replicas that are gone are used again. An entry of a service that isn't named says nothing of that.

Change: only entries of services that the configuration names count for that. The list is judged again when the configuration changes, which may come after the list.

TestEntryOfAServiceThatIsNotNamedSupersedesNothing fails with the services unknown, as before.

--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -18,8 +18,13 @@
 	updates sync.Mutex
 	current atomic.Pointer[snapshot]
 
-	// former holds the incarnations that are no longer listed. It is guarded by updates.
+	// The fields below are guarded by updates. former holds the incarnations that are no longer listed.
 	former map[catalog.Incarnation]formerIncarnation
+	// services are the services that the configuration names, nil while it is unknown.
+	services map[string]bool
+	// listed and keepUntil are the arguments of the last Update.
+	listed    []catalog.Server
+	keepUntil time.Time
 
 	groupsLock sync.Mutex
 	groups     map[groupKey]*Group
@@ -58,9 +63,31 @@
 func (f *Fleet) Update(servers []catalog.Server, keepUntil, now time.Time) []Change {
 	f.updates.Lock()
 	defer f.updates.Unlock()
+	f.listed, f.keepUntil = servers, keepUntil
+	return f.applyList(now)
+}
+
+// SetServices sets the names of the services that the configuration names, and returns the changes. An entry of another
+// service has no effect on the servers of these. Before the first call, all services count as named.
+func (f *Fleet) SetServices(names []string, now time.Time) []Change {
+	f.updates.Lock()
+	defer f.updates.Unlock()
+	f.services = map[string]bool{}
+	for _, name := range names {
+		f.services[name] = true
+	}
+	return f.applyList(now)
+}
+
+// isNamed reports whether the configuration names a service.
+func (f *Fleet) isNamed(service string) bool { return f.services == nil || f.services[service] }
+
+// applyList makes the servers listed last the current ones. The caller holds updates.
+func (f *Fleet) applyList(now time.Time) []Change {
+	servers, keepUntil := f.listed, f.keepUntil
 	old, next := f.current.Load(), newSnapshot()
 	var changes []Change
-	latest := latestStarts(servers)
+	latest := f.latestStarts(servers)
 	for _, s := range servers {
 		if f.isStale(s, now) || superseded(s, latest) {
 			continue
--- a/gateway/balance/incarnation.go
+++ b/gateway/balance/incarnation.go
@@ -61,11 +61,12 @@
 	return b
 }
 
-// latestStarts returns the latest start time of the servers at each address.
-func latestStarts(servers []catalog.Server) map[string]time.Time {
+// latestStarts returns the latest start time of the servers of named services at each address. An entry of another writer
+// may have any address, which does not show that the server there has gone.
+func (f *Fleet) latestStarts(servers []catalog.Server) map[string]time.Time {
 	out := make(map[string]time.Time, len(servers))
 	for _, s := range servers {
-		if s.Started.After(out[s.Address]) {
+		if f.isNamed(s.Service) && s.Started.After(out[s.Address]) {
 			out[s.Address] = s.Started
 		}
 	}
--- a/gateway/balance/suspension_test.go
+++ b/gateway/balance/suspension_test.go
@@ -171,3 +171,19 @@
 	f.Update([]catalog.Server{former, successor, other}, time.Time{}, now)
 	require.NotNil(t, f.byID("b"), "a server with an unknown start time must not be superseded")
 }
+
+// Guards against servers that are taken out of use by entries of another writer, with their addresses, later starts and a
+// service that the configuration does not name (review/4).
+func TestEntryOfAServiceThatIsNotNamedSupersedesNothing(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	server, foreign := startedServer("a", startTime, 5), startedServer("x", startTime.Add(time.Hour), 1)
+	foreign.Address, foreign.Service = server.Address, "inventory"
+	f.Update([]catalog.Server{server, foreign}, time.Time{}, now)
+	f.SetServices([]string{"s"}, now)
+	require.NotNil(t, f.byID("a"), "also if the list came before the configuration")
+	f.Update([]catalog.Server{server, foreign}, time.Time{}, now)
+	require.Equal(t, "a", pickID(t, f, now))
+	f.SetServices([]string{"s", "inventory"}, now)
+	require.Nil(t, f.byID("a"), "a server of a service that is named has taken the address")
+}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -177,6 +178,9 @@
 // Service returns a service, nil if it does not exist.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// ServiceNames returns the names of the services, in no order.
+func (c *Catalog) ServiceNames() []string { return slices.Collect(maps.Keys(c.services)) }
+
 // TargetGap returns the smallest TargetGap of the routes to a service, 0 if none has one.
 func (c *Catalog) TargetGap(service string) time.Duration {
 	shortest := time.Duration(0)
