--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -123,9 +123,13 @@
 	if d == nil || !now.After(d.refuseAfter) || !c.deadline.After(d.end) {
 		return nil
 	}
+	return refusalOfStopping("this process stops before the request would end")
+}
+
+// refusalOfStopping returns the failure of a request that no server has, at a process that stops.
+func refusalOfStopping(detail string) *Failure {
 	return &Failure{
-		Status: http.StatusServiceUnavailable, Reason: reasonStopping,
-		Detail: "this process stops before the request would end", RetryAfter: otherGatewayRetryAfter,
+		Status: http.StatusServiceUnavailable, Reason: reasonStopping, Detail: detail, RetryAfter: otherGatewayRetryAfter,
 	}
 }
 
@@ -238,10 +242,7 @@
 	case errors.Is(cause, errStopped) && mayHaveExecuted:
 		return &Failure{Status: http.StatusGatewayTimeout, Reason: reasonStopping, Detail: cause.Error()}
 	case errors.Is(cause, errStopped):
-		return &Failure{
-			Status: http.StatusServiceUnavailable, Reason: reasonStopping, Detail: cause.Error(),
-			RetryAfter: otherGatewayRetryAfter,
-		}
+		return refusalOfStopping(cause.Error())
 	case cause == nil:
 		f := &Failure{Status: http.StatusGatewayTimeout, Reason: reasonTimeout, Detail: errExpired.Error()}
 		if !mayHaveExecuted {
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -195,13 +195,23 @@
 	return func(r *http.Request) bool { return slices.Contains(strings.Split(r.Header.Get(testPrompt), ","), part) }
 }
 
-// newFragileBackend starts a server that streams three events and crashes when it begins to answer a deadly request.
-func newFragileBackend(t *testing.T, id string, deadly func(r *http.Request) bool) *testBackend {
+// newCrashableBackend starts a server whose responder may crash it.
+func newCrashableBackend(t *testing.T, id string, handle func(s *testBackend, c net.Conn, r *http.Request) bool) *testBackend {
 	t.Helper()
 	var s *testBackend
 	ready := make(chan struct{})
 	s = newTestBackend(t, id, func(c net.Conn, r *http.Request) bool {
 		<-ready
+		return handle(s, c, r)
+	})
+	close(ready)
+	return s
+}
+
+// newFragileBackend starts a server that streams three events and crashes when it begins to answer a deadly request.
+func newFragileBackend(t *testing.T, id string, deadly func(r *http.Request) bool) *testBackend {
+	t.Helper()
+	return newCrashableBackend(t, id, func(s *testBackend, c net.Conn, r *http.Request) bool {
 		if !deadly(r) {
 			return respond(eventStream(1, 3)+lastChunk)(c, r)
 		}
@@ -209,8 +219,6 @@
 		respond(eventStream(1, 0))(c, r)
 		return false
 	})
-	close(ready)
-	return s
 }
 
 const signed = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Seal: s\r\n"
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -12,11 +12,15 @@
 	"lavendermoor.example/gateway/quarantine"
 )
 
-// QuarantinedError reports that a part of the request's prompt crashes servers.
-type QuarantinedError struct{ Part string }
+// QuarantinedError reports that the request, or a part of its prompt, crashes servers.
+type QuarantinedError struct{ Part quarantine.Part }
 
 func (e *QuarantinedError) Error() string {
-	return "servers have crashed when they began to answer " + e.Part + " of this request"
+	what := "part " + e.Part.ID + " of its prompt"
+	if e.Part.IsRequest() {
+		what = "the same content"
+	}
+	return "servers have crashed when they began to answer a request with " + what
 }
 
 // contentID returns the ID of the whole request, the same for all its repeats. It is empty before the body has arrived.
@@ -27,8 +31,8 @@
 	return c.parts[len(c.parts)-1]
 }
 
-// checkQuarantine returns the failure of a request that is kept from servers because of a part of its prompt, nil if it
-// may be sent, also as a probe.
+// checkQuarantine returns the failure of a request that is kept from servers because it or a part of its prompt crashes
+// them, nil if it may be sent, also as a probe.
 func (c *call) checkQuarantine() *Failure {
 	c.server.opts.Quarantine.RecordArrival(c.service, c.parts, c.deadline)
 	v := c.server.opts.Quarantine.Check(c.service, c.parts, c.probes, time.Now())
@@ -57,7 +61,7 @@
 }
 
 func (c *call) quarantineFailure(v quarantine.Verdict) *Failure {
-	err := &QuarantinedError{Part: v.Part.ID}
+	err := &QuarantinedError{Part: v.Part}
 	if c.mayHaveExecuted() {
 		return &Failure{Status: http.StatusBadGateway, Reason: reasonBackendFailed, Detail: err.Error()}
 	}
@@ -77,7 +81,7 @@
 // does so until unwatch is called.
 func (c *call) watchQuarantine(cancel context.CancelCauseFunc) (unwatch func()) {
 	return c.server.opts.Quarantine.Watch(c.service, c.parts, func(part quarantine.Part) {
-		cancel(&QuarantinedError{Part: part.ID})
+		cancel(&QuarantinedError{Part: part})
 	})
 }
 
--- a/gateway/ingress/quarantine_test.go
+++ b/gateway/ingress/quarantine_test.go
@@ -89,18 +89,13 @@
 func TestPlainRequestThatCrashesServersIsQuarantined(t *testing.T) {
 	var backends []*testBackend
 	for i := range 8 {
-		var s *testBackend
-		ready := make(chan struct{})
-		s = newTestBackend(t, strconv.Itoa(i), func(c net.Conn, r *http.Request) bool {
-			<-ready
+		backends = append(backends, newCrashableBackend(t, strconv.Itoa(i), func(s *testBackend, c net.Conn, r *http.Request) bool {
 			if r.RequestURI != "/idem/deadly" {
 				return respondOK("sound")(c, r)
 			}
 			s.crash()
 			return false
-		})
-		close(ready)
-		backends = append(backends, s)
+		}))
 	}
 	g := newGateway(t, backends...)
 	_, _, _ = g.get(t, "/idem/deadly")
@@ -118,14 +113,10 @@
 
 // Guards against a sound request that is not repeated, though it may be, because its server crashed for another reason.
 func TestSoundRequestAtACrashedServerIsRepeated(t *testing.T) {
-	var a *testBackend
-	ready := make(chan struct{})
-	a = newTestBackend(t, "a", func(net.Conn, *http.Request) bool {
-		<-ready
-		a.crash()
+	a := newCrashableBackend(t, "a", func(s *testBackend, _ net.Conn, _ *http.Request) bool {
+		s.crash()
 		return false
 	})
-	close(ready)
 	g := newGateway(t, a, newTestBackend(t, "b", respondOK("sound")))
 	g.preferServer("a")
 	resp, body, err := g.get(t, "/idem/x")
