--- a/proctest/fleet_calls_test.go
+++ b/proctest/fleet_calls_test.go
@@ -100,10 +100,15 @@
 
 // sendPrompt is send with the parts of the prompt, "ID:TOKENS" separated by commas.
 func (c *fleetClient) sendPrompt(httpClient *http.Client, g *Gateway, path, key string, events int, parts string) *attempt {
-	n := c.nextID.Add(1)
+	return c.sendBody(httpClient, g, path, key, events, parts, fmt.Sprintf("prompt %d", c.nextID.Load()%40))
+}
+
+// sendBody is sendPrompt with the given body.
+func (c *fleetClient) sendBody(
+	httpClient *http.Client, g *Gateway, path, key string, events int, parts, body string,
+) *attempt {
 	a := &attempt{
-		id: fmt.Sprintf("a%x", n), path: path, gateway: g, startedAt: time.Now(), events: events,
-		prompt: fmt.Sprintf("prompt %d", n%40),
+		id: fmt.Sprintf("a%x", c.nextID.Add(1)), path: path, gateway: g, startedAt: time.Now(), events: events, prompt: body,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+2*time.Second)
 	defer cancel()
--- a/proctest/quarantine_test.go
+++ b/proctest/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -17,9 +18,11 @@
 const (
 	commonPart = "c0ffee"
 	deadlyPart = "dead1"
+	deadlyBody = "a deadly request"
 )
 
-// poisonedFleet is a fleet whose model replicas crash on a part of prompts, with callers of its gateways.
+// poisonedFleet is a fleet whose model replicas crash on a part of prompts and on one request, with callers of its
+// gateways.
 type poisonedFleet struct {
 	*Fleet
 	client *fleetClient
@@ -30,7 +33,7 @@
 	t.Helper()
 	f := DeployFleet(t, FleetSize{Gateways: 3, ModelReplicas: 3, PlainReplicas: 2})
 	for i := range 3 {
-		f.SetReplicaFaults(i, replicaserver.Faults{DeadlyPart: deadlyPart})
+		f.SetReplicaFaults(i, replicaserver.Faults{DeadlyPart: deadlyPart, DeadlyBody: deadlyBody})
 	}
 	return &poisonedFleet{Fleet: f, client: &fleetClient{fleet: f, ctx: context.Background()}}
 }
@@ -47,6 +50,11 @@
 	return f.stream(g, commonPart+":40,"+deadlyPart+":60")
 }
 
+// sendDeadlyRequest sends a request with the same content each time, whose shared part sound requests hold too.
+func (f *poisonedFleet) sendDeadlyRequest(g *Gateway) *attempt {
+	return f.client.sendBody(newCallerHTTPClient(), g, "/stream/x", CallerKey, 4, commonPart+":40,fe:60", deadlyBody)
+}
+
 // requireServing waits until each gateway has answered enough sound requests to know them.
 func (f *poisonedFleet) requireServing() {
 	f.t.Helper()
@@ -57,19 +65,28 @@
 	}
 }
 
-// storedSuspects returns the number of suspected parts in the store.
-func (f *poisonedFleet) storedSuspects() int {
-	var page struct{ Items []any }
+// storedSuspects returns the numbers of suspected parts and of suspected whole requests in the store.
+func (f *poisonedFleet) storedSuspects() (parts, requests int) {
+	var page struct{ Items []struct{ Value []byte } }
 	require.NoError(f.t, getJSON(f.StoreURL+"/kv-range?PathPrefix=quarantine/", &page))
-	return len(page.Items)
+	for _, item := range page.Items {
+		var record struct{ Part string }
+		require.NoError(f.t, json.Unmarshal(item.Value, &record))
+		if strings.HasPrefix(record.Part, "request:") {
+			requests++
+		} else {
+			parts++
+		}
+	}
+	return parts, requests
 }
 
-// requireContained sends poisoned requests to all gateways and requires that they reach no replica.
-func (f *poisonedFleet) requireContained(crashes int) {
+// requireContained sends requests that crash replicas to all gateways and requires that they reach none.
+func (f *poisonedFleet) requireContained(crashes int, send func(g *Gateway) *attempt) {
 	f.t.Helper()
 	for range 5 {
 		for _, g := range f.Gateways {
-			a := f.sendPoisoned(g)
+			a := send(g)
 			require.Equal(f.t, http.StatusServiceUnavailable, a.status, "%s: %s", g.Name, a.body)
 			require.Contains(f.t, a.body, "quarantined")
 			require.NotEmpty(f.t, a.retryAfter)
@@ -88,13 +105,35 @@
 	f := newPoisonedFleet(t)
 	f.requireServing()
 	require.NotEqual(t, http.StatusOK, f.sendPoisoned(f.Gateways[0]).status)
-	Eventually(t, "the part is known to the store", func() bool { return f.storedSuspects() == 1 })
-	f.requireContained(1)
+	Eventually(t, "the part and the request are known to the store", func() bool {
+		parts, requests := f.storedSuspects()
+		return parts == 1 && requests == 1
+	})
+	f.requireContained(1, f.sendPoisoned)
 	g := f.Gateways[1]
 	g.Kill()
 	f.RestartGateway(g)
 	Eventually(t, g.Name+" is ready", func() bool { return statusCode(g.readyURL+"/readyz") == http.StatusOK })
-	f.requireContained(1)
+	f.requireContained(1, f.sendPoisoned)
+}
+
+// Guards against gateways that each let a request crash a replica that comes again under new IDs, and against keeping
+// requests with the same shared part from the replicas.
+func TestFleetCrashesOnceByADeadlyRequest(t *testing.T) {
+	t.Parallel()
+	f := newPoisonedFleet(t)
+	f.requireServing()
+	require.NotEqual(t, http.StatusOK, f.sendDeadlyRequest(f.Gateways[1]).status)
+	Eventually(t, "all gateways block the request", func() bool {
+		for _, g := range f.Gateways {
+			if a := f.sendDeadlyRequest(g); !strings.Contains(a.body, "quarantined") {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second) // The group forms again.
+	f.requireContained(1, f.sendDeadlyRequest)
 }
 
 // Guards against gateways that learn of a deadly part only through the store.
@@ -113,5 +152,5 @@
 		return true
 	})
 	time.Sleep(2 * time.Second) // The group forms again.
-	f.requireContained(1)
+	f.requireContained(1, f.sendPoisoned)
 }
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -55,6 +55,8 @@
 	// DeadlyPart is a part of prompts. The replica crashes when it begins to answer a prompt that holds it, and starts
 	// again after crashTime.
 	DeadlyPart string `json:"deadly_part"`
+	// DeadlyBody is the body of a request on which the replica crashes in the same way.
+	DeadlyBody string `json:"deadly_body"`
 	// RetryAfterMs above 0 makes the replica refuse requests with this Retry-After time.
 	RetryAfterMs int64 `json:"retry_after_ms"`
 }
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -331,6 +331,11 @@
 	return fmt.Sprintf("id: %d\ndata: %x\n\n", n, h.Sum64())
 }
 
+// isDeadly reports whether the replica crashes on a request with the parts and the body.
+func (f *Faults) isDeadly(parts, body string) bool {
+	return (f.DeadlyPart != "" && strings.Contains(parts, f.DeadlyPart+":")) || (f.DeadlyBody != "" && body == f.DeadlyBody)
+}
+
 // stream writes one event per pass, from the one after Last-Event-Id to the maximum in X-Token-Usage.
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request, prompt string, f Faults) {
 	_, maxEvents, _ := strings.Cut(req.Header.Get("X-Token-Usage"), ",")
@@ -347,7 +352,7 @@
 		if !r.group.waitForPass(req.Context()) {
 			panic(http.ErrAbortHandler)
 		}
-		if f.DeadlyPart != "" && strings.Contains(req.Header.Get("X-Prompt-Prefix"), f.DeadlyPart+":") {
+		if f.isDeadly(req.Header.Get("X-Prompt-Prefix"), prompt) {
 			_ = out.Flush()
 			r.crash()
 		}
