--- a/clients/kv/client_test.go
+++ b/clients/kv/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -88,3 +89,30 @@
 	var protocol *ProtocolError
 	require.ErrorAs(t, err, &protocol)
 }
+
+// endlessLine is the beginning of a line of a watch that never ends. It counts the bytes read.
+type endlessLine struct{ read int64 }
+
+func (l *endlessLine) Read(p []byte) (int, error) {
+	n := 0
+	if l.read == 0 {
+		n = copy(p, `{"result":{"events":"`)
+	}
+	for i := n; i < len(p); i++ {
+		p[i] = 'x'
+	}
+	l.read += int64(len(p))
+	if l.read > 2*maxResponseBytes {
+		return 0, io.ErrNoProgress
+	}
+	return len(p), nil
+}
+
+// Guards against a watch that reads a line without end into memory.
+func TestEndlessLineOfAWatchIsRejected(t *testing.T) {
+	l := &endlessLine{}
+	err := readWatch(l, func(Event) {})
+	var unavailable *UnavailableError
+	require.ErrorAs(t, err, &unavailable)
+	require.LessOrEqual(t, l.read, int64(maxResponseBytes))
+}
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -386,3 +386,28 @@
 	}))
 	require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err))
 }
+
+// Guards against a process that exhausts an entry's memory with a status without end.
+func TestEndlessStatusOfAProcessIsRejected(t *testing.T) {
+	const maxSent = 64 << 20
+	sent := make(chan int, 1)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n, err := w.Write([]byte(`{"program":"`))
+		block := make([]byte, 1<<16)
+		for i := range block {
+			block[i] = 'x'
+		}
+		for total := n; ; total += n {
+			if err != nil || total > maxSent {
+				sent <- total
+				return
+			}
+			n, err = w.Write(block)
+		}
+	}))
+	defer peer.Close()
+	s := &Service{opts: Options{Client: http.DefaultClient}}
+	_, err := s.requestStatus(t.Context(), feed.Peer{Address: peer.Listener.Addr().String()})
+	require.Error(t, err)
+	require.Less(t, <-sent, maxSent)
+}
