Mend what reading the change once more showed

No decision changes; the tests keep what they assert.

* Begin and Revoke of a deputy had the same check twice and two records of what came last: one position (latest) and endCurrent serve both.
Ending and revoking an assignment share confirmEnd.
* gateway/buffer had a counter of its own: it is semaphore.Weighted of golang.org/x/sync, which the workspace used already.
That the memory is given back is asserted by taking all of it.
* The reader of frames kept the engine's event id in two ways; accept takes it with the sequence number.
* The quarantine told parts from whole requests in three places: once now, where a crash is recorded.

Lint, the tests of gateway, expertmap, entry and the fleet tests of the quarantine pass.

--- a/entry/upstream/attempt.go
+++ b/entry/upstream/attempt.go
@@ -139,11 +139,10 @@
 	}
 	a.observeLoad(resp.Header.Get(peerapi.HeaderLoad))
 	frames := newFrameReader(body, a.id, a.nextSeq, &a.c.counters)
+	frames.lastEventID = a.lastEventID
 	for {
 		data, last, err := frames.read()
-		if a.nextSeq != frames.nextSeq {
-			a.nextSeq, a.lastEventID = frames.nextSeq, frames.lastEventID
-		}
+		a.nextSeq, a.lastEventID = frames.nextSeq, frames.lastEventID
 		switch {
 		case err != nil:
 			return attemptResult{err: err}
--- a/entry/upstream/frames.go
+++ b/entry/upstream/frames.go
@@ -46,11 +46,7 @@
 	for f.lines.Scan() {
 		line := f.lines.Bytes()
 		if seq, data, ok := f.parseDataFrame(line); ok {
-			expected, err := f.acceptSeq(seq)
-			if expected {
-				f.lastEventID = ""
-			}
-			if expected || err != nil {
+			if expected, err := f.accept(seq, ""); expected || err != nil {
 				return data, nil, err
 			}
 			continue
@@ -90,11 +86,12 @@
 	return seq, data, err == nil && json.Valid(data)
 }
 
-// acceptSeq reports whether a data frame is the expected one. It discards frames already received.
-func (f *frameReader) acceptSeq(seq int64) (expected bool, err error) {
+// accept reports whether a data frame is the expected one. It discards frames already received.
+func (f *frameReader) accept(seq int64, eventID string) (expected bool, err error) {
 	switch {
 	case seq == f.nextSeq:
 		f.nextSeq++
+		f.lastEventID = eventID
 		return true, nil
 	case seq < f.nextSeq:
 		f.counters.late.Add(1)
@@ -117,11 +114,10 @@
 	case frame.End:
 		return nil, frame, nil
 	case len(frame.Data) > 0:
-		expected, err := f.acceptSeq(frame.Seq)
+		expected, err := f.accept(frame.Seq, frame.EventID)
 		if !expected {
 			return nil, nil, err
 		}
-		f.lastEventID = frame.EventID
 		return frame.Data, nil, nil
 	}
 	return nil, nil, nil // a keep-alive
--- a/expertmap/rollout/assignment.go
+++ b/expertmap/rollout/assignment.go
@@ -89,24 +89,21 @@
 		}
 		g.log.Info("rank could not be appointed as the deputy for a switch", zap.Int("rank", assignment.Deputy),
 			zap.Int64("assignment", assignment.Number), zap.Error(err))
-		if err := g.revokeDeputy(ctx, assignment); err != nil {
+		if err := g.confirmEnd(ctx, assignment, g.peers[assignment.Deputy].RevokeDeputy); err != nil {
 			return nil, err
 		}
 	}
 	return nil, nil
 }
 
-// revokeDeputy cancels an assignment that was not confirmed. Without the confirmation that it is cancelled, the planner
-// sends no further orders under its token.
-func (g *Group) revokeDeputy(ctx context.Context, assignment *DeputyAssignment) error {
+// confirmEnd calls a method of the deputy that ends or revokes an assignment. Until the deputy confirms, it may take
+// over at any time. Without the confirmation, the planner therefore sends no further orders under its token.
+func (g *Group) confirmEnd(
+	ctx context.Context, assignment *DeputyAssignment, end func(ctx context.Context, assignment DeputyAssignment) error,
+) error {
 	callCtx, cancel := context.WithTimeout(ctx, g.orderTimeout())
 	defer cancel()
-	return g.confirmNoDeputy(assignment, g.peers[assignment.Deputy].RevokeDeputy(callCtx, *assignment))
-}
-
-// confirmNoDeputy takes the result of ending or revoking an assignment, and returns it. After an error the deputy may
-// take over at any time.
-func (g *Group) confirmNoDeputy(assignment *DeputyAssignment, err error) error {
+	err := end(callCtx, *assignment)
 	if err != nil {
 		g.fencedOff.Store(true)
 		g.log.Info("deputy did not confirm that its role in a switch has ended", zap.Int("rank", assignment.Deputy),
@@ -127,15 +124,12 @@
 	return out
 }
 
-// endDeputy ends the deputy's role in a switch. Until the deputy confirms, it may take over at any time. Without the
-// confirmation, the planner therefore sends no further orders under its token.
+// endDeputy ends the deputy's role in a switch.
 func (g *Group) endDeputy(ctx context.Context, assignment *DeputyAssignment) error {
 	if assignment == nil || g.fencedOff.Load() {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, g.orderTimeout())
-	defer cancel()
-	return g.confirmNoDeputy(assignment, g.peers[assignment.Deputy].EndDeputy(callCtx, *assignment))
+	return g.confirmEnd(ctx, assignment, g.peers[assignment.Deputy].EndDeputy)
 }
 
 // orderFunc returns the function that delivers an order of a switch to a rank. Orders to the planner's own rank go
--- a/expertmap/rollout/deputy.go
+++ b/expertmap/rollout/deputy.go
@@ -52,9 +52,8 @@
 
 	mu      sync.Mutex
 	current *watchedSwitch
-	// revoked is the latest assignment that its planner has revoked. An assignment that arrives after its revocation is
-	// refused.
-	revoked assignmentOrder
+	// latest is the latest assignment that has begun or was revoked. Earlier ones that arrive after it are refused.
+	latest assignmentOrder
 }
 
 // assignmentOrder is the position of an assignment in the order in which all planners of a group made theirs.
@@ -129,17 +128,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if assignment.order().compare(d.revoked) <= 0 {
+	if assignment.order().compare(d.latest) <= 0 {
 		return merry.Wrap(&NotDeputyError{Fence: assignment.Fence})
 	}
-	if w := d.current; w != nil {
-		if assignment.order().compare(w.order()) <= 0 {
-			return merry.Wrap(&NotDeputyError{Fence: assignment.Fence})
-		}
-		// A planner assigns another switch only after this one has ended for it.
-		if takenOver := w.end(); takenOver && w.Fence == assignment.Fence {
-			return merry.Wrap(&NotDeputyError{Fence: assignment.Fence, TakenOver: true})
-		}
+	// A planner assigns another switch only after the present one has ended for it.
+	if err := d.endCurrent(assignment); err != nil {
+		return err
 	}
 	d.opts.Log.Info("deputy of a switch", zap.String("group", assignment.Group), zap.Int64("fence", assignment.Fence),
 		zap.Int64("assignment", assignment.Number), zap.Int64("version", assignment.Version),
@@ -231,17 +225,19 @@
 func (d *Deputy) Revoke(assignment DeputyAssignment) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w := d.current; w != nil {
-		if w.order().compare(assignment.order()) > 0 {
-			return merry.Wrap(&NotDeputyError{Fence: assignment.Fence})
-		}
-		if takenOver := w.end(); takenOver && w.Fence == assignment.Fence {
-			return merry.Wrap(&NotDeputyError{Fence: assignment.Fence, TakenOver: true})
-		}
+	if assignment.order().compare(d.latest) < 0 {
+		return merry.Wrap(&NotDeputyError{Fence: assignment.Fence})
 	}
-	if assignment.order().compare(d.revoked) > 0 {
-		d.revoked = assignment.order()
+	return d.endCurrent(assignment)
+}
+
+// endCurrent ends the present supervision and makes the assignment the latest one. It fails with a *NotDeputyError if
+// the deputy has taken over from the planner of the assignment. The caller holds mu.
+func (d *Deputy) endCurrent(assignment DeputyAssignment) error {
+	if w := d.current; w != nil && w.end() && w.Fence == assignment.Fence {
+		return merry.Wrap(&NotDeputyError{Fence: assignment.Fence, TakenOver: true})
 	}
+	d.latest = assignment.order()
 	return nil
 }
 
--- a/gateway/ingress/quarantine.go
+++ b/gateway/ingress/quarantine.go
@@ -56,7 +56,7 @@
 			return c.quarantineFailure(v)
 		}
 		c.probes = append(c.probes, v.Part)
-		opts.Log.Info("probe of a suspected part of prompts", c.partFields(v.Part)...)
+		opts.Log.Info("probe of a suspected part of prompts", partFields(v.Part, c.meta.ID)...)
 	}
 }
 
@@ -71,9 +71,9 @@
 	}
 }
 
-func (c *call) partFields(part quarantine.Part) []zap.Field {
+func partFields(part quarantine.Part, request string) []zap.Field {
 	return []zap.Field{
-		zap.String("service", part.Service), zap.String("part", part.ID), zap.String("request", c.meta.ID),
+		zap.String("service", part.Service), zap.String("part", part.ID), zap.String("request", request),
 	}
 }
 
@@ -102,7 +102,7 @@
 func (c *call) recordAnswer(a *attempt) {
 	opts := &c.server.opts
 	for _, part := range opts.Quarantine.RecordAnswer(c.service, c.parts, a.sentAt, time.Now()) {
-		opts.Log.Info("suspected part of prompts cleared", c.partFields(part)...)
+		opts.Log.Info("suspected part of prompts cleared", partFields(part, c.meta.ID)...)
 		if opts.Sharing != nil {
 			opts.Sharing.ShareCleared(part)
 		}
@@ -152,10 +152,10 @@
 	}
 	opts := &r.server.opts
 	for _, record := range opts.Quarantine.RecordCrash(r.service, r.parts, r.crash, time.Now()) {
-		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it",
-			zap.String("service", r.service), zap.String("part", record.Part.ID), zap.String("request", r.request),
-			zap.String("server", r.crash.Server), zap.Bool("answer_begun", record.AnswerBegun),
-			zap.Bool("answered_before", record.Answered), zap.Strings("with", record.With))
+		opts.Log.Warn("part of prompts suspected: a server crashed on a request with it", append(
+			partFields(record.Part, r.request), zap.String("server", r.crash.Server),
+			zap.Bool("answer_begun", record.AnswerBegun), zap.Bool("answered_before", record.Answered),
+			zap.Strings("with", record.With))...)
 		if opts.Sharing != nil {
 			opts.Sharing.ShareCrash(record)
 		}
--- a/gateway/ingress/quarantine_test.go
+++ b/gateway/ingress/quarantine_test.go
@@ -58,8 +58,15 @@
 // Guards against requests with a part that crashes servers reaching one server after another.
 func TestPromptPartThatCrashesServersIsQuarantined(t *testing.T) {
 	g, backends := newFragileGateway(t, 8)
+	requireOneCrash(t, g, backends, "/stream/x", "common,deadly")
+}
+
+// requireOneCrash sends deadly requests under new IDs, and requires that one reaches a server and that sound ones are
+// answered meanwhile.
+func requireOneCrash(t *testing.T, g *testGateway, backends []*testBackend, path, prompt string) {
+	t.Helper()
 	for i := range 10 {
-		resp, _, _ := g.get(t, "/stream/x", testPrompt, "common,deadly")
+		resp, _, _ := g.get(t, path, testPrompt, prompt, testID, fmt.Sprint("repeat-", i))
 		if i > 0 {
 			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 			require.NotEmpty(t, resp.Header.Get("Retry-After"))
@@ -73,15 +80,7 @@
 // against blocking the part of its prompt that sound requests share.
 func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
 	g, backends := newGatewayWithFragileServers(t, 8, func(r *http.Request) bool { return r.RequestURI == "/stream/deadly" })
-	for i := range 10 {
-		resp, _, _ := g.get(t, "/stream/deadly", testPrompt, "common", testID, fmt.Sprint("repeat-", i))
-		if i > 0 {
-			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-			require.NotEmpty(t, resp.Header.Get("Retry-After"))
-		}
-		requireAnswered(t, g, "common")
-	}
-	require.Equal(t, 1, countCrashed(backends))
+	requireOneCrash(t, g, backends, "/stream/deadly", "common")
 }
 
 // Guards against a plain request that crashes servers before they send a header: it may be repeated once, and then no
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -68,10 +68,10 @@
 	if err != nil || len(body) < buffer.Free {
 		return body, err == nil, release, err
 	}
-	if !c.server.buffers.Take(maxBuffered) {
+	if !c.server.buffers.TryAcquire(maxBuffered) {
 		return body, false, release, nil
 	}
-	release = func() { c.server.buffers.Give(maxBuffered) }
+	release = func() { c.server.buffers.Release(maxBuffered) }
 	var long bytes.Buffer
 	long.Grow(maxBuffered)
 	_, _ = long.Write(body) // Writes to a buffer never fail.
--- a/gateway/ingress/reports_test.go
+++ b/gateway/ingress/reports_test.go
@@ -78,7 +78,7 @@
 			require.Equal(t, http.StatusOK, resp.StatusCode)
 			require.Equal(t, "sound", body)
 			require.Eventually(t, func() bool { return g.InFlight() == 0 }, time.Minute, time.Millisecond)
-			require.EqualValues(t, budget, g.buffers.Remaining(), "all memory is given back")
+			require.True(t, g.buffers.TryAcquire(budget), "all memory is given back")
 		})
 	}
 }
@@ -94,7 +94,6 @@
 		return respondOK(long)(c, r)
 	})
 	g := newGateway(t, s)
-	remaining := g.buffers.Remaining()
 	for range 3 {
 		_, body, err := g.get(t, "/stream/x")
 		require.NoError(t, err)
@@ -103,7 +102,7 @@
 	_, body, err := g.get(t, "/once/x")
 	require.NoError(t, err)
 	require.Equal(t, long, body)
-	require.Equal(t, remaining, g.buffers.Remaining())
+	require.True(t, g.buffers.TryAcquire(defaultBufferBytes), "all memory is given back")
 	g.buffers = buffer.NewBudget(0)
 	_, body, err = g.get(t, "/once/x")
 	require.NoError(t, err, "without room, the body is relayed as it arrives")
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -170,7 +170,7 @@
 		}
 	}
 	switch {
-	case q.isRepeated(service, parts):
+	case slices.ContainsFunc(requests, q.isRepeated):
 		return requests
 	case len(unanswered) > 0:
 		return append(unanswered, requests...)
@@ -186,7 +186,8 @@
 	q.mu.Lock()
 	accused := q.suspectParts(service, parts, crash, now)
 	started := q.justStarted(service)
-	single := len(accused) == 1 || (len(accused) == 2 && accused[1].IsRequest())
+	ofPrompt := slices.DeleteFunc(slices.Clone(accused), Part.IsRequest)
+	doubtful := started && len(ofPrompt) == 1
 	var records []Record
 	var withdraw []func()
 	for _, part := range accused {
@@ -198,8 +199,8 @@
 			s.firstDeadline = crash.Deadline
 		}
 		first := Record{
-			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun && (part.IsRequest() || !started || !single),
-			Answered: s.record.Answered, LastServer: crash.Server, With: otherIDs(accused, part),
+			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun && (part.IsRequest() || !doubtful),
+			Answered: s.record.Answered, LastServer: crash.Server, With: otherIDs(ofPrompt, part),
 		}
 		if !s.sameCrash(crash.Server, started, now) {
 			s.addCrash(first, now)
@@ -217,12 +218,11 @@
 // justStarted reports whether this process has seen too few answers of a service to know which parts are sound.
 func (q *Quarantine) justStarted(service string) bool { return q.answered.count(service) < minAnswers }
 
-// otherIDs returns the IDs of the parts other than the given one. The whole request is left out: nearly all requests
-// lack it, and that does not make them likely to be sound.
+// otherIDs returns the IDs of the parts other than the given one.
 func otherIDs(parts []Part, part Part) []string {
 	var out []string
 	for _, p := range parts {
-		if p != part && !p.IsRequest() {
+		if p != part {
 			out = append(out, p.ID)
 		}
 	}
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -55,7 +55,8 @@
 	Crashes int
 	// AnswerBegun is set if it was for any of the crashes.
 	AnswerBegun bool
-	// With are the IDs of the other parts of the prompt that the last crash made suspects together with this one.
+	// With are the IDs of the other parts of the prompt that the last crash made suspects together with this one. The
+	// whole request is left out: nearly all requests lack it, and that does not make them likely to be sound.
 	With []string
 	// Answered is set if the part was in an answered prompt before the first crash, at any gateway.
 	Answered bool
--- a/gateway/quarantine/repeat.go
+++ b/gateway/quarantine/repeat.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // A crash accuses both a whole request and the parts of its prompt that no answer has shown to be sound. When the request
 // comes again, as no deadly part makes it do, it is the likely cause, and other requests with the parts may be probes at
@@ -50,10 +47,8 @@
 	}
 }
 
-// isRepeated reports whether the whole request among the parts is a suspect that comes again.
-func (q *Quarantine) isRepeated(service string, parts []string) bool {
-	return slices.ContainsFunc(parts, func(id string) bool {
-		s := q.suspects[Part{service, id}]
-		return s != nil && s.repeated && s.blocking()
-	})
+// isRepeated reports whether a whole request is a suspect that comes again.
+func (q *Quarantine) isRepeated(request Part) bool {
+	s := q.suspects[request]
+	return s != nil && s.repeated && s.blocking()
 }
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -54,7 +54,7 @@
 func (r *Reader) Close() {
 	if r.taken > 0 {
 		r.buf = nil
-		r.budget.Give(r.taken)
+		r.budget.Release(int64(r.taken))
 		r.taken = 0
 	}
 }
@@ -67,7 +67,7 @@
 	}
 	for size > buffer.Free+r.taken {
 		step := max(r.taken, buffer.Free)
-		if !r.budget.Take(step) {
+		if !r.budget.TryAcquire(int64(step)) {
 			return merry.Wrap(&FormatError{Problem: "long events of many responses have used up the memory for them"})
 		}
 		r.taken += step
--- a/proctest/quarantine_test.go
+++ b/proctest/quarantine_test.go
@@ -81,6 +81,21 @@
 	return parts, requests
 }
 
+// awaitBlocked waits until all gateways block requests that crash replicas, and until the group has formed again.
+func (f *poisonedFleet) awaitBlocked(send func(g *Gateway) *attempt) {
+	f.t.Helper()
+	Eventually(f.t, "all gateways block the requests", func() bool {
+		for _, g := range f.Gateways {
+			if a := send(g); !strings.Contains(a.body, "quarantined") {
+				return false
+			}
+		}
+		return true
+	})
+	const formTime = 2 * time.Second
+	time.Sleep(formTime)
+}
+
 // requireContained sends requests that crash replicas to all gateways, and requires that they reach none and that one
 // replica has crashed.
 func (f *poisonedFleet) requireContained(send func(g *Gateway) *attempt) {
@@ -125,15 +140,7 @@
 	f := newPoisonedFleet(t)
 	f.requireServing()
 	require.NotEqual(t, http.StatusOK, f.sendDeadlyRequest(f.Gateways[1]).status)
-	Eventually(t, "all gateways block the request", func() bool {
-		for _, g := range f.Gateways {
-			if a := f.sendDeadlyRequest(g); !strings.Contains(a.body, "quarantined") {
-				return false
-			}
-		}
-		return true
-	})
-	time.Sleep(2 * time.Second) // The group forms again.
+	f.awaitBlocked(f.sendDeadlyRequest)
 	f.requireContained(f.sendDeadlyRequest)
 }
 
@@ -144,14 +151,6 @@
 	f.requireServing()
 	putJSON(t, f.StoreURL+"/standin/faults", kvserver.Faults{Down: true})
 	require.NotEqual(t, http.StatusOK, f.sendPoisoned(f.Gateways[2]).status)
-	Eventually(t, "all gateways block the part", func() bool {
-		for _, g := range f.Gateways {
-			if a := f.sendPoisoned(g); !strings.Contains(a.body, "quarantined") {
-				return false
-			}
-		}
-		return true
-	})
-	time.Sleep(2 * time.Second) // The group forms again.
+	f.awaitBlocked(f.sendPoisoned)
 	f.requireContained(f.sendPoisoned)
 }
