Keep requests from the servers of evacuated failure domains

Cause: nothing read the operator's records op/evacuate/DOMAIN, so requests went on to the servers of an evacuated domain.

Change: gateways decode the records from the mirror of op/ before the configuration, so that one that cannot be decoded does not stop an evacuation. Fleet and backends share one set of evacuated domains; a server in it is not chosen, gets no request that was assigned but not sent, adds no slots to its group and is no alternative for moved streams. A service whose servers are all evacuated refuses with 503, reason "evacuated". After a restore of the store a missing record counts for 3 s more. Metric, log lines and dump show the evacuated domains. The stand-in of the store can restore without writing the operator's keys again (Except), as the operator takes up to 3 s.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -64,6 +64,8 @@
 	suspects *mirror.Mirror
 	sharing  *quarantine.Sharing
 	peers    *mirror.Peers
+	// evacuations applies the evacuation records to the fleet.
+	evacuations *evacuationFollower
 	// presence lists the gateways that share the servers and the retry budget.
 	presence     *presence.Presence
 	retryBudgets retryBudgets
@@ -114,6 +116,7 @@
 	}
 	dialect := platform.Dialect{}
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
+	g.evacuations = &evacuationFollower{gateway: g}
 	store := platform.NewStore(s.Store, observeCall)
 	suspected := quarantine.New()
 	g.sharing = quarantine.NewSharing(quarantine.SharingOptions{
@@ -138,6 +141,10 @@
 			Name: "lavendermoor.gateway.quarantined_parts", Description: "Parts of prompts that are kept from servers.",
 			Value: suspected.CountBlocked,
 		},
+		{
+			Name: "lavendermoor.gateway.evacuated_domains", Description: "Failure domains whose servers get no requests.",
+			Value: func() int64 { return int64(len(g.fleet.Evacuated())) },
+		},
 	})
 	g.admin = obs.Admin(func() any { return g.srv.Dump() }, g.ready)
 	return g, err
@@ -168,7 +175,7 @@
 		group.Go(func() error { g.suspects.Run(serving); return nil })
 		group.Go(func() error { g.sharing.Run(serving); return nil })
 		group.Go(func() error { g.srv.RunHousekeeping(serving); return nil })
-		group.Go(func() error { g.removeExpiredServers(serving); return nil })
+		group.Go(func() error { g.removeExpired(serving); return nil })
 		group.Go(func() error { g.presence.Run(serving); return nil })
 		group.Go(func() error { g.followPresence(serving); return nil })
 		group.Go(func() error { g.pollGroups(serving); return nil })
--- a/cmd/internal/gatewayd/mirrors.go
+++ b/cmd/internal/gatewayd/mirrors.go
@@ -36,6 +36,7 @@
 }
 
 func (g *gateway) onConfigChange(s *mirror.Snapshot) {
+	g.evacuations.update(platform.DecodeEvacuations(s.Entries), s.At, time.Now())
 	c, err := platform.DecodeCatalog(s.Entries)
 	if err != nil {
 		g.log.Warn("configuration not applied", zap.Int64("era", s.At.Era), zap.Int64("revision", s.At.Revision), zap.Error(err))
@@ -66,9 +67,9 @@
 	}
 }
 
-// removeExpiredServers removes servers whose entries have not reappeared after an outage. It returns when the context
-// ends.
-func (g *gateway) removeExpiredServers(ctx context.Context) {
+// removeExpired removes servers and evacuations whose entries have not reappeared after an outage or a restore. It
+// returns when the context ends.
+func (g *gateway) removeExpired(ctx context.Context) {
 	const interval = 100 * time.Millisecond
 	for {
 		process.Sleep(ctx, interval)
@@ -76,5 +77,6 @@
 			return
 		}
 		g.logServerChanges(g.fleet.RemoveExpired(time.Now()))
+		g.evacuations.expire(time.Now())
 	}
 }
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -57,6 +57,8 @@
 // Backend is the state of one listed server. Its methods are safe for concurrent use.
 type Backend struct {
 	Pool *exchange.Pool
+	// evacuations are those of the fleet.
+	evacuations *evacuations
 
 	mu     sync.Mutex
 	server catalog.Server
@@ -95,8 +97,8 @@
 	leaving    bool
 }
 
-func newBackend(s catalog.Server, dialect exchange.Dialect) *Backend {
-	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s}
+func newBackend(s catalog.Server, dialect exchange.Dialect, e *evacuations) *Backend {
+	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s, evacuations: e}
 }
 
 // Server returns the server's latest entry in the list.
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -14,6 +14,8 @@
 type Fleet struct {
 	dialect exchange.Dialect
 	domain  string
+	// evacuations is shared with the backends.
+	evacuations *evacuations
 	// updates serializes the changes of the list.
 	updates sync.Mutex
 	current atomic.Pointer[snapshot]
@@ -44,7 +46,10 @@
 
 // NewFleet returns a fleet without backends for a process in the given failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
-	f := &Fleet{dialect: dialect, domain: domain, former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{}}
+	f := &Fleet{
+		dialect: dialect, domain: domain, evacuations: newEvacuations(),
+		former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{},
+	}
 	f.current.Store(newSnapshot())
 	return f
 }
@@ -198,7 +203,7 @@
 func (f *Fleet) SetPaces(service string, paces map[string]float64) []catalog.Server {
 	backends := f.Backends(service)
 	hasAlternative := slices.ContainsFunc(backends, func(b *Backend) bool {
-		return paces[b.Pool.Address()] < minMovePace && !b.IsLeaving()
+		return paces[b.Pool.Address()] < minMovePace && b.IsUsable()
 	})
 	var changed []catalog.Server
 	for _, b := range backends {
@@ -236,14 +241,3 @@
 	}
 	return out
 }
-
-// CountNotLeaving counts the servers of a service that are not leaving. Suspended servers are included.
-func (f *Fleet) CountNotLeaving(service string) int {
-	n := 0
-	for _, b := range f.Backends(service) {
-		if !b.IsLeaving() {
-			n++
-		}
-	}
-	return n
-}
--- a/gateway/balance/group.go
+++ b/gateway/balance/group.go
@@ -112,30 +112,36 @@
 type GroupInfo struct {
 	// Name is empty for the servers whose group is unknown.
 	Name string
-	// Slots is the sum of the slots of the servers that are not leaving.
-	Slots   int
+	// Slots is the sum of the slots of the servers that are neither leaving nor in an evacuated failure domain.
+	Slots int
+	// Serving is false also if all servers that are not leaving are in evacuated failure domains.
 	Serving bool
 }
 
+// groupCount counts the servers of a group while GroupInfo is built.
+type groupCount struct {
+	GroupInfo
+	evacuated, usable int
+}
+
 // Groups returns the groups of a service sorted by name.
 func (f *Fleet) Groups(service string, now time.Time) []GroupInfo {
-	byName := map[string]*GroupInfo{}
+	byName := map[string]*groupCount{}
 	for _, b := range f.Backends(service) {
 		s, group := b.serverAndGroup()
-		info := GroupInfo{Serving: true}
+		info := groupCount{GroupInfo: GroupInfo{Serving: true}}
 		if group != nil {
-			info = GroupInfo{Name: group.Name, Serving: group.Serving(now)}
+			info.GroupInfo = GroupInfo{Name: group.Name, Serving: group.Serving(now)}
 		}
 		if byName[info.Name] == nil {
 			byName[info.Name] = &info
 		}
-		if !b.IsLeaving() {
-			byName[info.Name].Slots += s.Slots
-		}
+		byName[info.Name].count(b, s.Slots)
 	}
 	out := make([]GroupInfo, 0, len(byName))
 	for _, info := range byName {
-		out = append(out, *info)
+		info.Serving = info.Serving && (info.usable > 0 || info.evacuated == 0)
+		out = append(out, info.GroupInfo)
 	}
 	slices.SortFunc(out, func(a, b GroupInfo) int {
 		if a.Name < b.Name {
@@ -146,6 +152,17 @@
 	return out
 }
 
+// count adds a server to the group.
+func (i *groupCount) count(b *Backend, slots int) {
+	switch {
+	case b.IsUsable():
+		i.usable++
+		i.Slots += slots
+	case !b.IsLeaving():
+		i.evacuated++
+	}
+}
+
 // GroupChange is the effect of a report.
 type GroupChange struct {
 	// ServingChanged is set when the group has started or stopped serving.
--- a/gateway/balance/incarnation.go
+++ b/gateway/balance/incarnation.go
@@ -52,7 +52,7 @@
 // addBackend returns the backend of a newly listed server. What the server reported about itself in the same
 // incarnation still applies.
 func (f *Fleet) addBackend(s catalog.Server) *Backend {
-	b := newBackend(s, f.dialect)
+	b := newBackend(s, f.dialect, f.evacuations)
 	key := s.Incarnation()
 	if former, ok := f.former[key]; ok && key.StartedMs != 0 {
 		b.leaving, b.suspension = former.leaving, former.suspension
--- a/gateway/balance/leaving.go
+++ b/gateway/balance/leaving.go
@@ -48,5 +48,5 @@
 func (b *Backend) Accepts(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.isLeaving() && !b.suspension.active(now)
+	return b.isUsable() && !b.suspension.active(now)
 }
--- a/gateway/balance/status.go
+++ b/gateway/balance/status.go
@@ -4,7 +4,7 @@
 
 // status is a snapshot of the properties of a backend on which a choice depends.
 type status struct {
-	// available is false for servers that are leaving or suspended, and while a probe is in progress after a
+	// available is false for servers that are leaving, evacuated or suspended, and while a probe is in progress after a
 	// suspension.
 	available bool
 	// refusing servers refuse every request.
@@ -32,7 +32,7 @@
 		group, serving = b.group.Name, b.group.Serving(now)
 	}
 	return status{
-		available:    !b.isLeaving() && !b.suspension.blocks(now),
+		available:    b.isUsable() && !b.suspension.blocks(now),
 		refusing:     backingOff && b.refusals >= refusingAfter,
 		group:        group,
 		groupServing: serving,
@@ -62,6 +62,7 @@
 	Refusals    int     `json:"refusals"`
 	Leaving     bool    `json:"leaving"`
 	SuspendedMs int64   `json:"held_ms"`
+	Evacuated   bool    `json:"evacuated,omitempty"`
 	Idle        int     `json:"idle_connections"`
 }
 
@@ -88,6 +89,7 @@
 		Refusals:    b.refusals,
 		Leaving:     b.leaving,
 		SuspendedMs: max(b.suspension.until.Sub(now), 0).Milliseconds(),
+		Evacuated:   b.isEvacuated(),
 		Idle:        b.Pool.Idle(),
 	}
 }
--- a/gateway/balance/suspension.go
+++ b/gateway/balance/suspension.go
@@ -70,7 +70,7 @@
 func (b *Backend) suspendedFor(now time.Time) (remaining time.Duration, inUse bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(b.suspension.until.Sub(now), 0), !b.isLeaving()
+	return max(b.suspension.until.Sub(now), 0), b.isUsable()
 }
 
 // SuspendedFor returns the time until the first server of a service accepts requests again, 0 unless all of them are
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -11,11 +11,14 @@
 )
 
 // admit acquires a permit for a stream if its service has model engines. Other requests need no permit. Requests to a
-// service whose servers are all suspended, and prompts with a quarantined part, are refused immediately.
+// service whose servers are all evacuated or suspended, and prompts with a quarantined part, are refused immediately.
 func (c *call) admit(ctx context.Context) *Failure {
 	if f := c.checkQuarantine(); f != nil {
 		return f
 	}
+	if c.server.opts.Fleet.IsEvacuated(c.service) {
+		return c.evacuationFailure("all servers of the service are in evacuated failure domains")
+	}
 	if suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now()); suspended > 0 {
 		return c.suspensionFailure(suspended, "no server of the service takes requests at present")
 	}
@@ -97,6 +100,9 @@
 	if !errors.As(err, &refused) {
 		return c.contextFailure(false)
 	}
+	if c.server.opts.Fleet.IsEvacuated(c.service) {
+		return c.evacuationFailure(refused.Error())
+	}
 	f := &Failure{
 		Status: http.StatusServiceUnavailable, Reason: reasonOverloaded, Detail: refused.Error(),
 		RetryAfter: c.retryAfter(refused.EstimatedWait),
@@ -107,6 +113,15 @@
 	return f
 }
 
+// evacuationFailure returns the failure of a request to a service whose servers are all in evacuated failure domains.
+// The time at which the operator takes a domain back is unknown.
+func (c *call) evacuationFailure(detail string) *Failure {
+	return &Failure{
+		Status: http.StatusServiceUnavailable, Reason: reasonEvacuated, Detail: detail,
+		RetryAfter: c.lateRetryAfter(noServerRetryAfter),
+	}
+}
+
 // groupFormTime returns the minimum time until a group of the service that does not serve can serve again.
 func (c *call) groupFormTime() time.Duration {
 	if s := c.catalog.Service(c.service); s != nil && s.Engine != nil && s.Engine.FormTime > 0 {
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -82,20 +82,20 @@
 		return func() {}
 	}
 	return b.OnDegraded(func() {
-		if !c.positionUnknown.Load() && c.canMove() && c.server.budget(c.service).TryRetry(time.Now()) {
+		if !c.positionUnknown.Load() && c.canMove(b) && c.server.budget(c.service).TryRetry(time.Now()) {
 			c.moved.Store(true)
 			cancel(movedError{})
 		}
 	})
 }
 
-// canMove reports whether another server could serve a stream whose server is slow or silent. While its whole group is
+// canMove reports whether another server could serve a stream whose server b is slow or silent. While its whole group is
 // stalled or does not serve, that must be a server of another group.
-func (c *call) canMove() bool {
+func (c *call) canMove(b *balance.Backend) bool {
 	if c.permit != nil && (c.permit.GroupStalled() || c.permit.GroupNotServing()) {
 		return c.permit.OtherGroupUsable()
 	}
-	return c.server.opts.Fleet.CountNotLeaving(c.service) > 1
+	return c.server.opts.Fleet.HasAlternative(c.service, b)
 }
 
 // attemptResult is the result of one attempt.
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -29,6 +29,7 @@
 	reasonNoServer        = "no_server"
 	reasonNoGroup         = "no_group"
 	reasonServersRefusing = "servers_refusing"
+	reasonEvacuated       = "evacuated"
 	reasonRefusedByServer = "refused_by_server"
 	reasonQuarantined     = "quarantined"
 	reasonDeadlinePassed  = "deadline_passed"
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -155,6 +155,8 @@
 	var notServing *GroupNotServingError
 	suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now())
 	switch {
+	case c.server.opts.Fleet.IsEvacuated(c.service) && !c.mayHaveExecuted():
+		return c.evacuationFailure(detail)
 	case errors.As(cause, &notServing) && !c.mayHaveExecuted():
 		return &Failure{
 			Status: http.StatusServiceUnavailable, Reason: reasonNoGroup, Detail: detail,
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -251,6 +251,8 @@
 	InFlight int64                 `json:"active"`
 	Queues   map[string]limit.Dump `json:"queues"`
 	Backends []balance.Dump        `json:"backends"`
+	// Evacuated lists the evacuated failure domains.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Quarantine lists the suspected parts of prompts.
 	Quarantine []quarantine.Dump `json:"quarantine,omitempty"`
 }
@@ -267,6 +269,7 @@
 	}
 	s.mu.Unlock()
 	now := time.Now()
+	d.Evacuated = s.opts.Fleet.Evacuated()
 	d.Quarantine = s.opts.Quarantine.Dump(now)
 	for _, b := range s.opts.Fleet.All() {
 		d.Backends = append(d.Backends, b.Dump(now))
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -41,7 +41,7 @@
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.outcome, a.detail = balance.Failed, "status "+strconv.Itoa(resp.StatusCode)
-		if c.shouldRetryFailure() {
+		if c.shouldRetryFailure(a.backend) {
 			return false
 		}
 	}
@@ -79,10 +79,10 @@
 	return long.Bytes(), err == nil && long.Len() < maxBuffered, release, err
 }
 
-// shouldRetryFailure reports whether another attempt is worthwhile after a server error.
-func (c *call) shouldRetryFailure() bool {
+// shouldRetryFailure reports whether another attempt is worthwhile after an error of the server b.
+func (c *call) shouldRetryFailure(b *balance.Backend) bool {
 	return c.route.Retryable() && c.sentAttempts()+1 < c.route.MaxAttempts &&
-		c.server.opts.Fleet.CountNotLeaving(c.service) > 1 && time.Until(c.deadline) > minRetryTime
+		c.server.opts.Fleet.HasAlternative(c.service, b) && time.Until(c.deadline) > minRetryTime
 }
 
 // minRetryTime is the remaining time below which another attempt is not worth its cost.
--- a/proctest/fleet_platform_test.go
+++ b/proctest/fleet_platform_test.go
@@ -48,7 +48,7 @@
 	require.Empty(t, f.GroupCounts().Violations)
 }
 
-// postStore runs the action "backup" or "restore" of the store's stand-in.
+// postStore runs an action, such as "backup" or "restore", of the store's stand-in.
 func (f *Fleet) postStore(action string) {
 	status, _, body := Do(f.t, http.MethodPost, f.StoreURL+"/standin/"+action, nil, nil)
 	require.Equal(f.t, http.StatusOK, status, "%s", body)
--- a/standin/kvserver/platform.go
+++ b/standin/kvserver/platform.go
@@ -40,8 +40,8 @@
 }
 
 // PlatformHandler serves the API of the store of the users' platform, on the same state as Handler. It also serves GET
-// and PUT /standin/faults, POST /standin/forget (Compact), /standin/backup and /standin/restore, and PUT and DELETE
-// /standin/key?Key=K, with which tests write the keys of the operator and of replicas.
+// and PUT /standin/faults, POST /standin/forget (Compact), /standin/backup and /standin/restore?Except=PREFIX, and PUT and
+// DELETE /standin/key?Key=K, with which tests write the keys of the operator and of replicas.
 func (s *Server) PlatformHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/kv-key", s.platformGet).Methods(http.MethodGet)
@@ -54,7 +54,9 @@
 	r.HandleFunc("/standin/faults", faultapi.Handler(s.Faults, s.SetFaults)).Methods(http.MethodGet, http.MethodPut)
 	r.HandleFunc("/standin/forget", func(http.ResponseWriter, *http.Request) { s.Compact() }).Methods(http.MethodPost)
 	r.HandleFunc("/standin/backup", func(http.ResponseWriter, *http.Request) { s.Backup() }).Methods(http.MethodPost)
-	r.HandleFunc("/standin/restore", func(http.ResponseWriter, *http.Request) { s.Restore() }).Methods(http.MethodPost)
+	r.HandleFunc("/standin/restore", func(_ http.ResponseWriter, r *http.Request) {
+		s.RestoreExcept(r.URL.Query().Get("Except"))
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/standin/key", s.platformWriteKey).Methods(http.MethodPut, http.MethodDelete)
 	return r
 }
--- a/standin/kvserver/restore.go
+++ b/standin/kvserver/restore.go
@@ -48,7 +48,10 @@
 // Restore restores the last backup, if there is one, and starts the next era. Writes and leases since the backup are
 // lost, and their revisions are reused. Restore then writes the operator's latest values again, as the operator would
 // do. Replicas register again without help.
-func (s *Server) Restore() {
+func (s *Server) Restore() { s.RestoreExcept("") }
+
+// RestoreExcept is Restore, but the operator's keys under a prefix are not written again. An empty prefix means none.
+func (s *Server) RestoreExcept(prefix string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backup
@@ -60,7 +63,7 @@
 	s.revision, s.compacted, s.nextID = b.revision, b.compacted, b.nextID
 	s.records, s.history, s.leases = maps.Clone(b.records), slices.Clone(b.history), copyLeases(b.leases)
 	for key, r := range before {
-		if strings.HasPrefix(key, "op/") {
+		if strings.HasPrefix(key, "op/") && (prefix == "" || !strings.HasPrefix(key, prefix)) {
 			s.revision++
 			s.put(&kv.WirePut{Key: []byte(key), Value: r.value})
 		}
