Admit streams by priority while capacity is short

Cause: the queue ordered streams by the time left for their objective and counted all waiting streams as ahead of each of them.

A waiting, less urgent stream that is displaced is refused when the more urgent one arrives. Retry-After is late enough for the retry to be recognized. Customer.Priority overrides Route.Priority. Streams are counted by priority, and the log line has it. While only one priority arrives, the order stays as it was.

--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -29,10 +29,27 @@
 	if err != nil {
 		return c.admissionFailure(err)
 	}
-	c.permit = permit
+	c.permit, c.admission = permit, admitted
 	return nil
 }
 
+// admission is the result of a stream's request for a permit.
+type admission uint8
+
+const (
+	notAsked admission = iota
+	admitted
+	refused
+)
+
+// priority returns the priority of the request: that of its customer, or that of the route if the customer has none.
+func (c *call) priority() int {
+	if c.customer != nil && c.customer.Priority != nil {
+		return *c.customer.Priority
+	}
+	return c.route.Priority
+}
+
 const (
 	// silenceTimeout is the time without events, the time to the first one included, after which callers abandon a
 	// stream. If silenceObjectives times the route's objective or silenceGaps times its target gap is longer, the
@@ -56,6 +73,7 @@
 	elapsed := c.elapsedBefore()
 	opts := limit.AcquireOptions{
 		MaxOnTimeWait: c.route.Objective - elapsed - firstEvent, TargetGap: c.route.TargetGap, IsRetry: elapsed > 0,
+		Priority: c.priority(),
 	}
 	opts.MaxWait = remaining - time.Duration(durationMargin*float64(q.StreamDuration()))
 	if !opts.IsRetry {
@@ -93,16 +111,20 @@
 }
 
 func (c *call) admissionFailure(err error) *Failure {
-	var refused *limit.RefusedError
-	if !errors.As(err, &refused) {
+	var refusal *limit.RefusedError
+	if !errors.As(err, &refusal) {
 		return c.contextFailure(false)
 	}
+	c.admission = refused
 	f := &Failure{
-		Status: http.StatusServiceUnavailable, Reason: reasonOverloaded, Detail: refused.Error(),
-		RetryAfter: c.retryAfter(refused.EstimatedWait),
+		Status: http.StatusServiceUnavailable, Reason: reasonOverloaded, Detail: refusal.Error(),
+		RetryAfter: c.retryAfter(refusal.EstimatedWait),
 	}
-	if refused.NoGroup {
+	switch {
+	case refusal.NoGroup:
 		f.Reason, f.RetryAfter = reasonNoGroup, c.lateRetryAfter(c.groupFormTime())
+	case refusal.ByPriority:
+		f.RetryAfter = c.recognizableRetryAfter(refusal.EstimatedWait)
 	}
 	return f
 }
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -201,15 +201,12 @@
 func (c *call) newRequest(server string) *exchange.Request {
 	h := c.r.Header.Clone()
 	exchange.RemoveHopByHopHeaders(h)
-	priority := c.route.Priority
+	priority := c.priority()
 	attempt := exchange.Attempt{
 		Server: server, Remaining: time.Until(c.deadline), Priority: &priority, LastEventID: c.lastEventID,
 	}
 	if c.customer != nil {
 		attempt.Customer = c.customer.Name
-		if c.customer.Priority != nil {
-			priority = *c.customer.Priority
-		}
 	}
 	c.server.opts.Dialect.SetAttemptHeaders(h, attempt)
 	return &exchange.Request{
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -33,9 +33,11 @@
 	service  string
 	customer *catalog.Customer
 	// permit is the permit of a stream in a group of model engines, nil for other requests.
-	permit  *limit.Permit
-	body    []byte
-	hasBody bool
+	permit *limit.Permit
+	// admission is the result of the request for the permit.
+	admission admission
+	body      []byte
+	hasBody   bool
 	// parts are the shared parts of the prompt and the whole request, by which the quarantine knows the request.
 	parts    []string
 	deadline time.Time
@@ -218,6 +220,20 @@
 	return earliest + time.Duration(c.server.opts.Random()*float64(latest-earliest))
 }
 
+// recognizableRetryAfter is retryAfter for a stream that competes with others of other priorities. The caller returns
+// late enough to be recognized as one that retries (see elapsedBefore), because retries go before new requests.
+func (c *call) recognizableRetryAfter(wait time.Duration) time.Duration {
+	if !c.meta.HasTimeout {
+		return c.retryAfter(wait)
+	}
+	longest := c.server.longestTimeout(c.route.Name, c.meta.Timeout)
+	earliest := time.Until(c.deadline) - time.Duration(firstAttemptFraction*float64(longest)) + recognitionMargin
+	return c.retryAfter(max(wait, earliest))
+}
+
+// recognitionMargin is added to the earliest time at which a retry is recognized. Callers round their timeouts.
+const recognitionMargin = 50 * time.Millisecond
+
 // lateRetryAfterFraction is the start of the range of lateRetryAfter as a fraction of the latest Retry-After.
 const lateRetryAfterFraction = 0.8
 
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -20,6 +20,8 @@
 	firstEvent metric.Float64Histogram
 	longestGap metric.Float64Histogram
 	queueTime  metric.Float64Histogram
+	// admitted and refused count streams by priority.
+	admitted, refused metric.Int64Counter
 }
 
 // NewMetrics creates the instruments on a meter.
@@ -36,6 +38,16 @@
 	if err != nil {
 		return nil, err
 	}
+	out.admitted, err = m.Int64Counter("lavendermoor.gateway.admitted", metric.WithUnit("{stream}"),
+		metric.WithDescription("Streams that got a place at a group, by priority."))
+	if err != nil {
+		return nil, err
+	}
+	out.refused, err = m.Int64Counter("lavendermoor.gateway.refused", metric.WithUnit("{stream}"),
+		metric.WithDescription("Streams that were refused because no place was expected in time, by priority."))
+	if err != nil {
+		return nil, err
+	}
 	for _, h := range []struct {
 		instrument        *metric.Float64Histogram
 		name, description string
@@ -69,7 +81,7 @@
 		zap.String("content", c.contentID()),
 	}
 	if c.route != nil {
-		fields = append(fields, zap.String("route", c.route.Name))
+		fields = append(fields, zap.String("route", c.route.Name), zap.Int("priority", c.priority()))
 		if c.route.Kind == catalog.Stream {
 			limit, inFlight, waiting := s.queue(c.service).Totals()
 			fields = append(fields,
@@ -144,6 +156,13 @@
 	if c.route == nil || c.route.Kind != catalog.Stream {
 		return
 	}
+	byPriority := metric.WithAttributes(attribute.Int("priority", c.priority()))
+	switch c.admission {
+	case admitted:
+		m.admitted.Add(ctx, 1, byPriority)
+	case refused:
+		m.refused.Add(ctx, 1, byPriority)
+	}
 	m.queueTime.Record(ctx, c.queueTime.Seconds())
 	if c.eventCount > 0 {
 		m.firstEvent.Record(ctx, c.firstEventLatency.Seconds())
--- /dev/null
+++ b/gateway/limit/competing.go
@@ -0,0 +1,50 @@
+package limit
+
+import "time"
+
+// refusalByPriority returns the reason why a request must not wait among requests of other priorities, nil if it may.
+// A retry always may, because its caller does not return.
+func (q *Queue) refusalByPriority(w *waiter, opts AcquireOptions, err *RefusedError, now time.Time) *RefusedError {
+	supply := q.supply(w.excluded)
+	wait, _ := q.precedence.wait(w, q.waiting, supply, now)
+	if w.isRetry || (opts.MaxOnTimeWait > 0 && wait <= opts.MaxOnTimeWait) {
+		return nil
+	}
+	late := *w
+	late.lateOnArrival = true
+	wait, ahead := q.precedence.wait(&late, q.waiting, supply, now)
+	if wait <= opts.MaxWait {
+		return nil
+	}
+	err.ByPriority, err.EstimatedWait, err.Ahead = true, wait, ahead
+	return err
+}
+
+// refuseUnservable refuses the waiting requests that more urgent ones have displaced so far that they are not expected
+// to be served in time. Their callers can still return, which they cannot after waiting in vain.
+func (q *Queue) refuseUnservable(now time.Time) {
+	if len(q.waiting) == 0 || !q.precedence.applies(now) || q.noGroupUsable() {
+		return
+	}
+	for _, u := range q.precedence.unservable(q.waiting, q.supply(""), now) {
+		q.remove(u.waiter)
+		err := q.refusedError("", u.ahead, now.Sub(u.waiter.arrived))
+		err.ByPriority, err.EstimatedWait = true, u.wait
+		u.waiter.refusal = err
+		u.waiter.admitted <- nil
+	}
+}
+
+// supply returns the permits that become free in all usable groups except for the excluded one.
+func (q *Queue) supply(excluded string) permitSupply {
+	var s permitSupply
+	free := 0
+	for _, g := range q.groups {
+		if g.usable(excluded) {
+			s.rate += g.limiter.releaseRate()
+			free += g.limiter.Limit() - g.limiter.InFlight()
+		}
+	}
+	s.excess = max(-free, 0)
+	return s
+}
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -17,6 +17,8 @@
 	Limit, InFlight, Ahead int
 	// NoGroup is set when no group is usable.
 	NoGroup bool
+	// ByPriority is set when the request competes with requests of other priorities.
+	ByPriority bool
 	// EstimatedWait is the estimated time until a permit becomes free for the request, 0 if no group is usable.
 	EstimatedWait time.Duration
 	// Waited is how long the request was queued.
@@ -37,6 +39,8 @@
 	mu      sync.Mutex
 	groups  map[string]*group
 	waiting []*waiter
+	// precedence orders the waiting requests while there are requests of several priorities.
+	precedence precedence
 	// recoveryEnds is the end of the recovery after the last time at which no group served.
 	recoveryEnds time.Time
 }
@@ -69,6 +73,9 @@
 func (q *Queue) acquire(ctx context.Context, opts AcquireOptions, excluded string) (*Permit, error) {
 	now := time.Now()
 	q.mu.Lock()
+	if !opts.isMove {
+		q.precedence.observeArrival(opts.Priority, now)
+	}
 	if len(q.waiting) == 0 || opts.isMove {
 		if g := q.leastUtilized(excluded, now); g != nil {
 			g.admit(opts.TargetGap, opts.MaxOnTimeWait <= 0, now)
@@ -76,14 +83,15 @@
 			return q.newPermit(g), nil
 		}
 	}
-	if err := q.refusal(opts, excluded, now); err != nil {
+	w := newWaiter(opts, now)
+	w.excluded = excluded
+	if err := q.refusal(w, opts, now); err != nil {
 		q.mu.Unlock()
 		return nil, merry.Wrap(err)
 	}
-	w := newWaiter(opts, now)
-	w.excluded = excluded
 	q.waiting = append(q.waiting, w)
 	q.admitWaiting(now)
+	q.refuseUnservable(now)
 	q.mu.Unlock()
 	return q.wait(ctx, w, max(opts.MaxWait, opts.MaxOnTimeWait))
 }
@@ -117,7 +125,8 @@
 }
 
 // refusal returns the reason why a request must not wait, nil if it may.
-func (q *Queue) refusal(opts AcquireOptions, excluded string, now time.Time) *RefusedError {
+func (q *Queue) refusal(w *waiter, opts AcquireOptions, now time.Time) *RefusedError {
+	excluded := w.excluded
 	err := q.refusedError(excluded, len(q.waiting), 0)
 	switch {
 	case opts.MaxWait <= 0 && opts.MaxOnTimeWait <= 0:
@@ -128,6 +137,8 @@
 		return err
 	case opts.isMove: // A stream that moves gets a permit before all new streams.
 		return nil
+	case q.precedence.applies(now):
+		return q.refusalByPriority(w, opts, err, now)
 	case opts.MaxOnTimeWait > 0 && q.estimateWait(q.countOnTime(now), excluded) <= opts.MaxOnTimeWait:
 		return nil
 	case err.EstimatedWait <= opts.MaxWait:
@@ -200,12 +211,16 @@
 	if ctx.Err() != nil {
 		return nil, merry.Wrap(context.Cause(ctx))
 	}
-	return nil, merry.Wrap(q.refusedError(w.excluded, ahead, maxWait))
+	err := q.refusedError(w.excluded, ahead, maxWait)
+	err.ByPriority = q.precedence.applies(time.Now())
+	return nil, merry.Wrap(err)
 }
 
-// permitFor returns the permit of a request that waited. A nil group means that no group is usable any more; the
-// request is then refused.
+// permitFor returns the permit of a request that waited. A nil group means that the request is refused.
 func (q *Queue) permitFor(w *waiter, g *group) (*Permit, error) {
+	if w.refusal != nil {
+		return nil, merry.Wrap(w.refusal)
+	}
 	if g == nil {
 		return nil, merry.Wrap(&RefusedError{NoGroup: true, Waited: time.Since(w.arrived)})
 	}
@@ -267,12 +282,13 @@
 // admitOne admits one waiting request and reports whether it could.
 func (q *Queue) admitOne(now time.Time) bool {
 	for _, g := range q.withCapacity(now) {
-		i := nextWaiter(q.waiting, g.name, now)
+		i := q.nextWaiter(g.name, now)
 		if i < 0 {
 			continue
 		}
 		w := q.waiting[i]
 		q.remove(w)
+		q.precedence.observeAdmission(w, q.waiting, now)
 		g.admit(w.targetGap, w.isLate(now), now)
 		w.admitted <- g
 		return true
@@ -280,6 +296,14 @@
 	return false
 }
 
+// nextWaiter returns the index of the request that gets the next permit in a group, -1 if there is none.
+func (q *Queue) nextWaiter(group string, now time.Time) int {
+	if q.precedence.applies(now) {
+		return q.precedence.next(q.waiting, group, now)
+	}
+	return nextWaiter(q.waiting, group, now)
+}
+
 // Release ends the stream and frees the permit.
 func (p *Permit) Release() {
 	q := p.queue
--- a/gateway/limit/waiter.go
+++ b/gateway/limit/waiter.go
@@ -15,6 +15,8 @@
 	TargetGap time.Duration
 	// IsRetry is set when the caller was refused before and retries.
 	IsRetry bool
+	// Priority is the priority of the request, 0 to 9; 0 is the most urgent.
+	Priority int
 	// isMove is set when the stream has started in another group, and its caller waits for the next event.
 	isMove bool
 }
@@ -25,7 +27,7 @@
 
 // waiter is a request that waits for a permit.
 type waiter struct {
-	// admitted receives the group of the permit, or nil if the request is refused because no group is usable any more.
+	// admitted receives the group of the permit, or nil if the request is refused.
 	admitted chan *group
 	// onTimeUntil is the time until which the request has precedence over late ones, zero for a request that is late on
 	// arrival and no retry.
@@ -37,8 +39,13 @@
 	// excluded is a group in which the request must not run, empty for none.
 	excluded  string
 	targetGap time.Duration
-	// isRetry and isMove are as in AcquireOptions.
+	// isRetry, isMove and priority are as in AcquireOptions.
 	isRetry, isMove bool
+	priority        int
+	// waitsUntil is the time until which the request may wait.
+	waitsUntil time.Time
+	// refusal is why a request was refused while it waited, nil if no group was usable.
+	refusal *RefusedError
 	// done is set once the request has left the queue.
 	done bool
 }
@@ -47,7 +54,8 @@
 func newWaiter(opts AcquireOptions, now time.Time) *waiter {
 	w := &waiter{
 		admitted: make(chan *group, 1), lateOnArrival: opts.MaxOnTimeWait <= 0, arrived: now, targetGap: opts.TargetGap,
-		isRetry: opts.IsRetry, isMove: opts.isMove,
+		isRetry: opts.IsRetry, isMove: opts.isMove, priority: clampPriority(opts.Priority),
+		waitsUntil: now.Add(max(opts.MaxWait, opts.MaxOnTimeWait)),
 	}
 	switch {
 	case opts.MaxOnTimeWait > 0:
