--- a/expertmap/improve_bounded_test.go
+++ b/expertmap/improve_bounded_test.go
@@ -44,6 +44,78 @@
 	})
 }
 
+// Guards against a continued search whose plan exceeds the raised limit of transfers per rank, or is worse than the one
+// before. Load: the popularity of experts shifts in all layers.
+func TestContinuedSearchKeepsTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Shape{Ranks: rapid.IntRange(2, 8).Draw(t, "ranks"), Layers: 3, Slots: 4, Experts: 8}
+		load := skewedLoad(s, rapid.Uint64().Draw(t, "seed"), 1.5)
+		start, err := Balanced(1, skewedLoad(s, 7, 1), evenSpeeds(s.Ranks))
+		require.NoError(t, err)
+		search, err := NewBoundedSearch(start, load, evenSpeeds(s.Ranks), TransferBounds{PerLayer: 2, PerRank: 1})
+		require.NoError(t, err)
+		after := PredictStepTiming(start, load, evenSpeeds(s.Ranks)).Step
+		for limit := 1; limit <= 4; limit++ {
+			plan, err := search.Improve()
+			require.NoError(t, err)
+			require.LessOrEqual(t, plan.After, after+1e-12)
+			after = plan.After
+			if plan.Map != nil {
+				for _, transfers := range TransfersPerRank(start, plan.Map) {
+					require.LessOrEqual(t, transfers, limit)
+				}
+			}
+			search.RaisePerRank(1)
+		}
+	})
+}
+
+// Guards against bounds that exclude the best change: the search skips most ranks and slots after a shift of demand.
+func TestSearchExcludesNoBetterChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Shape{Ranks: rapid.IntRange(2, 12).Draw(t, "ranks"), Layers: 1, Slots: 4}
+		s.Experts = rapid.IntRange(s.Slots, s.Ranks*s.Slots).Draw(t, "experts")
+		load := skewedLoad(s, rapid.Uint64().Draw(t, "seed"), 1.5)
+		speed := evenSpeeds(s.Ranks)
+		speed[0] = rapid.Float64Range(0.3, 1).Draw(t, "speed")
+		start, err := Balanced(1, skewedLoad(s, 7, 1), evenSpeeds(s.Ranks))
+		require.NoError(t, err)
+		ls := newLayerState(start, 0, load.Layer(0), speed, 2)
+		ls.budget = make([]int, s.Ranks)
+		for r := range ls.budget {
+			ls.budget[r] = rapid.IntRange(0, 2).Draw(t, "budget")
+		}
+		for range 5 {
+			want := bestRate(ls)
+			c, rate, found := ls.bestChange(0)
+			require.InDelta(t, want, rate, 1e-9)
+			if !found {
+				return
+			}
+			ls.apply(c)
+		}
+	})
+}
+
+// bestRate returns the largest gain per transfer of all changes of the slowest rank.
+func bestRate(ls *layerState) float64 {
+	slowest, best := ls.slowest(), 0.0
+	for from := slowest * ls.shape.Slots; from < (slowest+1)*ls.shape.Slots; from++ {
+		for to := range ls.slots {
+			for _, replicate := range []bool{true, false} {
+				c := change{from: from, to: to, replicate: replicate}
+				e, r := ls.slots[from], to/ls.shape.Slots
+				if e == EmptySlot || r == slowest || ls.holds(r, e) || !ls.allowsChange(c) {
+					continue
+				}
+				gain := ls.rankTime[slowest] - ls.maxTimeAfter(c)
+				best = max(best, gain/float64(ls.transfers(c)))
+			}
+		}
+	}
+	return best
+}
+
 func contains(slots []uint16, e uint16) bool {
 	for _, other := range slots {
 		if other == e {
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -297,21 +297,28 @@
 	speeds := p.speeds()
 	slack := passSlack(p.group.timing.passTime, p.settings.TargetGap)
 	minGain := p.settings.MinGain + slack*slackGain
+	search, err := expertmap.NewBoundedSearch(p.current, load, speeds, expertmap.TransferBounds{
+		PerLayer: p.settings.MaxNewPerLayer, PerRank: 1,
+		MinGainSeconds: (minTransferGain + slack*slackTransferGain) / float64(p.settings.Shape.Ranks),
+	})
+	if err != nil {
+		return out, err
+	}
 	for rankTransfers := 1; rankTransfers <= maxRankTransfers; rankTransfers++ {
-		plan, err := expertmap.ImproveBounded(p.current, load, speeds, expertmap.TransferBounds{
-			PerLayer: p.settings.MaxNewPerLayer, PerRank: rankTransfers,
-			MinGainSeconds: (minTransferGain + slack*slackTransferGain) / float64(p.settings.Shape.Ranks),
-		})
+		plan, err := search.Improve()
 		if err != nil {
 			return out, err
 		}
-		if plan.Map == nil {
-			continue
-		}
-		c := p.evaluate(plan)
-		if gain := 1 - plan.After/plan.Before; gain >= minGain && c.benefit > out.benefit {
-			out = c
+		if plan.Map != nil {
+			c := p.evaluate(plan)
+			if out.plan.Map != nil && c.benefit <= out.benefit {
+				break // More transfers save less and less.
+			}
+			if gain := 1 - plan.After/plan.Before; gain >= minGain && c.benefit > out.benefit {
+				out = c
+			}
 		}
+		search.RaisePerRank(1)
 	}
 	return out, nil
 }
--- a/expertmap/search.go
+++ b/expertmap/search.go
@@ -1,6 +1,9 @@
 package expertmap
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // layerState is the state of one layer of a map during the local search. It is modified in place.
 type layerState struct {
@@ -16,6 +19,12 @@
 	// candidate.
 	shares []float64
 	placed []bool
+	// slotShares is the load of the replica in each slot, maxShare the largest one of each rank.
+	slotShares []float64
+	maxShare   []float64
+	// byTime lists the ranks in order of rankTime. Changes with ranks that have little work gain most, and found early they
+	// exclude others.
+	byTime []int
 	// initial is the value of placed at the start of the search. newCount is the number of experts that each rank holds
 	// now but not in initial; maxNew limits it, 0 means no limit.
 	initial  []bool
@@ -32,6 +41,11 @@
 		slots: slices.Clone(m.assignment[from : from+m.Shape.Ranks*m.Shape.Slots]),
 		hosts: make([][]int, m.Shape.Experts), rankTime: make([]float64, m.Shape.Ranks),
 		shares: make([]float64, m.Shape.Experts), placed: make([]bool, m.Shape.Ranks*m.Shape.Experts),
+		slotShares: make([]float64, m.Shape.Ranks*m.Shape.Slots), maxShare: make([]float64, m.Shape.Ranks),
+		byTime: make([]int, m.Shape.Ranks),
+	}
+	for r := range ls.byTime {
+		ls.byTime[r] = r
 	}
 	for i, e := range ls.slots {
 		if e != EmptySlot {
@@ -46,16 +60,21 @@
 func (ls *layerState) recompute() {
 	clear(ls.rankTime)
 	clear(ls.placed)
+	clear(ls.slotShares)
+	clear(ls.maxShare)
 	for e, hosts := range ls.hosts {
 		ls.shares[e] = ls.work[e] / float64(len(hosts))
 	}
 	for i, e := range ls.slots {
 		if e != EmptySlot {
 			r := i / ls.shape.Slots
+			ls.slotShares[i] = ls.shares[e]
+			ls.maxShare[r] = max(ls.maxShare[r], ls.shares[e])
 			ls.rankTime[r] += ls.shares[e] / ls.speed[r]
 			ls.placed[r*ls.shape.Experts+int(e)] = true
 		}
 	}
+	slices.SortStableFunc(ls.byTime, func(a, b int) int { return cmp.Compare(ls.rankTime[a], ls.rankTime[b]) })
 }
 
 func (ls *layerState) share(e uint16) float64 {
@@ -83,6 +102,13 @@
 	return (ls.maxNew == 0 || ls.newCount[r] < ls.maxNew) && (ls.budget == nil || ls.budget[r] > 0)
 }
 
+// mayTake reports whether the transfer limits may permit a rank to hold an expert that it does not hold. A rank at its
+// limit can only replace another new expert of this layer.
+func (ls *layerState) mayTake(r int, e uint16) bool {
+	atLimit := (ls.maxNew != 0 && ls.newCount[r] >= ls.maxNew) || (ls.budget != nil && ls.budget[r] <= 0)
+	return !atLimit || ls.newCount[r] > 0 || !ls.isNew(r, e)
+}
+
 // allowsChange reports whether the transfer limits permit a change.
 func (ls *layerState) allowsChange(c change) bool {
 	return ls.allows(c.to, ls.slots[c.from]) && (c.replicate || ls.allows(c.from, ls.slots[c.to]))
@@ -133,6 +159,14 @@
 	return 2
 }
 
+// minTransfersOfSwap returns the smallest number of transfers of a swap with a rank: 1 if it has an empty slot.
+func (ls *layerState) minTransfersOfSwap(r int) int {
+	if slices.Contains(ls.slots[r*ls.shape.Slots:(r+1)*ls.shape.Slots], EmptySlot) {
+		return 1
+	}
+	return 2
+}
+
 // bestChange returns the change with the largest gain per transfer, and this gain per transfer in seconds. The gain is
 // the time of the slowest rank minus the largest time, after the change, of the ranks that the change affects. found is
 // false if no change gains at least minGain seconds.
@@ -157,27 +191,62 @@
 }
 
 // considerExpert evaluates the changes that replicate or swap the expert e, which is in the given slot of the slowest
-// rank. Cheap upper bounds of the gain exclude most candidates.
+// rank.
 func (cs *changeSearch) considerExpert(slot int, e uint16) {
 	ls := cs.ls
-	reduction := ls.share(e) - ls.work[e]/float64(len(ls.hosts[e])+1)
-	for r := range ls.shape.Ranks {
-		if r == cs.slowest || ls.holds(r, e) {
-			continue
+	m := move{slot: slot, share: ls.shares[e], replicaShare: ls.work[e] / float64(len(ls.hosts[e])+1)}
+	m.reduction = (m.share - m.replicaShare) / ls.speed[cs.slowest]
+	for _, r := range ls.byTime {
+		if r != cs.slowest && !ls.holds(r, e) && ls.mayTake(r, e) {
+			cs.considerRank(m, r)
 		}
-		for s := r * ls.shape.Slots; s < (r+1)*ls.shape.Slots; s++ {
-			if reduction/ls.speed[cs.slowest] > cs.rate {
-				cs.consider(change{from: slot, to: s, replicate: true})
-			}
-			diff := ls.share(e) - ls.share(ls.slots[s])
-			gain := min(diff/ls.speed[cs.slowest], ls.rankTime[cs.slowest]-ls.rankTime[r]-diff/ls.speed[r])
-			if gain >= cs.minGain && gain > cs.rate {
-				cs.consider(change{from: slot, to: s})
-			}
+	}
+}
+
+// move is an expert that a rank is to take over from the slowest one, at least in part.
+type move struct {
+	// slot is the slot of the expert at the slowest rank, share the load of its replica there, replicaShare the load of
+	// each replica after a replication, and reduction the time in seconds that the slowest rank then saves.
+	slot                           int
+	share, replicaShare, reduction float64
+}
+
+// considerRank evaluates the changes with which a rank takes an expert over. Upper bounds of the gain exclude most ranks
+// and slots: the slowest rank loses at most the share that moves, and the other rank gains that share less the one that
+// it gives up.
+func (cs *changeSearch) considerRank(m move, r int) {
+	ls := cs.ls
+	speed, slowSpeed := ls.speed[r], ls.speed[cs.slowest]
+	headroom := ls.rankTime[cs.slowest] - ls.rankTime[r]
+	replicate := cs.mayGain(min(m.reduction, headroom+(ls.maxShare[r]-m.replicaShare)/speed), 1)
+	// The gain min(d/slowSpeed, headroom-d/speed) of a swap that moves the work d is largest when both are equal.
+	swap := cs.mayGain(headroom*speed/(speed+slowSpeed), ls.minTransfersOfSwap(r))
+	if !replicate && !swap {
+		return
+	}
+	for s := r * ls.shape.Slots; s < (r+1)*ls.shape.Slots; s++ {
+		evicted := ls.slotShares[s]
+		if replicate && cs.mayGain(min(m.reduction, headroom+(evicted-m.replicaShare)/speed), 1) {
+			cs.consider(change{from: m.slot, to: s, replicate: true})
+		}
+		diff := m.share - evicted
+		c := change{from: m.slot, to: s}
+		if swap && cs.mayGain(min(diff/slowSpeed, headroom-diff/speed), ls.transfers(c)) {
+			cs.consider(c)
 		}
 	}
 }
 
+// mayGain reports whether a change with the given upper bound of its gain may be better than the best one so far. The
+// bound may be lower than the gain by a rounding error.
+func (cs *changeSearch) mayGain(bound float64, transfers int) bool {
+	bound *= 1 + roundingError
+	return bound >= cs.minGain && bound > cs.rate*float64(transfers)
+}
+
+// roundingError is above the relative rounding error of a gain.
+const roundingError = 1e-9
+
 // consider keeps a change if it is allowed and better than the best one so far.
 func (cs *changeSearch) consider(c change) {
 	ls := cs.ls
