--- a/gateway/ingress/competing_test.go
+++ b/gateway/ingress/competing_test.go
@@ -83,15 +83,21 @@
 	arrived  time.Time
 	deadline time.Time
 	result   *simResult
+	// gateways get the first request and the retry.
+	gateways       [2]int
+	events, prompt int
 }
 
 // competition is a simulation of gateways whose callers compete for one group. Its callers honour Retry-After and
 // return once.
 type competition struct {
 	routes []simRoute
+	seed   uint64
 	// mu guards the fields below it, and the results.
-	mu      sync.Mutex
-	random  *rand.Rand
+	mu     sync.Mutex
+	random *rand.Rand
+	// shifts sets the times of shifts of demand.
+	shifts  *rand.Rand
 	servers [simGateways]*Server
 	queues  [simGateways]*limit.Queue
 	running []*simStream
@@ -106,7 +112,7 @@
 
 func newCompetition(routes []simRoute, seed uint64, withPriorities bool) *competition {
 	s := &competition{
-		routes: routes, random: rand.New(rand.NewPCG(seed, seed)), results: make([]simResult, len(routes)),
+		routes: routes, seed: seed, random: rand.New(rand.NewPCG(seed, 100)), shifts: rand.New(rand.NewPCG(seed, 101)), results: make([]simResult, len(routes)),
 		start: time.Now(), withoutPrio: !withPriorities,
 	}
 	s.nextShift = s.start.Add(2 * time.Second)
@@ -140,33 +146,40 @@
 	return s.results
 }
 
-// arrivals starts the callers of a route.
+// arrivals starts the callers of a route. Their times and sizes depend on the seed only.
 func (s *competition) arrivals(ctx context.Context, route int) {
+	random := rand.New(rand.NewPCG(s.seed, uint64(route)))
 	for {
-		elapsed := time.Since(s.start)
-		rate := s.routes[route].rate
-		for _, b := range s.routes[route].bursts {
-			if elapsed >= b.start && elapsed < b.end {
-				rate *= b.factor
-			}
-		}
-		time.Sleep(time.Duration(-math.Log(1-s.float64()) / rate * float64(time.Second)))
+		rate := s.routes[route].rateAt(time.Since(s.start))
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		if time.Since(s.start) > simLoadTime {
 			return
 		}
-		timeout := time.Duration((0.85 + 0.15*s.float64()) * float64(simDeadline))
-		s.count(func() { s.results[route].callers++ })
-		go s.call(ctx, &simCaller{
+		timeout := time.Duration((0.85 + 0.15*random.Float64()) * float64(simDeadline))
+		caller := &simCaller{
 			route: route, arrived: time.Now(), deadline: time.Now().Add(timeout), result: &s.results[route],
-		})
+			gateways: [2]int{random.IntN(simGateways), random.IntN(simGateways)},
+			events:   size(random, 23, 0.8, 58), prompt: size(random, 815, 0.95, 2900),
+		}
+		s.count(func() { caller.result.callers++ })
+		go s.call(ctx, caller)
+	}
+}
+
+// rateAt returns the arrivals per second at a time of the load.
+func (r simRoute) rateAt(elapsed time.Duration) float64 {
+	for _, b := range r.bursts {
+		if elapsed >= b.start && elapsed < b.end {
+			return r.rate * b.factor
+		}
 	}
+	return r.rate
 }
 
 // call is a caller's request with its retry.
 func (s *competition) call(ctx context.Context, caller *simCaller) {
 	for try := range 2 {
-		gateway := int(s.float64() * simGateways)
-		failure := s.request(ctx, caller, gateway)
+		failure := s.request(ctx, caller, caller.gateways[try])
 		if failure == nil {
 			return
 		}
@@ -204,15 +217,15 @@
 	defer s.mu.Unlock()
 	s.running = append(s.running, &simStream{
 		caller: caller, permit: permit, admitted: time.Now(), last: time.Now(),
-		events: s.size(23, 0.8, 58), prompt: s.size(815, 0.95, 2900),
+		events: caller.events, prompt: caller.prompt,
 	})
 	return nil
 }
 
 // size returns a random size, log-normal with a mean and a relative spread.
-func (s *competition) size(mean, spread, largest float64) int {
+func size(random *rand.Rand, mean, spread, largest float64) int {
 	variance := math.Log(1 + spread*spread)
-	x := mean * math.Exp(math.Sqrt(variance)*s.random.NormFloat64()-variance/2)
+	x := mean * math.Exp(math.Sqrt(variance)*random.NormFloat64()-variance/2)
 	return int(min(max(x, 1), largest))
 }
 
@@ -290,7 +303,7 @@
 	now := time.Now()
 	if !now.Before(s.nextShift) {
 		s.balancedAt = now.Add(time.Second)
-		s.nextShift = now.Add(time.Duration((2.2 + 2.1*s.random.Float64()) * float64(time.Second)))
+		s.nextShift = now.Add(time.Duration((2.2 + 2.1*s.shifts.Float64()) * float64(time.Second)))
 	}
 	s.imbalance = 1.1
 	if now.Before(s.balancedAt) {
