--- a/proctest/deployment.go
+++ b/proctest/deployment.go
@@ -46,6 +46,8 @@
 	InstanceListLag time.Duration
 	// DrainTimeout is the drain timeout of entries and sidecars.
 	DrainTimeout time.Duration
+	// Descriptors is the number of descriptors that each entry and sidecar may open, 0 for the default.
+	Descriptors int
 	// ModelSettings, if set, changes the settings of the sidecars of model servers.
 	ModelSettings func(*side.Settings)
 	// ModelVersion is the version of the model that the groups serve; empty means a model without versions.
@@ -201,7 +203,7 @@
 
 func (d *Deployment) runSidecar(s *Sidecar) {
 	file := writeSettings(d.t, s.Settings.Name, s.Settings)
-	p := Start(d.t, s.Settings.Name, "lavendermoor-side", "-config", file)
+	p := d.startProgram(s.Settings.Name, "lavendermoor-side", file)
 	p.AdminAddress = s.Settings.Admin
 	s.Proc = p
 	d.mu.Lock()
@@ -210,6 +212,14 @@
 	d.PublishInstance(s.Settings.Name, s.Settings.Listen, s.Settings.FailureDomain, "side", "live")
 }
 
+// startProgram starts a program with the given settings file.
+func (d *Deployment) startProgram(name, program, file string) *Proc {
+	if d.options.Descriptors > 0 {
+		return StartLimited(d.t, d.options.Descriptors, name, program, "-config", file)
+	}
+	return Start(d.t, name, program, "-config", file)
+}
+
 // Restart starts an exited sidecar again, as a new incarnation on the same addresses.
 func (d *Deployment) Restart(s *Sidecar) { d.runSidecar(s) }
 
@@ -225,7 +235,7 @@
 	s.DrainTimeout = settings.Duration(d.options.DrainTimeout)
 	change(&s)
 	e := &Entry{Settings: s, URL: "http://" + s.Listen}
-	e.Proc = Start(d.t, s.Name, "lavendermoor-entry", "-config", writeSettings(d.t, s.Name, s))
+	e.Proc = d.startProgram(s.Name, "lavendermoor-entry", writeSettings(d.t, s.Name, s))
 	e.AdminAddress = s.Admin
 	d.PublishInstance(s.Name, s.PeerListen, s.FailureDomain, "entry", "live")
 	return e
--- a/proctest/fleet.go
+++ b/proctest/fleet.go
@@ -28,6 +28,7 @@
 	// replicaURLs are the URLs of the replicas without a proxy.
 	replicaURLs   []string
 	configVersion int
+	size          FleetSize
 }
 
 // Gateway is a gateway process with its link to the store.
@@ -39,21 +40,33 @@
 	settingsFile string
 }
 
+// Listen returns the address for callers.
+func (g *Gateway) Listen() string { return strings.TrimPrefix(g.URL, "http://") }
+
 // RankSidecar is the sidecar process of a model replica with its link to the store.
 type RankSidecar struct {
 	*Proc
 	StoreLink *Proxy
 	// settingsFile holds the address of the replica until startRankSidecar replaces it with the path of the settings file.
 	settingsFile string
+	peerAddress  string
 }
 
+// PeerAddress returns the address on which the sidecar listens.
+func (r *RankSidecar) PeerAddress() string { return r.peerAddress }
+
 // FleetSize is the number of processes of each kind in a Fleet.
-type FleetSize struct{ Gateways, ModelReplicas, PlainReplicas int }
+type FleetSize struct {
+	Gateways, ModelReplicas, PlainReplicas int
+	// MemoryMB and Descriptors are the limits of each gateway and rank sidecar, 0 for the defaults.
+	MemoryMB    int64
+	Descriptors int
+}
 
 // DeployFleet starts a fleet, writes its configuration and waits until every gateway is ready.
 func DeployFleet(t testing.TB, size FleetSize) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t}
+	f := &Fleet{t: t, size: size}
 	f.startPlatform(size)
 	rankPort := f.freeRankPort(size.ModelReplicas)
 	for i := range size.ModelReplicas {
@@ -123,8 +136,9 @@
 	r := f.RankSidecars[i]
 	localAddress := r.settingsFile
 	r.StoreLink = NewProxy(f.t, loopbackIP(), strings.TrimPrefix(f.StoreURL, "http://"))
+	r.peerAddress = net.JoinHostPort(instanceIP(i), strconv.Itoa(rankPort))
 	name := fmt.Sprint("rank-", i)
-	r.settingsFile = writeSettings(f.t, name, map[string]any{
+	r.settingsFile = f.writeSettings(name, map[string]any{
 		"name": name, "ip": instanceIP(i), "peer_port": rankPort, "replica": localAddress,
 		"service": replicaserver.ModelService, "store": r.StoreLink.Address, "require_fence": true,
 	})
@@ -140,7 +154,7 @@
 		peers = append(peers, other.AdminAddress)
 	}
 	name := fmt.Sprint("gateway-", i)
-	g.settingsFile = writeSettings(f.t, name, map[string]any{
+	g.settingsFile = f.writeSettings(name, map[string]any{
 		"name": name, "failure_domain": fmt.Sprint("domain-", i%2), "listen": listen, "ready_listen": ready,
 		"control_listen": control, "store": g.StoreLink.Address, "peers": peers, "rank_port": rankPort, "grace_seconds": 6,
 		"retry_ratio": 0.2, "retry_slack": 90,
@@ -150,8 +164,19 @@
 	f.Gateways = append(f.Gateways, g)
 }
 
+// writeSettings writes a settings file with the memory of the fleet's size and returns its path.
+func (f *Fleet) writeSettings(name string, settings map[string]any) string {
+	if f.size.MemoryMB > 0 {
+		settings["memory_mb"] = f.size.MemoryMB
+	}
+	return writeSettings(f.t, name, settings)
+}
+
 // startProgram starts a program with the given settings file.
 func (f *Fleet) startProgram(name, program, file string) *Proc {
+	if f.size.Descriptors > 0 {
+		return StartLimited(f.t, f.size.Descriptors, name, program, "-config", file)
+	}
 	return Start(f.t, name, program, "-config", file)
 }
 
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -146,8 +146,19 @@
 // Start starts a program and kills it at the end of the test.
 func Start(t testing.TB, name, program string, args ...string) *Proc {
 	t.Helper()
-	p := &Proc{Name: name, t: t, done: make(chan struct{})}
-	p.cmd = exec.CommandContext(context.Background(), Binary(t, program), args...)
+	return startCommand(t, name, exec.CommandContext(context.Background(), Binary(t, program), args...))
+}
+
+// StartLimited is Start for a process that may open the given number of descriptors.
+func StartLimited(t testing.TB, descriptors int, name, program string, args ...string) *Proc {
+	t.Helper()
+	shellArgs := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptors), Binary(t, program)}
+	return startCommand(t, name, exec.CommandContext(context.Background(), "/bin/sh", append(shellArgs, args...)...))
+}
+
+func startCommand(t testing.TB, name string, cmd *exec.Cmd) *Proc {
+	t.Helper()
+	p := &Proc{Name: name, t: t, cmd: cmd, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
 	// The kernel kills the process when the test process ends, even if the test process is killed.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/proctest/usage.go
+++ b/proctest/usage.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// PeakRSS returns the largest resident memory of the process so far in bytes.
+func (p *Proc) PeakRSS() int64 {
+	p.t.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
+	_, rest, _ := strings.Cut(string(raw), "VmHWM:")
+	fields := strings.Fields(rest)
+	require.NotEmpty(p.t, fields)
+	return parseInt(fields[0]) << 10
+}
+
+// OpenDescriptors returns the number of open descriptors of the process.
+func (p *Proc) OpenDescriptors() int {
+	p.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
+	return len(entries)
+}
+
 func parseInt(text string) int64 {
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -59,6 +59,8 @@
 	DeadlyBody string `json:"deadly_body"`
 	// RetryAfterMs above 0 makes the replica refuse requests with this Retry-After time.
 	RetryAfterMs int64 `json:"retry_after_ms"`
+	// PaddingBytes is the number of bytes that follow the text of each plain response.
+	PaddingBytes int64 `json:"padding_bytes"`
 }
 
 // armedSwitch is a switch to a prepared map at the start of pass Step.
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -277,7 +277,17 @@
 	if r.consumeLostResponse() {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.WriteString(w, PlainResponse(attempt)) // The write fails only if the client has disconnected.
+	// Writes fail only if the client has disconnected.
+	_, _ = io.WriteString(w, PlainResponse(attempt))
+	_, _ = io.CopyN(w, zeros{}, f.PaddingBytes)
+}
+
+// zeros is an endless reader of zero bytes.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
 }
 
 // PlainResponse returns the response body of a plain request.
