Bound the memory and the descriptors that callers of a gateway can use

Cause: readBody read each body whole, with a bound only for each request. HeaderBytes, HeaderMs and IdleMs of the configuration were not applied, the number of connections was not bounded, the rest of a refused body could delay the refusal without end, and the control ports read headers of 1 MB and a log level of any length.

Change: - gateway/buffer: the budget of long responses (an eighth of memory_mb) covers request bodies too. A body holds 16 KiB beside it and is charged as its buffer grows. A body that waits for room is refused after 1.5 s (503, body_memory). One that stalls loses its bytes (408, body_stalled): after 1 s or below 32 KB/s while another waits, after 5 s otherwise. All bodies get at most three quarters of the budget, and those of one customer or address three eighths; a single body is always accepted. - gateway/ingress: stopping, announced length, quarantine of shared parts and suspension are checked before the body. The rest of a refused body is dropped for at most 0.5 s; its connection is closed unless the rest is short. - cmd/internal/callers (moved from gatewayd): header bytes (431), header time, idle time, writes without progress for 20 s, socket buffers of 128 KiB, and max_connections, by default from RLIMIT_NOFILE and memory_mb. Accepting waits. - telemetry.Serve: an eighth of the descriptors for each control port (a third for the peer ports of entry and sidecar), headers of 8 KiB, 60 s idle, and 1 KiB for the log level.

--- /dev/null
+++ b/cmd/internal/callers/tracker.go
@@ -0,0 +1,267 @@
+// Package callers holds the connections of callers to the limits of the configuration and of the process.
+package callers
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// Tracker tracks the connections of callers, so that a stopping process can close idle ones without losing a
+// response, and so that callers keep the limits of the configuration. net/http may close a connection as idle just after
+// it has read a request from it; the request is then forwarded and its response lost. Tracker closes a connection
+// only if nothing has been read from it since its last response, or if its header is not complete, and then reads nothing
+// more from it. It is safe for concurrent use.
+type Tracker struct {
+	opts Options
+	// places holds an element for each open connection; accepting stops while it is full. It is nil for no limit.
+	places chan struct{}
+
+	mu      sync.Mutex
+	open    map[*conn]struct{}
+	closing bool
+	// closed counts the connections that were closed because of a limit, by the constants of closeReason.
+	closed [closeReasons]int64
+}
+
+// Options are the options of a Tracker.
+type Options struct {
+	// Limits returns the limits of the active configuration.
+	Limits func() Limits
+	// MaxConnections is the largest number of open connections, 0 for no limit.
+	MaxConnections int64
+	// WriteStallTimeout is the time without progress after which a write to a caller fails, 0 for writeStallTimeout.
+	WriteStallTimeout time.Duration
+	// TLS is set if the connections carry TLS. Refusals of the tracker then have no response.
+	TLS bool
+	// MetricPrefix is the beginning of the names of the metrics.
+	MetricPrefix string
+}
+
+// NewTracker returns a tracker without connections.
+func NewTracker(opts Options) *Tracker {
+	if opts.Limits == nil {
+		opts.Limits = func() Limits { return Limits{} }
+	}
+	if opts.WriteStallTimeout == 0 {
+		opts.WriteStallTimeout = writeStallTimeout
+	}
+	t := &Tracker{opts: opts, open: map[*conn]struct{}{}}
+	if opts.MaxConnections > 0 {
+		t.places = make(chan struct{}, opts.MaxConnections)
+	}
+	return t
+}
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	// phaseIdle lasts from the connection's start, or from a response, to the first byte of a request.
+	phaseIdle phase = iota
+	// phaseHeader lasts until the header of the request is complete.
+	phaseHeader
+	phaseRequest
+)
+
+// conn is a connection of a caller. The mutex of its tracker guards the fields from phase on.
+type conn struct {
+	net.Conn
+	tracker *Tracker
+	once    sync.Once
+	// deadlineSet is when a writer has last set the write deadline. Writes do not overlap.
+	deadlineSet time.Time
+
+	phase phase
+	// since is the start of the phase, and used is set if the connection has had a request before.
+	since time.Time
+	used  bool
+	// headerBytes counts the bytes read in phaseHeader.
+	headerBytes int64
+	// Once closed is set, no request is read any more. refused is set if respondAndClose closes the connection.
+	closed, refused bool
+}
+
+// busy reports whether a request is being read or served: from its first byte until its response is complete.
+func (c *conn) busy() bool { return c.phase != phaseIdle }
+
+// errRefused ends the reads of a refused connection. net/http sends no response of its own after an error of a read.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.refused {
+		return 0, errRefused
+	}
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n == 0 || c.phase == phaseRequest {
+		return n, err
+	}
+	if c.phase == phaseIdle {
+		c.phase, c.since, c.headerBytes = phaseHeader, time.Now(), 0
+	}
+	c.headerBytes += int64(n)
+	if c.headerBytes > c.tracker.maxHeaderBytes() {
+		c.tracker.refuseHeader(c)
+		return 0, errRefused
+	}
+	return n, err
+}
+
+// maxWritePiece is the size of the pieces in which responses are written. Each has a time of its own, so that a caller
+// that reads slowly receives a long response whole.
+const maxWritePiece = 16 << 10
+
+// Write implements net.Conn. It fails if the caller reads nothing for writeStallTimeout.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		c.extendDeadline(time.Now())
+		n, err := c.Conn.Write(p[written:min(written+maxWritePiece, len(p))])
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.tracker.count(closedWriteStalled)
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// deadlineStep is the interval at which the write deadline is moved; to move it for each event would cost more.
+const deadlineStep = time.Second
+
+func (c *conn) extendDeadline(now time.Time) {
+	if now.Sub(c.deadlineSet) < deadlineStep {
+		return
+	}
+	c.deadlineSet = now
+	_ = c.SetWriteDeadline(now.Add(c.tracker.opts.WriteStallTimeout + deadlineStep)) // Fails if the connection is closed.
+}
+
+// Close implements net.Conn. A refused connection stays open until its caller had time to receive the refusal.
+func (c *conn) Close() error {
+	c.tracker.mu.Lock()
+	refused := c.refused
+	c.tracker.mu.Unlock()
+	if refused {
+		return nil
+	}
+	return c.release()
+}
+
+// release closes the connection and frees its place.
+func (c *conn) release() error {
+	err := c.Conn.Close()
+	if c.tracker.places != nil {
+		c.once.Do(func() { <-c.tracker.places })
+	}
+	return err
+}
+
+// trackedListener adds accepted connections to a tracker.
+type trackedListener struct {
+	net.Listener
+	tracker *Tracker
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Wrap returns a listener whose connections are tracked.
+func (t *Tracker) Wrap(l net.Listener) net.Listener {
+	return &trackedListener{Listener: l, tracker: t, closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener. It waits while the largest number of connections is open.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	t := l.tracker
+	if t.places != nil {
+		select {
+		case t.places <- struct{}{}:
+		case <-l.closed:
+			return nil, net.ErrClosed
+		}
+	}
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		if t.places != nil {
+			<-t.places
+		}
+		return nil, err
+	}
+	c := &conn{Conn: inner, tracker: t, since: time.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open[c] = struct{}{}
+	return c, nil
+}
+
+// Close implements net.Listener.
+func (l *trackedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// OnStateChange is the ConnState hook of the HTTP server.
+func (t *Tracker) OnStateChange(nc net.Conn, state http.ConnState) {
+	if secure, ok := nc.(*tls.Conn); ok {
+		nc = secure.NetConn()
+	}
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateActive: // The header is complete.
+		c.phase, c.used = phaseRequest, true
+	case http.StateIdle:
+		c.phase, c.since = phaseIdle, time.Now()
+		if t.closing {
+			c.shut()
+		}
+	case http.StateClosed, http.StateHijacked:
+		c.phase = phaseIdle
+		delete(t.open, c)
+	}
+}
+
+func (c *conn) shut() {
+	c.closed = true
+	_ = c.release() // An error means that the connection is already broken.
+}
+
+// CloseIdle closes the idle connections now and every other connection once it is idle.
+func (t *Tracker) CloseIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closing = true
+	for c := range t.open {
+		if !c.busy() {
+			c.shut()
+		}
+	}
+}
+
+// BusyCount returns the number of connections on which a request is being read or served.
+func (t *Tracker) BusyCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for c := range t.open {
+		if c.busy() {
+			n++
+		}
+	}
+	return n
+}
--- a/cmd/internal/gatewayd/conns_test.go
+++ b/cmd/internal/callers/tracker_test.go
@@ -1,4 +1,4 @@
-package gatewayd
+package callers
 
 import (
 	"bufio"
@@ -14,27 +14,27 @@
 
 // testServer is an HTTP server on loopback that counts the requests whose handling has started.
 type testServer struct {
-	tracker *connTracker
+	tracker *Tracker
 	address string
 	started atomic.Int64
 }
 
-func startTestServer(t *testing.T, handle func()) *testServer {
+func startTestServer(t testing.TB, handle func()) *testServer {
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &testServer{tracker: newConnTracker(), address: l.Addr().String()}
-	srv := &http.Server{ConnState: s.tracker.onStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := &testServer{tracker: NewTracker(Options{}), address: l.Addr().String()}
+	srv := &http.Server{ConnState: s.tracker.OnStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.started.Add(1)
 		handle()
 		w.WriteHeader(http.StatusOK)
 	})}
 	t.Cleanup(func() { _ = srv.Close() })
-	go func() { _ = srv.Serve(s.tracker.wrapListener(l)) }()
+	go func() { _ = srv.Serve(s.tracker.Wrap(l)) }()
 	return s
 }
 
-func (s *testServer) dial(t *testing.T) net.Conn {
+func (s *testServer) dial(t testing.TB) net.Conn {
 	t.Helper()
 	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.address)
 	require.NoError(t, err)
@@ -77,7 +77,7 @@
 			})
 		}
 		require.Eventually(t, func() bool { return responses.Load() >= 5*callers }, waitTimeout, pollInterval)
-		s.tracker.closeIdle()
+		s.tracker.CloseIdle()
 		callersDone.Wait()
 		require.Equal(t, s.started.Load(), responses.Load())
 	}
@@ -90,9 +90,9 @@
 	c := s.dial(t)
 	_, err := c.Write([]byte(plainRequest[:10]))
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return s.tracker.busyCount() == 1 }, waitTimeout, pollInterval)
-	s.tracker.closeIdle()
-	require.Equal(t, 1, s.tracker.busyCount())
+	require.Eventually(t, func() bool { return s.tracker.BusyCount() == 1 }, waitTimeout, pollInterval)
+	s.tracker.CloseIdle()
+	require.Equal(t, 1, s.tracker.BusyCount())
 	_, err = c.Write([]byte(plainRequest[10:]))
 	require.NoError(t, err)
 	close(release)
@@ -102,5 +102,5 @@
 	resp.Body.Close()
 	_, err = br.ReadByte()
 	require.Error(t, err, "the connection is closed after the response")
-	require.Eventually(t, func() bool { return s.tracker.busyCount() == 0 }, waitTimeout, pollInterval)
+	require.Eventually(t, func() bool { return s.tracker.BusyCount() == 0 }, waitTimeout, pollInterval)
 }
--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -82,7 +82,7 @@
 		})
 		group.Go(func() error { discovery.Run(serving); return nil })
 		group.Go(func() error { return telemetry.ServeServer(serving, l.Callers, callers, listenerShutdownTimeout) })
-		group.Go(func() error { return telemetry.Serve(serving, l.Peers, peers, listenerShutdownTimeout) })
+		group.Go(func() error { return telemetry.ServePeers(serving, l.Peers, peers, listenerShutdownTimeout) })
 		group.Go(func() error {
 			return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), listenerShutdownTimeout)
 		})
--- a/cmd/internal/daemon/sidecar.go
+++ b/cmd/internal/daemon/sidecar.go
@@ -91,7 +91,7 @@
 	group.Go(func() error { p.queue.FollowSlots(ctx, p.control.node, p.settings.Name); return nil })
 	p.groups.start(ctx, group)
 	startCallNode(ctx, group, p.control, p.calls)
-	group.Go(func() error { return telemetry.Serve(ctx, l.Peers, peers, listenerShutdownTimeout) })
+	group.Go(func() error { return telemetry.ServePeers(ctx, l.Peers, peers, listenerShutdownTimeout) })
 	group.Go(func() error {
 		return telemetry.Serve(ctx, l.Admin, p.control.admin(p.dump, p.ready), listenerShutdownTimeout)
 	})
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lavendermoor.example/cmd/internal/callers"
 	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/config/settings"
 	"lavendermoor.example/configsync/mirror"
@@ -44,11 +45,11 @@
 	listenerShutdownTimeout = 300 * time.Millisecond
 	// lastResponsesTime is left after the end of the drain for the responses to the requests that are given up then.
 	lastResponsesTime = 150 * time.Millisecond
-	// bufferMemoryFraction is the part of the memory that long events and bodies of servers may hold.
+	// bufferMemoryFraction is the part of the memory that request bodies and the long events and bodies of servers may
+	// hold.
 	bufferMemoryFraction = 0.125
-	headerTimeout        = 10 * time.Second
-	idleTimeout          = 60 * time.Second
-	maxHeaderBytes       = 256 << 10
+	// maxHeaderBytes is above every limit of a configuration. callers.Tracker applies that of the active one.
+	maxHeaderBytes = 1 << 20
 )
 
 // gateway holds the parts of the process.
@@ -67,7 +68,7 @@
 	// presence lists the gateways that share the servers and the retry budget.
 	presence     *presence.Presence
 	retryBudgets retryBudgets
-	conns        *connTracker
+	conns        *callers.Tracker
 	admin        *telemetry.Admin
 	// serversKnown is set once the server list has been read.
 	serversKnown atomic.Bool
@@ -96,7 +97,7 @@
 }
 
 func newGateway(s Settings, out *telemetry.BoundedWriter) (*gateway, error) {
-	g := &gateway{conns: newConnTracker(), peers: mirror.NewPeers(process.PeerClient(0), s.Peers)}
+	g := &gateway{peers: mirror.NewPeers(process.PeerClient(0), s.Peers)}
 	g.settings.Store(&s)
 	g.retryBudgets.setConfig(g.retryBudgetConfig(0))
 	obs, err := process.NewObservability(out, "gateway", s.Name, s.LogLevel)
@@ -129,7 +130,14 @@
 		Quarantine: suspected, Sharing: g.sharing,
 		BufferBytes: int64(bufferMemoryFraction * float64(s.MemoryMB<<20)),
 	})
-	err = telemetry.RegisterInstruments(obs.Meter, []telemetry.Instrument{
+	g.conns = callers.NewTracker(callers.Options{
+		Limits: g.callerLimits, MaxConnections: s.maxConnections(), MetricPrefix: "lavendermoor.gateway",
+	})
+	err = telemetry.RegisterInstruments(obs.Meter, append(g.conns.Instruments(), []telemetry.Instrument{
+		{
+			Name: "lavendermoor.gateway.buffered_bytes", Unit: "By",
+			Description: "Memory that request bodies and long responses hold.", Value: g.srv.BufferedBytes,
+		},
 		{
 			Name: "lavendermoor.gateway.peers", Description: "Gateways listed at the last read.",
 			Value: func() int64 { return int64(len(g.presence.Members())) },
@@ -138,11 +146,21 @@
 			Name: "lavendermoor.gateway.quarantined_parts", Description: "Parts of prompts that are kept from servers.",
 			Value: suspected.CountBlocked,
 		},
-	})
+	}...))
 	g.admin = obs.Admin(func() any { return g.srv.Dump() }, g.ready)
 	return g, err
 }
 
+// callerLimits returns the limits of the active configuration, the defaults before the first one.
+func (g *gateway) callerLimits() callers.Limits {
+	c := g.srv.Catalog()
+	if c == nil {
+		return callers.Limits{}
+	}
+	l := c.Limits
+	return callers.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
 // reload applies the settings that can change while the process runs. Changes of the others, such as the listen
 // addresses, need a restart.
 func (g *gateway) reload(s Settings) {
@@ -158,9 +176,12 @@
 // run serves until the context ends, then drains. The listeners are those for callers, readiness probes and control, in
 // this order.
 func (g *gateway) run(ctx context.Context, listeners []net.Listener) error {
-	callers := &http.Server{
-		Handler: g.srv, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.conns.onStateChange, BaseContext: g.srv.BaseContext,
+	// callers.Tracker limits the time of headers and of idle connections.
+	server := &http.Server{
+		Handler: g.srv, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.OnStateChange, BaseContext: g.srv.BaseContext,
+	}
+	if err := callers.LimitSocketBuffers(listeners[0]); err != nil {
+		return err
 	}
 	start := func(serving context.Context, group *errgroup.Group) {
 		group.Go(func() error { g.config.Run(serving); return nil })
@@ -169,11 +190,12 @@
 		group.Go(func() error { g.sharing.Run(serving); return nil })
 		group.Go(func() error { g.srv.RunHousekeeping(serving); return nil })
 		group.Go(func() error { g.removeExpiredServers(serving); return nil })
+		group.Go(func() error { g.conns.Run(serving, g.log); return nil })
 		group.Go(func() error { g.presence.Run(serving); return nil })
 		group.Go(func() error { g.followPresence(serving); return nil })
 		group.Go(func() error { g.pollGroups(serving); return nil })
 		group.Go(func() error {
-			return telemetry.ServeServer(serving, g.conns.wrapListener(listeners[0]), callers, listenerShutdownTimeout)
+			return telemetry.ServeServer(serving, g.conns.Wrap(listeners[0]), server, listenerShutdownTimeout)
 		})
 		group.Go(func() error { return telemetry.Serve(serving, listeners[1], g.readyHandler(), listenerShutdownTimeout) })
 		group.Go(func() error {
@@ -204,8 +226,8 @@
 	g.srv.Drain(now.Add(drainDelay), end)
 	g.log.Info("stopping", zap.Int64("active", g.srv.InFlight()))
 	time.Sleep(drainDelay)
-	g.conns.closeIdle()
-	for g.srv.InFlight()+int64(g.conns.busyCount()) > 0 && time.Now().Before(end.Add(lastResponsesTime)) {
+	g.conns.CloseIdle()
+	for g.srv.InFlight()+int64(g.conns.BusyCount()) > 0 && time.Now().Before(end.Add(lastResponsesTime)) {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -1,5 +1,10 @@
 package gatewayd
 
+import (
+	"lavendermoor.example/cmd/internal/callers"
+	"lavendermoor.example/telemetry"
+)
+
 // Settings are the static settings of a gateway process.
 type Settings struct {
 	Name          string `json:"name" validate:"required"`
@@ -28,8 +33,11 @@
 	ConfigMS int64 `json:"config_ms" validate:"gte=500"`
 	DrainMS  int64 `json:"drain_ms" validate:"gte=500"`
 	// MemoryMB is the memory, in MiB, that the process may use.
-	MemoryMB int64  `json:"memory_mb" validate:"gt=0"`
-	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
+	MemoryMB int64 `json:"memory_mb" validate:"gt=0"`
+	// MaxConnections is the largest number of open connections of callers, 0 for the number that follows from the
+	// descriptors of the process and from MemoryMB.
+	MaxConnections int64  `json:"max_connections" validate:"gte=0"`
+	LogLevel       string `json:"log_level" validate:"oneof=debug info warn error"`
 }
 
 // DefaultSettings returns the settings with their defaults.
@@ -39,3 +47,11 @@
 		LogLevel: "info",
 	}
 }
+
+// maxConnections returns the largest number of open connections of callers.
+func (s *Settings) maxConnections() int64 {
+	if s.MaxConnections > 0 {
+		return s.MaxConnections
+	}
+	return callers.MaxConnections(telemetry.DescriptorLimit(), s.MemoryMB)
+}
--- a/gateway/ingress/bench_test.go
+++ b/gateway/ingress/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -30,3 +31,27 @@
 		}
 	}
 }
+
+// BenchmarkBody measures a request with a body of 12 KB, the longest prompt of most callers, over loopback.
+func BenchmarkBody(b *testing.B) {
+	g := newGateway(b, newTestBackend(b, "a", respondOK("done")))
+	prompt := strings.Repeat("p", 12<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, g.url+"/once/x", strings.NewReader(prompt))
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set(testID, "id")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatal(resp.StatusCode, err)
+		}
+	}
+}
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"lavendermoor.example/gateway/buffer"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
 	"lavendermoor.example/gateway/limit"
@@ -36,6 +35,10 @@
 	permit  *limit.Permit
 	body    []byte
 	hasBody bool
+	// share is what the body holds of the memory of all bodies, nil for a short one.
+	share *buffer.Share
+	// bodyPending is set until the body has arrived whole, bodyFailed if a part of it was read before a failure.
+	bodyPending, bodyFailed bool
 	// parts are the shared parts of the prompt and the whole request, by which the quarantine knows the request.
 	parts    []string
 	deadline time.Time
@@ -64,6 +67,7 @@
 }
 
 func (c *call) serve() {
+	defer c.releaseBody()
 	if f := c.prepare(); f != nil {
 		c.fail(f)
 		return
@@ -89,6 +93,8 @@
 
 // prepare finds the route and the customer, and reads the body.
 func (c *call) prepare() *Failure {
+	c.hasBody = c.r.ContentLength != 0 || len(c.r.TransferEncoding) > 0
+	c.bodyPending = c.hasBody
 	if c.catalog == nil {
 		return &Failure{
 			Status: http.StatusServiceUnavailable, Reason: reasonNoCatalog,
@@ -106,10 +112,11 @@
 	c.customer = customer
 	c.service = c.chooseService()
 	c.deadline = c.arrived.Add(c.timeout())
-	if f := c.stoppingFailure(c.arrived); f != nil {
+	if f := c.checkBeforeBody(); f != nil {
 		return f
 	}
 	if f := c.readBody(); f != nil {
+		c.bodyFailed = true
 		return f
 	}
 	shared := c.meta.SharedParts
@@ -162,44 +169,6 @@
 	return ""
 }
 
-// readBody reads the whole body, so that it can be sent more than once. Besides, the HTTP server detects only after the
-// body was read that the caller has disconnected.
-func (c *call) readBody() *Failure {
-	c.hasBody = c.r.ContentLength != 0 || len(c.r.TransferEncoding) > 0
-	if !c.hasBody {
-		return nil
-	}
-	maxBytes := c.catalog.Limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultBodyBytes
-	}
-	// A caller that sends its body very slowly must not hold memory past its deadline. The error is ignored because
-	// only the response writers of tests do not support read deadlines.
-	controller := http.NewResponseController(c.w)
-	_ = controller.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBytes))
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &Failure{
-			Status: http.StatusRequestEntityTooLarge, Reason: reasonBodyTooLarge, Detail: "the body is above the limit",
-		}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &Failure{
-			Status: http.StatusRequestTimeout, Reason: reasonBody, Detail: "the body did not arrive in the request's time",
-		}
-	}
-	if err != nil {
-		return &Failure{Status: http.StatusBadRequest, Reason: reasonBody, Detail: "the body did not arrive whole"}
-	}
-	c.body = body
-	return nil
-}
-
-// defaultBodyBytes is the largest body in bytes if the configuration sets no limit.
-const defaultBodyBytes = 4 << 20
-
 // Limits of Retry-After. The value is random within the limits, so that callers do not all retry at the same time.
 const (
 	minRetryAfter = 300 * time.Millisecond
@@ -264,6 +233,7 @@
 	if c.responseStarted {
 		panic(http.ErrAbortHandler)
 	}
+	c.abandonBody()
 	c.server.opts.Dialect.MarkOwnResponse(c.w.Header(), c.meta.ID)
 	if f.Status == statusClientClosedRequest {
 		// The connection is closed, so the caller does not receive this response.
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -25,6 +25,8 @@
 	reasonUnknownKey      = "unknown_key"
 	reasonBody            = "body"
 	reasonBodyTooLarge    = "body_too_large"
+	reasonBodyStalled     = "body_stalled"
+	reasonBodyMemory      = "body_memory"
 	reasonOverloaded      = "overloaded"
 	reasonNoServer        = "no_server"
 	reasonNoGroup         = "no_group"
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -63,7 +63,8 @@
 	Quarantine *quarantine.Quarantine
 	// Sharing tells the other gateways of suspected parts of prompts. It is nil if there are none.
 	Sharing QuarantineSharing
-	// BufferBytes bounds the memory of long events and bodies, defaultBufferBytes if it is 0.
+	// BufferBytes bounds the memory of request bodies, long events and long bodies of servers, defaultBufferBytes if it
+	// is 0.
 	BufferBytes int64
 	// ConfigAge returns the time since the catalog was last confirmed to be the latest.
 	ConfigAge func() time.Duration
@@ -73,7 +74,7 @@
 type Server struct {
 	opts    Options
 	catalog atomic.Pointer[catalog.Catalog]
-	// buffers is the memory for long events and bodies of all responses.
+	// buffers is the memory for all request bodies and for the long events and bodies of all responses.
 	buffers *buffer.Budget
 	// base is the context of all requests. cancelBase ends it with errStopped at the end of a graceful shutdown.
 	base       context.Context
@@ -154,6 +155,9 @@
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// BufferedBytes returns the memory that request bodies and long responses hold.
+func (s *Server) BufferedBytes() int64 { return s.buffers.Held() }
+
 func (s *Server) queue(service string) *limit.Queue {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -289,6 +293,7 @@
 			return
 		case now := <-tick.C:
 			s.moveFromSilent(now)
+			s.buffers.EvictStalled(now)
 			if n%ticksPerRefresh == 0 {
 				s.closeExpiredConnections(now)
 				s.RefreshGroups()
--- a/proctest/caller_crowd.go
+++ b/proctest/caller_crowd.go
@@ -34,8 +34,9 @@
 // has read what it reads. The connections stay open until close.
 func (c *callerCrowd) open(connections int, act func(net.Conn)) {
 	var wg sync.WaitGroup
+	dialer := net.Dialer{Timeout: crowdWriteTime}
 	for range connections {
-		conn, err := net.DialTimeout("tcp", c.address, crowdWriteTime)
+		conn, err := dialer.DialContext(c.t.Context(), "tcp", c.address)
 		if err != nil {
 			continue // The backlog of the listener is full, which the bounds allow.
 		}
--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -33,7 +33,7 @@
 	r.HandleFunc("/debug/state", a.serveState).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.HandleFunc("/readyz", a.serveReady)
-	r.Handle("/debug/loglevel", a.Level)
+	r.Handle("/debug/loglevel", http.MaxBytesHandler(a.Level, maxLevelBytes))
 	r.Handle("/metrics", promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
@@ -41,6 +41,9 @@
 	return r
 }
 
+// maxLevelBytes bounds the body that sets the log level.
+const maxLevelBytes = 1 << 10
+
 func (a *Admin) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
@@ -56,13 +59,35 @@
 	}
 }
 
-// headerTimeout limits the time that a peer or operator may take to send request headers.
-const headerTimeout = 5 * time.Second
+// Limits of the connections to a port that is not for callers.
+const (
+	// headerTimeout limits the time that a peer or operator may take to send request headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is above the time for which peers keep idle connections.
+	idleTimeout = time.Minute
+	// maxHeaderBytes limits the headers of a request; those of peers and operators are far shorter.
+	maxHeaderBytes = 8 << 10
+	// controlFraction and peersFraction are the parts of the process's descriptors for a port of operators and probes,
+	// and for a port over which requests of callers arrive. The rest is for the other ports and for outgoing connections.
+	controlFraction = 8
+	peersFraction   = 3
+)
 
-// Serve serves a handler on a listener until the context ends. It then closes the listener and waits up to grace for
-// running requests. It returns the first error other than http.ErrServerClosed.
+// Serve serves a handler for operators, probes and control messages on a listener until the context ends. It then closes
+// the listener and waits up to grace for running requests. It returns the first error other than http.ErrServerClosed.
 func Serve(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return serveLimited(ctx, LimitConnections(l, max(DescriptorLimit()/controlFraction, 1)), h, grace)
+}
+
+// ServePeers is Serve for a port over which other processes forward the requests of callers.
+func ServePeers(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
+	return serveLimited(ctx, LimitConnections(l, max(DescriptorLimit()/peersFraction, 1)), h, grace)
+}
+
+func serveLimited(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	return ServeServer(ctx, l, srv, grace)
 }
 
