--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -16,11 +16,8 @@
 	if f := c.checkQuarantine(); f != nil {
 		return f
 	}
-	if c.server.opts.Fleet.IsEvacuated(c.service) {
-		return c.evacuationFailure("all servers of the service are in evacuated failure domains")
-	}
-	if suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now()); suspended > 0 {
-		return c.suspensionFailure(suspended, "no server of the service takes requests at present")
+	if f := c.serversUnavailable(); f != nil {
+		return f
 	}
 	service := c.catalog.Service(c.service)
 	if c.route.Kind != catalog.Stream || service == nil || service.Engine == nil {
@@ -36,6 +33,17 @@
 	return nil
 }
 
+// serversUnavailable returns the failure of a request to a service whose servers are all evacuated or suspended.
+func (c *call) serversUnavailable() *Failure {
+	if c.server.opts.Fleet.IsEvacuated(c.service) {
+		return c.evacuationFailure("all servers of the service are in evacuated failure domains")
+	}
+	if suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now()); suspended > 0 {
+		return c.suspensionFailure(suspended, "no server of the service takes requests at present")
+	}
+	return nil
+}
+
 // admission is the result of a stream's request for a permit.
 type admission uint8
 
