Wait for both connections in the test of header and idle times

Cause: TestHeaderTimeAndIdleTimeAreLimited failed once (closed as idle: 2, not 1). The first connection still counted as busy when the test looked, so that the bytes of the second one had not been read and it was closed as an unused connection. Change: the test waits until the first connection is idle before it writes on the second; its checks are the same.

--- a/cmd/internal/callers/limits_test.go
+++ b/cmd/internal/callers/limits_test.go
@@ -71,10 +71,11 @@
 	_, err := io.WriteString(idle, plainRequest)
 	require.NoError(t, err)
 	requireResponse(t, idle, http.StatusOK, false)
+	// Callers see a response before the server counts the connection as idle.
+	require.Eventually(t, func() bool { return s.tracker.BusyCount() == 0 && s.tracker.openCount() == 2 }, waitTimeout, pollInterval)
 	_, err = io.WriteString(slow, plainRequest[:10])
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return s.tracker.BusyCount() == 1 && s.tracker.openCount() == 2 }, waitTimeout, pollInterval)
-	// Callers see a response before the server counts the connection as idle.
+	require.Eventually(t, func() bool { return s.tracker.BusyCount() == 1 }, waitTimeout, pollInterval)
 	now := time.Now()
 	s.tracker.closeOverdue(now.Add(2 * time.Second))
 	require.Equal(t, int64(0), s.tracker.closedCount(closedHeaderTime))
