--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	out.refused, err = m.Int64Counter("lavendermoor.gateway.refused", metric.WithUnit("{stream}"),
-		metric.WithDescription("Streams that were refused because no place was expected in time, by priority."))
+		metric.WithDescription("Streams that were refused for lack of a place at a group, by priority."))
 	if err != nil {
 		return nil, err
 	}
