Choose a rank by its streams and unread prompts, in an order of the gateway's own

Cause: a server's load was the number of streams plus the announced tokens, of which nothing was ever subtracted. All callers announce about the same maximum, and a prompt that is long lengthens the passes of all ranks while it is read. Gateways broke ties at random, so that their streams met on some ranks by chance.

Change: gateway/workload estimates the work of a request from prompt, hint, and the lengths learned by route and customer, and tracks what is left from the events. For services with an engine, a server is chosen by its streams and the prompts that it has yet to read. Each gateway prefers the servers in an order that begins at its own place, which evens out the sums of all gateways without a message. Other services are served as before.

--- a/cmd/internal/gatewayd/retry_budgets.go
+++ b/cmd/internal/gatewayd/retry_budgets.go
@@ -64,7 +64,11 @@
 // followPresence applies changes of the number of gateways until the context ends.
 func (g *gateway) followPresence(ctx context.Context) {
 	for last := 0; ctx.Err() == nil; {
-		n := len(g.presence.Members())
+		members := g.presence.Members()
+		n := len(members)
+		if start, known := orderStart(members, g.settings.Load().Name); known {
+			g.fleet.SetOrderStart(start)
+		}
 		g.retryBudgets.setConfig(g.retryBudgetConfig(n))
 		if n > 0 && n != last {
 			g.srv.SetCapacityShare(1 / float64(n))
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -8,6 +8,7 @@
 
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
+	"lavendermoor.example/gateway/workload"
 )
 
 const (
@@ -57,9 +58,13 @@
 // Backend is the state of one listed server. Its methods are safe for concurrent use.
 type Backend struct {
 	Pool *exchange.Pool
+	// idHash is the hash of the server's ID.
+	idHash uint64
 
-	mu     sync.Mutex
-	server catalog.Server
+	mu sync.Mutex
+	// position is the place of the server in the order of its service's servers, as a fraction of their number.
+	position float64
+	server   catalog.Server
 	// group is nil while it is unknown. selfReported is set when the server's own agent reported it.
 	group        *Group
 	selfReported bool
@@ -70,6 +75,8 @@
 	missing  bool
 	inFlight int
 	tokens   int
+	// left is the work that the requests in flight still have to do, as far as they were given an estimate.
+	left workload.Amount
 	// lastActivity is when the server last showed activity, or when a request was sent while none was in flight.
 	lastActivity time.Time
 	// silent is set when requests in flight were moved to other servers because the server showed no activity.
@@ -96,7 +103,7 @@
 }
 
 func newBackend(s catalog.Server, dialect exchange.Dialect) *Backend {
-	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s}
+	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s, idHash: hashID(s.ID)}
 }
 
 // Server returns the server's latest entry in the list.
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 	listed    []catalog.Server
 	keepUntil time.Time
 
+	// orderStart holds the bits of the fraction set by SetOrderStart.
+	orderStart atomic.Uint64
+
 	groupsLock sync.Mutex
 	groups     map[groupKey]*Group
 }
@@ -46,6 +50,7 @@
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
 	f := &Fleet{dialect: dialect, domain: domain, former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{}}
 	f.current.Store(newSnapshot())
+	f.SetOrderStart(rand.Float64())
 	return f
 }
 
@@ -119,7 +124,7 @@
 		}
 		changes = f.keepMissing(next, b, until, now, changes)
 	}
-	f.current.Store(next)
+	f.publish(next)
 	return changes
 }
 
@@ -154,7 +159,7 @@
 		next.add(id, b)
 	}
 	if len(changes) > 0 {
-		f.current.Store(next)
+		f.publish(next)
 	}
 	return changes
 }
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -37,6 +38,8 @@
 	Group    string
 	// Tokens is the size of a generation, 0 for other requests.
 	Tokens int
+	// Work is the expected work of a request to a service with engines, nil for other requests. It replaces Tokens.
+	Work *PickWork
 	// Tried lists the servers of earlier attempts, which must not be chosen again.
 	Tried []*Backend
 	// Random returns a number in [0, 1) that breaks ties.
@@ -59,6 +62,7 @@
 func (f *Fleet) pick(opts PickOptions) (*Backend, error) {
 	listed := f.Backends(opts.Service)
 	var best, fallback choice
+	orderStart := math.Float64frombits(f.orderStart.Load())
 	for _, b := range listed {
 		if slices.Contains(opts.Tried, b) {
 			continue
@@ -67,7 +71,12 @@
 		if !s.available || s.refusing || !opts.allows(s) {
 			continue
 		}
-		score := s.score() + opts.Random()*tieBreak
+		var score float64
+		if opts.Work != nil {
+			score = s.workScore(opts.Work, orderStart)
+		} else {
+			score = s.score() + opts.Random()*tieBreak
+		}
 		if s.lastResort {
 			fallback.consider(b, score)
 			continue
@@ -112,9 +121,14 @@
 func (s status) score() float64 {
 	slots := float64(max(s.slots, 1))
 	load := (1 + float64(s.inFlight) + float64(s.tokens)/tokensPerRequest) * max(s.pace, 1) / slots
-	load += failurePenalty * s.failures * s.failures
+	return load + s.penalties()
+}
+
+// penalties returns the terms of the score that do not depend on load.
+func (s status) penalties() float64 {
+	penalty := failurePenalty * s.failures * s.failures
 	if !s.local {
-		load += remotePenalty
+		penalty += remotePenalty
 	}
-	return load
+	return penalty
 }
--- a/gateway/balance/status.go
+++ b/gateway/balance/status.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"lavendermoor.example/gateway/workload"
+)
 
 // status is a snapshot of the properties of a backend on which a choice depends.
 type status struct {
@@ -18,6 +22,8 @@
 	slots      int
 	inFlight   int
 	tokens     int
+	left       workload.Amount
+	position   float64
 	pace       float64
 	failures   float64
 	local      bool
@@ -40,6 +46,8 @@
 		slots:        b.server.Slots,
 		inFlight:     b.inFlight,
 		tokens:       b.tokens,
+		left:         b.left,
+		position:     b.position,
 		pace:         b.pace,
 		failures:     b.failures,
 		local:        b.server.Domain == domain,
@@ -48,11 +56,13 @@
 
 // Dump is the state dump of a backend.
 type Dump struct {
-	ID          string  `json:"id"`
-	Service     string  `json:"service"`
-	Address     string  `json:"address"`
-	InFlight    int     `json:"in_flight"`
-	Tokens      int     `json:"tokens"`
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	InFlight int    `json:"in_flight"`
+	Tokens   int    `json:"tokens"`
+	// WorkMs is the engine time of the work that is left.
+	WorkMs      float64 `json:"work_ms"`
 	Failures    float64 `json:"failures"`
 	LatencyMs   float64 `json:"latency_ms"`
 	Pace        float64 `json:"pace"`
@@ -80,6 +90,7 @@
 		Group:       group,
 		InFlight:    b.inFlight,
 		Tokens:      b.tokens,
+		WorkMs:      float64(b.left.Total()) / float64(time.Millisecond),
 		Failures:    b.failures,
 		LatencyMs:   float64(b.latency) / float64(time.Millisecond),
 		Pace:        b.pace,
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -79,6 +79,10 @@
 	// one step.
 	PrefillPerSecond float64
 	PrefillPerStep   int
+	// TimePerMillionPairs is the time to read a prompt for each million pairs of a prompt token and an earlier token.
+	TimePerMillionPairs time.Duration
+	// UsualPrompt and UsualOutput are the mean numbers of prompt tokens and output tokens of a request, 0 if unknown.
+	UsualPrompt, UsualOutput float64
 	// Layers, Experts and ExpertSlots are the shape of a group's expert map. Layers is 0 without one.
 	Layers, Experts, ExpertSlots int
 	// MaxNewPerLayer is the largest number of experts of one layer that a rank can transfer for one map.
--- a/gateway/exchange/types.go
+++ b/gateway/exchange/types.go
@@ -19,6 +19,8 @@
 	HasTimeout bool
 	// PromptTokens and MaxTokens are the size of a generation, 0 if unknown.
 	PromptTokens, MaxTokens int
+	// LengthHint is the caller's estimate of the output tokens, 0 without one.
+	LengthHint int
 	// SharedParts are the IDs of the parts of the prompt that other requests may hold too, in order.
 	SharedParts []string
 	// LastEventID is the ID of the event after which a stream continues.
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -12,6 +12,7 @@
 	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
+	"lavendermoor.example/gateway/workload"
 )
 
 // attempt is one attempt to forward the request to a server.
@@ -30,6 +31,8 @@
 	// eventCount counts the events of this attempt with content.
 	eventCount int
 	sentAt     time.Time
+	// progress tracks the work of the attempt, nil if the request has no estimate.
+	progress *workload.Progress
 	// suspected is set if the server crashed and a part of the prompt became a suspect.
 	suspected bool
 	// unwatch ends the watch for a block of the prompt's parts.
@@ -53,6 +56,7 @@
 		unwatch: c.watchQuarantine(cancel),
 	}
 	defer a.unwatch()
+	defer a.beginWork(c.work, c.eventCount)()
 	var result attemptResult
 	// A response that breaks off after its beginning was relayed ends this function with a panic, which cuts the caller's
 	// connection.
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -39,6 +39,8 @@
 	// parts are the shared parts of the prompt and the whole request, by which the quarantine knows the request.
 	parts    []string
 	deadline time.Time
+	// work is nil for requests to services without engines.
+	work *callWork
 
 	attempts []attempt
 	// probes are the parts of the prompt of which this request is a probe.
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -13,6 +13,7 @@
 func (c *call) forward(ctx context.Context) {
 	budget := c.server.budget(c.service)
 	budget.CountRequest(c.arrived)
+	c.work = c.estimateWork()
 	for {
 		backend, err := c.choose(ctx)
 		if err != nil {
@@ -94,6 +95,7 @@
 	}
 	return c.server.opts.Fleet.Pick(balance.PickOptions{
 		Service: c.service, HasGroup: c.permit != nil, Group: group, Tokens: c.tokenCost(), Tried: tried,
+		Work:   c.work.pickWork(),
 		Random: c.server.opts.Random, Now: time.Now(),
 	})
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -90,6 +90,8 @@
 	budgets map[string]RetryBudget
 	// longestTimeouts are the longest timeouts that callers have used, by route name.
 	longestTimeouts map[string]time.Duration
+	// work is by service name.
+	work map[string]serviceWork
 }
 
 // New returns a server without a catalog, which refuses every request.
@@ -100,6 +102,7 @@
 	s := &Server{
 		opts: opts, queues: map[string]*limit.Queue{}, budgets: map[string]RetryBudget{},
 		longestTimeouts: map[string]time.Duration{}, buffers: buffer.NewBudget(opts.BufferBytes),
+		work: map[string]serviceWork{},
 	}
 	s.base, s.cancelBase = context.WithCancelCause(context.Background())
 	return s
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -20,6 +20,8 @@
 	firstEvent metric.Float64Histogram
 	longestGap metric.Float64Histogram
 	queueTime  metric.Float64Histogram
+	// estimateError is the error of the expected length of a stream relative to the actual one.
+	estimateError metric.Float64Histogram
 }
 
 // NewMetrics creates the instruments on a meter.
@@ -50,7 +52,10 @@
 			return nil, err
 		}
 	}
-	return &out, nil
+	out.estimateError, err = m.Float64Histogram("lavendermoor.gateway.estimate_error", metric.WithUnit("1"),
+		metric.WithDescription("Error of the expected length of a complete stream relative to the actual one, by hint."),
+		metric.WithExplicitBucketBoundaries(estimateErrorBounds...))
+	return &out, err
 }
 
 // record updates the metrics for a request that has ended, and logs it.
@@ -78,6 +83,7 @@
 				zap.Int("events", c.eventCount), zap.String("prompt", strings.Join(c.meta.SharedParts, ",")),
 				zap.String("group", c.group()), zap.Int("limit", limit),
 				zap.Int("in_flight", inFlight), zap.Int("waiting", waiting))
+			fields = append(fields, c.work.logFields(c.eventCount, c.completed)...)
 		}
 	}
 	if c.failure != nil {
@@ -145,6 +151,7 @@
 		return
 	}
 	m.queueTime.Record(ctx, c.queueTime.Seconds())
+	m.recordEstimate(ctx, c)
 	if c.eventCount > 0 {
 		m.firstEvent.Record(ctx, c.firstEventLatency.Seconds())
 		m.longestGap.Record(ctx, c.longestGap.Seconds())
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -16,7 +16,7 @@
 // relayStream relays a stream event by event. It returns false if the stream was interrupted and may continue on
 // another server.
 func (c *call) relayStream(ctx context.Context, resp *exchange.Response, a *attempt) bool {
-	r := streamRelay{call: c, resp: resp, attempt: a, backend: a.backend, lastEventAt: time.Now()}
+	r := streamRelay{call: c, resp: resp, attempt: a, lastEventAt: time.Now()}
 	err := r.run()
 	switch {
 	case errors.Is(err, io.EOF) && !endsBeforeFirstEvent(resp, a):
@@ -26,6 +26,7 @@
 			c.copyHeaders(resp.Response, false, 0) // The caller resumed the stream after its last event.
 		}
 		c.completed = true
+		c.observeLength()
 		return true
 	case r.callerDisconnected:
 		a.outcome, a.detail = balance.Abandoned, "the caller's connection: "+err.Error()
@@ -53,7 +54,6 @@
 	call               *call
 	resp               *exchange.Response
 	attempt            *attempt
-	backend            *balance.Backend
 	lastEventAt        time.Time
 	callerDisconnected bool
 }
@@ -105,7 +105,7 @@
 	if !e.HasContent {
 		return nil
 	}
-	s.backend.ObserveActivity(now)
+	s.attempt.observeActivity(now)
 	c.observeEvent(now, now.Sub(s.lastEventAt))
 	s.lastEventAt = now
 	s.attempt.eventCount++
