--- a/gateway/balance/outstanding.go
+++ b/gateway/balance/outstanding.go
@@ -64,8 +64,10 @@
 
 // workScore is the score of a server for a request with the given work, in an order of servers with the given start.
 func (s status) workScore(w *PickWork, orderStart float64) float64 {
-	load := workload.Load{Streams: s.inFlight, Left: s.left, Pace: s.pace, Slots: s.slots}
-	return load.Score(w.Amount, w.Usual) + workload.OrderTerm(s.position, orderStart) + s.penalties()
+	load := workload.Load{
+		Streams: s.inFlight, Left: s.left, Pace: s.pace, Slots: s.slots, Place: workload.Place(s.position, orderStart),
+	}
+	return load.Score(w.Amount, w.Usual) + s.penalties()
 }
 
 func hashID(id string) uint64 { return xxhash.Sum64String(id) }
--- a/gateway/workload/simulation/gateway.go
+++ b/gateway/workload/simulation/gateway.go
@@ -29,6 +29,8 @@
 	inFlight   int
 	// start is where the gateway's own order of the ranks begins, as a fraction of their list.
 	start float64
+	// domain is the gateway's failure domain. Rank i is in domain i modulo domains.
+	domain int
 }
 
 func newGateway(ranks int, m workload.Model) *gateway {
@@ -52,6 +54,8 @@
 	return streams * math.Exp(-float64(max(age, 0))/float64(fadeTime))
 }
 
+const domains = 3
+
 // fadeTime is about the mean duration of a stream.
 const fadeTime = 1200 * time.Millisecond
 
@@ -105,9 +109,13 @@
 func (g *gateway) choose(rng *rand.Rand, p Rule, ranks []*rank, w workload.Amount, now time.Duration) int {
 	best, second := candidate{rank: -1}, candidate{rank: -1}
 	consider := func(i int) {
-		score := p.Score(g.load(i, ranks[i].pace, now, p.Others), w) + rng.Float64()*p.TieBreak
+		v := g.load(i, ranks[i].pace, now, p.Others)
 		if p.Ordered {
-			score += workload.OrderTerm(float64(i)/float64(len(ranks)), g.start)
+			v.load.Place = workload.Place(float64(i)/float64(len(ranks)), g.start)
+		}
+		score := p.Score(v, w) + rng.Float64()*p.TieBreak
+		if i%domains != g.domain {
+			score += p.RemotePenalty
 		}
 		c := candidate{i, score}
 		switch {
--- a/gateway/workload/simulation/rule.go
+++ b/gateway/workload/simulation/rule.go
@@ -28,6 +28,8 @@
 	OthersSecond bool
 	// Ordered adds the place of a rank in an order that begins elsewhere for each gateway.
 	Ordered bool
+	// RemotePenalty is added to the score of a rank in another failure domain.
+	RemotePenalty float64
 	// BySize sends the smallest of the streams that wait at a gateway first, unless one has waited for maxOvertaken.
 	BySize bool
 }
@@ -43,7 +45,7 @@
 var model = workload.NewModel(&Engine)
 
 func byRequests(v View, _ workload.Amount) float64 {
-	return (1 + v.Streams + v.Others) * v.Pace / slots
+	return (1 + v.Streams + v.Others + v.load.Place) * v.Pace / slots
 }
 
 func byTokens(v View, _ workload.Amount) float64 {
@@ -59,7 +61,7 @@
 
 func byWork(v View, w workload.Amount) float64 {
 	others := v.Others * float64(model.Usual().Total())
-	return (float64(v.load.Left.Total()+w.Total()) + others) * v.Pace / float64(model.Usual().Total()) / slots
+	return ((float64(v.load.Left.Total()+w.Total())+others)/float64(model.Usual().Total()) + v.load.Place) * v.Pace / slots
 }
 
 // chosen is the score of the product, with the other gateways' streams for the rules that know them.
@@ -84,6 +86,7 @@
 		{Name: "requests, order", Score: byRequests, Ordered: true},
 		{Name: "exp. work, order", Score: byWork, Ordered: true},
 		{Name: "pass work, order", Score: chosen, Ordered: true},
+		{Name: "same, near domain", Score: chosen, Ordered: true, RemotePenalty: 0.02},
 		{Name: "the same, by size", Score: chosen, Ordered: true, BySize: true},
 	}
 }
--- a/gateway/workload/simulation/run.go
+++ b/gateway/workload/simulation/run.go
@@ -50,6 +50,7 @@
 	}
 	for i := range l.Gateways {
 		g := newGateway(l.Ranks, model)
+		g.domain = i % domains
 		g.start = float64(i) / float64(l.Gateways)
 		g.nextPoll = time.Duration(s.rng.Float64() * float64(l.PollInterval))
 		s.gateways = append(s.gateways, g)
