--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -36,6 +36,7 @@
 	testPriority     = "T-Priority"
 	testRetryAfter   = "T-Retry-After"
 	testLeaving      = "T-Leaving"
+	testUsage        = "T-Usage"  // Prompt tokens, maximum of output tokens and hint, separated by commas.
 	testPrompt       = "T-Prompt" // Shared parts of the prompt, separated by commas.
 )
 
@@ -46,6 +47,11 @@
 	if ms, err := strconv.Atoi(h.Get(testDeadline)); err == nil {
 		m.Timeout, m.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
+	if usage := strings.Split(h.Get(testUsage), ","); len(usage) == 3 {
+		m.PromptTokens, _ = strconv.Atoi(usage[0])
+		m.MaxTokens, _ = strconv.Atoi(usage[1])
+		m.LengthHint, _ = strconv.Atoi(usage[2])
+	}
 	if prompt := h.Get(testPrompt); prompt != "" {
 		m.SharedParts = strings.Split(prompt, ",")
 	}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -52,7 +52,7 @@
 			return nil, err
 		}
 	}
-	out.estimateError, err = m.Float64Histogram("lavendermoor.gateway.estimate_error", metric.WithUnit("1"),
+	out.estimateError, err = m.Float64Histogram("lavendermoor.gateway.estimate_error", metric.WithUnit("{ratio}"),
 		metric.WithDescription("Error of the expected length of a complete stream relative to the actual one, by hint."),
 		metric.WithExplicitBucketBoundaries(estimateErrorBounds...))
 	return &out, err
--- a/gateway/workload/estimator.go
+++ b/gateway/workload/estimator.go
@@ -36,6 +36,9 @@
 	// maxLogDeviation bounds what one response can teach, because hints can be wrong by any factor.
 	maxLogDeviation = 3.0
 	minLogSpread    = 0.1
+	// maxLogSpread is above the spread of the deployments' responses, 0.8. Without it, a response that is much shorter than
+	// expected raised the expected length: the mean of a log-normal distribution grows with its variance.
+	maxLogSpread = 1.0
 	// maxEstimateKeys bounds the memory of an estimator. Routes and customers come from the configuration, which names
 	// up to 1,700 customers. Further ones are estimated by their route.
 	maxEstimateKeys = 8192
@@ -149,4 +152,6 @@
 	}
 }
 
-func spreadOf(variance float64) float64 { return max(math.Sqrt(max(variance, 0)), minLogSpread) }
+func spreadOf(variance float64) float64 {
+	return min(max(math.Sqrt(max(variance, 0)), minLogSpread), maxLogSpread)
+}
--- a/gateway/workload/estimator_test.go
+++ b/gateway/workload/estimator_test.go
@@ -86,6 +86,14 @@
 	require.InDelta(t, 100, e.Estimate(Request{Route: "r", MaxTokens: 100, Hint: 100_000}).Output, 0)
 }
 
+// Guards against an expected length that grows after a response much shorter than expected.
+func TestShortResponseLowersTheEstimate(t *testing.T) {
+	e := estimator()
+	start := e.Estimate(Request{Route: "r"}).Output
+	e.Observe(Request{Route: "r"}, 3)
+	require.Less(t, e.Estimate(Request{Route: "r"}).Output, start)
+}
+
 // Guards against estimates that are not numbers after hints at the ends of their range, and against memory that grows
 // with every name.
 func TestExtremeHintsAndManyCustomers(t *testing.T) {
--- a/gateway/workload/simulation/rule.go
+++ b/gateway/workload/simulation/rule.go
@@ -28,6 +28,8 @@
 	OthersSecond bool
 	// Ordered adds the place of a rank in an order that begins elsewhere for each gateway.
 	Ordered bool
+	// RandomStarts begins the orders at random ranks, as while a gateway does not know the others.
+	RandomStarts bool
 	// RemotePenalty is added to the score of a rank in another failure domain.
 	RemotePenalty float64
 	// BySize sends the smallest of the streams that wait at a gateway first, unless one has waited for maxOvertaken.
@@ -86,6 +88,7 @@
 		{Name: "requests, order", Score: byRequests, Ordered: true},
 		{Name: "exp. work, order", Score: byWork, Ordered: true},
 		{Name: "pass work, order", Score: chosen, Ordered: true},
+		{Name: "same, random starts", Score: chosen, Ordered: true, RandomStarts: true},
 		{Name: "same, near domain", Score: chosen, Ordered: true, RemotePenalty: 0.02},
 		{Name: "the same, by size", Score: chosen, Ordered: true, BySize: true},
 	}
--- a/gateway/workload/simulation/run.go
+++ b/gateway/workload/simulation/run.go
@@ -53,6 +53,9 @@
 		g.domain = i % domains
 		g.start = float64(i) / float64(l.Gateways)
 		g.nextPoll = time.Duration(s.rng.Float64() * float64(l.PollInterval))
+		if rule.RandomStarts {
+			g.start = s.rng.Float64()
+		}
 		s.gateways = append(s.gateways, g)
 	}
 	next := s.interval(arrivals)
