--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,9 @@
 	listed    []catalog.Server
 	keepUntil time.Time
 
+	// orderStart holds the bits of the fraction set by SetOrderStart.
+	orderStart atomic.Uint64
+
 	groupsLock sync.Mutex
 	groups     map[groupKey]*Group
 }
@@ -51,6 +55,7 @@
 		former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{},
 	}
 	f.current.Store(newSnapshot())
+	f.SetOrderStart(rand.Float64())
 	return f
 }
 
@@ -124,7 +129,7 @@
 		}
 		changes = f.keepMissing(next, b, until, now, changes)
 	}
-	f.current.Store(next)
+	f.publish(next)
 	return changes
 }
 
@@ -159,7 +164,7 @@
 		next.add(id, b)
 	}
 	if len(changes) > 0 {
-		f.current.Store(next)
+		f.publish(next)
 	}
 	return changes
 }
