Wait for the end of the request in a test of the memory of long responses

Cause: TestLongSoundResponsesAreRelayedWhole failed once beside load, and on in 15 runs too: a caller has the whole response before the gateway has given its memory back. Change: the test waits until no request is in progress, as the test before it does; its checks are the same.

--- a/gateway/ingress/reports_test.go
+++ b/gateway/ingress/reports_test.go
@@ -102,6 +102,7 @@
 	_, body, err := g.get(t, "/once/x")
 	require.NoError(t, err)
 	require.Equal(t, long, body)
+	require.Eventually(t, func() bool { return g.InFlight() == 0 }, time.Minute, time.Millisecond)
 	require.True(t, g.buffers.TryAcquire(defaultBufferBytes), "all memory is given back")
 	g.buffers = buffer.NewBudget(0)
 	_, body, err = g.get(t, "/once/x")
