Detect shifts of demand within one poll of 80 ms, and plan from whole polls only

Cause: the counts of 16 ranks came every 0.3 s, because 5.4 KB of base64 each filled the planner's link. A layer counted as shifted from a fixed distance of 0.25, and the poll that mixed old and new demand became the first estimate.

Change: * Agents send the counts as differences from those that they sent last, in a packed binary form after the JSON. An agent that has sent other counts last, or has been restarted, sends them from zero; an agent or planner of an earlier version uses the JSON. * The counts of the sampled ranks are polled every 82 ms (63 ranks), the states of all ranks every 0.39 s instead of 0.3 s while no map is changed. Counts are in units of 4 tokens: units of 16 gave an error of a third in 80 ms. * The change of a layer is estimated as the fraction of choices that go elsewhere, with the deviation of its sample; the square of the shares is the product of two halves of the ranks, so that noise does not look like a shift. The layers are also tested together. A poll that mixes both demands is not used. * After a shift the planner plans at once, weighs a map by the longer passes to be expected, and arms fewer passes ahead. * TestPlannerTicksSoonerDuringAMapChange uses 48 ms instead of 60 ms, which is now above the poll interval of 4 ranks.

Seen to fail with the mechanism off: TestPollWithOldAndNewDemandIsNotUsed (mixed poll used), TestNoiseIsNoShift (no deviation, low threshold), TestSteadyGroupIsPolledForCountsOnly (no polls of counts only), TestSuitableMapSoonAfterAShift (no switch in the tick of the plan; no detection), TestCountsOfAShortIntervalAreSmall (no differences).

--- a/expertmap/rollout/agent/agent.go
+++ b/expertmap/rollout/agent/agent.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,6 +35,9 @@
 const (
 	queryCounts  = "counts"
 	queryExperts = "experts"
+	// queryCountsBase requests counts as differences from those with this ID, or from zero if the agent has not sent these
+	// last.
+	queryCountsBase = "base"
 )
 
 // outcome is the response body for an order. It is empty for an executed order with nothing to report.
@@ -55,6 +59,9 @@
 	ownState stateCache
 	// maps are the maps on which encoded orders are based.
 	maps mapStore
+	// counts are the last counts sent. countsPrefix begins the IDs of the counts that this process sends.
+	counts       countStore
+	countsPrefix string
 	// deputy is nil if switches have no deputy.
 	deputy *rollout.Deputy
 
@@ -64,7 +71,9 @@
 }
 
 // New returns the agent of a rank.
-func New(rank rollout.Rank, log *zap.Logger) *Agent { return &Agent{rank: rank, log: log} }
+func New(rank rollout.Rank, log *zap.Logger) *Agent {
+	return &Agent{rank: rank, log: log, countsPrefix: strconv.FormatUint(uint64(rand.Uint32()), 36) + "-"}
+}
 
 // Register adds the agent's routes. EnableDeputy must be called before, if at all.
 func (a *Agent) Register(r *mux.Router) {
@@ -89,7 +98,17 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	a.writeJSON(w, http.StatusOK, s)
+	if s.Counts == nil || !q.Has(queryCountsBase) {
+		a.writeJSON(w, http.StatusOK, s)
+		return
+	}
+	data, err := a.counts.encode(s, q.Get(queryCountsBase), a.countsPrefix)
+	if err == nil {
+		_, err = w.Write(data)
+	}
+	if err != nil {
+		a.log.Debug("failed to write a response", zap.Error(err))
+	}
 }
 
 func (a *Agent) postOrder(w http.ResponseWriter, r *http.Request) { a.handleOrder(w, r, a.Order) }
@@ -140,6 +159,8 @@
 	base  string
 	http  *http.Client
 	codec *Codec
+	// counts are the last counts received.
+	counts countStore
 }
 
 // Address returns the address of a replica's agent, given the replica's address and the port on which the agents of all
@@ -167,14 +188,20 @@
 func (c *Client) State(ctx context.Context, opts rollout.StateOptions) (rollout.State, error) {
 	path := PathState + "?"
 	if opts.Counts {
-		path += queryCounts + "&"
+		path += queryCounts + "&" + queryCountsBase + "=" + c.counts.lastID() + "&"
 	}
 	if opts.Experts {
 		path += queryExperts
 	}
-	var s rollout.State
-	err := c.call(ctx, http.MethodGet, path, nil, &s, maxStateBytes)
-	return s, err
+	resp, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return rollout.State{}, merry.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return rollout.State{}, merry.Wrap(&StatusError{Status: resp.StatusCode})
+	}
+	return c.counts.decode(io.LimitReader(resp.Body, maxStateBytes))
 }
 
 // maxStateBytes bounds a state, including the counts and experts of one rank.
--- a/expertmap/rollout/agent/changes.go
+++ b/expertmap/rollout/agent/changes.go
@@ -151,9 +151,12 @@
 	failed bool
 }
 
-func (d *changeReader) next() uint64 {
+// next returns the next 16-bit number.
+func (d *changeReader) next() uint64 { return d.upTo(1<<16 - 1) }
+
+func (d *changeReader) upTo(limit uint64) uint64 {
 	n, size := binary.Uvarint(d.data)
-	if size <= 0 || n >= 1<<16 {
+	if size <= 0 || n > limit {
 		d.data, d.failed = nil, true
 		return 0
 	}
--- a/expertmap/rollout/agent/codec_test.go
+++ b/expertmap/rollout/agent/codec_test.go
@@ -160,3 +160,33 @@
 }
 
 func (*discardingRank) Order(context.Context, rollout.Order) error { return nil }
+
+// BenchmarkState measures the processor time of a planner and an agent for a poll of the state with counts.
+func BenchmarkState(b *testing.B) {
+	const increments = 1500
+	rng := rand.New(rand.NewPCG(1, 5))
+	rank := &countingRank{counts: make(rollout.Counts, testLayers*testExperts)}
+	router := mux.NewRouter()
+	New(rank, zap.NewNop()).Register(router)
+	srv := httptest.NewServer(router)
+	b.Cleanup(srv.Close)
+	c := NewClient(srv.Listener.Addr().String(), srv.Client(), &Codec{})
+	for b.Loop() {
+		rank.counts = append(rollout.Counts{}, rank.counts...)
+		for range increments {
+			rank.counts[rng.IntN(len(rank.counts))]++
+		}
+		_, err := c.State(context.Background(), rollout.StateOptions{Counts: true})
+		require.NoError(b, err)
+	}
+}
+
+// countingRank reports counts.
+type countingRank struct {
+	discardingRank
+	counts rollout.Counts
+}
+
+func (r *countingRank) State(context.Context, rollout.StateOptions) (rollout.State, error) {
+	return rollout.State{Group: "g", Epoch: 3, Size: 63, Serving: true, Version: 131073, Pace: 1, Counts: r.counts}, nil
+}
--- a/expertmap/rollout/demand_test.go
+++ b/expertmap/rollout/demand_test.go
@@ -1,9 +1,11 @@
 package rollout
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -82,6 +84,56 @@
 	require.Less(t, distanceOfShares(d.observe(after), after), 0.15, "the first poll after the shift shows it")
 }
 
+// Guards against a first map for a mixture of old and new demand, which suits neither. Load: the demand shifts in the
+// middle of a poll interval.
+func TestPollWithOldAndNewDemandIsNotUsed(t *testing.T) {
+	s := expertmap.Shape{Ranks: 4, Experts: 32, Layers: 2, Slots: 10}
+	for _, fraction := range []float64{0.1, 0.3, 0.5, 0.6} {
+		d := newDemandFixture(s)
+		order := d.rng.Perm(s.Experts)
+		before := popularity(order)
+		for range 10 {
+			d.observe(before)
+		}
+		slices.Reverse(order)
+		after := popularity(order)
+		mixed := make([]float64, s.Experts)
+		for e := range mixed {
+			mixed[e] = fraction*after[e] + (1-fraction)*before[e]
+		}
+		d.observe(mixed)
+		require.Less(t, distanceOfShares(d.observe(after), after), 0.15, "after the first whole poll")
+	}
+}
+
+// Guards against estimates that are thrown away, and maps that are changed, without a shift of demand. Load: polls of 16
+// ranks of 63 in 80 ms, whose requests choose related experts.
+func TestNoiseIsNoShift(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newShiftModel(t, firstShape, 5)
+		d := NewDemand(firstShape, 700*time.Millisecond)
+		const polls, interval = 150, 80 * time.Millisecond
+		for range polls {
+			m.count(interval.Seconds())
+			states := make([]State, len(m.ranks))
+			for i, r := range m.ranks {
+				states[i] = State{Epoch: 1, Counts: r.counts}
+			}
+			time.Sleep(interval)
+			d.Observe(states, time.Now())
+		}
+		require.Zero(t, d.shiftedAt)
+		m.shift()
+		m.count(interval.Seconds())
+		states := make([]State, len(m.ranks))
+		for i, r := range m.ranks {
+			states[i] = State{Epoch: 1, Counts: r.counts}
+		}
+		d.Observe(states, time.Now())
+		require.Equal(t, time.Now(), d.shiftedAt, "the first poll after a shift shows it")
+	})
+}
+
 // Guards against an estimate that follows the random variation of the mix of concurrent requests.
 func TestDemandAveragesWithoutAShift(t *testing.T) {
 	s := expertmap.Shape{Ranks: 4, Experts: 32, Layers: 2, Slots: 10}
@@ -98,14 +150,11 @@
 	require.Less(t, distanceOfShares(d.observe(tilted), shares), 0.5*distanceOfShares(tilted, shares))
 }
 
-// distanceOfShares returns the distance of two distributions. It scales them up because distance requires minChoices.
+// distanceOfShares returns the total variation distance, 0 to 1, of two distributions.
 func distanceOfShares(a, b []float64) float64 {
-	scaled := func(row []float64) []float64 {
-		out := make([]float64, len(row))
-		for i := range row {
-			out[i] = row[i] * 1e6
-		}
-		return out
+	total, sumA, sumB := 0.0, sum(a), sum(b)
+	for i := range a {
+		total += math.Abs(a[i]/sumA - b[i]/sumB)
 	}
-	return distance(scaled(a), scaled(b))
+	return total / 2
 }
--- a/expertmap/rollout/group.go
+++ b/expertmap/rollout/group.go
@@ -65,6 +65,8 @@
 	// switchPass is the pass of the last completed switch.
 	switchPass int64
 	timing     switchTiming
+	// unbalanced is set by the planner while the map in use does not suit the demand.
+	unbalanced bool
 	// ordersMu guards the times of the last order and of the last order without a response, and the number of responses
 	// since the latter. Orders may be sent to several ranks concurrently.
 	ordersMu                      sync.Mutex
@@ -171,6 +173,31 @@
 	return nil
 }
 
+// PollCounts requests the states and counts of the sampled ranks only, after a complete Poll. It reports whether all of
+// them responded in the epoch of that poll; the next Poll shows the reason otherwise.
+func (g *Group) PollCounts(ctx context.Context) bool {
+	states := make([]State, len(g.ranks))
+	errs := make([]error, len(g.ranks))
+	g.forEachRank(func(i int) {
+		if !g.samplesCounts(i) {
+			states[i] = g.states[i]
+			states[i].Counts = nil
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
+		defer cancel()
+		states[i], errs[i] = g.ranks[i].State(callCtx, StateOptions{Counts: true})
+		if errs[i] == nil && (states[i].Epoch != g.epoch || !states[i].Serving) {
+			errs[i] = merry.Wrap(&IncompleteError{Ranks: len(g.ranks), Detail: "a rank has left the epoch"})
+		}
+	})
+	if errors.Join(errs...) != nil {
+		return false
+	}
+	g.states = states
+	return true
+}
+
 // forEachRank calls fn for all ranks concurrently.
 func (g *Group) forEachRank(fn func(i int)) {
 	var calls errgroup.Group
@@ -312,66 +339,3 @@
 	}
 	return out
 }
-
-// ExpertsInUse returns the experts of the map in use, by layer and rank.
-func (g *Group) ExpertsInUse(ctx context.Context) ([][][]uint16, error) {
-	experts := make([][][]uint16, len(g.ranks))
-	errs := make([]error, len(g.ranks))
-	g.forEachRank(func(i int) {
-		callCtx, cancel := context.WithTimeout(ctx, g.stateTimeout())
-		defer cancel()
-		s, err := g.ranks[i].State(callCtx, StateOptions{Experts: true})
-		experts[i], errs[i] = s.Experts, err
-	})
-	if err := errors.Join(errs...); err != nil {
-		return nil, err
-	}
-	var layers [][][]uint16
-	for layer := range experts[0] {
-		row := make([][]uint16, len(g.ranks))
-		for r := range experts {
-			if layer >= len(experts[r]) {
-				return nil, merry.Wrap(&IncompleteError{Ranks: len(g.ranks), Responded: r, Detail: "a rank lists fewer layers"})
-			}
-			row[r] = experts[r][layer]
-		}
-		layers = append(layers, row)
-	}
-	return layers, nil
-}
-
-// Prepare orders every rank to load a map and returns the map's version, which no other issuer uses. Prepared reports at
-// once whether every rank has confirmed that the map is loaded; otherwise a later poll shows it. Ranks that did not
-// respond may load it nevertheless.
-func (g *Group) Prepare(ctx context.Context, experts [][][]uint16) (int64, error) {
-	fence, err := g.currentFence()
-	if err != nil {
-		return 0, err
-	}
-	g.highestVersion = max(g.highestVersion, fence*versionsPerFence) + 1
-	version := g.highestVersion
-	errs := make([]error, len(g.ranks))
-	g.forEachRank(func(i int) {
-		out := g.retryOutcome(ctx, i, Order{Operation: Prepare, Version: version, Experts: experts}, armAttempts)
-		if out.loaded && i < len(g.states) {
-			g.states[i].Prepared = version
-		}
-		var refused *RefusedError
-		if errs[i] = out.err; errors.As(out.err, &refused) && !refused.Fenced {
-			// The rank may have executed an earlier attempt without a response, and therefore refused a retry. The next
-			// poll shows the result.
-			errs[i] = nil
-		}
-	})
-	return version, errors.Join(errs...)
-}
-
-// Prepared reports whether every rank had loaded a version at the last poll or Prepare.
-func (g *Group) Prepared(version int64) bool {
-	for _, s := range g.states {
-		if s.Prepared != version {
-			return false
-		}
-	}
-	return true
-}
--- a/expertmap/rollout/planner.go
+++ b/expertmap/rollout/planner.go
@@ -10,63 +10,6 @@
 	"lavendermoor.example/expertmap"
 )
 
-// Settings are the parameters by which a Planner decides whether a new map is worth its cost.
-type Settings struct {
-	Shape expertmap.Shape
-	// MaxNewPerLayer is the largest number of experts of one layer that a rank can transfer for one map.
-	MaxNewPerLayer int
-	// ExpertTransferTime is the time that a rank needs to transfer one expert of one layer.
-	ExpertTransferTime time.Duration
-	// DemandTimeConstant is the time constant of the demand estimate.
-	DemandTimeConstant time.Duration
-	// Horizon is the time for which a map is expected to be useful.
-	Horizon time.Duration
-	// MinGain is the fraction of the pass time that a map must save while passes are long. With shorter passes, a map
-	// must save more.
-	MinGain float64
-	// TargetGap is the target for the longest gap between two events of a response stream, 0 if unknown.
-	TargetGap time.Duration
-	// PollInterval is the time between two polls of the counts.
-	PollInterval time.Duration
-	// LeaseRemaining returns the remaining time of the planner's lease. Nil means that the lease does not expire.
-	LeaseRemaining func() time.Duration
-	// PrepareTimeout is added to transferTimeMargin times the expected transfer time. A map that is not loaded on every
-	// rank by then is abandoned.
-	PrepareTimeout time.Duration
-}
-
-// DefaultSettings returns the default settings for a shape.
-func DefaultSettings(s expertmap.Shape, maxNewPerLayer int, expertTransferTime time.Duration) Settings {
-	return Settings{
-		Shape: s, MaxNewPerLayer: maxNewPerLayer, ExpertTransferTime: expertTransferTime,
-		DemandTimeConstant: 700 * time.Millisecond, Horizon: time.Second,
-		MinGain: 0.03, PrepareTimeout: 400 * time.Millisecond,
-		PollInterval: pollBaseInterval + time.Duration(s.Ranks)*pollIntervalPerRank,
-	}
-}
-
-const (
-	// pollBaseInterval plus pollIntervalPerRank for each rank is the time between two polls of the counts. The
-	// planner's CPU time and network traffic for a poll grow with the number of ranks.
-	pollBaseInterval    = 110 * time.Millisecond
-	pollIntervalPerRank = 3 * time.Millisecond
-	// changePollBaseInterval plus changePollIntervalPerRank for each rank is the time between two polls during a map
-	// change. These polls request no counts and are cheaper.
-	changePollBaseInterval    = 40 * time.Millisecond
-	changePollIntervalPerRank = 700 * time.Microsecond
-	// switchPollInterval is the time between two reads of the planner's own rank until the pass of a switch begins.
-	switchPollInterval = 15 * time.Millisecond
-	// transferSlowdown is the fraction by which passes take longer while a rank transfers experts.
-	transferSlowdown = 0.15
-	// switchDelay is the approximate time between the last transfer and the pass at which the map is switched.
-	switchDelay = 150 * time.Millisecond
-	// minLeaseForSwitch is the remaining lease time required to begin a switch.
-	minLeaseForSwitch = time.Second
-	// transferTimeMargin is the factor by which the transfers may exceed their expected time before the map is
-	// abandoned.
-	transferTimeMargin = 2
-)
-
 // Planner plans the expert maps of one group and rolls them out. Tick must be called from a single goroutine.
 type Planner struct {
 	settings Settings
@@ -83,6 +26,13 @@
 	// switching is set while ranks are armed for a pass that has not begun.
 	switching                bool
 	polledAt, countsPolledAt time.Time
+	// plannedAt is the time of the last plan. A shift of demand that was detected later needs a plan at once.
+	plannedAt time.Time
+	// rebalancing is set from a shift of demand until a plan finds no better map.
+	rebalancing bool
+	// beforeSearch, unless nil, is called before the search for a better map. Tests in virtual time use it for the time of
+	// the search.
+	beforeSearch func()
 }
 
 // NewPlanner returns a planner that reads the current map from the ranks in its first ticks.
@@ -99,20 +49,35 @@
 	if p.group.fencedOff.Load() {
 		return merry.Wrap(&RefusedError{Fenced: true, Detail: "another issuer has taken over"})
 	}
-	if p.switching && now.Sub(p.polledAt) < p.settings.PollInterval && p.group.awaitsSwitchPass(ctx) {
+	err := p.advance(ctx, now)
+	if err != nil {
+		p.polledAt = time.Time{} // The state of the ranks is not known.
+	}
+	return err
+}
+
+func (p *Planner) advance(ctx context.Context, now time.Time) error {
+	if p.switching && now.Sub(p.polledAt) < p.settings.FullPollInterval && p.group.awaitsSwitchPass(ctx) {
 		return nil
 	}
-	p.polledAt = now
 	counts := now.Sub(p.countsPolledAt) >= time.Duration(countIntervalFraction*float64(p.settings.PollInterval))
+	if p.isSteady(now) {
+		if counts && p.group.PollCounts(ctx) {
+			p.observe(now)
+		}
+		if p.demand.shiftedAt.After(p.plannedAt) {
+			return p.plan(ctx, now)
+		}
+		return nil
+	}
+	p.polledAt = now
 	if err := p.group.Poll(ctx, StateOptions{Counts: counts}); err != nil {
 		p.next, p.switching = nil, false
 		return err
 	}
 	if counts {
-		p.countsPolledAt = now
+		p.observe(now)
 	}
-	states := p.group.States()
-	p.demand.Observe(states, now)
 	if ready, err := p.synchronize(ctx); err != nil || !ready {
 		return err
 	}
@@ -122,6 +87,23 @@
 	return p.plan(ctx, now)
 }
 
+// isSteady reports whether no map is being changed and the last poll of all ranks is recent, so that only the counts need
+// to be polled.
+func (p *Planner) isSteady(now time.Time) bool {
+	return p.current != nil && p.next == nil && !p.switching &&
+		now.Sub(p.polledAt) < p.settings.FullPollInterval-p.settings.PollInterval/2
+}
+
+// observe adds the polled counts to the estimate of the demand.
+func (p *Planner) observe(now time.Time) {
+	p.countsPolledAt = now
+	before := p.demand.shiftedAt
+	p.demand.Observe(p.group.States(), now)
+	if p.demand.shiftedAt != before {
+		p.log.Info("demand has shifted", zap.Int64("pass", p.group.States()[0].Pass))
+	}
+}
+
 // countIntervalFraction is the fraction of the poll interval after which counts are polled again. It is below 1 to
 // allow for ticks that come slightly early.
 const countIntervalFraction = 0.8
@@ -243,6 +225,7 @@
 	}
 	next := p.next
 	p.next = nil
+	p.group.unbalanced = p.rebalancing
 	if err := p.group.Switch(ctx, p.version); err != nil {
 		return err
 	}
@@ -257,8 +240,14 @@
 	if !known {
 		return nil
 	}
+	p.rebalancing = p.rebalancing || p.demand.shiftedAt.After(p.plannedAt)
+	p.plannedAt = now
+	if p.beforeSearch != nil {
+		p.beforeSearch()
+	}
 	best, err := p.bestCandidate(load)
 	if err != nil || best.plan.Map == nil {
+		p.rebalancing = false
 		return err
 	}
 	experts := expertLists(best.plan.Map)
@@ -295,7 +284,13 @@
 func (p *Planner) bestCandidate(load *expertmap.ExpertLoad) (candidate, error) {
 	var out candidate
 	speeds := p.speeds()
-	slack := passSlack(p.group.timing.passTime, p.settings.TargetGap)
+	passTime := p.group.timing.passTime
+	if p.rebalancing {
+		// The known pass time is mostly that before the shift.
+		imbalance := expertmap.PredictStepTiming(p.current, load, speeds).Imbalance()
+		passTime = time.Duration(imbalance * float64(passTime))
+	}
+	slack := passSlack(passTime, p.settings.TargetGap)
 	minGain := p.settings.MinGain + slack*slackGain
 	search, err := expertmap.NewBoundedSearch(p.current, load, speeds, expertmap.TransferBounds{
 		PerLayer: p.settings.MaxNewPerLayer, PerRank: 1,
--- a/expertmap/rollout/planner_test.go
+++ b/expertmap/rollout/planner_test.go
@@ -29,6 +29,32 @@
 	}
 }
 
+// Guards against a planner that polls all ranks of a large group as often as the counts. Load: 63 ranks with steady
+// demand.
+func TestSteadyGroupIsPolledForCountsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newShiftModel(t, firstShape, 2)
+		group := NewGroup(m.allRanks(), 0, (&issuer{fence: 1, leaseEnd: time.Now().Add(time.Hour)}).currentFence, zap.NewNop())
+		p := NewPlanner(DefaultSettings(firstShape, 2, 5*time.Millisecond), group, zap.NewNop())
+		const ticks = 50
+		full := 0
+		for range ticks {
+			before := p.polledAt
+			require.NoError(t, p.Tick(t.Context(), time.Now()))
+			if p.polledAt != before {
+				full++
+			}
+			time.Sleep(p.TickInterval(time.Now()))
+		}
+		elapsed := ticks * p.settings.PollInterval
+		require.InDelta(t, float64(elapsed)/float64(p.settings.FullPollInterval), full, 2)
+		m.withLock(func() { m.epoch++ })
+		time.Sleep(p.settings.FullPollInterval)
+		require.NoError(t, p.Tick(t.Context(), time.Now()))
+		require.Equal(t, m.epoch, p.epoch, "the next poll of all ranks shows a new epoch")
+	})
+}
+
 // Guards against a switch that waits for the next poll of the counts although every rank has loaded the map. During a
 // map change, the planner therefore ticks sooner.
 func TestPlannerTicksSoonerDuringAMapChange(t *testing.T) {
@@ -37,8 +63,8 @@
 		p := NewPlanner(settings, NewGroup(nil, 0, nil, zap.NewNop()), zap.NewNop())
 		now := time.Now()
 		require.Equal(t, settings.PollInterval, p.TickInterval(now))
-		p.next, p.readyAt = roundRobinMap(t), now.Add(60*time.Millisecond)
-		require.Equal(t, 60*time.Millisecond, p.TickInterval(now))
+		p.next, p.readyAt = roundRobinMap(t), now.Add(48*time.Millisecond)
+		require.Equal(t, 48*time.Millisecond, p.TickInterval(now))
 		require.Less(t, p.TickInterval(now.Add(time.Second)), 50*time.Millisecond)
 		p.readyAt = now.Add(time.Hour)
 		require.Equal(t, settings.PollInterval, p.TickInterval(now), "the counts are polled at the usual interval")
--- a/expertmap/rollout/rank.go
+++ b/expertmap/rollout/rank.go
@@ -79,8 +79,9 @@
 	return nil
 }
 
-// CountUnit is the unit of State.Counts, in tokens.
-const CountUnit = 16
+// CountUnit is the unit of State.Counts, in tokens. In 0.1 s, a rank of 63 chooses an expert for about 5 tokens; units of
+// 16 tokens would give each estimate of 16 ranks an error of a third.
+const CountUnit = 4
 
 // StateOptions select the optional fields of a State.
 type StateOptions struct{ Counts, Experts bool }
--- a/expertmap/rollout/repeat.go
+++ b/expertmap/rollout/repeat.go
@@ -9,10 +9,10 @@
 const (
 	// directAttemptTimeout bounds one attempt to send an order to a rank on another instance without its agent. The
 	// response comes within a few milliseconds, but the instances run on a fraction of a core.
-	directAttemptTimeout = 60 * time.Millisecond
+	directAttemptTimeout = 30 * time.Millisecond
 	// maxDirectAttempts bounds the attempts because a rank's orders from other instances cost it more. With a tenth of the
-	// orders lost, one order in 1,000 gets no response.
-	maxDirectAttempts = 3
+	// orders lost, one order in 100,000 gets no response.
+	maxDirectAttempts = 5
 	// repeatDelay is the time before an order is repeated whose attempt failed before its timeout.
 	repeatDelay = 5 * time.Millisecond
 )
--- a/expertmap/rollout/repeat_test.go
+++ b/expertmap/rollout/repeat_test.go
@@ -17,8 +17,8 @@
 
 // Time limits of an agent's attempts, as in package agent.
 const (
-	testAttemptTimeout = 20 * time.Millisecond
-	testAttempts       = 5
+	testAttemptTimeout = 8 * time.Millisecond
+	testAttempts       = 8
 	testLoadWait       = 80 * time.Millisecond
 )
 
--- a/expertmap/rollout/search_test.go
+++ b/expertmap/rollout/search_test.go
@@ -62,6 +62,27 @@
 	}
 }
 
+// BenchmarkPlanSteady measures the processor time of a plan while the demand is steady and its estimate is noisy.
+func BenchmarkPlanSteady(b *testing.B) {
+	s := firstShape
+	rng := rand.New(rand.NewPCG(3, 2))
+	p := NewPlanner(DefaultSettings(s, 2, 5*time.Millisecond), NewGroup(make([]Rank, s.Ranks), 0, nil, zap.NewNop()), zap.NewNop())
+	for range s.Ranks {
+		p.group.states = append(p.group.states, State{Pace: 1})
+	}
+	load := loadOfLayers(s, shiftedShares(s, rng))
+	start, err := expertmap.Balanced(1, load, p.speeds())
+	require.NoError(b, err)
+	p.current = start
+	for i := range load.Seconds {
+		load.Seconds[i] *= lognormal(rng, 0.05)
+	}
+	for b.Loop() {
+		_, err := p.bestCandidate(load)
+		require.NoError(b, err)
+	}
+}
+
 func loadOfLayers(s expertmap.Shape, shares [][]float64) *expertmap.ExpertLoad {
 	load := expertmap.NewExpertLoad(s)
 	for l := range s.Layers {
--- a/expertmap/rollout/switch.go
+++ b/expertmap/rollout/switch.go
@@ -93,7 +93,7 @@
 			return pass, err
 		}
 		g.timing.observePass(s.Pass, time.Now())
-		pass = max(s.Pass+g.timing.leadPasses(len(g.ranks))+int64(attempt), g.lastHeldPass+1)
+		pass = max(s.Pass+g.timing.leadPasses(len(g.ranks), g.unbalanced)+int64(attempt), g.lastHeldPass+1)
 		g.lastHeldPass = pass
 		o := Order{Operation: Hold, Pass: pass, Report: &OrderReport{}}
 		err = g.send(ctx, o, g.holdFunc(assignment))
--- a/expertmap/rollout/timing.go
+++ b/expertmap/rollout/timing.go
@@ -22,6 +22,8 @@
 	// group then waits for a quarter of a pass at most on average, whereas it would make at least one more whole pass with
 	// the old map, which takes twice as long after a shift of demand.
 	quickArmFraction = 0.6
+	// unbalancedPassFactor is the factor by which passes take longer than the known pass time after a shift of demand.
+	unbalancedPassFactor = 1.5
 )
 
 // switchTiming estimates how many passes ahead the pass of a switch has to be. A group that is held before that pass
@@ -52,14 +54,22 @@
 	t.armTime = max(d, time.Duration(armTimeDecay*float64(t.armTime)))
 }
 
-// leadPasses returns by how many passes the pass of a switch that begins now has to be ahead of the current pass.
-func (t *switchTiming) leadPasses(ranks int) int64 {
+// leadPasses returns by how many passes the pass of a switch that begins now has to be ahead of the current pass. While
+// the group is unbalanced, it may wait for part of a pass, which takes no longer than the passes that it would make with
+// the old map.
+func (t *switchTiming) leadPasses(ranks int, unbalanced bool) int64 {
 	if t.armTime == 0 || t.passTime == 0 {
+		if unbalanced {
+			return minLeadPasses
+		}
 		return minLeadPasses + int64(ranks/ranksPerLeadPass)
 	}
-	if float64(t.armTime) < quickArmFraction*float64(t.passTime) {
+	passes := float64(t.armTime) / float64(t.passTime)
+	switch {
+	case unbalanced:
+		return int64(min(max(math.Ceil(passes/unbalancedPassFactor), 1), maxLeadPasses))
+	case passes < quickArmFraction:
 		return 1
 	}
-	passes := math.Ceil(armTimeMargin * float64(t.armTime) / float64(t.passTime))
-	return min(max(int64(passes)+1, minLeadPasses), maxLeadPasses)
+	return min(max(int64(math.Ceil(armTimeMargin*passes))+1, minLeadPasses), maxLeadPasses)
 }
--- a/expertmap/rollout/timing_test.go
+++ b/expertmap/rollout/timing_test.go
@@ -37,24 +37,29 @@
 func TestLeadPassesFollowArmTime(t *testing.T) {
 	now := time.Now()
 	var tm switchTiming
-	require.EqualValues(t, minLeadPasses, tm.leadPasses(12))
-	require.EqualValues(t, minLeadPasses+3, tm.leadPasses(63))
+	require.EqualValues(t, minLeadPasses, tm.leadPasses(12, false))
+	require.EqualValues(t, minLeadPasses+3, tm.leadPasses(63, false))
 	for pass := range int64(10) {
 		tm.observePass(pass, now)
 		now = now.Add(50 * time.Millisecond)
 	}
 	tm.observeArmTime(400 * time.Millisecond)
-	require.EqualValues(t, 11, tm.leadPasses(12))
+	require.EqualValues(t, 11, tm.leadPasses(12, false))
 	for range 20 {
 		tm.observeArmTime(40 * time.Millisecond)
 	}
-	require.EqualValues(t, minLeadPasses, tm.leadPasses(12))
+	require.EqualValues(t, minLeadPasses, tm.leadPasses(12, false))
 	slow := tm
 	for pass := range int64(20) {
 		slow.observePass(10+pass, now)
 		now = now.Add(700 * time.Millisecond)
 	}
-	require.EqualValues(t, 1, slow.leadPasses(12), "two passes of a group with a slow rank take too long")
+	require.EqualValues(t, 1, slow.leadPasses(12, false), "two passes of a group with a slow rank take too long")
+	tm.observeArmTime(60 * time.Millisecond)
+	require.EqualValues(t, 1, tm.leadPasses(12, true), "0.8 of a longer pass")
+	tm.observeArmTime(100 * time.Millisecond)
+	require.EqualValues(t, 2, tm.leadPasses(12, true))
 	tm.observeArmTime(time.Hour)
-	require.EqualValues(t, maxLeadPasses, tm.leadPasses(12))
+	require.EqualValues(t, maxLeadPasses, tm.leadPasses(12, true))
+	require.EqualValues(t, maxLeadPasses, tm.leadPasses(12, false))
 }
