Bound the memory and the descriptors that callers of an entry can use

Cause: the entry read each body whole, with a bound only for each request, and bounded neither connections nor idle time. 150 callers that held bodies of 4 MB took 855 MB; idle connections took all descriptors, also at the other ports.

Change: the entry reads bodies through gateway/buffer, with an eighth of the new setting memory_mb (256), and holds connections to their limits through cmd/internal/callers: header bytes (twice the limit, so that a typed error stays possible), 10 s for a header, 2 min idle, writes without progress for 20 s, and max_connections. The rest of a refused body is dropped for at most 0.5 s. Peers keep idle connections for at most 20 s, so the control ports close them after 2 min. No limit on the Go runtime's memory is set, as before.

Result (`go test ./proctest -count=1 -run 'TestEntryBounds|TestProductPortsBound' -v`): all pass; highest VmHWM 59 MB of 256 (before: 857), at most 149 of 400 descriptors with 600 idle connections (before: 400).

--- a/cmd/internal/daemon/entry.go
+++ b/cmd/internal/daemon/entry.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/clients/instances"
+	"lavendermoor.example/cmd/internal/callers"
 	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/entry"
 	"lavendermoor.example/entry/operator"
@@ -61,12 +62,22 @@
 		Quota: &entry.Quota{
 			Limiter: routing.NewQuotaLimiter(), Entries: func() int { return discovery.Members.View().Entries },
 		},
-		Metrics: metrics, Log: c.log,
+		Metrics: metrics, Log: c.log, BodyBytes: s.MemoryMB << 20 / bodyMemoryFraction,
 	})
-	callers, err := callerServer(s, c, srv)
+	tracker := newCallerTracker(s, c)
+	server, err := callerServer(s, c, srv, tracker)
 	if err != nil {
 		return err
 	}
+	if err := telemetry.RegisterInstruments(c.meter, append(tracker.Instruments(), telemetry.Instrument{
+		Name: "lavendermoor.entry.body_bytes", Unit: "By", Description: "Memory that request bodies hold.",
+		Value: srv.BodyBytes,
+	})); err != nil {
+		return err
+	}
+	if err := callers.LimitSocketBuffers(l.Callers); err != nil {
+		return err
+	}
 	peers := mux.NewRouter()
 	c.register(peers, func() bool { return !srv.Ready() })
 	dump := func() any {
@@ -81,7 +92,11 @@
 			return c.run(serving, func(l instances.List) { discovery.ApplyInstanceList(serving, l) })
 		})
 		group.Go(func() error { discovery.Run(serving); return nil })
-		group.Go(func() error { return telemetry.ServeServer(serving, l.Callers, callers, listenerShutdownTimeout) })
+		group.Go(func() error { srv.RunHousekeeping(serving); return nil })
+		group.Go(func() error { tracker.Run(serving, c.log); return nil })
+		group.Go(func() error {
+			return telemetry.ServeServer(serving, tracker.Wrap(l.Callers), server, listenerShutdownTimeout)
+		})
 		group.Go(func() error { return telemetry.ServePeers(serving, l.Peers, peers, listenerShutdownTimeout) })
 		group.Go(func() error {
 			return telemetry.Serve(serving, l.Admin, c.admin(dump, srv.Ready), listenerShutdownTimeout)
@@ -94,7 +109,29 @@
 	})
 }
 
-func callerServer(s entry.Settings, c *controlPlane, srv *entry.Server) (*http.Server, error) {
+// newCallerTracker returns the tracker that holds callers' connections to their limits.
+func newCallerTracker(s entry.Settings, c *controlPlane) *callers.Tracker {
+	connections := s.MaxConnections
+	if connections == 0 {
+		connections = callers.MaxConnections(telemetry.DescriptorLimit(), s.MemoryMB)
+	}
+	return callers.NewTracker(callers.Options{
+		Limits: func() callers.Limits { return callerLimits(c.node) }, MaxConnections: connections, TLS: s.TLS != nil,
+		MetricPrefix: "lavendermoor.entry",
+	})
+}
+
+// callerLimits returns the limits of the active configuration. A header of up to headerErrorFactor times the limit is
+// read, so that its caller gets a typed error.
+func callerLimits(node entry.Configuration) callers.Limits {
+	limits := callers.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if st := node.State(); st != nil {
+		limits.HeaderBytes = headerErrorFactor * st.Limits().MaxHeaderBytes
+	}
+	return limits
+}
+
+func callerServer(s entry.Settings, c *controlPlane, srv *entry.Server, tracker *callers.Tracker) (*http.Server, error) {
 	r := mux.NewRouter().UseEncodedPath()
 	path, rpc := operator.New(operator.Options{
 		Store: c.store, Node: c.node, BootstrapKeySHA256: s.BootstrapKeySHA256, Processes: c.expectedProcesses,
@@ -102,16 +139,25 @@
 	})
 	r.PathPrefix(path).Handler(rpc)
 	srv.Register(r)
-	callers := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnState: tracker.OnStateChange}
 	if s.TLS != nil {
 		cfg, err := entry.ServerTLS(*s.TLS, c.log)
 		if err != nil {
 			return nil, err
 		}
-		callers.TLSConfig = cfg
+		server.TLSConfig = cfg
 	}
-	return callers, nil
+	return server, nil
 }
 
-// headerTimeout bounds how long a caller may take to send the request headers.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds how long a caller may take to send the request headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a connection of a caller may be idle. It is above the idle time of common clients and
+	// balancers.
+	idleTimeout       = 2 * time.Minute
+	headerErrorFactor = 2
+	// bodyMemoryFraction is the part of the memory for request bodies: one eighth. A body is copied three times at most
+	// while it is parsed and sent on.
+	bodyMemoryFraction = 8
+)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/gateway/buffer"
 )
 
 // Configuration provides the cluster configuration.
@@ -30,6 +31,8 @@
 	// Metrics records request metrics; nil for none.
 	Metrics *Metrics
 	Log     *zap.Logger
+	// BodyBytes bounds the memory of request bodies, defaultBodyBytes if it is 0.
+	BodyBytes int64
 }
 
 // Server handles the requests of callers. It is safe for concurrent use.
@@ -39,10 +42,17 @@
 	running  atomic.Int64
 	requests atomic.Int64
 	failed   atomic.Int64
+	// bodies is the memory for all request bodies.
+	bodies *buffer.Budget
 }
 
 // New returns a server that accepts requests.
-func New(opts Options) *Server { return &Server{opts: opts} }
+func New(opts Options) *Server {
+	if opts.BodyBytes == 0 {
+		opts.BodyBytes = defaultBodyBytes
+	}
+	return &Server{opts: opts, bodies: buffer.NewBudget(opts.BodyBytes)}
+}
 
 // Register adds the callers' routes to a router. The router then responds to unknown paths and methods with typed
 // errors.
@@ -99,6 +109,8 @@
 		s.running.Add(1)
 		defer s.running.Add(-1)
 		x := &exchange{server: s, w: w, r: r, id: uuid.NewString(), startedAt: time.Now()}
+		x.bodyPending = r.ContentLength != 0
+		defer x.releaseBody()
 		e := x.prepare()
 		if e == nil {
 			e = fn(x)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +11,7 @@
 	"lavendermoor.example/api/operatorv1"
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/config/cluster"
+	"lavendermoor.example/gateway/buffer"
 )
 
 // notReadyRetryAfter is the Retry-After of an entry that is starting or draining; the platform's load balancer sends
@@ -40,6 +38,11 @@
 	streaming bool
 	// tokens counts the streamed events.
 	tokens int
+
+	// share is what the body holds of the memory of all bodies, nil for a short one.
+	share *buffer.Share
+	// bodyPending is set until the body has arrived whole, bodyBegun once it is being read.
+	bodyPending, bodyBegun bool
 }
 
 // prepare makes the checks common to all requests: the entry is ready, the headers are within the limit, and the
@@ -82,31 +85,6 @@
 	return nil
 }
 
-// readBody reads the request body within the size and time limits.
-func (x *exchange) readBody() ([]byte, *callerapi.Error) {
-	limits := x.state.Limits()
-	controller := http.NewResponseController(x.w)
-	// Connections that do not support deadlines are bounded by the server's own timeout.
-	_ = controller.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.MaxBodyBytes))
-	if err != nil {
-		return nil, readBodyError(err)
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-func readBodyError(err error) *callerapi.Error {
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return callerapi.NotExecuted(callerapi.BodyTooLarge, "body is larger than %d bytes", large.Limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return callerapi.NotExecuted(callerapi.RequestTimeout, "the request was not sent in time")
-	}
-	return callerapi.NotExecuted(callerapi.InvalidRequest, "body could not be read: %v", err)
-}
-
 // classify returns the properties of the request, from the rule that matches it or else from the defaults. It also
 // takes the request from the customer's quota.
 func (x *exchange) classify(c cluster.Call) (peerapi.Work, *callerapi.Error) {
@@ -180,5 +158,6 @@
 		x.writeErrorEvent(e)
 		return
 	}
+	x.abandonBody()
 	callerapi.WriteError(x.w, e, x.id)
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -29,7 +29,12 @@
 	BootstrapKeySHA256 string `json:"bootstrap_key_sha256,omitempty" validate:"omitempty,len=64,hexadecimal"`
 	// RoutingPolicy is the policy that chooses replicas; all except "affinity" are baselines for comparison.
 	RoutingPolicy string `json:"routing_policy" validate:"oneof=affinity affinity-unbounded round-robin random least-in-flight"`
-	LogLevel      string `json:"log_level" validate:"oneof=debug info warn error"`
+	// MemoryMB is the memory, in MiB, from which the bounds on request bodies and on connections of callers follow.
+	MemoryMB int64 `json:"memory_mb" validate:"gt=0"`
+	// MaxConnections is the largest number of open connections of callers, 0 for the number that follows from the
+	// descriptors of the process and from MemoryMB.
+	MaxConnections int64  `json:"max_connections" validate:"gte=0"`
+	LogLevel       string `json:"log_level" validate:"oneof=debug info warn error"`
 	// DrainTimeout is how long running requests may continue after a termination signal.
 	DrainTimeout settings.Duration `json:"drain_timeout" validate:"min=0"`
 }
@@ -40,6 +45,9 @@
 	KeyFile  string `json:"key_file" validate:"required"`
 }
 
+// defaultMemoryMB is the default of MemoryMB.
+const defaultMemoryMB = 256
+
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
@@ -47,6 +55,7 @@
 		PeerListen:    "127.0.0.1:7101",
 		Admin:         "127.0.0.1:7102",
 		LogLevel:      "info",
+		MemoryMB:      defaultMemoryMB,
 		RoutingPolicy: routing.NameAffinity,
 		DrainTimeout:  settings.Duration(10 * time.Minute),
 	}
--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -64,7 +64,7 @@
 	// headerTimeout limits the time that a peer or operator may take to send request headers.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is above the time for which peers keep idle connections.
-	idleTimeout = time.Minute
+	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the headers of a request; those of peers and operators are far shorter.
 	maxHeaderBytes = 8 << 10
 	// controlFraction and peersFraction are the parts of the process's descriptors for a port of operators and probes,
