Send a cold server no more than all gateways together may

Cause: WarmupLeftMs was decoded and not used, WarmupS and WarmupPerS not decoded. A server that had just started, or whose domain was taken back, got as many requests as a warm one, and crashes above WarmupPerS x 1.5 + 5 a second.

Change: gateway/balance decides which servers are cold (entry, start, domain taken back) and gives each gateway a share of 80% of the rate, counted in a sliding second when a request is written. Retries, resumed and moved streams take the same way. Below one request for each gateway, a rendezvous hash chooses the gateways that may send one. At least 16 gateways are assumed for 25 s after the first list of gateways, and a name counts for 25 s after it was last listed. The load of cold servers counts up to four times. If no server may get a request, the caller is refused with 503, reason "servers_cold". Services without a warm-up are served as before. The stand-in replica can be cold and crash.

The choice of names from presence is not covered by a test of its own.

--- a/cmd/internal/gatewayd/evacuation_test.go
+++ b/cmd/internal/gatewayd/evacuation_test.go
@@ -50,3 +50,18 @@
 	g.evacuations.expire(time.Now().Add(time.Minute))
 	require.Empty(t, g.fleet.Evacuated())
 }
+
+// Guards against a configuration or a server list whose warm-up does not reach the choice of servers.
+func TestWarmupsAreApplied(t *testing.T) {
+	g := newTestGateway(t)
+	g.onServersChange(map[string]kv.Entry{"servers/a": {Value: []byte(
+		`{"Service":"s","Address":"127.0.0.1:9","Slots":8,"State":"ready","WarmupLeftMs":60000}`,
+	)}}, time.Time{})
+	cold := func() int64 { return g.srv.Dump().Backends[0].ColdMs }
+	require.Zero(t, cold())
+	g.onConfigChange(configSnapshot(0, `{"Version":1,"Services":[{"Name":"s","WarmupS":3,"WarmupPerS":26}]}`))
+	require.Positive(t, cold())
+	require.EqualValues(t, 1, g.fleet.CountCold(time.Now()))
+	g.onConfigChange(configSnapshot(0, `{"Version":2,"Services":[{"Name":"s"}]}`))
+	require.Zero(t, cold())
+}
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -145,6 +145,10 @@
 			Name: "lavendermoor.gateway.evacuated_domains", Description: "Failure domains whose servers get no requests.",
 			Value: func() int64 { return int64(len(g.fleet.Evacuated())) },
 		},
+		{
+			Name: "lavendermoor.gateway.cold_servers", Description: "Backend servers that count as cold.",
+			Value: func() int64 { return g.fleet.CountCold(time.Now()) },
+		},
 	})
 	g.admin = obs.Admin(func() any { return g.srv.Dump() }, g.ready)
 	return g, err
--- a/cmd/internal/gatewayd/retry_budgets.go
+++ b/cmd/internal/gatewayd/retry_budgets.go
@@ -61,10 +61,22 @@
 	}
 }
 
-// followPresence applies changes of the number of gateways until the context ends.
+// gatewayNames returns the names of the gateways listed at the last read, none before the first one.
+func (g *gateway) gatewayNames() []string {
+	members := g.presence.Members()
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	return names
+}
+
+// followPresence applies changes of the gateways that are listed until the context ends.
 func (g *gateway) followPresence(ctx context.Context) {
 	for last := 0; ctx.Err() == nil; {
-		n := len(g.presence.Members())
+		names := g.gatewayNames()
+		g.fleet.SetGateways(g.settings.Load().Name, names, time.Now())
+		n := len(names)
 		g.retryBudgets.setConfig(g.retryBudgetConfig(n))
 		if n > 0 && n != last {
 			g.srv.SetCapacityShare(1 / float64(n))
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -57,8 +57,9 @@
 // Backend is the state of one listed server. Its methods are safe for concurrent use.
 type Backend struct {
 	Pool *exchange.Pool
-	// evacuations are those of the fleet.
+	// evacuations and warmups are those of the fleet.
 	evacuations *evacuations
+	warmups     *warmups
 
 	mu     sync.Mutex
 	server catalog.Server
@@ -95,10 +96,11 @@
 	// it accepts no new requests and shuts down soon.
 	suspension suspension
 	leaving    bool
+	warm       warmState
 }
 
-func newBackend(s catalog.Server, dialect exchange.Dialect, e *evacuations) *Backend {
-	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s, evacuations: e}
+func newBackend(s catalog.Server, dialect exchange.Dialect, e *evacuations, w *warmups) *Backend {
+	return &Backend{Pool: exchange.NewPool(s.Address, dialect), server: s, evacuations: e, warmups: w}
 }
 
 // Server returns the server's latest entry in the list.
@@ -108,7 +110,8 @@
 	return b.server
 }
 
-// Begin records that a request of the given size in tokens was sent. It must be followed by one End.
+// Begin records that a request of the given size in tokens is about to be sent. It must be followed by one TrySend or
+// CancelSend, and by one End.
 func (b *Backend) Begin(tokens int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,6 +119,7 @@
 		b.lastActivity, b.silent = now, false
 	}
 	b.inFlight++
+	b.warm.unsent++
 	b.tokens += tokens
 }
 
--- /dev/null
+++ b/gateway/balance/coldsim_test.go
@@ -0,0 +1,200 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lavendermoor.example/gateway/catalog"
+)
+
+// coldSim runs gateways in virtual time, each with a fleet of its own, and records what they send to the servers.
+type coldSim struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Time
+	events simEvents
+	seq    int
+
+	perSecond float64
+	servers   []catalog.Server
+	gateways  []*simGateway
+	// evacuated are the evacuated domains.
+	evacuated []string
+	// sent holds the times of the requests sent to each server, by ID.
+	sent map[string][]time.Time
+	// failing is the fraction of the requests that are repeated at another server.
+	failing float64
+	served  int
+}
+
+// simGateway is one gateway process.
+type simGateway struct {
+	name  string
+	fleet *Fleet
+	// listed are the gateways that it read last.
+	listed []string
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq)
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const simWarmup = 3 * time.Second
+
+// newColdSim returns a simulation with one server in each of the given domains.
+func newColdSim(t *testing.T, perSecond float64, domains ...string) *coldSim {
+	t.Helper()
+	s := &coldSim{t: t, rng: rand.New(rand.NewPCG(17, 4)), now: startTime, perSecond: perSecond, sent: map[string][]time.Time{}}
+	for i, domain := range domains {
+		server := startedServer(fmt.Sprint("i-", i), startTime.Add(-time.Hour), 1)
+		server.Domain = domain
+		s.servers = append(s.servers, server)
+	}
+	return s
+}
+
+func (s *coldSim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{s.now.Add(d), s.seq, run})
+}
+
+func (s *coldSim) every(d time.Duration, run func()) {
+	run()
+	s.after(d, func() { s.every(d, run) })
+}
+
+func (s *coldSim) runFor(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.events) > 0 && !s.events[0].at.After(end) {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// keepCold makes each entry say that its server is cold for as long as the simulation runs.
+func (s *coldSim) keepCold() {
+	s.every(1200*time.Millisecond, func() {
+		for i := range s.servers {
+			s.servers[i].WarmupLeft = simWarmup - time.Millisecond*time.Duration(s.seq%2)
+			s.servers[i].Seq++
+		}
+		for _, g := range s.gateways {
+			g.fleet.Update(s.servers, time.Time{}, s.now)
+		}
+	})
+}
+
+func (s *coldSim) initFleet(g *simGateway) {
+	g.fleet, g.listed = NewFleet(noDialect{}, "d"), nil
+	g.fleet.SetWarmups(map[string]catalog.Warmup{"s": {Time: simWarmup, PerSecond: s.perSecond}})
+	g.fleet.SetEvacuated(s.evacuated, s.now)
+	g.fleet.Update(s.servers, time.Time{}, s.now)
+}
+
+// addGateway starts a gateway with its share of the demand, in requests a second. It reads the list of gateways at
+// once, 2 s later and then every 20 s, if readsList is set.
+func (s *coldSim) addGateway(perSecond float64, readsList bool) {
+	g := &simGateway{name: fmt.Sprint("gateway-", len(s.gateways))}
+	s.initFleet(g)
+	s.gateways = append(s.gateways, g)
+	read := func() {
+		g.listed = nil
+		for _, other := range s.gateways {
+			g.listed = append(g.listed, other.name)
+		}
+	}
+	if readsList {
+		read()
+		s.after(2*time.Second, func() { s.every(20*time.Second, read) })
+	}
+	s.every(300*time.Millisecond, func() { g.fleet.SetGateways(g.name, g.listed, s.now) })
+	var arrive func()
+	arrive = func() {
+		s.request(g, nil, 0)
+		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+	}
+	s.after(time.Duration(s.rng.Float64()/perSecond*float64(time.Second)), arrive)
+}
+
+// request sends a caller's request, at most to 3 servers. A refused caller retries once, after 300 ms or more.
+func (s *coldSim) request(g *simGateway, tried []*Backend, retries int) {
+	fleet := g.fleet
+	b, err := fleet.Pick(PickOptions{Service: "s", Random: s.rng.Float64, Now: s.now, Tried: tried})
+	if err != nil || len(tried) == 3 {
+		if err != nil && len(tried) == 0 && retries == 0 {
+			wait := max(fleet.ColdFor("s", s.now), 300*time.Millisecond)
+			s.after(wait+time.Duration(s.rng.Float64()*float64(time.Second)), func() { s.request(g, nil, 1) })
+		}
+		return
+	}
+	b.Begin(0, s.now)
+	connect := time.Duration(s.rng.Float64() * float64(40*time.Millisecond))
+	s.after(connect, func() {
+		if g.fleet != fleet {
+			return // The process was restarted.
+		}
+		tried = append(slices.Clone(tried), b)
+		if !b.TrySend(s.now) {
+			b.CancelSend()
+			b.End(0, Withdrawn, 0, s.now)
+			s.request(g, tried, retries)
+			return
+		}
+		id := b.Server().ID
+		s.sent[id] = append(s.sent[id], s.now)
+		service := time.Duration((50 + 250*s.rng.Float64()) * float64(time.Millisecond))
+		s.after(service, func() {
+			b.End(0, Abandoned, 0, s.now)
+			if s.rng.Float64() < s.failing {
+				s.request(g, tried, retries)
+				return
+			}
+			s.served++
+		})
+	})
+}
+
+// requireBound checks that each of the servers got at most perSecond x 1.5 + 5 requests in any second from a time on,
+// and at least the given number in each second on average.
+func (s *coldSim) requireBound(from time.Time, atLeast float64, servers ...string) {
+	s.t.Helper()
+	bound := int(s.perSecond*1.5 + 5)
+	for _, id := range servers {
+		times := slices.DeleteFunc(slices.Clone(s.sent[id]), func(at time.Time) bool { return at.Before(from) })
+		most, first := 0, 0
+		for i, at := range times {
+			for at.Sub(times[first]) > time.Second {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		require.LessOrEqual(s.t, most, bound, "%s crashes", id)
+		mean := float64(len(times)) / s.now.Sub(from).Seconds()
+		require.GreaterOrEqual(s.t, mean, atLeast, "%s gets too few requests", id)
+		s.t.Logf("%s: at most %d of %d in a second, %.1f on average", id, most, bound, mean)
+	}
+}
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -14,8 +14,9 @@
 type Fleet struct {
 	dialect exchange.Dialect
 	domain  string
-	// evacuations is shared with the backends.
+	// evacuations and warmups are shared with the backends.
 	evacuations *evacuations
+	warmups     *warmups
 	// updates serializes the changes of the list.
 	updates sync.Mutex
 	current atomic.Pointer[snapshot]
@@ -27,6 +28,8 @@
 	// listed and keepUntil are the arguments of the last Update.
 	listed    []catalog.Server
 	keepUntil time.Time
+	// hasList is set after the first Update.
+	hasList bool
 
 	groupsLock sync.Mutex
 	groups     map[groupKey]*Group
@@ -47,7 +50,7 @@
 // NewFleet returns a fleet without backends for a process in the given failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
 	f := &Fleet{
-		dialect: dialect, domain: domain, evacuations: newEvacuations(),
+		dialect: dialect, domain: domain, evacuations: newEvacuations(), warmups: newWarmups(),
 		former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{},
 	}
 	f.current.Store(newSnapshot())
@@ -69,6 +72,7 @@
 	f.updates.Lock()
 	defer f.updates.Unlock()
 	f.listed, f.keepUntil = servers, keepUntil
+	defer func() { f.hasList = true }()
 	return f.applyList(now)
 }
 
@@ -104,9 +108,9 @@
 			known = false
 		}
 		if !known {
-			b = f.addBackend(s)
+			b = f.addBackend(s, now)
 			changes = append(changes, Change{Server: s, Kind: "added"})
-		} else if b.updateEntry(s) {
+		} else if b.updateEntry(s, now) {
 			changes = append(changes, Change{Server: s, Kind: "draining"})
 		}
 		next.add(s.ID, b)
@@ -185,13 +189,17 @@
 
 // updateEntry replaces the server's entry and reports whether the server started to drain. An entry with a lower
 // sequence number is from an older copy of the list and is ignored. A draining server stays draining until it restarts.
-func (b *Backend) updateEntry(s catalog.Server) bool {
+func (b *Backend) updateEntry(s catalog.Server, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.missing = false
 	if hasSequence(s) && s.Started.Equal(b.server.Started) && s.Seq < b.server.Seq {
 		return false
 	}
+	// The same entry is applied again at each change of the list.
+	if s.Seq != b.server.Seq || s.WarmupLeft != b.server.WarmupLeft {
+		b.warm.applyEntry(s, now)
+	}
 	began := s.Draining && !b.server.Draining
 	s.Draining = s.Draining || (b.server.Draining && !s.Started.IsZero())
 	b.server = s
--- a/gateway/balance/incarnation.go
+++ b/gateway/balance/incarnation.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"lavendermoor.example/gateway/catalog"
@@ -12,6 +13,7 @@
 	seq        int64
 	leaving    bool
 	suspension suspension
+	warm       warmState
 	retiredAt  time.Time
 }
 
@@ -22,7 +24,10 @@
 func (f *Fleet) retire(b *Backend, now time.Time) {
 	b.mu.Lock()
 	key := b.server.Incarnation()
-	former := formerIncarnation{seq: b.server.Seq, leaving: b.leaving || b.server.Draining, suspension: b.suspension, retiredAt: now}
+	former := formerIncarnation{
+		seq: b.server.Seq, leaving: b.leaving || b.server.Draining, suspension: b.suspension, warm: b.warm, retiredAt: now,
+	}
+	former.warm.unsent, former.warm.sends = 0, sendLog{slices.Clone(b.warm.sends.sent)}
 	b.removed = true
 	b.mu.Unlock()
 	b.Pool.Close()
@@ -51,13 +56,17 @@
 
 // addBackend returns the backend of a newly listed server. What the server reported about itself in the same
 // incarnation still applies.
-func (f *Fleet) addBackend(s catalog.Server) *Backend {
-	b := newBackend(s, f.dialect, f.evacuations)
+func (f *Fleet) addBackend(s catalog.Server, now time.Time) *Backend {
+	b := newBackend(s, f.dialect, f.evacuations, f.warmups)
+	if f.hasList {
+		b.warm.startedAt = now
+	}
 	key := s.Incarnation()
 	if former, ok := f.former[key]; ok && key.StartedMs != 0 {
-		b.leaving, b.suspension = former.leaving, former.suspension
+		b.leaving, b.suspension, b.warm = former.leaving, former.suspension, former.warm
 		delete(f.former, key)
 	}
+	b.warm.applyEntry(s, now)
 	return b
 }
 
--- a/gateway/balance/leaving.go
+++ b/gateway/balance/leaving.go
@@ -48,5 +48,10 @@
 func (b *Backend) Accepts(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.isUsable() && !b.suspension.active(now)
+	return b.accepts(now)
+}
+
+// accepts is Accepts for callers that hold the lock.
+func (b *Backend) accepts(now time.Time) bool {
+	return b.isUsable() && !b.suspension.active(now) && !b.isColdShareUsed(0, now)
 }
--- a/gateway/balance/status.go
+++ b/gateway/balance/status.go
@@ -4,8 +4,8 @@
 
 // status is a snapshot of the properties of a backend on which a choice depends.
 type status struct {
-	// available is false for servers that are leaving, evacuated or suspended, and while a probe is in progress after a
-	// suspension.
+	// available is false for servers that are leaving, evacuated or suspended, while a probe is in progress after a
+	// suspension, and for cold servers whose share of requests is used up.
 	available bool
 	// refusing servers refuse every request.
 	refusing bool
@@ -18,9 +18,10 @@
 	slots      int
 	inFlight   int
 	tokens     int
-	pace       float64
-	failures   float64
-	local      bool
+	// pace is at least 1, and higher for slow and for cold servers.
+	pace     float64
+	failures float64
+	local    bool
 }
 
 func (b *Backend) status(now time.Time, domain string) status {
@@ -32,7 +33,7 @@
 		group, serving = b.group.Name, b.group.Serving(now)
 	}
 	return status{
-		available:    b.isUsable() && !b.suspension.blocks(now),
+		available:    b.isUsable() && !b.suspension.blocks(now) && !b.isColdShareUsed(b.warm.unsent, now),
 		refusing:     backingOff && b.refusals >= refusingAfter,
 		group:        group,
 		groupServing: serving,
@@ -40,7 +41,7 @@
 		slots:        b.server.Slots,
 		inFlight:     b.inFlight,
 		tokens:       b.tokens,
-		pace:         b.pace,
+		pace:         max(b.pace, 1) * b.coldWeight(now),
 		failures:     b.failures,
 		local:        b.server.Domain == domain,
 	}
@@ -63,6 +64,7 @@
 	Leaving     bool    `json:"leaving"`
 	SuspendedMs int64   `json:"held_ms"`
 	Evacuated   bool    `json:"evacuated,omitempty"`
+	ColdMs      int64   `json:"cold_ms,omitempty"`
 	Idle        int     `json:"idle_connections"`
 }
 
@@ -90,6 +92,7 @@
 		Leaving:     b.leaving,
 		SuspendedMs: max(b.suspension.until.Sub(now), 0).Milliseconds(),
 		Evacuated:   b.isEvacuated(),
+		ColdMs:      b.coldFor(now).Milliseconds(),
 		Idle:        b.Pool.Idle(),
 	}
 }
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -101,10 +101,23 @@
 	HealthPath string
 	// MaxConns bounds the connections to one server from all processes.
 	MaxConns int
+	Warmup   Warmup
 	// Engine is nil for a service without model engines.
 	Engine *Engine
 }
 
+// Warmup describes the servers of a service after their start, while they are cold: slow, and able to handle few
+// requests. The zero value is that of servers which are never cold.
+type Warmup struct {
+	// Time is how long a server is cold.
+	Time time.Duration
+	// PerSecond is the rate of requests that a cold server can handle from all gateways. Well above it, it crashes.
+	PerSecond float64
+}
+
+// Applies reports whether servers can be cold.
+func (w Warmup) Applies() bool { return w.Time > 0 && w.PerSecond > 0 }
+
 // Customer is a holder of API keys.
 type Customer struct {
 	Name string
@@ -181,6 +194,15 @@
 // ServiceNames returns the names of the services, in no order.
 func (c *Catalog) ServiceNames() []string { return slices.Collect(maps.Keys(c.services)) }
 
+// Warmups returns the warm-up of the servers of each service.
+func (c *Catalog) Warmups() map[string]Warmup {
+	out := make(map[string]Warmup, len(c.services))
+	for name, s := range c.services {
+		out[name] = s.Warmup
+	}
+	return out
+}
+
 // TargetGap returns the smallest TargetGap of the routes to a service, 0 if none has one.
 func (c *Catalog) TargetGap(service string) time.Duration {
 	shortest := time.Duration(0)
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -24,6 +24,8 @@
 	// mayHaveExecuted is false if the server reported that it did not execute the request, or if the request was not
 	// sent.
 	mayHaveExecuted bool
+	// sent is set just before the request is written.
+	sent bool
 	// broken is set if the server ended the exchange before the response was complete, answerBegun if it had sent the
 	// header of a response by then.
 	broken, answerBegun bool
@@ -61,6 +63,9 @@
 		if !result.firstByte.IsZero() {
 			latency = result.firstByte.Sub(started)
 		}
+		if !a.sent {
+			b.CancelSend()
+		}
 		b.End(tokens, a.outcome, latency, time.Now())
 		c.attempts = append(c.attempts, a)
 	}()
@@ -107,7 +112,10 @@
 
 func (c *call) roundTrip(ctx context.Context, b *balance.Backend, a *attempt) attemptResult {
 	req := c.newRequest(a.server)
-	req.ShouldSend = func() bool { return b.Accepts(time.Now()) }
+	req.ShouldSend = func() bool {
+		a.sent = b.TrySend(time.Now())
+		return a.sent
+	}
 	sent := time.Now()
 	resp, err := b.Pool.Do(ctx, req)
 	if err != nil {
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -30,6 +30,7 @@
 	reasonNoGroup         = "no_group"
 	reasonServersRefusing = "servers_refusing"
 	reasonEvacuated       = "evacuated"
+	reasonServersCold     = "servers_cold"
 	reasonRefusedByServer = "refused_by_server"
 	reasonQuarantined     = "quarantined"
 	reasonDeadlinePassed  = "deadline_passed"
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -153,7 +153,8 @@
 		detail += "; the last server: " + c.attempts[n-1].detail
 	}
 	var notServing *GroupNotServingError
-	suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now())
+	now := time.Now()
+	suspended, cold := c.server.opts.Fleet.SuspendedFor(c.service, now), c.server.opts.Fleet.ColdFor(c.service, now)
 	switch {
 	case c.server.opts.Fleet.IsEvacuated(c.service) && !c.mayHaveExecuted():
 		return c.evacuationFailure(detail)
@@ -166,6 +167,10 @@
 		return &Failure{Status: http.StatusBadGateway, Reason: reasonBackendFailed, Detail: detail}
 	case suspended > 0:
 		return c.suspensionFailure(suspended, detail)
+	case cold > 0:
+		return &Failure{
+			Status: http.StatusServiceUnavailable, Reason: reasonServersCold, Detail: detail, RetryAfter: c.retryAfter(cold),
+		}
 	case len(c.attempts) == 0:
 		return &Failure{
 			Status: http.StatusServiceUnavailable, Reason: reasonNoServer, Detail: detail,
--- a/proctest/fleet.go
+++ b/proctest/fleet.go
@@ -28,6 +28,8 @@
 	// replicaURLs are the URLs of the replicas without a proxy.
 	replicaURLs   []string
 	configVersion int
+	// plainWarmupS and plainWarmupPerS are the warm-up of the plain service in the configuration.
+	plainWarmupS, plainWarmupPerS float64
 }
 
 // Gateway is a gateway process with its link to the store.
@@ -206,7 +208,10 @@
 
 func (f *Fleet) services() []map[string]any {
 	return []map[string]any{
-		{"Name": replicaserver.PlainService, "HealthPath": "/health", "MaxConns": 100},
+		{
+			"Name": replicaserver.PlainService, "HealthPath": "/health", "MaxConns": 100,
+			"WarmupS": f.plainWarmupS, "WarmupPerS": f.plainWarmupPerS,
+		},
 		{"Name": replicaserver.ModelService, "HealthPath": "/health", "MaxConns": 100, "InferenceEngine": map[string]any{
 			"Slots": 8, "KvCapacity": 100000, "Stride": 1, "LinkMbps": 180000.0, "step_ms": 4.0, "per_seq_ms": 0.5,
 			"read_per_s": 60000.0, "chunk": 512, "Sets": replicaserver.Layers, "Experts": replicaserver.Experts,
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -59,6 +59,8 @@
 	DeadlyBody string `json:"deadly_body"`
 	// RetryAfterMs above 0 makes the replica refuse requests with this Retry-After time.
 	RetryAfterMs int64 `json:"retry_after_ms"`
+	// Cold makes the replica cold for a while. The replica's entry and its health check say so.
+	Cold Cold `json:"cold"`
 }
 
 // armedSwitch is a switch to a prepared map at the start of pass Step.
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -90,6 +90,9 @@
 	// startedAt is the time of the last start or restart, seq the number of writes of the store entry since then.
 	startedAt time.Time
 	seq       int64
+	// coldUntil is the end of the time in which the replica is cold, recent the times of its requests in the last second.
+	coldUntil time.Time
+	recent    []time.Time
 }
 
 // NewReplica returns a replica that registers with an address. The group is nil for a replica of the plain service.
@@ -124,6 +127,9 @@
 	if (before.Draining && !f.Draining) || (before.Down && !f.Down) || (before.Leaving && !f.Leaving) {
 		r.startedAt, r.seq = time.Now(), 0
 	}
+	if f.Cold != before.Cold {
+		r.coldUntil = time.Now().Add(time.Duration(f.Cold.Ms) * time.Millisecond)
+	}
 	r.faults = f
 	startedAt := r.startedAt
 	r.mu.Unlock()
@@ -191,7 +197,7 @@
 	r.seq++
 	entry, err := json.Marshal(map[string]any{
 		"Service": r.service, "Address": r.address, "Zone": r.domain, "Version": "v1", "Slots": slots,
-		"State": state, "WarmupLeftMs": 0, "Seq": r.seq, "born": r.startedAt.UnixMilli(),
+		"State": state, "WarmupLeftMs": r.coldLeft(time.Now()).Milliseconds(), "Seq": r.seq, "born": r.startedAt.UnixMilli(),
 	})
 	if err != nil {
 		panic(err) // Cannot happen: the entry holds only numbers and names.
@@ -258,6 +264,7 @@
 		r.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
+	r.observeRequest(time.Now())
 	f, admitted := r.admit()
 	if wait := f.RetryAfterMs; wait > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(wait)/1000, 'f', 3, 64))
