Show and test the number of gateways that share cold servers

Cause: no test covered the way from the list of gateways to their shares, and the state dump did not show the number that a gateway computes with.

Change: the dump has "gateways"; a test reads 23 other gateways from a stand-in of the store.

--- a/cmd/internal/gatewayd/evacuation_test.go
+++ b/cmd/internal/gatewayd/evacuation_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +13,7 @@
 
 	"lavendermoor.example/clients/kv"
 	"lavendermoor.example/configsync/mirror"
+	"lavendermoor.example/standin/kvserver"
 	"lavendermoor.example/telemetry"
 )
 
@@ -21,10 +26,10 @@
 	return s
 }
 
-func newTestGateway(t *testing.T) *gateway {
+func newTestGateway(t *testing.T, store string) *gateway {
 	t.Helper()
 	s := DefaultSettings()
-	s.Name, s.FailureDomain, s.Store = "g", "d", "127.0.0.1:1"
+	s.Name, s.FailureDomain, s.Store = "g", "d", store
 	g, err := newGateway(s, telemetry.NewBoundedWriter(&bytes.Buffer{}))
 	require.NoError(t, err)
 	return g
@@ -33,7 +38,7 @@
 // Guards against an evacuation that is not applied because the configuration cannot be decoded, against a gateway that
 // starts during an evacuation and serves before it applies the records, and against records that are lost in a restore.
 func TestEvacuationRecordsAreApplied(t *testing.T) {
-	g := newTestGateway(t)
+	g := newTestGateway(t, "127.0.0.1:1")
 	g.onConfigChange(configSnapshot(0, "not JSON", "d1"))
 	require.Equal(t, []string{"d1"}, g.fleet.Evacuated())
 	require.Nil(t, g.srv.Catalog())
@@ -53,7 +58,7 @@
 
 // Guards against a configuration or a server list whose warm-up does not reach the choice of servers.
 func TestWarmupsAreApplied(t *testing.T) {
-	g := newTestGateway(t)
+	g := newTestGateway(t, "127.0.0.1:1")
 	g.onServersChange(map[string]kv.Entry{"servers/a": {Value: []byte(
 		`{"Service":"s","Address":"127.0.0.1:9","Slots":8,"State":"ready","WarmupLeftMs":60000}`,
 	)}}, time.Time{})
@@ -65,3 +70,20 @@
 	g.onConfigChange(configSnapshot(0, `{"Version":2,"Services":[{"Name":"s"}]}`))
 	require.Zero(t, cold())
 }
+
+// Guards against shares of cold servers that do not follow the list of gateways.
+func TestGatewaysListedShareTheColdServers(t *testing.T) {
+	store := kvserver.New()
+	for i := range 23 {
+		store.Write(fmt.Sprint("gateways/other-", i), []byte(fmt.Sprintf(`{"name":"other-%d"}`, i)))
+	}
+	srv := httptest.NewServer(store.PlatformHandler())
+	defer srv.Close()
+	g := newTestGateway(t, strings.TrimPrefix(srv.URL, "http://"))
+	require.Equal(t, 16, g.srv.Dump().Gateways)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go g.presence.Run(ctx)
+	go g.followPresence(ctx)
+	require.Eventually(t, func() bool { return g.srv.Dump().Gateways == 24 }, 20*time.Second, 20*time.Millisecond)
+}
--- a/gateway/balance/cold.go
+++ b/gateway/balance/cold.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// CountGateways returns the number of gateways for which the shares of cold servers are computed, this one included.
+func (f *Fleet) CountGateways() int {
+	v := f.warmups.view.Load()
+	return 1 + len(v.others) + v.unlisted
+}
+
 // warmState is what a backend knows of its server's warm-up. It is guarded by the backend's lock.
 type warmState struct {
 	// entryColdUntil is the end of the warm-up according to the server's entry.
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -253,6 +253,8 @@
 	Backends []balance.Dump        `json:"backends"`
 	// Evacuated lists the evacuated failure domains.
 	Evacuated []string `json:"evacuated,omitempty"`
+	// Gateways is the number of gateways that share the cold servers.
+	Gateways int `json:"gateways"`
 	// Quarantine lists the suspected parts of prompts.
 	Quarantine []quarantine.Dump `json:"quarantine,omitempty"`
 }
@@ -269,7 +271,7 @@
 	}
 	s.mu.Unlock()
 	now := time.Now()
-	d.Evacuated = s.opts.Fleet.Evacuated()
+	d.Evacuated, d.Gateways = s.opts.Fleet.Evacuated(), s.opts.Fleet.CountGateways()
 	d.Quarantine = s.opts.Quarantine.Dump(now)
 	for _, b := range s.opts.Fleet.All() {
 		d.Backends = append(d.Backends, b.Dump(now))
