Merge the rate limit of cold servers

Cause: cold servers got as many requests as warm ones. The order of servers and the shares of cold servers follow the same list of gateways.

--- a/cmd/internal/gatewayd/retry_budgets.go
+++ b/cmd/internal/gatewayd/retry_budgets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavendermoor.example/cmd/internal/process"
+	"lavendermoor.example/configsync/presence"
 	"lavendermoor.example/routing"
 )
 
@@ -61,12 +62,21 @@
 	}
 }
 
-// followPresence applies changes of the number of gateways until the context ends.
+func memberNames(members []presence.Member) []string {
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	return names
+}
+
+// followPresence applies changes of the gateways that are listed until the context ends.
 func (g *gateway) followPresence(ctx context.Context) {
 	for last := 0; ctx.Err() == nil; {
 		members := g.presence.Members()
-		n := len(members)
-		if start, known := orderStart(members, g.settings.Load().Name); known {
+		self, n := g.settings.Load().Name, len(members)
+		g.fleet.SetGateways(self, memberNames(members), time.Now())
+		if start, known := orderStart(members, self); known {
 			g.fleet.SetOrderStart(start)
 		}
 		g.retryBudgets.setConfig(g.retryBudgetConfig(n))
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -61,6 +61,8 @@
 	RetryAfterMs int64 `json:"retry_after_ms"`
 	// PaddingBytes is the number of bytes that follow the text of each plain response.
 	PaddingBytes int64 `json:"padding_bytes"`
+	// Cold makes the replica cold for a while. The replica's entry and its health check say so.
+	Cold Cold `json:"cold"`
 }
 
 // armedSwitch is a switch to a prepared map at the start of pass Step.
