--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"math/rand/v2"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,7 +27,7 @@
 	listed    []catalog.Server
 	keepUntil time.Time
 
-	// orderStart holds the bits of the fraction set by SetOrderStart.
+	// orderStart holds the bits of the fraction set by SetOrderStart, NaN before.
 	orderStart atomic.Uint64
 
 	groupsLock sync.Mutex
@@ -50,7 +50,7 @@
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
 	f := &Fleet{dialect: dialect, domain: domain, former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{}}
 	f.current.Store(newSnapshot())
-	f.SetOrderStart(rand.Float64())
+	f.SetOrderStart(math.NaN())
 	return f
 }
 
--- a/gateway/balance/outstanding.go
+++ b/gateway/balance/outstanding.go
@@ -41,7 +41,8 @@
 
 // SetOrderStart sets where this process's own order of the servers of a service begins, as a fraction of their list.
 // Processes with evenly spread starts fill different servers first, so that their sums are even without any message
-// between them.
+// between them. Before the first call, the order is random for each choice: with starts at random, the processes'
+// streams met on some servers more often than with random ties.
 func (f *Fleet) SetOrderStart(fraction float64) { f.orderStart.Store(math.Float64bits(fraction)) }
 
 // publish makes a snapshot the current one, and gives each server its position in the order of its service's servers. They
@@ -62,12 +63,16 @@
 	b.position = position
 }
 
-// workScore is the score of a server for a request with the given work, in an order of servers with the given start.
-func (s status) workScore(w *PickWork, orderStart float64) float64 {
-	load := workload.Load{
-		Streams: s.inFlight, Left: s.left, Pace: s.pace, Slots: s.slots, Place: workload.Place(s.position, orderStart),
+// workScore is the score of a server for a request with the given work, in an order of servers with the given start, or
+// in a random one if the start is not a number.
+func (s status) workScore(opts *PickOptions, orderStart float64) float64 {
+	w, load := opts.Work, workload.Load{Streams: s.inFlight, Unread: s.unread, Pace: s.pace, Slots: s.slots}
+	if math.IsNaN(orderStart) {
+		load.Place = opts.Random()
+	} else {
+		load.Place = workload.Place(s.position, orderStart)
 	}
-	return load.Score(w.Amount, w.Usual) + s.penalties()
+	return load.Score(w.Amount.Reading, w.Usual.Reading) + s.penalties()
 }
 
 func hashID(id string) uint64 { return xxhash.Sum64String(id) }
--- a/gateway/balance/outstanding_test.go
+++ b/gateway/balance/outstanding_test.go
@@ -61,7 +61,7 @@
 	b.AddWork(a)
 	b.ObserveEvent(workload.Amount{Reading: 3, Generation: 2}, now)
 	b.FinishWork(workload.Amount{Generation: 5})
-	require.Zero(t, b.status(now, "d").left)
+	require.Zero(t, b.Dump(now).WorkMs)
 }
 
 // Guards against gateways that meet on the same servers by chance because none knows the streams of the others. Random
@@ -85,9 +85,8 @@
 	}
 }
 
-// Guards against an order that differs between gateways because the lists arrive in different orders, and against
-// gateways with the same order while their number is unknown.
-func TestOrderFollowsIDsAndStartsApart(t *testing.T) {
+// Guards against an order that differs between gateways because the lists arrive in different orders.
+func TestOrderFollowsIDs(t *testing.T) {
 	now := time.Now()
 	f, g := NewFleet(noDialect{}, "d"), NewFleet(noDialect{}, "d")
 	f.Update([]catalog.Server{server("a"), server("b"), server("c")}, time.Time{}, now)
@@ -95,7 +94,28 @@
 	for _, id := range []string{"a", "b", "c"} {
 		require.InDelta(t, f.backend(t, id).status(now, "d").position, g.backend(t, id).status(now, "d").position, 0)
 	}
-	require.NotEqual(t, f.orderStart.Load(), g.orderStart.Load())
+}
+
+// Guards against gateways that all fill the same servers first while they do not know how many they are.
+func TestOrderIsRandomWhileTheGatewaysAreUnknown(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	f.Update([]catalog.Server{server("a"), server("b"), server("c")}, time.Time{}, now)
+	for first, want := range f.Backends("s") {
+		calls := 0
+		random := func() float64 {
+			calls++
+			if calls-1 == first {
+				return 0
+			}
+			return 0.9
+		}
+		b, err := f.Pick(PickOptions{
+			Service: "s", Now: now, Random: random, Work: &PickWork{Amount: usualWork, Usual: usualWork},
+		})
+		require.NoError(t, err)
+		require.Same(t, want, b)
+	}
 }
 
 // Guards against a change of the choice for services without engines: ties are broken at random, not by the order.
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -73,7 +73,7 @@
 		}
 		var score float64
 		if opts.Work != nil {
-			score = s.workScore(opts.Work, orderStart)
+			score = s.workScore(&opts, orderStart)
 		} else {
 			score = s.score() + opts.Random()*tieBreak
 		}
--- a/gateway/balance/status.go
+++ b/gateway/balance/status.go
@@ -1,10 +1,6 @@
 package balance
 
-import (
-	"time"
-
-	"lavendermoor.example/gateway/workload"
-)
+import "time"
 
 // status is a snapshot of the properties of a backend on which a choice depends.
 type status struct {
@@ -22,11 +18,12 @@
 	slots      int
 	inFlight   int
 	tokens     int
-	left       workload.Amount
-	position   float64
-	pace       float64
-	failures   float64
-	local      bool
+	// unread is the time to read the prompts that have not been read, position the place in the order of the servers.
+	unread   time.Duration
+	position float64
+	pace     float64
+	failures float64
+	local    bool
 }
 
 func (b *Backend) status(now time.Time, domain string) status {
@@ -46,7 +43,7 @@
 		slots:        b.server.Slots,
 		inFlight:     b.inFlight,
 		tokens:       b.tokens,
-		left:         b.left,
+		unread:       b.left.Reading,
 		position:     b.position,
 		pace:         b.pace,
 		failures:     b.failures,
--- a/gateway/workload/belief.go
+++ b/gateway/workload/belief.go
@@ -62,14 +62,12 @@
 	}
 	w := out.hint.weight + h.hint.weight
 	dx, dy := h.hint.mean-out.hint.mean, h.hintedLength.mean-out.hintedLength.mean
-	if out.hint.weight > 0 {
-		// Only the slope of the prior is kept, not its means: a bias must not appear as a slope.
-		out.product += h.product
-		out.hint = moments{weight: w, mean: out.hint.mean + dx*h.hint.weight/w, squares: out.hint.squares + h.hint.squares}
-		out.hintedLength = moments{
-			weight: w, mean: out.hintedLength.mean + dy*h.hint.weight/w,
-			squares: out.hintedLength.squares + h.hintedLength.squares,
-		}
+	// The sums are added without the difference of the means: a bias must not appear as a slope.
+	out.product += h.product
+	out.hint = moments{weight: w, mean: out.hint.mean + dx*h.hint.weight/w, squares: out.hint.squares + h.hint.squares}
+	out.hintedLength = moments{
+		weight: w, mean: out.hintedLength.mean + dy*h.hint.weight/w,
+		squares: out.hintedLength.squares + h.hintedLength.squares,
 	}
 	return out
 }
--- a/gateway/workload/estimator_test.go
+++ b/gateway/workload/estimator_test.go
@@ -19,11 +19,15 @@
 func estimator() *Estimator { return NewEstimator(NewModel(&testEngine)) }
 
 // teach lets an estimator observe streams whose hints are the product of the length, a bias and a random factor.
-func teach(e *Estimator, customer string, n int, bias, spread float64) {
-	rng := rand.New(rand.NewPCG(1, 2))
+func teach(e *Estimator, customer string, n int, bias float64) {
+	teachSome(e, customer, n, bias, 1)
+}
+
+func teachSome(e *Estimator, customer string, n int, bias float64, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
 	for range n {
 		length := math.Exp(math.Log(120) + 0.7*rng.NormFloat64())
-		hint := int(length * bias * math.Exp(spread*rng.NormFloat64()))
+		hint := int(length * bias * math.Exp(0.1*rng.NormFloat64()))
 		e.Observe(Request{Route: "r", Customer: customer, Hint: max(hint, 1)}, length)
 	}
 }
@@ -40,7 +44,7 @@
 // Guards against an estimate that ignores hints which are right.
 func TestGoodHintsAreFollowed(t *testing.T) {
 	e := estimator()
-	teach(e, "c", 200, 1, 0.1)
+	teach(e, "c", 200, 1)
 	for _, length := range []int{40, 120, 300} {
 		got := e.Estimate(Request{Route: "r", Customer: "c", Hint: length}).Output
 		require.InEpsilon(t, float64(length), got, 0.15)
@@ -51,7 +55,7 @@
 // corrected, and hints that say nothing are ignored.
 func TestWrongHintsAreOutweighed(t *testing.T) {
 	e := estimator()
-	teach(e, "biased", 300, 4, 0.1)
+	teach(e, "biased", 300, 4)
 	require.InEpsilon(t, 100, e.Estimate(Request{Route: "r", Customer: "biased", Hint: 400}).Output, 0.2)
 	rng := rand.New(rand.NewPCG(3, 4))
 	e = estimator()
@@ -67,8 +71,10 @@
 // Guards against one customer's hints that spoil the estimates of another on the same route.
 func TestCustomersAreLearnedApart(t *testing.T) {
 	e := estimator()
-	teach(e, "bad", 300, 4, 0.1)
-	teach(e, "good", 300, 1, 0.1)
+	for i := range uint64(60) {
+		teachSome(e, "good", 5, 1, i)
+		teachSome(e, "bad", 5, 4, i)
+	}
 	require.InEpsilon(t, 200, e.Estimate(Request{Route: "r", Customer: "good", Hint: 200}).Output, 0.2)
 }
 
--- a/gateway/workload/score.go
+++ b/gateway/workload/score.go
@@ -1,10 +1,13 @@
 package workload
 
+import "time"
+
 // Load is what a gateway knows of the work of a server.
 type Load struct {
-	// Streams is the number of the gateway's own requests at the server, Left the work that is left of them.
+	// Streams is the number of the gateway's own requests at the server, Unread the time to read the prompts of those that
+	// have had no event yet.
 	Streams int
-	Left    Amount
+	Unread  time.Duration
 	// Pace is the factor by which the server is slower than expected, 0 or 1 if it is not.
 	Pace  float64
 	Slots int
@@ -12,13 +15,14 @@
 	Place float64
 }
 
-// Score rates a server for a request with the given work by the work that it has in its next passes: its streams, each
-// of which generates in every pass, and the prompts that it has yet to read. The server with the lowest score should get
-// the request. The generation left has no weight: a stream lengthens each pass by the same time however much of it is
-// left, and in docs/design/expected-work.md no weight of it served callers better.
-func (l Load) Score(w, usual Amount) float64 {
-	reading := float64(l.Left.Reading+w.Reading) / float64(max(usual.Reading, 1))
-	streams := 1 + float64(l.Streams) + readingWeight*reading + orderWeight*l.Place
+// Score rates a server for a request by the work that it would have in its next passes: its streams, each of which
+// generates in every pass, and the prompts that it has yet to read. reading is the time to read the prompt of the request,
+// usual that for a prompt of mean size. The server with the lowest score should get the request. The generation left has
+// no weight: a stream lengthens each pass by the same time however much of it is left, and in
+// docs/design/expected-work.md no weight of it served callers better.
+func (l Load) Score(reading, usual time.Duration) float64 {
+	unread := float64(l.Unread+reading) / float64(max(usual, 1))
+	streams := 1 + float64(l.Streams) + readingWeight*unread + orderWeight*l.Place
 	return streams * max(l.Pace, 1) / float64(max(l.Slots, 1))
 }
 
--- a/gateway/workload/simulation/gateway.go
+++ b/gateway/workload/simulation/gateway.go
@@ -62,8 +62,8 @@
 // load returns the gateway's view of a rank.
 func (g *gateway) load(rank int, pace float64, now time.Duration, others bool) View {
 	v := View{
-		Streams: float64(g.own[rank]), Announced: g.announced[rank], Pace: pace,
-		load: workload.Load{Streams: g.own[rank], Left: g.left[rank], Pace: pace, Slots: Engine.Slots},
+		Streams: float64(g.own[rank]), Announced: g.announced[rank], Pace: pace, left: g.left[rank],
+		load: workload.Load{Streams: g.own[rank], Unread: g.left[rank].Reading, Pace: pace, Slots: Engine.Slots},
 	}
 	if others {
 		v.Others = fade(g.others[rank], now-g.reportedAt)
--- a/gateway/workload/simulation/rule.go
+++ b/gateway/workload/simulation/rule.go
@@ -9,6 +9,7 @@
 // View is what a gateway knows of a rank.
 type View struct {
 	load workload.Load
+	left workload.Amount
 	// Others are the streams of other gateways, as far as the rule takes them into account.
 	Streams, Others, Announced, Pace float64
 }
@@ -57,18 +58,18 @@
 // byLatency predicts the time to the first event: what has to be read before, and a slower pass for each stream.
 func byLatency(v View, w workload.Amount) float64 {
 	perStream := float64(Engine.StepsPerPass) * float64(Engine.StepTimePerRequest)
-	ns := float64(v.load.Left.Reading+w.Reading) + perStream*(1+v.Streams+v.Others)
+	ns := float64(v.left.Reading+w.Reading) + perStream*(1+v.Streams+v.Others)
 	return ns * v.Pace / float64(model.Usual().Total())
 }
 
 func byWork(v View, w workload.Amount) float64 {
 	others := v.Others * float64(model.Usual().Total())
-	return ((float64(v.load.Left.Total()+w.Total())+others)/float64(model.Usual().Total()) + v.load.Place) * v.Pace / slots
+	return ((float64(v.left.Total()+w.Total())+others)/float64(model.Usual().Total()) + v.load.Place) * v.Pace / slots
 }
 
 // chosen is the score of the product, with the other gateways' streams for the rules that know them.
 func chosen(v View, w workload.Amount) float64 {
-	return v.load.Score(w, model.Usual()) + v.Others*v.Pace/slots
+	return v.load.Score(w.Reading, model.Usual().Reading) + v.Others*v.Pace/slots
 }
 
 // Rules are the compared rules.
