--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"math/rand/v2"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,7 +32,7 @@
 	// hasList is set after the first Update.
 	hasList bool
 
-	// orderStart holds the bits of the fraction set by SetOrderStart.
+	// orderStart holds the bits of the fraction set by SetOrderStart, NaN before.
 	orderStart atomic.Uint64
 
 	groupsLock sync.Mutex
@@ -58,7 +58,7 @@
 		former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{},
 	}
 	f.current.Store(newSnapshot())
-	f.SetOrderStart(rand.Float64())
+	f.SetOrderStart(math.NaN())
 	return f
 }
 
--- a/gateway/balance/status.go
+++ b/gateway/balance/status.go
@@ -1,10 +1,6 @@
 package balance
 
-import (
-	"time"
-
-	"lavendermoor.example/gateway/workload"
-)
+import "time"
 
 // status is a snapshot of the properties of a backend on which a choice depends.
 type status struct {
@@ -22,8 +18,9 @@
 	slots      int
 	inFlight   int
 	tokens     int
-	left       workload.Amount
-	position   float64
+	// unread is the time to read the prompts that have not been read, position the place in the order of the servers.
+	unread   time.Duration
+	position float64
 	// pace is at least 1, and higher for slow and for cold servers.
 	pace     float64
 	failures float64
@@ -47,7 +44,7 @@
 		slots:        b.server.Slots,
 		inFlight:     b.inFlight,
 		tokens:       b.tokens,
-		left:         b.left,
+		unread:       b.left.Reading,
 		position:     b.position,
 		pace:         max(b.pace, 1) * b.coldWeight(now),
 		failures:     b.failures,
