--- a/cmd/internal/callers/limits_test.go
+++ b/cmd/internal/callers/limits_test.go
@@ -136,7 +136,7 @@
 	received := int64(0)
 	for err == nil {
 		var n int64
-		n, err = io.CopyN(io.Discard, resp.Body, size/20)
+		n, err = io.CopyN(io.Discard, resp.Body, size/40)
 		received += n
 		time.Sleep(100 * time.Millisecond) // The response takes longer than a write may stall.
 	}
--- a/gateway/buffer/buffer_test.go
+++ b/gateway/buffer/buffer_test.go
@@ -131,6 +131,25 @@
 	})
 }
 
+// Guards against a body that finds no room because others are held back, also if these have not waited themselves.
+func TestStalledBodiesAreEvictedForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = growthFactor * Free
+		b := NewBudget(8 * size)
+		var stalled []<-chan error
+		for i := range 6 {
+			stalled = append(stalled, hold(b, size, size-1, string(rune('a'+i))))
+		}
+		synctest.Wait()
+		require.Equal(t, int64(bodiesFraction*8*size), b.Held())
+		require.NoError(t, read(t, b, size, size, size, "sound"))
+		for _, done := range stalled {
+			require.ErrorIs(t, <-done, errEvicted)
+		}
+		require.Zero(t, b.Held())
+	})
+}
+
 // Guards against one customer or address whose bodies take the whole budget.
 func TestOneOwnerCannotTakeTheWholeBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
