Serve retries before new requests of their class

Change: retries go first within a class. The permits that a class is guaranteed go to requests that can be on time first. The guaranteed part is 0.65, and the tolerance for gaps 0.9, so that a shortage is shorter and fewer callers come a second time.

--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -44,9 +44,9 @@
 	lateShareWeight = 0.05
 	// lateGapTolerance is the fraction by which gaps may be longer, during a recovery, if all streams are late.
 	lateGapTolerance = 1.2
-	// competingGapTolerance is lateGapTolerance while requests of several priorities compete. It is smaller because many
-	// streams are still on time: with half of them late, the limit falls when gapQuantile of the gaps reaches the target.
-	competingGapTolerance = 0.6
+	// competingGapTolerance is lateGapTolerance while requests of several priorities compete. It is smaller because some
+	// streams are still on time: with a third of them late, the limit falls when gapQuantile of the gaps reaches the target.
+	competingGapTolerance = 0.9
 )
 
 // Limiter is the concurrency limit of one group. It is not safe for concurrent use.
--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -19,7 +19,7 @@
 	// guaranteedFraction is the rate of service that each waiting class is guaranteed, relative to that of all requests.
 	// It is more than the required minimum of a quarter because a class that is refused on arrival does not wait, and
 	// because the least urgent route has to earn 0.42 of its value.
-	guaranteedFraction = 0.55
+	guaranteedFraction = 0.65
 	// retryFraction is the part of the permits that is guaranteed to waiting retries. Larger parts serve as many callers,
 	// but fewer of them on time (docs/design/precedence.md).
 	retryFraction = 0.2
@@ -104,17 +104,27 @@
 	return tierLate
 }
 
-// compareByPriority orders waiting requests of different priorities. Within a class, new requests that can be on time go
-// before retries, most of which are late: an order with retries first serves as many callers, but in a shortage nearly all
-// of the class then wait until they are late. Retries go first within the part of the permits that they are guaranteed.
+// compareByPriority orders waiting requests of different priorities. Within a class, retries go before new requests,
+// because their callers do not return.
 func compareByPriority(a, b *waiter, now time.Time) int {
+	return compareWaiters(a, b, true, now)
+}
+
+// compareOwed orders the waiting requests of a class for the permits that it is guaranteed: new requests that can be on time go
+// before retries, most of which are late. If a class gets only these permits, its requests would otherwise all wait until
+// they are late.
+func compareOwed(a, b *waiter, now time.Time) int {
+	return compareWaiters(a, b, false, now)
+}
+
+func compareWaiters(a, b *waiter, retriesFirst bool, now time.Time) int {
 	if c := cmp.Or(cmp.Compare(a.tier(now), b.tier(now)), cmp.Compare(a.priority, b.priority)); c != 0 {
 		return c
 	}
 	switch {
 	case a.tier(now) != tierUrgent:
 		return a.arrived.Compare(b.arrived)
-	case a.isRetry != b.isRetry && b.isRetry:
+	case a.isRetry != b.isRetry && a.isRetry == retriesFirst:
 		return -1
 	case a.isRetry != b.isRetry:
 		return 1
@@ -127,34 +137,39 @@
 // next returns the index of the request that gets the next permit in a group, -1 if there is none. Retries or a class
 // that are owed a permit go before the others, but not before streams that have started.
 func (p *precedence) next(waiting []*waiter, group string, now time.Time) int {
-	best, owed, owedCredit := -1, -1, 0.0
-	for i, w := range waiting {
-		if w.excluded != "" && w.excluded == group {
-			continue
-		}
-		if best < 0 || compareByPriority(w, waiting[best], now) < 0 {
-			best = i
-		}
-		credit := p.creditOf(w)
-		if credit < 1 || credit < owedCredit {
-			continue
+	eligible := func(w *waiter) bool { return w.excluded == "" || w.excluded != group }
+	best := first(waiting, eligible, compareByPriority, now)
+	if best < 0 || waiting[best].isMove {
+		return best
+	}
+	owed, credit := 0, 0.0
+	retries := false
+	for _, w := range waiting {
+		if c := p.classes[w.priority].credit; eligible(w) && c > credit {
+			owed, credit, retries = w.priority, c, false
 		}
-		if credit > owedCredit || compareByPriority(w, waiting[owed], now) < 0 {
-			owed, owedCredit = i, credit
+		if w.isRetry && eligible(w) && p.retryCredit > credit {
+			credit, retries = p.retryCredit, true
 		}
 	}
-	if owed >= 0 && !waiting[best].isMove {
-		return owed
+	switch {
+	case credit < 1:
+		return best
+	case retries:
+		return first(waiting, func(w *waiter) bool { return w.isRetry && eligible(w) }, compareByPriority, now)
 	}
-	return best
+	return first(waiting, func(w *waiter) bool { return w.priority == owed && eligible(w) }, compareOwed, now)
 }
 
-func (p *precedence) creditOf(w *waiter) float64 {
-	credit := p.classes[w.priority].credit
-	if w.isRetry {
-		credit = max(credit, p.retryCredit)
+// first returns the index of the first eligible request in an order, -1 if there is none.
+func first(waiting []*waiter, eligible func(*waiter) bool, compare func(a, b *waiter, now time.Time) int, now time.Time) int {
+	best := -1
+	for i, w := range waiting {
+		if eligible(w) && (best < 0 || compare(w, waiting[best], now) < 0) {
+			best = i
+		}
 	}
-	return credit
+	return best
 }
 
 // observeAdmission updates the credits after a permit was given to a request that waited among the others.
