--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -20,7 +20,7 @@
 	// It is more than the required minimum of a quarter because a class that is refused on arrival does not wait, and
 	// because the least urgent route has to earn 0.42 of its value.
 	guaranteedFraction = 0.65
-	// retryFraction is the part of the permits that is guaranteed to waiting retries. Larger parts serve as many callers,
+	// retryFraction is the part of the permits that is guaranteed to waiting retries. Larger parts serve more callers,
 	// but fewer of them on time (docs/design/precedence.md).
 	retryFraction = 0.2
 	// maxCredit bounds the permits that a class can be owed.
