--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -74,16 +74,18 @@
 	return present > 1
 }
 
-// guaranteed returns the part of the permits that a class is guaranteed while it waits.
-func (p *precedence) guaranteed(priority int, now time.Time) float64 {
+// guaranteedParts returns the part of the permits that each class is guaranteed while it waits.
+func (p *precedence) guaranteedParts(now time.Time) [numPriorities]float64 {
+	var parts [numPriorities]float64
 	total := 0.0
 	for i := range p.classes {
-		total += p.classes[i].arrivalRate(now)
+		parts[i] = p.classes[i].arrivalRate(now)
+		total += parts[i]
 	}
-	if total == 0 {
-		return 0
+	for i := range parts {
+		parts[i] *= guaranteedFraction / max(total, math.SmallestNonzeroFloat64)
 	}
-	return guaranteedFraction * p.classes[priority].arrivalRate(now) / total
+	return parts
 }
 
 // Tiers of waiting requests, in the order in which they get permits.
@@ -181,8 +183,9 @@
 		isWaiting[w.priority] = true
 		retriesWait = retriesWait || w.isRetry
 	}
+	parts := p.guaranteedParts(now)
 	for i := range p.classes {
-		p.classes[i].credit = nextCredit(p.classes[i].credit, p.guaranteed(i, now), isWaiting[i], admitted.priority == i)
+		p.classes[i].credit = nextCredit(p.classes[i].credit, parts[i], isWaiting[i], admitted.priority == i)
 	}
 	p.retryCredit = nextCredit(p.retryCredit, retryFraction, retriesWait, admitted.isRetry)
 }
@@ -207,14 +210,14 @@
 }
 
 // expectedWait returns the expected wait of a request behind the given numbers of other requests in all and of its own
-// class.
-func (p *precedence) expectedWait(w *waiter, before, beforeInClass int, s permitSupply, now time.Time) time.Duration {
+// class, which is guaranteed a part of the permits.
+func (s permitSupply) expectedWait(before, beforeInClass int, guaranteed float64) time.Duration {
 	if s.rate <= 0 {
 		return 0
 	}
 	inOrder := float64(before+s.excess+1) / s.rate
-	if g := p.guaranteed(w.priority, now); g > 0 {
-		inOrder = min(inOrder, float64(beforeInClass+1)/(g*s.rate)+float64(s.excess)/s.rate)
+	if guaranteed > 0 {
+		inOrder = min(inOrder, float64(beforeInClass+1)/(guaranteed*s.rate)+float64(s.excess)/s.rate)
 	}
 	return time.Duration(inOrder * float64(time.Second))
 }
@@ -231,21 +234,18 @@
 			inClass++
 		}
 	}
-	return p.expectedWait(w, before, inClass, s, now), before
+	return s.expectedWait(before, inClass, p.guaranteedParts(now)[w.priority]), before
 }
 
 // shortestRetryWait returns the wait of a retry if only retries got permits. It bounds the number of retries that wait.
 func shortestRetryWait(w *waiter, waiting []*waiter, s permitSupply, now time.Time) time.Duration {
-	if s.rate <= 0 {
-		return 0
-	}
 	before := 0
 	for _, other := range waiting {
 		if other.isRetry && compareByPriority(other, w, now) <= 0 {
 			before++
 		}
 	}
-	return time.Duration(float64(before+s.excess+1) / s.rate * float64(time.Second))
+	return s.expectedWait(before, before, 0)
 }
 
 // unservable is a waiting request that is not expected to get a permit in time.
@@ -263,9 +263,10 @@
 	slices.SortStableFunc(ordered, func(a, b *waiter) int { return compareByPriority(a, b, now) })
 	var out []unservable
 	var inClass [numPriorities]int
+	parts := p.guaranteedParts(now)
 	kept := 0
 	for _, w := range ordered {
-		wait := p.expectedWait(w, kept, inClass[w.priority], s, now)
+		wait := s.expectedWait(kept, inClass[w.priority], parts[w.priority])
 		if !w.isMove && !w.isRetry && now.Add(wait).After(w.waitsUntil) {
 			out = append(out, unservable{waiter: w, wait: wait, ahead: kept})
 			continue
