--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -19,8 +19,8 @@
 	// guaranteedFraction is the rate of service that each waiting class is guaranteed, relative to that of all requests.
 	// It is more than the required minimum of a quarter because a class that is refused on arrival does not wait, and
 	// because the least urgent route has to earn 0.42 of its value.
-	guaranteedFraction = 0.55
-	// retryFraction is the part of the permits that is guaranteed to waiting retries. Larger parts serve as many callers,
+	guaranteedFraction = 0.65
+	// retryFraction is the part of the permits that is guaranteed to waiting retries. Larger parts serve more callers,
 	// but fewer of them on time (docs/design/precedence.md).
 	retryFraction = 0.2
 	// maxCredit bounds the permits that a class can be owed.
@@ -74,16 +74,18 @@
 	return present > 1
 }
 
-// guaranteed returns the part of the permits that a class is guaranteed while it waits.
-func (p *precedence) guaranteed(priority int, now time.Time) float64 {
+// guaranteedParts returns the part of the permits that each class is guaranteed while it waits.
+func (p *precedence) guaranteedParts(now time.Time) [numPriorities]float64 {
+	var parts [numPriorities]float64
 	total := 0.0
 	for i := range p.classes {
-		total += p.classes[i].arrivalRate(now)
+		parts[i] = p.classes[i].arrivalRate(now)
+		total += parts[i]
 	}
-	if total == 0 {
-		return 0
+	for i := range parts {
+		parts[i] *= guaranteedFraction / max(total, math.SmallestNonzeroFloat64)
 	}
-	return guaranteedFraction * p.classes[priority].arrivalRate(now) / total
+	return parts
 }
 
 // Tiers of waiting requests, in the order in which they get permits.
@@ -104,17 +106,27 @@
 	return tierLate
 }
 
-// compareByPriority orders waiting requests of different priorities. Within a class, new requests that can be on time go
-// before retries, most of which are late: an order with retries first serves as many callers, but in a shortage nearly all
-// of the class then wait until they are late. Retries go first within the part of the permits that they are guaranteed.
+// compareByPriority orders waiting requests of different priorities. Within a class, retries go before new requests,
+// because their callers do not return.
 func compareByPriority(a, b *waiter, now time.Time) int {
+	return compareWaiters(a, b, true, now)
+}
+
+// compareOwed orders the waiting requests of a class for the permits that it is guaranteed: new requests that can be on time go
+// before retries, most of which are late. If a class gets only these permits, its requests would otherwise all wait until
+// they are late.
+func compareOwed(a, b *waiter, now time.Time) int {
+	return compareWaiters(a, b, false, now)
+}
+
+func compareWaiters(a, b *waiter, retriesFirst bool, now time.Time) int {
 	if c := cmp.Or(cmp.Compare(a.tier(now), b.tier(now)), cmp.Compare(a.priority, b.priority)); c != 0 {
 		return c
 	}
 	switch {
 	case a.tier(now) != tierUrgent:
 		return a.arrived.Compare(b.arrived)
-	case a.isRetry != b.isRetry && b.isRetry:
+	case a.isRetry != b.isRetry && a.isRetry == retriesFirst:
 		return -1
 	case a.isRetry != b.isRetry:
 		return 1
@@ -127,34 +139,39 @@
 // next returns the index of the request that gets the next permit in a group, -1 if there is none. Retries or a class
 // that are owed a permit go before the others, but not before streams that have started.
 func (p *precedence) next(waiting []*waiter, group string, now time.Time) int {
-	best, owed, owedCredit := -1, -1, 0.0
-	for i, w := range waiting {
-		if w.excluded != "" && w.excluded == group {
-			continue
-		}
-		if best < 0 || compareByPriority(w, waiting[best], now) < 0 {
-			best = i
-		}
-		credit := p.creditOf(w)
-		if credit < 1 || credit < owedCredit {
-			continue
+	eligible := func(w *waiter) bool { return w.excluded == "" || w.excluded != group }
+	best := first(waiting, eligible, compareByPriority, now)
+	if best < 0 || waiting[best].isMove {
+		return best
+	}
+	owed, credit := 0, 0.0
+	retries := false
+	for _, w := range waiting {
+		if c := p.classes[w.priority].credit; eligible(w) && c > credit {
+			owed, credit, retries = w.priority, c, false
 		}
-		if credit > owedCredit || compareByPriority(w, waiting[owed], now) < 0 {
-			owed, owedCredit = i, credit
+		if w.isRetry && eligible(w) && p.retryCredit > credit {
+			credit, retries = p.retryCredit, true
 		}
 	}
-	if owed >= 0 && !waiting[best].isMove {
-		return owed
+	switch {
+	case credit < 1:
+		return best
+	case retries:
+		return first(waiting, func(w *waiter) bool { return w.isRetry && eligible(w) }, compareByPriority, now)
 	}
-	return best
+	return first(waiting, func(w *waiter) bool { return w.priority == owed && eligible(w) }, compareOwed, now)
 }
 
-func (p *precedence) creditOf(w *waiter) float64 {
-	credit := p.classes[w.priority].credit
-	if w.isRetry {
-		credit = max(credit, p.retryCredit)
+// first returns the index of the first eligible request in an order, -1 if there is none.
+func first(waiting []*waiter, eligible func(*waiter) bool, compare func(a, b *waiter, now time.Time) int, now time.Time) int {
+	best := -1
+	for i, w := range waiting {
+		if eligible(w) && (best < 0 || compare(w, waiting[best], now) < 0) {
+			best = i
+		}
 	}
-	return credit
+	return best
 }
 
 // observeAdmission updates the credits after a permit was given to a request that waited among the others.
@@ -166,8 +183,9 @@
 		isWaiting[w.priority] = true
 		retriesWait = retriesWait || w.isRetry
 	}
+	parts := p.guaranteedParts(now)
 	for i := range p.classes {
-		p.classes[i].credit = nextCredit(p.classes[i].credit, p.guaranteed(i, now), isWaiting[i], admitted.priority == i)
+		p.classes[i].credit = nextCredit(p.classes[i].credit, parts[i], isWaiting[i], admitted.priority == i)
 	}
 	p.retryCredit = nextCredit(p.retryCredit, retryFraction, retriesWait, admitted.isRetry)
 }
@@ -192,14 +210,14 @@
 }
 
 // expectedWait returns the expected wait of a request behind the given numbers of other requests in all and of its own
-// class.
-func (p *precedence) expectedWait(w *waiter, before, beforeInClass int, s permitSupply, now time.Time) time.Duration {
+// class, which is guaranteed a part of the permits.
+func (s permitSupply) expectedWait(before, beforeInClass int, guaranteed float64) time.Duration {
 	if s.rate <= 0 {
 		return 0
 	}
 	inOrder := float64(before+s.excess+1) / s.rate
-	if g := p.guaranteed(w.priority, now); g > 0 {
-		inOrder = min(inOrder, float64(beforeInClass+1)/(g*s.rate)+float64(s.excess)/s.rate)
+	if guaranteed > 0 {
+		inOrder = min(inOrder, float64(beforeInClass+1)/(guaranteed*s.rate)+float64(s.excess)/s.rate)
 	}
 	return time.Duration(inOrder * float64(time.Second))
 }
@@ -216,21 +234,18 @@
 			inClass++
 		}
 	}
-	return p.expectedWait(w, before, inClass, s, now), before
+	return s.expectedWait(before, inClass, p.guaranteedParts(now)[w.priority]), before
 }
 
 // shortestRetryWait returns the wait of a retry if only retries got permits. It bounds the number of retries that wait.
 func shortestRetryWait(w *waiter, waiting []*waiter, s permitSupply, now time.Time) time.Duration {
-	if s.rate <= 0 {
-		return 0
-	}
 	before := 0
 	for _, other := range waiting {
 		if other.isRetry && compareByPriority(other, w, now) <= 0 {
 			before++
 		}
 	}
-	return time.Duration(float64(before+s.excess+1) / s.rate * float64(time.Second))
+	return s.expectedWait(before, before, 0)
 }
 
 // unservable is a waiting request that is not expected to get a permit in time.
@@ -248,9 +263,10 @@
 	slices.SortStableFunc(ordered, func(a, b *waiter) int { return compareByPriority(a, b, now) })
 	var out []unservable
 	var inClass [numPriorities]int
+	parts := p.guaranteedParts(now)
 	kept := 0
 	for _, w := range ordered {
-		wait := p.expectedWait(w, kept, inClass[w.priority], s, now)
+		wait := s.expectedWait(kept, inClass[w.priority], parts[w.priority])
 		if !w.isMove && !w.isRetry && now.Add(wait).After(w.waitsUntil) {
 			out = append(out, unservable{waiter: w, wait: wait, ahead: kept})
 			continue
