Keep requests in the allowed regions of their route and customer

The regions of a request bind the refusal before the body (503, `no_region`, Retry-After), the groups of its permit, the choice for each attempt, the check before the write, and the alternatives for retries and moved streams. A request without restrictions does not wait behind one that waits for particular groups. An empty list does not restrict; an unknown region is in no list. The tests of HasAlternative, OtherGroupUsable and supply pass the new argument, otherwise unchanged.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -117,6 +117,7 @@
 	}
 	dialect := platform.Dialect{}
 	g.fleet = balance.NewFleet(dialect, s.FailureDomain)
+	g.fleet.SetRegions(s.Regions)
 	g.evacuations = &evacuationFollower{gateway: g}
 	store := platform.NewStore(s.Store, observeCall)
 	suspected := quarantine.New()
@@ -177,6 +178,7 @@
 func (g *gateway) reload(s Settings) {
 	g.settings.Store(&s)
 	g.peers.SetAddresses(s.Peers)
+	g.fleet.SetRegions(s.Regions)
 	g.obs.SetLogLevel(s.LogLevel)
 	process.SetMemoryLimit(s.MemoryMB)
 }
--- a/cmd/internal/gatewayd/settings.go
+++ b/cmd/internal/gatewayd/settings.go
@@ -9,6 +9,8 @@
 type Settings struct {
 	Name          string `json:"name" validate:"required"`
 	FailureDomain string `json:"failure_domain" validate:"required"`
+	// Regions is the region of each failure domain. A domain that it does not name is outside every allowed region.
+	Regions map[string]string `json:"regions"`
 	// Listen is the address for callers.
 	Listen string `json:"listen" validate:"required,hostname_port"`
 	// ReadyListen is the address for the platform's readiness probes.
--- a/gateway/balance/backend.go
+++ b/gateway/balance/backend.go
@@ -58,9 +58,10 @@
 // Backend is the state of one listed server. Its methods are safe for concurrent use.
 type Backend struct {
 	Pool *exchange.Pool
-	// evacuations and warmups are those of the fleet.
+	// evacuations, warmups and regions are those of the fleet.
 	evacuations *evacuations
 	warmups     *warmups
+	regions     *regionTable
 	// idHash is the hash of the server's ID.
 	idHash uint64
 
@@ -106,9 +107,10 @@
 	warm       warmState
 }
 
-func newBackend(s catalog.Server, dialect exchange.Dialect, e *evacuations, w *warmups) *Backend {
+func newBackend(s catalog.Server, dialect exchange.Dialect, e *evacuations, w *warmups, r *regionTable) *Backend {
 	return &Backend{
-		Pool: exchange.NewPool(s.Address, dialect), server: s, evacuations: e, warmups: w, idHash: hashID(s.ID),
+		Pool: exchange.NewPool(s.Address, dialect), server: s, evacuations: e, warmups: w, regions: r,
+		idHash: hashID(s.ID),
 	}
 }
 
--- a/gateway/balance/evacuation.go
+++ b/gateway/balance/evacuation.go
@@ -96,12 +96,12 @@
 	return b.isUsable()
 }
 
-// HasAlternative reports whether another server of a service could take a request of the backend b. The server of b
-// counts as one of the service until it leaves.
-func (f *Fleet) HasAlternative(service string, b *Backend) bool {
+// HasAlternative reports whether another server of a service in the regions could take a request of the backend b. The
+// server of b counts as one of the service until it leaves.
+func (f *Fleet) HasAlternative(service string, b *Backend, regions Regions) bool {
 	n := 0
 	for _, other := range f.Backends(service) {
-		if other.IsUsable() || (other == b && !other.IsLeaving()) {
+		if (other.IsUsable() && other.IsIn(regions)) || (other == b && !other.IsLeaving()) {
 			n++
 		}
 	}
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -15,9 +15,10 @@
 type Fleet struct {
 	dialect exchange.Dialect
 	domain  string
-	// evacuations and warmups are shared with the backends.
+	// evacuations, warmups and regions are shared with the backends.
 	evacuations *evacuations
 	warmups     *warmups
+	regions     *regionTable
 	// updates serializes the changes of the list.
 	updates sync.Mutex
 	current atomic.Pointer[snapshot]
@@ -54,7 +55,7 @@
 // NewFleet returns a fleet without backends for a process in the given failure domain.
 func NewFleet(dialect exchange.Dialect, domain string) *Fleet {
 	f := &Fleet{
-		dialect: dialect, domain: domain, evacuations: newEvacuations(), warmups: newWarmups(),
+		dialect: dialect, domain: domain, evacuations: newEvacuations(), warmups: newWarmups(), regions: newRegionTable(),
 		former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{},
 	}
 	f.current.Store(newSnapshot())
--- a/gateway/balance/pick.go
+++ b/gateway/balance/pick.go
@@ -42,6 +42,8 @@
 	Work *PickWork
 	// Tried lists the servers of earlier attempts, which must not be chosen again.
 	Tried []*Backend
+	// Regions are the regions of the servers to which the request may be sent, nil for all servers.
+	Regions Regions
 	// Random returns a number in [0, 1) that breaks ties.
 	Random func() float64
 	Now    time.Time
@@ -64,7 +66,7 @@
 	var best, fallback choice
 	orderStart := math.Float64frombits(f.orderStart.Load())
 	for _, b := range listed {
-		if slices.Contains(opts.Tried, b) {
+		if slices.Contains(opts.Tried, b) || !b.IsIn(opts.Regions) {
 			continue
 		}
 		s := b.status(opts.Now, f.domain)
--- a/gateway/balance/suspension_test.go
+++ b/gateway/balance/suspension_test.go
@@ -147,7 +147,7 @@
 	require.NotEmpty(t, pickID(t, f, now))
 	require.Len(t, f.SetLeaving("s", map[string]int64{"a:80": startTime.UnixMilli()}), 1)
 	require.Equal(t, "b", pickID(t, f, now))
-	require.False(t, f.HasAlternative("s", f.byID("b")), "a is leaving")
+	require.False(t, f.HasAlternative("s", f.byID("b"), nil), "a is leaving")
 	require.Equal(t, 4, f.Groups("s", now)[0].Slots)
 }
 
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -57,6 +57,8 @@
 	Public bool
 	// Resumable streams can be continued at another server after the last event received.
 	Resumable bool
+	// AllowedRegions are the regions of the servers that may serve the route's requests, empty for all servers.
+	AllowedRegions []string
 }
 
 // Retryable reports whether a request that may have been executed can be sent to another server.
@@ -127,6 +129,9 @@
 	Name string
 	// Priority overrides the route's priority. It is nil when the customer has none.
 	Priority *int
+	// AllowedRegions are the regions of the servers that may serve the customer's requests, empty for all servers. Those
+	// of the route apply too.
+	AllowedRegions []string
 }
 
 // Limits bounds what callers may send.
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"time"
 
+	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/limit"
 )
 
 // admit acquires a permit for a stream if its service has model engines. Other requests need no permit. Requests to a
-// service whose servers are all evacuated or suspended, and prompts with a quarantined part, are refused immediately.
+// service whose servers are all evacuated, suspended or outside the allowed regions, and prompts with a quarantined part,
+// are refused immediately.
 func (c *call) admit(ctx context.Context) *Failure {
 	if f := c.checkQuarantine(); f != nil {
 		return f
@@ -33,11 +35,15 @@
 	return nil
 }
 
-// serversUnavailable returns the failure of a request to a service whose servers are all evacuated or suspended.
+// serversUnavailable returns the failure of a request to a service whose servers are all evacuated or suspended, or
+// without a usable server in the allowed regions.
 func (c *call) serversUnavailable() *Failure {
 	if c.server.opts.Fleet.IsEvacuated(c.service) {
 		return c.evacuationFailure("all servers of the service are in evacuated failure domains")
 	}
+	if !c.server.opts.Fleet.HasServerIn(c.service, c.regions) {
+		return c.regionFailure("no server of the service is in an allowed region")
+	}
 	if suspended := c.server.opts.Fleet.SuspendedFor(c.service, time.Now()); suspended > 0 {
 		return c.suspensionFailure(suspended, "no server of the service takes requests at present")
 	}
@@ -84,7 +90,7 @@
 	elapsed := c.elapsedBefore()
 	opts := limit.AcquireOptions{
 		MaxOnTimeWait: c.route.Objective - elapsed - firstEvent, TargetGap: c.route.TargetGap, IsRetry: elapsed > 0,
-		Priority: c.priority(),
+		Priority: c.priority(), AllowedGroups: c.server.opts.Fleet.GroupsIn(c.service, c.regions),
 	}
 	opts.MaxWait = remaining - time.Duration(durationMargin*float64(q.StreamDuration()))
 	if !opts.IsRetry {
@@ -130,6 +136,9 @@
 	if c.server.opts.Fleet.IsEvacuated(c.service) {
 		return c.evacuationFailure(refusal.Error())
 	}
+	if !c.server.opts.Fleet.HasServerIn(c.service, c.regions) {
+		return c.regionFailure(refusal.Error())
+	}
 	f := &Failure{
 		Status: http.StatusServiceUnavailable, Reason: reasonOverloaded, Detail: refusal.Error(),
 		RetryAfter: c.retryAfter(refusal.EstimatedWait),
@@ -152,6 +161,23 @@
 	}
 }
 
+// allowedRegions returns the regions to which the route and the customer restrict the request.
+func (c *call) allowedRegions() balance.Regions {
+	if c.customer == nil {
+		return balance.IntersectRegions(c.route.AllowedRegions, nil)
+	}
+	return balance.IntersectRegions(c.route.AllowedRegions, c.customer.AllowedRegions)
+}
+
+// regionFailure returns the failure of a request to a service without a usable server in the allowed regions. The time
+// at which one is listed is unknown.
+func (c *call) regionFailure(detail string) *Failure {
+	return &Failure{
+		Status: http.StatusServiceUnavailable, Reason: reasonNoRegion, Detail: detail,
+		RetryAfter: c.lateRetryAfter(noServerRetryAfter),
+	}
+}
+
 // groupFormTime returns the minimum time until a group of the service that does not serve can serve again.
 func (c *call) groupFormTime() time.Duration {
 	if s := c.catalog.Service(c.service); s != nil && s.Engine != nil && s.Engine.FormTime > 0 {
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -102,9 +102,9 @@
 // stalled or does not serve, that must be a server of another group.
 func (c *call) canMove(b *balance.Backend) bool {
 	if c.permit != nil && (c.permit.GroupStalled() || c.permit.GroupNotServing()) {
-		return c.permit.OtherGroupUsable()
+		return c.permit.OtherGroupUsable(c.server.opts.Fleet.GroupsIn(c.service, c.regions))
 	}
-	return c.server.opts.Fleet.HasAlternative(c.service, b)
+	return c.server.opts.Fleet.HasAlternative(c.service, b, c.regions)
 }
 
 // attemptResult is the result of one attempt.
@@ -117,7 +117,7 @@
 func (c *call) roundTrip(ctx context.Context, b *balance.Backend, a *attempt) attemptResult {
 	req := c.newRequest(a.server)
 	req.ShouldSend = func() bool {
-		a.sent = b.TrySend(time.Now())
+		a.sent = b.IsIn(c.regions) && b.TrySend(time.Now())
 		return a.sent
 	}
 	sent := time.Now()
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"lavendermoor.example/gateway/balance"
 	"lavendermoor.example/gateway/buffer"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/gateway/exchange"
@@ -31,6 +32,8 @@
 	route    *catalog.Route
 	service  string
 	customer *catalog.Customer
+	// regions are the regions to which the route and the customer restrict the request.
+	regions balance.Regions
 	// permit is the permit of a stream in a group of model engines, nil for other requests.
 	permit *limit.Permit
 	// admission is the result of the request for the permit.
@@ -114,6 +117,7 @@
 		return &Failure{Status: http.StatusUnauthorized, Reason: reasonUnknownKey, Detail: "the key belongs to no customer"}
 	}
 	c.customer = customer
+	c.regions = c.allowedRegions()
 	c.service = c.chooseService()
 	c.deadline = c.arrived.Add(c.timeout())
 	if f := c.checkBeforeBody(); f != nil {
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -32,6 +32,7 @@
 	reasonNoGroup         = "no_group"
 	reasonServersRefusing = "servers_refusing"
 	reasonEvacuated       = "evacuated"
+	reasonNoRegion        = "no_region"
 	reasonServersCold     = "servers_cold"
 	reasonRefusedByServer = "refused_by_server"
 	reasonQuarantined     = "quarantined"
--- a/gateway/ingress/forward.go
+++ b/gateway/ingress/forward.go
@@ -95,8 +95,9 @@
 	}
 	return c.server.opts.Fleet.Pick(balance.PickOptions{
 		Service: c.service, HasGroup: c.permit != nil, Group: group, Tokens: c.tokenCost(), Tried: tried,
-		Work:   c.work.pickWork(),
-		Random: c.server.opts.Random, Now: time.Now(),
+		Work:    c.work.pickWork(),
+		Regions: c.regions,
+		Random:  c.server.opts.Random, Now: time.Now(),
 	})
 }
 
@@ -160,6 +161,8 @@
 	switch {
 	case c.server.opts.Fleet.IsEvacuated(c.service) && !c.mayHaveExecuted():
 		return c.evacuationFailure(detail)
+	case !c.mayHaveExecuted() && !c.server.opts.Fleet.HasServerIn(c.service, c.regions):
+		return c.regionFailure(detail)
 	case errors.As(cause, &notServing) && !c.mayHaveExecuted():
 		return &Failure{
 			Status: http.StatusServiceUnavailable, Reason: reasonNoGroup, Detail: detail,
--- a/gateway/ingress/relay.go
+++ b/gateway/ingress/relay.go
@@ -82,7 +82,7 @@
 // shouldRetryFailure reports whether another attempt is worthwhile after an error of the server b.
 func (c *call) shouldRetryFailure(b *balance.Backend) bool {
 	return c.route.Retryable() && c.sentAttempts()+1 < c.route.MaxAttempts &&
-		c.server.opts.Fleet.HasAlternative(c.service, b) && time.Until(c.deadline) > minRetryTime
+		c.server.opts.Fleet.HasAlternative(c.service, b, c.regions) && time.Until(c.deadline) > minRetryTime
 }
 
 // minRetryTime is the remaining time below which another attempt is not worth its cost.
--- a/gateway/limit/competing.go
+++ b/gateway/limit/competing.go
@@ -16,7 +16,7 @@
 // refusalByPriority returns the reason why a request must not wait among requests of other priorities, nil if it may.
 // A retry, whose caller does not return, may unless the retries before it need all permits of its time.
 func (q *Queue) refusalByPriority(w *waiter, opts AcquireOptions, err *RefusedError, now time.Time) *RefusedError {
-	supply := q.supply(w.excluded)
+	supply := q.supply(w.filter)
 	wait, ahead := q.precedence.wait(w, q.waiting, supply, now)
 	switch {
 	case w.isRetry && shortestRetryWait(w, q.waiting, supply, now) <= opts.MaxWait:
@@ -41,21 +41,21 @@
 	if len(q.waiting) == 0 || !q.precedence.applies(now) || q.noGroupUsable() {
 		return
 	}
-	for _, u := range q.precedence.unservable(q.waiting, q.supply(""), now) {
+	for _, u := range q.precedence.unservable(q.waiting, q.supply(groupFilter{}), now) {
 		q.remove(u.waiter)
-		err := q.refusedError("", u.ahead, now.Sub(u.waiter.arrived))
+		err := q.refusedError(groupFilter{}, u.ahead, now.Sub(u.waiter.arrived))
 		err.ByPriority, err.EstimatedWait = true, u.wait
 		u.waiter.refusal = err
 		u.waiter.admitted <- nil
 	}
 }
 
-// supply returns the permits that become free in all usable groups except for the excluded one.
-func (q *Queue) supply(excluded string) permitSupply {
+// supply returns the permits that become free in all usable groups that the filter permits.
+func (q *Queue) supply(filter groupFilter) permitSupply {
 	var s permitSupply
 	free := 0
 	for _, g := range q.groups {
-		if g.usable(excluded) {
+		if g.usable(filter) {
 			s.rate += g.limiter.releaseRate()
 			free += g.limiter.Limit() - g.limiter.InFlight()
 		}
--- a/gateway/limit/group.go
+++ b/gateway/limit/group.go
@@ -73,7 +73,7 @@
 	g.limiter.TryAcquire()
 }
 
-// usable reports whether the group serves, is responsive and is not the excluded one.
-func (g *group) usable(excluded string) bool {
-	return !g.notServing && !g.removed && !g.unresponsive() && (excluded == "" || g.name != excluded)
+// usable reports whether the group serves, is responsive and is permitted by the filter.
+func (g *group) usable(filter groupFilter) bool {
+	return !g.notServing && !g.removed && !g.unresponsive() && filter.permits(g.name)
 }
--- a/gateway/limit/groups.go
+++ b/gateway/limit/groups.go
@@ -62,7 +62,7 @@
 // noGroupUsable reports whether no group can serve a stream.
 func (q *Queue) noGroupUsable() bool {
 	for _, g := range q.groups {
-		if g.usable("") {
+		if g.usable(groupFilter{}) {
 			return false
 		}
 	}
@@ -125,7 +125,7 @@
 		if g.removed && g.limiter.InFlight() == 0 {
 			continue
 		}
-		if g.usable("") {
+		if g.usable(groupFilter{}) {
 			d.Limit += g.limiter.Limit()
 		}
 		d.InFlight += g.limiter.InFlight()
@@ -154,6 +154,6 @@
 func (q *Queue) Totals() (limit, inFlight, waiting int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	e := q.refusedError("", 0, 0)
+	e := q.refusedError(groupFilter{}, 0, 0)
 	return e.Limit, e.InFlight, len(q.waiting)
 }
--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -129,7 +129,7 @@
 func (p *precedence) next(waiting []*waiter, group string, now time.Time) int {
 	best, owed, owedCredit := -1, -1, 0.0
 	for i, w := range waiting {
-		if w.excluded != "" && w.excluded == group {
+		if !w.filter.permits(group) {
 			continue
 		}
 		if best < 0 || compareByPriority(w, waiting[best], now) < 0 {
--- a/gateway/limit/precedence_test.go
+++ b/gateway/limit/precedence_test.go
@@ -202,7 +202,7 @@
 		requests := waitingRequests{q: q}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		patience := time.Duration(20 / q.supply("").rate * float64(time.Second))
+		patience := time.Duration(20 / q.supply(groupFilter{}).rate * float64(time.Second))
 		requests.add(ctx, t, "first", AcquireOptions{Priority: 2, MaxOnTimeWait: patience})
 		requests.add(ctx, t, "retry", AcquireOptions{Priority: 2, MaxWait: patience, IsRetry: true})
 		start := time.Now()
@@ -231,7 +231,7 @@
 		go func() { _, _ = q.Acquire(ctx, AcquireOptions{Priority: 2, MaxOnTimeWait: time.Minute}) }()
 		synctest.Wait()
 		const maxWait = 2 * time.Second
-		servable := int(maxWait.Seconds() * q.supply("").rate)
+		servable := int(maxWait.Seconds() * q.supply(groupFilter{}).rate)
 		for range 10 * servable {
 			go func() { _, _ = q.Acquire(ctx, AcquireOptions{MaxWait: maxWait, IsRetry: true}) }()
 			synctest.Wait()
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -72,19 +72,18 @@
 
 func (q *Queue) acquire(ctx context.Context, opts AcquireOptions, excluded string) (*Permit, error) {
 	now := time.Now()
+	filter := groupFilter{excluded: excluded, allowed: opts.AllowedGroups}
 	q.mu.Lock()
 	if !opts.isMove {
 		q.observeArrival(opts.Priority, now)
 	}
-	if len(q.waiting) == 0 || opts.isMove {
-		if g := q.leastUtilized(excluded, now); g != nil {
-			g.admit(opts.TargetGap, opts.MaxOnTimeWait <= 0, now)
-			q.mu.Unlock()
-			return q.newPermit(g), nil
-		}
+	if g := q.leastUtilized(filter, opts.isMove, now); g != nil {
+		g.admit(opts.TargetGap, opts.MaxOnTimeWait <= 0, now)
+		q.mu.Unlock()
+		return q.newPermit(g), nil
 	}
 	w := newWaiter(opts, now)
-	w.excluded = excluded
+	w.filter = filter
 	if err := q.refusal(w, opts, now); err != nil {
 		q.mu.Unlock()
 		return nil, merry.Wrap(err)
@@ -100,10 +99,14 @@
 	return &Permit{queue: q, group: g, admittedAt: time.Now()}
 }
 
-// leastUtilized returns the least utilized group with a free permit apart from the excluded one, nil if there is none.
-func (q *Queue) leastUtilized(excluded string, now time.Time) *group {
+// leastUtilized returns the least utilized group with a free permit that the filter permits, nil if there is none. Except
+// for a stream that moves, that is no group for which a request waits.
+func (q *Queue) leastUtilized(filter groupFilter, isMove bool, now time.Time) *group {
+	if len(q.waiting) > 0 && !isMove && !q.hasRestricted() {
+		return nil
+	}
 	for _, g := range q.withCapacity(now) {
-		if excluded == "" || g.name != excluded {
+		if filter.permits(g.name) && (isMove || !q.isAwaited(g.name)) {
 			return g
 		}
 	}
@@ -126,12 +129,12 @@
 
 // refusal returns the reason why a request must not wait, nil if it may.
 func (q *Queue) refusal(w *waiter, opts AcquireOptions, now time.Time) *RefusedError {
-	excluded := w.excluded
-	err := q.refusedError(excluded, len(q.waiting), 0)
+	filter := w.filter
+	err := q.refusedError(filter, len(q.waiting), 0)
 	switch {
 	case opts.MaxWait <= 0 && opts.MaxOnTimeWait <= 0:
 		return err
-	case err.NoGroup && opts.IsRetry && q.mayRecover(excluded, now):
+	case err.NoGroup && opts.IsRetry && q.mayRecover(filter, now):
 		return nil // The caller cannot retry again, and the group may recover in time.
 	case err.NoGroup:
 		return err
@@ -139,7 +142,7 @@
 		return nil
 	case q.precedence.applies(now):
 		return q.refusalByPriority(w, opts, err, now)
-	case opts.MaxOnTimeWait > 0 && q.estimateWait(q.countOnTime(now), excluded) <= opts.MaxOnTimeWait:
+	case opts.MaxOnTimeWait > 0 && q.estimateWait(q.countOnTime(now), filter) <= opts.MaxOnTimeWait:
 		return nil
 	case err.EstimatedWait <= opts.MaxWait:
 		return nil
@@ -152,9 +155,9 @@
 const maxRecoveryTime = 8 * time.Second
 
 // mayRecover reports whether a group that does not serve now may soon serve again.
-func (q *Queue) mayRecover(excluded string, now time.Time) bool {
+func (q *Queue) mayRecover(filter groupFilter, now time.Time) bool {
 	for _, g := range q.groups {
-		if g.notServing && !g.removed && (excluded == "" || g.name != excluded) && now.Sub(g.notServingSince) < maxRecoveryTime {
+		if g.notServing && !g.removed && filter.permits(g.name) && now.Sub(g.notServingSince) < maxRecoveryTime {
 			return true
 		}
 	}
@@ -173,10 +176,10 @@
 }
 
 // estimateWait estimates the wait of a request behind the given number of others. It returns 0 if no group is usable.
-func (q *Queue) estimateWait(ahead int, excluded string) time.Duration {
+func (q *Queue) estimateWait(ahead int, filter groupFilter) time.Duration {
 	rate := 0.0 // Permits per second.
 	for _, g := range q.groups {
-		if g.usable(excluded) {
+		if g.usable(filter) {
 			rate += g.limiter.releaseRate()
 		}
 	}
@@ -211,7 +214,7 @@
 	if ctx.Err() != nil {
 		return nil, merry.Wrap(context.Cause(ctx))
 	}
-	err := q.refusedError(w.excluded, ahead, maxWait)
+	err := q.refusedError(w.filter, ahead, maxWait)
 	err.ByPriority = q.precedence.applies(time.Now())
 	return nil, merry.Wrap(err)
 }
@@ -232,7 +235,7 @@
 	if len(q.waiting) == 0 || !q.noGroupUsable() {
 		return
 	}
-	mayRecover := q.mayRecover("", time.Now())
+	mayRecover := q.mayRecover(groupFilter{}, time.Now())
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if w.isRetry && mayRecover {
@@ -258,10 +261,10 @@
 	return 0
 }
 
-func (q *Queue) refusedError(excluded string, ahead int, waited time.Duration) *RefusedError {
-	e := &RefusedError{Ahead: ahead, Waited: waited, NoGroup: true, EstimatedWait: q.estimateWait(ahead, excluded)}
+func (q *Queue) refusedError(filter groupFilter, ahead int, waited time.Duration) *RefusedError {
+	e := &RefusedError{Ahead: ahead, Waited: waited, NoGroup: true, EstimatedWait: q.estimateWait(ahead, filter)}
 	for _, g := range q.groups {
-		if g.usable(excluded) {
+		if g.usable(filter) {
 			e.NoGroup = false
 			e.Limit += g.limiter.Limit()
 			e.InFlight += g.limiter.InFlight()
@@ -350,13 +353,14 @@
 	return p.group.notServing || p.group.removed
 }
 
-// OtherGroupUsable reports whether another group is usable and not stalled.
-func (p *Permit) OtherGroupUsable() bool {
+// OtherGroupUsable reports whether another group is usable and not stalled. allowed holds the names of the groups that
+// count, nil for all.
+func (p *Permit) OtherGroupUsable(allowed map[string]bool) bool {
 	p.queue.mu.Lock()
 	defer p.queue.mu.Unlock()
 	now := time.Now()
 	for _, g := range p.queue.groups {
-		if g != p.group && g.usable("") && !g.stalled(now) {
+		if g != p.group && g.usable(groupFilter{allowed: allowed}) && !g.stalled(now) {
 			return true
 		}
 	}
--- a/gateway/limit/queue_test.go
+++ b/gateway/limit/queue_test.go
@@ -249,7 +249,7 @@
 		time.Sleep(time.Second)
 		otherPermits[0].ObserveFirstEvent(100*time.Millisecond, time.Now())
 		require.True(t, permits[0].GroupStalled())
-		require.True(t, permits[0].OtherGroupUsable())
+		require.True(t, permits[0].OtherGroupUsable(nil))
 		for range 5 {
 			p, err := q.Acquire(t.Context(), AcquireOptions{TargetGap: testTargetGap})
 			require.NoError(t, err)
--- a/gateway/limit/waiter.go
+++ b/gateway/limit/waiter.go
@@ -17,6 +17,8 @@
 	IsRetry bool
 	// Priority is the priority of the request, 0 to 9; 0 is the most urgent.
 	Priority int
+	// AllowedGroups holds the names of the groups in which the request may run, nil for all. It must not be modified.
+	AllowedGroups map[string]bool
 	// isMove is set when the stream has started in another group, and its caller waits for the next event.
 	isMove bool
 }
@@ -36,8 +38,8 @@
 	lateOnArrival bool
 	// arrived orders late requests.
 	arrived time.Time
-	// excluded is a group in which the request must not run, empty for none.
-	excluded  string
+	// filter tells in which groups the request may run.
+	filter    groupFilter
 	targetGap time.Duration
 	// isRetry, isMove and priority are as in AcquireOptions.
 	isRetry, isMove bool
@@ -105,7 +107,7 @@
 func nextWaiter(waiting []*waiter, group string, now time.Time) int {
 	best := -1
 	for i, w := range waiting {
-		if w.excluded != "" && w.excluded == group {
+		if !w.filter.permits(group) {
 			continue
 		}
 		if best < 0 || w.before(waiting[best], now) {
