Merge the regions of routes and customers

Cause: the configuration may restrict routes and customers to regions. Change: see; the filter of groups is also that of the order by priority.

--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -139,7 +139,7 @@
 // next returns the index of the request that gets the next permit in a group, -1 if there is none. Retries or a class
 // that are owed a permit go before the others, but not before streams that have started.
 func (p *precedence) next(waiting []*waiter, group string, now time.Time) int {
-	eligible := func(w *waiter) bool { return w.excluded == "" || w.excluded != group }
+	eligible := func(w *waiter) bool { return w.filter.permits(group) }
 	best := first(waiting, eligible, compareByPriority, now)
 	if best < 0 || waiting[best].isMove {
 		return best
