--- a/gateway/limit/precedence_test.go
+++ b/gateway/limit/precedence_test.go
@@ -251,7 +251,7 @@
 	require.Equal(t, 2, p.next(waiting, "g", now))
 	p.retryCredit = 2
 	require.Equal(t, 1, p.next(waiting, "g", now), "retries are owed more")
-	onTime.excluded = "g"
+	onTime.filter.excluded = "g"
 	p.retryCredit = 0
 	require.Equal(t, 1, p.next(waiting, "g", now), "the request must not run in this group")
 	require.Equal(t, 2, p.next(waiting, "h", now))
