Add lavendermoorctl config check

Cause: the gateways accept every configuration that can be decoded, so that a misspelt kind, a route that never matches or a key of two customers shows only in traffic.

Change: platform/configcheck, a pure check of the decoded op/config with errors, warnings and, against a file or the platform's key-value service, differences in what takes effect. lavendermoorctl config check prints them as lines or JSON and exits with 0, 1 or 2. Keys are named by customer and position only. DecodeConfig is split from DecodeCatalog; what the gateways accept is unchanged.

--- a/cmd/lavendermoorctl/commands.go
+++ b/cmd/lavendermoorctl/commands.go
@@ -78,6 +78,12 @@
 				fs.Int64Var(&c.revision, "after", 0, "first show the changes after this revision; 0 for new ones only")
 			},
 		},
+		"config": {
+			args: "check FILE", summary: "Check a file of the platform's configuration op/config", offline: true,
+			details: "Prints errors, warnings and, with -against, differences. Exits with 1 if there are errors or warnings,\n" +
+				"and with 2 if a file or the other configuration cannot be read. Keys are never printed.",
+			run: checkConfig, flags: checkFlags,
+		},
 		"hash-key": {
 			summary: "Read a key from standard input and print its SHA-256 for the configuration", offline: true, run: hashKey,
 		},
--- a/cmd/lavendermoorctl/main.go
+++ b/cmd/lavendermoorctl/main.go
@@ -65,6 +65,9 @@
 	expected, revision   int64
 	limit                int
 	objective, targetGap time.Duration
+	against              string
+	jsonFindings         bool
+	memoryMB             int64
 }
 
 // UsageError reports an invalid command line.
--- a/cmd/lavendermoorctl/output.go
+++ b/cmd/lavendermoorctl/output.go
@@ -51,7 +51,14 @@
 	var usage *UsageError
 	var file *settings.Error
 	var differs *differsError
+	var input *InputError
+	var findings *FindingsError
 	switch {
+	case errors.As(err, &input):
+		printf(c.stderr, "lavendermoorctl %s: %v\n", name, err)
+		return exitUsage
+	case errors.As(err, &findings):
+		return exitFailed
 	case errors.As(err, &usage):
 		printf(c.stderr, "lavendermoorctl %s: %v; see lavendermoorctl help %s\n", name, err, name)
 		return exitUsage
