--- a/expertmap/rollout/agent/codec_test.go
+++ b/expertmap/rollout/agent/codec_test.go
@@ -17,7 +17,7 @@
 	"lavendermoor.example/expertmap/rollout"
 )
 
-// Dimensions of the maps of the first customer's group.
+// Dimensions of the maps of a group of 63 ranks.
 const testLayers, testRanks, testSlots, testExperts = 8, 63, 5, 252
 
 func randomMap(rng *rand.Rand) [][][]uint16 {
--- a/expertmap/rollout/agent/counts.go
+++ b/expertmap/rollout/agent/counts.go
@@ -99,8 +99,9 @@
 
 func (*CountsError) Error() string { return "invalid counts of a rank" }
 
-// Differences are packed in one of two forms, whichever is shorter. In 80 ms, a rank of the first customer's group counts
-// 0, 1 or 2 units for most of 2,016 experts, so that 2 bits are enough; with little traffic most differences are 0.
+// Differences are packed in one of two forms, whichever is shorter. Within a poll interval of
+// some 80 ms, a rank under load counts 0, 1 or 2 units for most experts, so that 2 bits are enough; with little traffic
+// most differences are 0.
 const (
 	// sparseCounts: for each difference other than 0, a byte with the number of zeros before it and the difference.
 	sparseCounts = 's'
--- a/expertmap/rollout/agent/counts_test.go
+++ b/expertmap/rollout/agent/counts_test.go
@@ -46,7 +46,7 @@
 }
 
 // Guards against counts that arrive every 0.3 s only, because 5.4 KB from each of 16 ranks fill a link of 8 Mbit/s.
-// Load: a rank of the first customer's group counts 2,130 units in 80 ms, for 2,016 experts.
+// Load: a rank under full load counts 2,130 units in 80 ms, for 2,016 experts.
 func TestCountsOfAShortIntervalAreSmall(t *testing.T) {
 	const cells, units, maxBytes = testLayers * testExperts, 2130, 900
 	rng := rand.New(rand.NewPCG(1, 4))
--- a/gateway/balance/warmup.go
+++ b/gateway/balance/warmup.go
@@ -42,7 +42,7 @@
 		return total / gateways
 	}
 	if v.unlisted > 0 {
-		// Each gateway compares itself with invented names, so that the number of those that are chosen varies.
+		// Each gateway compares itself with placeholder names, so that the number of those that are chosen varies.
 		total = max(total/2, 1)
 	}
 	if v.rank(server) < total {
--- a/gateway/ingress/competing_load_test.go
+++ b/gateway/ingress/competing_load_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against the most urgent route being refused most often while capacity is short, as without priorities, and
-// against a less urgent route that starves. Scenario: bursts of the first customer's routes, six gateways, callers that
+// against a less urgent route that starves. Scenario: bursts of routes of three priorities, six gateways, callers that
 // return once.
 func TestUrgentStreamsAreServedFirstWithoutStarvingOthers(t *testing.T) {
 	const (
--- a/gateway/ingress/competing_test.go
+++ b/gateway/ingress/competing_test.go
@@ -15,7 +15,7 @@
 	"lavendermoor.example/gateway/limit"
 )
 
-// The first customer's deployment (docs/load-and-limits.md).
+// A deployment with 63 ranks and routes of three priorities (docs/load-and-limits.md).
 const (
 	simGateways      = 6
 	simRanks         = 63
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -286,8 +286,8 @@
 	return d
 }
 
-// RunHousekeeping closes expired idle connections, moves streams away from silent servers and refreshes the groups. It
-// runs until the context ends.
+// RunHousekeeping closes expired idle connections, ends bodies that have stalled, moves streams away from silent servers
+// and refreshes the groups. It runs until the context ends.
 func (s *Server) RunHousekeeping(ctx context.Context) {
 	const (
 		interval        = 100 * time.Millisecond
--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -18,7 +18,7 @@
 	arrivalTime = time.Second
 	// guaranteedFraction is the rate of service that each waiting class is guaranteed, relative to that of all requests.
 	// It is more than the required minimum of a quarter because a class that is refused on arrival does not wait, and
-	// because the least urgent route has to earn 0.42 of its value.
+	// because a class at the minimum would be served, but mostly late.
 	guaranteedFraction = 0.65
 	// retryFraction is the part of the permits that is guaranteed to waiting retries. Larger parts serve more callers,
 	// but fewer of them on time (docs/design/precedence.md).
@@ -112,9 +112,9 @@
 	return compareWaiters(a, b, true, now)
 }
 
-// compareOwed orders the waiting requests of a class for the permits that it is guaranteed: new requests that can be on time go
-// before retries, most of which are late. If a class gets only these permits, its requests would otherwise all wait until
-// they are late.
+// compareOwed orders the waiting requests of a class for the permits that it is guaranteed: new requests that can be on
+// time go before retries, most of which are late. If a class gets only these permits, its requests would otherwise all
+// wait until they are late.
 func compareOwed(a, b *waiter, now time.Time) int {
 	return compareWaiters(a, b, false, now)
 }
@@ -248,8 +248,8 @@
 	return s.expectedWait(before, before, 0)
 }
 
-// unservable is a waiting request that is not expected to get a permit in time.
-type unservable struct {
+// unservableRequest is a waiting request that is not expected to get a permit in time.
+type unservableRequest struct {
 	waiter *waiter
 	// wait is its expected wait, ahead the number of requests before it.
 	wait  time.Duration
@@ -258,17 +258,17 @@
 
 // unservable returns the waiting requests whose expected wait is longer than they may wait. Retries are never among
 // them, because their callers would not return.
-func (p *precedence) unservable(waiting []*waiter, s permitSupply, now time.Time) []unservable {
+func (p *precedence) unservable(waiting []*waiter, s permitSupply, now time.Time) []unservableRequest {
 	ordered := slices.Clone(waiting)
 	slices.SortStableFunc(ordered, func(a, b *waiter) int { return compareByPriority(a, b, now) })
-	var out []unservable
+	var out []unservableRequest
 	var inClass [numPriorities]int
 	parts := p.guaranteedParts(now)
 	kept := 0
 	for _, w := range ordered {
 		wait := s.expectedWait(kept, inClass[w.priority], parts[w.priority])
 		if !w.isMove && !w.isRetry && now.Add(wait).After(w.waitsUntil) {
-			out = append(out, unservable{waiter: w, wait: wait, ahead: kept})
+			out = append(out, unservableRequest{waiter: w, wait: wait, ahead: kept})
 			continue
 		}
 		kept++
--- a/gateway/workload/estimator.go
+++ b/gateway/workload/estimator.go
@@ -37,8 +37,8 @@
 	// is a factor of 7. With a factor of 20, one absurd hint changed the next estimates by 28%.
 	maxLogDeviation = 2.0
 	minLogSpread    = 0.1
-	// maxLogSpread is above the spread of the deployments' responses, 0.8. Without it, a response that is much shorter than
-	// expected raised the expected length: the mean of a log-normal distribution grows with its variance.
+	// maxLogSpread is above the usual spread of the lengths of responses (priorLogSpread). Without it, a response that is
+	// much shorter than expected raised the expected length: the mean of a log-normal distribution grows with its variance.
 	maxLogSpread = 1.0
 	// maxEstimateKeys bounds the memory of an estimator. Routes and customers come from the configuration, which names
 	// up to 1,700 customers. Further ones are estimated by their route.
--- a/gateway/workload/simulation/load.go
+++ b/gateway/workload/simulation/load.go
@@ -29,7 +29,7 @@
 	SlowPace float64
 }
 
-// Loads are the loads of section 6 of docs/load-and-limits.md. The sizes are those of the first customer's deployment.
+// Loads are the loads of section 6 of docs/load-and-limits.md. The sizes are in the table of that document.
 func Loads() []Load {
 	first := Load{
 		Gateways: 6, Ranks: 63, Rate: 220, PromptSpread: 0.95, OutputSpread: 0.8,
@@ -53,7 +53,7 @@
 	}
 }
 
-// Engine is the engine of the deployments.
+// Engine is the engine of all loads.
 var Engine = catalog.Engine{
 	Slots: 10, KVTokens: 310_000, StepsPerPass: tokensPerEvent, StepTime: 5850 * time.Microsecond,
 	StepTimePerRequest: 426 * time.Microsecond, PrefillPerSecond: 61_200, PrefillPerStep: 512,
@@ -75,7 +75,7 @@
 	paretoShape = 1.3
 )
 
-// route has the value of a stream of the first customer.
+// route is a route of streams with its part of the requests.
 type route struct {
 	name      string
 	share     float64
