Supersede late arms of a deputy that undoes a switch

Cause: finishSwitch did not record arms without a response. A deputy that could not finish a switch and undid it after the planner's rank had resumed superseded nothing, and an arm that arrived after the undo made a pass begin with two maps (TestLateArmOfADeputyDoesNotSurviveTheUndo failed in each run). Change: arms without a response are recorded when the switch could not be finished, and forgotten once every rank is armed.

--- a/expertmap/rollout/assignment.go
+++ b/expertmap/rollout/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
@@ -271,14 +272,20 @@
 // reached to disarm it, so the switch cannot be undone.
 func (g *Group) finishSwitch(ctx context.Context, armed Armed) error {
 	errs := make([]error, len(g.ranks))
+	outcomes := make([]outcome, len(g.ranks))
 	g.forEachRank(func(i int) {
 		if s := g.states[i]; s.Armed != nil && *s.Armed == armed {
 			return
 		}
-		errs[i] = g.retry(ctx, i, Order{Operation: Arm, Version: armed.Version, Pass: armed.Pass}, armAttempts)
+		outcomes[i] = g.retryOutcome(ctx, i, Order{Operation: Arm, Version: armed.Version, Pass: armed.Pass}, armAttempts)
+		errs[i] = outcomes[i].err
 	})
 	if err := errors.Join(errs...); err != nil {
+		// If the switch is undone after all, an order without a response may arrive after the undo.
+		g.recordPendingArms(outcomes, armed.Version)
 		return err
 	}
+	// Every rank is armed, so that a late order changes nothing.
+	maps.DeleteFunc(g.pendingArms, func(_ int, version int64) bool { return version == armed.Version })
 	return g.releaseAll(ctx)
 }
--- a/expertmap/rollout/switch.go
+++ b/expertmap/rollout/switch.go
@@ -127,11 +127,7 @@
 func (g *Group) abort(
 	ctx context.Context, assignment *DeputyAssignment, version, pass int64, outcomes []outcome,
 ) error {
-	for i, o := range outcomes {
-		if o.pending {
-			g.pendingArms[i] = version
-		}
-	}
+	g.recordPendingArms(outcomes, version)
 	errs := make([]error, len(g.ranks))
 	g.forEachRank(func(i int) {
 		if outcomes[i].sent && outcomes[i].err == nil {
@@ -149,3 +145,12 @@
 	}
 	return g.release(ctx, assignment, pass)
 }
+
+// recordPendingArms records the ranks at which an Arm of a version may still be executed, given the outcomes by rank.
+func (g *Group) recordPendingArms(outcomes []outcome, version int64) {
+	for i, o := range outcomes {
+		if o.pending {
+			g.pendingArms[i] = version
+		}
+	}
+}
