--- a/cmd/internal/callers/limits.go
+++ b/cmd/internal/callers/limits.go
@@ -107,7 +107,7 @@
 		header = l.HeaderTimeout
 	}
 	unused = idle
-	if t.places != nil && len(t.places) == cap(t.places) {
+	if t.places != nil && len(t.open) >= cap(t.places) {
 		idle, unused = time.Duration(fullIdleFraction*float64(idle)), min(header, idle)
 	}
 	return idle, unused, header
--- a/gateway/buffer/buffer.go
+++ b/gateway/buffer/buffer.go
@@ -37,6 +37,8 @@
 	// waiting is the number of shares that wait for bytes. freed is closed and replaced when bytes are released.
 	waiting int
 	freed   chan struct{}
+	// evictedAt is when a waiting share last looked for stalled ones. A look visits all shares, and many may wait.
+	evictedAt time.Time
 }
 
 // NewBudget returns a budget of the given number of bytes.
--- a/gateway/buffer/buffer_test.go
+++ b/gateway/buffer/buffer_test.go
@@ -181,3 +181,37 @@
 		require.NoError(t, read(t, b, 1<<20, 1<<20, 1<<20, "b"))
 	})
 }
+
+// Guards against a body that arrives fast at first and then a byte now and then: it must not keep its bytes from others
+// on the strength of its mean rate.
+func TestFastStartDoesNotKeepAStalledBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(8 << 20)
+		share := b.NewShare(func() {}, time.Now(), "a")
+		defer share.Close()
+		require.NoError(t, share.Grow(t.Context(), 3<<20))
+		share.Progress(3<<20, time.Now())
+		for range 6 {
+			time.Sleep(pressureIdleTimeout * 9 / 10)
+			share.Progress(1, time.Now())
+		}
+		require.True(t, share.isSlow(time.Now()))
+	})
+}
+
+// Guards against a body that has lost its share and then takes more of the memory that others wait for.
+func TestEvictedBodyTakesNoMoreBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(8 << 20)
+		share := b.NewShare(func() {}, time.Now(), "a")
+		defer share.Close()
+		require.NoError(t, share.Grow(t.Context(), 1<<20))
+		time.Sleep(2 * idleTimeout)
+		b.EvictStalled(time.Now())
+		require.True(t, share.Evicted())
+		start := time.Now()
+		var exhausted *ExhaustedError
+		require.ErrorAs(t, share.Grow(t.Context(), 1<<20), &exhausted)
+		require.Zero(t, time.Since(start))
+	})
+}
--- a/gateway/buffer/share.go
+++ b/gateway/buffer/share.go
@@ -13,10 +13,11 @@
 	// pressureIdleTimeout is idleTimeout while another body waits. It is above the pause of a lost packet that is sent
 	// again twice.
 	pressureIdleTimeout = time.Second
-	// A body whose mean rate is below minRate after minRateAge loses its bytes while another body waits. At this rate, a
-	// body of the maximum size would not arrive within the deadline of any route.
+	// A body whose mean rate over rateWindow or longer is below minRate loses its bytes while another body waits. At this
+	// rate, a body of the maximum size would not arrive within the deadline of any route. The rate is that of a window, so
+	// that a body that stalls after a fast start does not live on its mean.
 	minRate    = 32 << 10 // Bytes a second.
-	minRateAge = 2 * time.Second
+	rateWindow = 2 * time.Second
 	// maxWait is how long a body waits for bytes: a stalled body loses its bytes within that time.
 	maxWait = 1500 * time.Millisecond
 	// evictInterval is the interval at which a waiting body looks for stalled ones.
@@ -37,16 +38,16 @@
 	// evict makes the goroutine that reads the body return. It is called at most once, and not after Complete or Close.
 	evict func()
 
-	// The mutex of the budget guards the fields below.
-	held, received        int64
-	startedAt, progressAt time.Time
-	waiting, evicted      bool
+	// The mutex of the budget guards the fields below. received counts the bytes since windowStart.
+	held, received          int64
+	windowStart, progressAt time.Time
+	waiting, evicted        bool
 }
 
 // NewShare returns a share that holds nothing. The owners are the customer and the address of the caller. evict is called
 // when the body must give up its bytes because it has stalled; it must not block.
 func (b *Budget) NewShare(evict func(), now time.Time, owners ...string) *Share {
-	s := &Share{budget: b, owners: owners, evict: evict, startedAt: now, progressAt: now}
+	s := &Share{budget: b, owners: owners, evict: evict, windowStart: now, progressAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.shares[s] = struct{}{}
@@ -62,6 +63,10 @@
 		if ok {
 			return nil
 		}
+		if s.Evicted() {
+			s.stopWaiting(started)
+			return merry.Wrap(&ExhaustedError{})
+		}
 		select {
 		case <-ctx.Done():
 		case <-freed:
@@ -82,7 +87,7 @@
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fits(s, n) {
+	if !s.evicted && b.fits(s, n) {
 		b.add(s, n)
 		s.endWait(started)
 		return nil, true
@@ -91,7 +96,10 @@
 		s.waiting = true
 		b.waiting++
 	}
-	b.evictForOthers(time.Now())
+	if now := time.Now(); now.Sub(b.evictedAt) >= evictInterval/2 {
+		b.evictedAt = now
+		b.evictForOthers(now)
+	}
 	return b.freed, false
 }
 
@@ -109,7 +117,7 @@
 	s.waiting = false
 	s.budget.waiting--
 	now := time.Now()
-	s.startedAt, s.progressAt = s.startedAt.Add(now.Sub(started)), now
+	s.windowStart, s.progressAt = s.windowStart.Add(now.Sub(started)), now
 }
 
 // Shrink returns n bytes.
@@ -123,6 +131,9 @@
 func (s *Share) Progress(n int, now time.Time) {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
+	if now.Sub(s.windowStart) > rateWindow && !s.isBelowRate(now) {
+		s.windowStart, s.received = now, 0
+	}
 	s.received += int64(n)
 	s.progressAt = now
 }
@@ -151,11 +162,11 @@
 
 // isSlow reports whether the body arrives too slowly to keep its bytes while another one waits for them.
 func (s *Share) isSlow(now time.Time) bool {
-	if now.Sub(s.progressAt) > pressureIdleTimeout {
-		return true
-	}
-	age := now.Sub(s.startedAt)
-	return age > minRateAge && float64(s.received) < minRate*age.Seconds()
+	return now.Sub(s.progressAt) > pressureIdleTimeout || (now.Sub(s.windowStart) > rateWindow && s.isBelowRate(now))
+}
+
+func (s *Share) isBelowRate(now time.Time) bool {
+	return float64(s.received) < minRate*now.Sub(s.windowStart).Seconds()
 }
 
 // evictLocked makes the reader of the body return, which closes the share.
--- a/gateway/limit/competing.go
+++ b/gateway/limit/competing.go
@@ -35,12 +35,23 @@
 	return err
 }
 
+const (
+	// longQueue is the number of waiting requests above which refuseUnservable runs at most once in longQueueInterval: it
+	// sorts all of them, which takes milliseconds for thousands.
+	longQueue         = 128
+	longQueueInterval = 50 * time.Millisecond
+)
+
 // refuseUnservable refuses the waiting requests that more urgent ones have displaced so far that they are not expected
 // to be served in time. Their callers can still return, which they cannot after waiting in vain.
 func (q *Queue) refuseUnservable(now time.Time) {
 	if len(q.waiting) == 0 || !q.precedence.applies(now) || q.noGroupUsable() {
 		return
 	}
+	if len(q.waiting) > longQueue && now.Sub(q.checkedAt) < longQueueInterval {
+		return
+	}
+	q.checkedAt = now
 	for _, u := range q.precedence.unservable(q.waiting, q.supply(groupFilter{}), now) {
 		q.remove(u.waiter)
 		err := q.refusedError(groupFilter{}, u.ahead, now.Sub(u.waiter.arrived))
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -41,6 +41,8 @@
 	waiting []*waiter
 	// precedence orders the waiting requests while there are requests of several priorities.
 	precedence precedence
+	// checkedAt is when the waiting requests were last checked for those that cannot be served.
+	checkedAt time.Time
 	// recoveryEnds is the end of the recovery after the last time at which no group served.
 	recoveryEnds time.Time
 }
