Bound what orders hold at a rank's agent

Change: an order that is not compressed has at most 128 KiB, one that is compressed is decoded as it arrives, as before.

--- a/expertmap/rollout/agent/codec.go
+++ b/expertmap/rollout/agent/codec.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bufio"
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
@@ -16,6 +17,10 @@
 // maxOrderBytes bounds the JSON of an order. It has room for the map of a group of a few hundred ranks.
 const maxOrderBytes = 4 << 20
 
+// maxPlainOrderBytes bounds an order that is not compressed, which is read whole. Changes of every expert of a group of a
+// few hundred ranks take some tens of kilobytes.
+const maxPlainOrderBytes = 128 << 10
+
 // wireOrder is the JSON form of an order.
 type wireOrder struct {
 	rollout.Order
@@ -163,16 +168,17 @@
 
 func decodeWireOrder(r io.Reader) (wireOrder, error) {
 	var w wireOrder
-	data, err := io.ReadAll(io.LimitReader(r, maxOrderBytes))
-	if err != nil {
-		return w, err
-	}
-	if !bytes.HasPrefix(data, []byte{0x1f, 0x8b}) { // The magic number of gzip.
+	in := bufio.NewReader(r)
+	if magic, _ := in.Peek(2); !bytes.Equal(magic, []byte{0x1f, 0x8b}) { // The magic number of gzip.
+		data, err := io.ReadAll(io.LimitReader(in, maxPlainOrderBytes))
+		if err != nil {
+			return w, err
+		}
 		text, changes, _ := bytes.Cut(data, []byte{changesSeparator})
 		w.changes = changes
 		return w, json.Unmarshal(text, &w)
 	}
-	z, err := gzip.NewReader(bytes.NewReader(data))
+	z, err := gzip.NewReader(in)
 	if err != nil {
 		return w, err
 	}
