--- a/gateway/limit/precedence_test.go
+++ b/gateway/limit/precedence_test.go
@@ -202,9 +202,9 @@
 		requests := waitingRequests{q: q}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		patience := time.Duration(20 / q.supply(groupFilter{}).rate * float64(time.Second))
-		requests.add(ctx, t, "first", AcquireOptions{Priority: 2, MaxOnTimeWait: patience})
-		requests.add(ctx, t, "retry", AcquireOptions{Priority: 2, MaxWait: patience, IsRetry: true})
+		maxWait := time.Duration(20 / q.supply(groupFilter{}).rate * float64(time.Second))
+		requests.add(ctx, t, "first", AcquireOptions{Priority: 2, MaxOnTimeWait: maxWait})
+		requests.add(ctx, t, "retry", AcquireOptions{Priority: 2, MaxWait: maxWait, IsRetry: true})
 		start := time.Now()
 		for range 60 {
 			go func() { _, _ = q.Acquire(ctx, AcquireOptions{MaxOnTimeWait: time.Minute}) }()
@@ -214,7 +214,7 @@
 		require.ErrorAs(t, requests.errs["first"], &refused)
 		require.Zero(t, time.Since(start))
 		require.True(t, refused.ByPriority)
-		require.Greater(t, refused.EstimatedWait, patience)
+		require.Greater(t, refused.EstimatedWait, maxWait)
 		require.NotContains(t, requests.errs, "retry")
 		require.Equal(t, 61, q.Dump().Waiting)
 	})
--- a/gateway/workload/simulation/load.go
+++ b/gateway/workload/simulation/load.go
@@ -85,7 +85,7 @@
 var routes = []route{
 	{"urgent", 80.0 / 220, 400 * time.Millisecond},
 	{"normal", 35.0 / 220, 400 * time.Millisecond},
-	{"patient", 105.0 / 220, time.Second},
+	{"relaxed", 105.0 / 220, time.Second},
 }
 
 // newStream draws a stream.
