Use one mechanism each for bounded accepting, shortest waits and the next waiting stream

Cause: reading the whole change showed logic that stood twice: the listener that bounds connections (telemetry and callers), the loop over the waits of servers (suspended and cold), the search for the first waiting stream (by time and by priority), the random Retry-After, and the gateway of a test. All servers of a service were asked for their suspension, now twice for each request. Change: callers.Tracker accepts through telemetry.LimitConnections, whose connections can end their writing side; SuspendedFor and ColdFor share shortestWait, which ends at the first server without a wait; both orders of streams use first. Behaviour stays. Result: tests of gateway, cmd, telemetry and entry pass.

--- a/cmd/internal/callers/limits.go
+++ b/cmd/internal/callers/limits.go
@@ -107,7 +107,7 @@
 		header = l.HeaderTimeout
 	}
 	unused = idle
-	if t.places != nil && len(t.open) >= cap(t.places) {
+	if full := t.opts.MaxConnections; full > 0 && int64(len(t.open)) >= full {
 		idle, unused = time.Duration(fullIdleFraction*float64(idle)), min(header, idle)
 	}
 	return idle, unused, header
@@ -147,7 +147,7 @@
 	if !c.tracker.opts.TLS {
 		c.respond(status)
 	}
-	_ = c.release() // An error means that the connection is already broken.
+	_ = c.Conn.Close() // An error means that the connection is already broken.
 }
 
 func (c *conn) respond(status int) {
--- a/cmd/internal/callers/tracker.go
+++ b/cmd/internal/callers/tracker.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"lavendermoor.example/telemetry"
 )
 
 // Tracker tracks the connections of callers, so that a stopping process can close idle ones without losing a
@@ -18,8 +20,6 @@
 // more from it. It is safe for concurrent use.
 type Tracker struct {
 	opts Options
-	// places holds an element for each open connection; accepting stops while it is full. It is nil for no limit.
-	places chan struct{}
 
 	mu      sync.Mutex
 	open    map[*conn]struct{}
@@ -50,11 +50,7 @@
 	if opts.WriteStallTimeout == 0 {
 		opts.WriteStallTimeout = writeStallTimeout
 	}
-	t := &Tracker{opts: opts, open: map[*conn]struct{}{}}
-	if opts.MaxConnections > 0 {
-		t.places = make(chan struct{}, opts.MaxConnections)
-	}
-	return t
+	return &Tracker{opts: opts, open: map[*conn]struct{}{}}
 }
 
 // phase is what a connection is used for.
@@ -72,7 +68,6 @@
 type conn struct {
 	net.Conn
 	tracker *Tracker
-	once    sync.Once
 	// deadlineSet is when a writer has last set the write deadline. Writes do not overlap.
 	deadlineSet time.Time
 
@@ -156,48 +151,30 @@
 	if refused {
 		return nil
 	}
-	return c.release()
-}
-
-// release closes the connection and frees its place.
-func (c *conn) release() error {
-	err := c.Conn.Close()
-	if c.tracker.places != nil {
-		c.once.Do(func() { <-c.tracker.places })
-	}
-	return err
+	return c.Conn.Close()
 }
 
 // trackedListener adds accepted connections to a tracker.
 type trackedListener struct {
 	net.Listener
 	tracker *Tracker
-	closed  chan struct{}
-	once    sync.Once
 }
 
-// Wrap returns a listener whose connections are tracked.
+// Wrap returns a listener whose connections are tracked. Accept waits while the largest number of connections is open.
 func (t *Tracker) Wrap(l net.Listener) net.Listener {
-	return &trackedListener{Listener: l, tracker: t, closed: make(chan struct{})}
+	if t.opts.MaxConnections > 0 {
+		l = telemetry.LimitConnections(l, t.opts.MaxConnections)
+	}
+	return &trackedListener{Listener: l, tracker: t}
 }
 
-// Accept implements net.Listener. It waits while the largest number of connections is open.
+// Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	t := l.tracker
-	if t.places != nil {
-		select {
-		case t.places <- struct{}{}:
-		case <-l.closed:
-			return nil, net.ErrClosed
-		}
-	}
 	inner, err := l.Listener.Accept()
 	if err != nil {
-		if t.places != nil {
-			<-t.places
-		}
 		return nil, err
 	}
+	t := l.tracker
 	c := &conn{Conn: inner, tracker: t, since: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -205,12 +182,6 @@
 	return c, nil
 }
 
-// Close implements net.Listener.
-func (l *trackedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
 // OnStateChange is the ConnState hook of the HTTP server.
 func (t *Tracker) OnStateChange(nc net.Conn, state http.ConnState) {
 	if secure, ok := nc.(*tls.Conn); ok {
@@ -238,7 +209,7 @@
 
 func (c *conn) shut() {
 	c.closed = true
-	_ = c.release() // An error means that the connection is already broken.
+	_ = c.Conn.Close() // An error means that the connection is already broken.
 }
 
 // CloseIdle closes the idle connections now and every other connection once it is idle.
--- a/cmd/internal/gatewayd/estimate_test.go
+++ b/cmd/internal/gatewayd/estimate_test.go
@@ -1,7 +1,6 @@
 package gatewayd
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,16 +12,12 @@
 	"github.com/stretchr/testify/require"
 
 	"lavendermoor.example/gateway/catalog"
-	"lavendermoor.example/telemetry"
 )
 
 // Guards against an error of the estimates that is not measured, or not apart for requests with and without a hint, and
 // against a name of the metric that differs from the one in the docs.
 func TestErrorOfEstimatesIsMeasuredByHint(t *testing.T) {
-	s := DefaultSettings()
-	s.Name, s.FailureDomain, s.Store = "g", "d", "127.0.0.1:1"
-	g, err := newGateway(s, telemetry.NewBoundedWriter(&bytes.Buffer{}))
-	require.NoError(t, err)
+	g := newTestGateway(t, "127.0.0.1:1")
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
--- a/gateway/balance/cold.go
+++ b/gateway/balance/cold.go
@@ -163,14 +163,7 @@
 // ColdFor returns the time until the first server of a service may get a request, 0 unless all of them are cold with
 // their shares used up, or suspended.
 func (f *Fleet) ColdFor(service string, now time.Time) time.Duration {
-	shortest, found := time.Duration(0), false
-	for _, b := range f.Backends(service) {
-		wait, inUse := b.coldWait(now)
-		if inUse && (!found || wait < shortest) {
-			shortest, found = wait, true
-		}
-	}
-	return shortest
+	return f.shortestWait(service, func(b *Backend) (time.Duration, bool) { return b.coldWait(now) })
 }
 
 // CountCold returns the number of servers that count as cold.
--- a/gateway/balance/suspension.go
+++ b/gateway/balance/suspension.go
@@ -76,11 +76,20 @@
 // SuspendedFor returns the time until the first server of a service accepts requests again, 0 unless all of them are
 // suspended.
 func (f *Fleet) SuspendedFor(service string, now time.Time) time.Duration {
+	return f.shortestWait(service, func(b *Backend) (time.Duration, bool) { return b.suspendedFor(now) })
+}
+
+// shortestWait returns the shortest wait of the servers of a service that are in use, 0 if there is none.
+func (f *Fleet) shortestWait(service string, waitOf func(b *Backend) (wait time.Duration, inUse bool)) time.Duration {
 	shortest, found := time.Duration(0), false
 	for _, b := range f.Backends(service) {
-		remaining, inUse := b.suspendedFor(now)
-		if inUse && (!found || remaining < shortest) {
-			shortest, found = remaining, true
+		wait, inUse := waitOf(b)
+		switch {
+		case !inUse:
+		case wait == 0: // The usual case: the other servers need not be asked.
+			return 0
+		case !found || wait < shortest:
+			shortest, found = wait, true
 		}
 	}
 	return shortest
--- a/gateway/ingress/call.go
+++ b/gateway/ingress/call.go
@@ -188,7 +188,12 @@
 // expected, and the fraction maxRetryAfterFraction of the caller's remaining time.
 func (c *call) retryAfter(wait time.Duration) time.Duration {
 	latest := time.Duration(maxRetryAfterFraction * float64(time.Until(c.deadline)))
-	earliest := max(wait, minRetryAfter)
+	return c.randomRetryAfter(max(wait, minRetryAfter), latest)
+}
+
+// randomRetryAfter returns a random time between two others. If there is none, it returns the latest one, but at least
+// minRetryAfter.
+func (c *call) randomRetryAfter(earliest, latest time.Duration) time.Duration {
 	if earliest >= latest {
 		return max(latest, minRetryAfter)
 	}
@@ -207,10 +212,7 @@
 		longest := c.server.longestTimeout(c.route.Name, c.meta.Timeout)
 		earliest = max(earliest, remaining-time.Duration(firstAttemptFraction*float64(longest))+recognitionMargin)
 	}
-	if earliest >= latest {
-		return max(latest, minRetryAfter)
-	}
-	return earliest + time.Duration(c.server.opts.Random()*float64(latest-earliest))
+	return c.randomRetryAfter(earliest, latest)
 }
 
 const (
--- a/gateway/limit/precedence.go
+++ b/gateway/limit/precedence.go
@@ -163,17 +163,6 @@
 	return first(waiting, func(w *waiter) bool { return w.priority == owed && eligible(w) }, compareOwed, now)
 }
 
-// first returns the index of the first eligible request in an order, -1 if there is none.
-func first(waiting []*waiter, eligible func(*waiter) bool, compare func(a, b *waiter, now time.Time) int, now time.Time) int {
-	best := -1
-	for i, w := range waiting {
-		if eligible(w) && (best < 0 || compare(w, waiting[best], now) < 0) {
-			best = i
-		}
-	}
-	return best
-}
-
 // observeAdmission updates the credits after a permit was given to a request that waited among the others.
 func (p *precedence) observeAdmission(admitted *waiter, others []*waiter, now time.Time) {
 	var isWaiting [numPriorities]bool
--- a/gateway/limit/queue.go
+++ b/gateway/limit/queue.go
@@ -306,7 +306,7 @@
 	if q.precedence.applies(now) {
 		return q.precedence.next(q.waiting, group, now)
 	}
-	return nextWaiter(q.waiting, group, now)
+	return first(q.waiting, func(w *waiter) bool { return w.filter.permits(group) }, compareByTime, now)
 }
 
 // Release ends the stream and frees the permit.
--- a/gateway/limit/waiter.go
+++ b/gateway/limit/waiter.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -89,28 +90,24 @@
 	return classLate
 }
 
-// before reports whether a request gets a permit before another one. Streams that have started in another group go
-// first, then requests that can be on time, by the time left to them, then late requests. Otherwise the order of
-// arrival decides.
-func (w *waiter) before(other *waiter, now time.Time) bool {
-	a, b := w.class(now), other.class(now)
-	switch {
-	case a != b:
-		return a < b
-	case a == classOnTime:
-		return w.onTimeUntil.Before(other.onTimeUntil)
+// compareByTime orders waiting requests without regard to priorities. Streams that have started in another group go
+// first, then requests that can be on time, by the time left to them, then late requests. Otherwise the order of arrival
+// decides.
+func compareByTime(a, b *waiter, now time.Time) int {
+	if c := cmp.Compare(a.class(now), b.class(now)); c != 0 {
+		return c
+	}
+	if a.class(now) == classOnTime {
+		return a.onTimeUntil.Compare(b.onTimeUntil)
 	}
-	return w.arrived.Before(other.arrived)
+	return a.arrived.Compare(b.arrived)
 }
 
-// nextWaiter returns the index of the request that gets the next permit in a group, -1 if there is none.
-func nextWaiter(waiting []*waiter, group string, now time.Time) int {
+// first returns the index of the first eligible request in an order, -1 if there is none.
+func first(waiting []*waiter, eligible func(*waiter) bool, compare func(a, b *waiter, now time.Time) int, now time.Time) int {
 	best := -1
 	for i, w := range waiting {
-		if !w.filter.permits(group) {
-			continue
-		}
-		if best < 0 || w.before(waiting[best], now) {
+		if eligible(w) && (best < 0 || compare(w, waiting[best], now) < 0) {
 			best = i
 		}
 	}
--- a/telemetry/listener.go
+++ b/telemetry/listener.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -60,6 +61,14 @@
 	once     sync.Once
 }
 
+// CloseWrite ends the writing side if the connection supports that.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
