Require keys while the configuration lists customers, even if none is left

The requests reached replicas without X-Tenant.

Cause: Catalog.Customer took "no customers" for "no keys needed", and DecodeCatalog gave it the same document for an empty list and for a configuration without one. The users' page ties keys to whether the configuration contains Tenants.

Evidence: with the log of the commit before, a gateway wrote "configuration in force config_version=2 customers=0 keys=0" and then served all keys; a customer that is kept without keys also gives keys=0, and all are refused. So the new version was in force, no key was left over from an older one, and the number of customers alone decided.

--- a/cmd/internal/gatewayd/mirrors.go
+++ b/cmd/internal/gatewayd/mirrors.go
@@ -45,7 +45,8 @@
 	if g.srv.SetCatalog(c) {
 		g.log.Info("configuration in force", zap.Int64("config_version", c.Version), zap.Int64("era", s.At.Era),
 			zap.Int64("revision", s.At.Revision),
-			zap.Int("routes", len(c.Routes)), zap.Int("customers", len(c.Customers)), zap.Int("keys", len(c.Keys)))
+			zap.Int("routes", len(c.Routes)), zap.Int("customers", len(c.Customers)), zap.Int("keys", len(c.Keys)),
+			zap.Bool("anonymous_access", c.AnonymousAccess))
 		g.fleet.SetWarmups(c.Warmups())
 		g.logServerChanges(g.fleet.SetServices(c.ServiceNames(), time.Now()))
 	}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -155,8 +155,11 @@
 	Services  []Service
 	Customers []Customer
 	// Keys maps the hash of a key to the index of its customer.
-	Keys   map[KeyHash]int
-	Limits Limits
+	Keys map[KeyHash]int
+	// AnonymousAccess accepts every caller, with any key or none. Without it a catalog that has no customers accepts
+	// callers of public routes only.
+	AnonymousAccess bool
+	Limits          Limits
 }
 
 // Catalog is an indexed document. It is immutable and safe for concurrent use.
@@ -224,10 +227,10 @@
 	return shortest
 }
 
-// Customer returns the customer of a key; ok is false if no customer has the key. If the catalog has no customers,
-// every caller is accepted, and the customer is nil.
+// Customer returns the customer of a key; ok is false if no customer has the key. With AnonymousAccess every caller is
+// accepted, and the customer is nil.
 func (c *Catalog) Customer(key string) (customer *Customer, ok bool) {
-	if len(c.Customers) == 0 {
+	if c.AnonymousAccess {
 		return nil, true
 	}
 	i, ok := c.Keys[HashKey(key)]
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -409,6 +409,15 @@
 	require.Equal(t, "c1", s.firstRequest().Header.Get(testCustomer))
 	require.Empty(t, s.firstRequest().Header.Get("T-Key"), "the key must not be forwarded")
 	require.Equal(t, http.StatusOK, status("/idem/x", "wrong"), "a public route needs no key")
+	doc.Version, doc.Customers, doc.Keys = 3, nil, nil
+	require.True(t, g.SetCatalog(catalog.New(doc)))
+	require.Equal(t, http.StatusUnauthorized, status("/once/x", "k"), "the last customer is gone")
+	require.Equal(t, http.StatusUnauthorized, status("/once/x", ""))
+	require.Equal(t, http.StatusOK, status("/idem/x", ""))
+	doc.Version, doc.AnonymousAccess = 4, true
+	require.True(t, g.SetCatalog(catalog.New(doc)))
+	require.Equal(t, http.StatusOK, status("/once/x", ""))
+	require.Empty(t, s.request(s.count()-1).Header.Get(testCustomer), "the caller's own word for its customer must not be forwarded")
 	old := doc
 	old.Version = 1
 	require.False(t, g.SetCatalog(catalog.New(old)), "an older configuration must not replace a newer one")
--- a/proctest/fleet.go
+++ b/proctest/fleet.go
@@ -205,6 +205,17 @@
 // Configure writes the next version of the configuration to the store and returns its number. The customer has the keys
 // CallerKey and extraKey. Each path in extraPaths gets a route to the plain service.
 func (f *Fleet) Configure(extraKey string, extraPaths ...string) int {
+	return f.configureCustomers([]customer{{Name: customerName, Keys: []string{CallerKey, extraKey}}}, extraPaths...)
+}
+
+// customer is a customer of a configuration.
+type customer struct {
+	Name string   `json:"Name"`
+	Keys []string `json:"ApiKeys"`
+}
+
+// configureCustomers is Configure with a list of customers.
+func (f *Fleet) configureCustomers(customers []customer, extraPaths ...string) int {
 	f.configVersion++
 	route := func(path, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
@@ -223,7 +234,7 @@
 	putJSON(f.t, f.StoreURL+"/standin/key?Key=op/config", map[string]any{
 		"Version": f.configVersion, "Routes": routes, "Services": f.services(),
 		"Limits":  map[string]any{"HeaderBytes": 16384, "BodyBytes": 1 << 20, "HeaderMs": 3000, "IdleMs": 15000},
-		"Tenants": []map[string]any{{"Name": customerName, "ApiKeys": []string{CallerKey, extraKey}}},
+		"Tenants": customers,
 	})
 	return f.configVersion
 }
--- a/proctest/fleet_platform_test.go
+++ b/proctest/fleet_platform_test.go
@@ -48,6 +48,39 @@
 	require.Empty(t, f.GroupCounts().Violations)
 }
 
+// Guards against a configuration that serves every caller, with any key or none, because it lists no customer any more
+// (issue 48).
+func TestFleetRefusesEveryKeyOnceNoCustomerIsLeft(t *testing.T) {
+	t.Parallel()
+	f := DeployFleet(t, FleetSize{Gateways: 2, ModelReplicas: 1, PlainReplicas: 1})
+	c := &fleetClient{fleet: f, ctx: context.Background()}
+	paths := []string{"/once/x", "/read/x", "/stream/x"}
+	requireStatus := func(status int, keys ...string) {
+		t.Helper()
+		for _, g := range f.Gateways {
+			for _, path := range paths {
+				for _, key := range keys {
+					require.Equal(t, status, c.send(newCallerHTTPClient(), g, path, key, 2).status, "%s %s %q", g.Name, path, key)
+				}
+			}
+		}
+	}
+	requireStatus(http.StatusOK, CallerKey)
+	requireStatus(http.StatusUnauthorized, "key-unknown", "")
+	f.configureCustomers([]customer{})
+	time.Sleep(configBound)
+	before := len(f.Runs())
+	requireStatus(http.StatusUnauthorized, CallerKey, "key-unknown", "")
+	f.Gateways[0].Kill()
+	f.RestartGateway(f.Gateways[0])
+	waitStatusOK(t, f.Gateways[0].readyURL+"/readyz")
+	requireStatus(http.StatusUnauthorized, CallerKey, "key-unknown", "")
+	require.Len(t, f.Runs(), before, "no replica runs a request")
+	f.Configure("key-after")
+	time.Sleep(configBound)
+	requireStatus(http.StatusOK, CallerKey, "key-after")
+}
+
 // postStore runs an action, such as "backup" or "restore", of the store's stand-in.
 func (f *Fleet) postStore(action string) {
 	status, _, body := Do(f.t, http.MethodPost, f.StoreURL+"/standin/"+action, nil, nil)
