Report in config check whether callers need a key

The check of a configuration, as the gateways' decoder before the last commit, made no difference between an empty list of customers and none: neither had a finding, nor had the change from a list to none, after which every caller is served.

TestConfigCheck compares with a file without a list, so it now expects one more difference, of the list itself.

--- a/cmd/lavendermoorctl/check_test.go
+++ b/cmd/lavendermoorctl/check_test.go
@@ -47,7 +47,7 @@
 	_, stdout, _ := ctl(t, "", "config", "check", newer, "--against", good, "--json")
 	var findings []configcheck.Finding
 	require.NoError(t, json.Unmarshal([]byte(stdout), &findings))
-	require.Len(t, findings, 3, "limit, customer and key")
+	require.Len(t, findings, 4, "limit, list of customers, customer and key")
 	_, stdout, _ = ctl(t, "", "config", "check", good, "--json")
 	require.Equal(t, "[]\n", stdout)
 }
