Check at the end of each fault soak that no key is accepted without customers

It now ends with a configuration without customers and checks a known and an unknown key at each gateway, on every route.

--- a/proctest/fleet_check_test.go
+++ b/proctest/fleet_check_test.go
@@ -35,6 +35,23 @@
 	}
 }
 
+// checkRefusalWithoutCustomers removes the last customer from the configuration and checks that every gateway refuses all
+// keys from configBound after that.
+func (s *fleetSoak) checkRefusalWithoutCustomers() {
+	s.fleet.configureCustomers([]customer{})
+	time.Sleep(configBound + transitTime)
+	httpClient := newCallerHTTPClient()
+	for _, g := range s.fleet.Gateways {
+		for _, path := range []string{"/stream/x", "/once/x", "/read/x"} {
+			for _, key := range []string{CallerKey, "key-unknown"} {
+				if status := s.send(httpClient, g, path, key, 0).status; status != http.StatusUnauthorized {
+					s.problem("%s returns status %d for %s with the key %q after the last customer was removed", g.Name, status, path, key)
+				}
+			}
+		}
+	}
+}
+
 // check compares the responses with the executions at the replicas. It fails the test if any check of the run has found
 // a problem.
 func (s *fleetSoak) check() {
--- a/proctest/fleet_soak_test.go
+++ b/proctest/fleet_soak_test.go
@@ -78,6 +78,7 @@
 	stop()
 	wg.Wait()
 	s.checkRecovery()
+	s.checkRefusalWithoutCustomers()
 	s.check()
 }
 
