Find no customer for the empty key

What callers would see: while a configuration has an empty key among the keys of a customer, every request without a key is served in that customer's name.

Cause: a request without a key has the empty key in its metadata, and Catalog.Customer looked it up like any other.

Why this works: all requests get their customer from Catalog.Customer, which now has none for the empty key, whatever way the catalog was built. The customer's other keys stay valid. The product's own entry is not affected: it refuses a request without a bearer key.

TestEmptyKeyIdentifiesNoCustomer (platform) failed before ("Should be false" for the empty key) and passes now.

--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -227,12 +227,15 @@
 	return shortest
 }
 
-// Customer returns the customer of a key; ok is false if no customer has the key. With AnonymousAccess every caller is
-// accepted, and the customer is nil.
+// Customer returns the customer of a key; ok is false if no customer has the key. The empty key, which stands for a caller
+// without a key, belongs to no customer. With AnonymousAccess every caller is accepted, and the customer is nil.
 func (c *Catalog) Customer(key string) (customer *Customer, ok bool) {
 	if c.AnonymousAccess {
 		return nil, true
 	}
+	if key == "" {
+		return nil, false
+	}
 	i, ok := c.Keys[HashKey(key)]
 	if !ok {
 		return nil, false
