End an exchange at once on a status that HTTP does not have

Cause: conn.readResponse took every status below 200 for interim and every other one for final. http.ReadResponse accepts any three characters that are a number of 0 or more.

Change: clients/httpstatus tells interim codes (100 to 199 but 101) and final ones (200 to 599) from all others. Others, and interim answers that announce a body, are an InvalidResponseError: the connection is closed, a request that may not be repeated gets 502, any other goes to a second server, and a stream continues there.

--- a/gateway/exchange/conn.go
+++ b/gateway/exchange/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/clients/httpstatus"
 )
 
 const (
@@ -127,7 +129,8 @@
 }
 
 // readResponse reads the header of the final response to a request and skips interim responses. It fails with a
-// *HeaderTooLargeError, an *InterimResponseError or the errors of the connection and of http.ReadResponse.
+// *HeaderTooLargeError, an *InterimResponseError, an *InvalidResponseError or the errors of the connection and of
+// http.ReadResponse.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
 	c.limited.limitHeader()
 	for range maxInterimResponses {
@@ -135,14 +138,33 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if !httpstatus.IsInterim(resp.StatusCode) {
 			c.limited.removeLimit()
-			return resp, nil
+			return finalResponse(resp)
+		}
+		if announcesBody(resp) {
+			return nil, merry.Wrap(&InvalidResponseError{Problem: "an interim answer has a body"})
 		}
 	}
 	return nil, merry.Wrap(&InterimResponseError{Limit: maxInterimResponses})
 }
 
+// finalResponse returns a response that is not interim. It fails with an *InvalidResponseError if its status is not one of
+// HTTP.
+func finalResponse(resp *http.Response) (*http.Response, error) {
+	if err := httpstatus.CheckFinal(resp.StatusCode); err != nil {
+		return nil, merry.Wrap(&InvalidResponseError{Problem: err.Error()})
+	}
+	return resp, nil
+}
+
+// announcesBody reports whether the header of an interim response announces a body. http.ReadResponse takes its bytes for
+// those of the next response.
+func announcesBody(resp *http.Response) bool {
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) > 0 || (length != "" && length != "0")
+}
+
 // drain reads the rest of a body up to a bound and reports whether the end was reached.
 func drain(body io.Reader) bool {
 	const maxBytes = 64 << 10
