Take a status that HTTP does not have for a broken exchange in the sidecar

What callers of the product's own entry saw: on 000, 099 and +20 of a plain service the entry closed the connection without an answer (net/http panics on such a status); 101, 600 and 999 reached the caller. A generation that got one counted as refused, not run.

Cause: engine.Client gets its answers from net/http, which returns every status but 100 and 102 to 199 as that of the final answer, and neither the sidecar nor the entry looked at it.

Change: engine.Client checks the status with clients/httpstatus, like the gateway. Any other is a BrokenError, so that the caller gets 502, executed: unknown; the connection is not used again. The entry checks the results of sidecars too, as one of an earlier version may pass such a status on or have recorded it.

--- a/clients/engine/engine.go
+++ b/clients/engine/engine.go
@@ -18,6 +18,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/clients/httpstatus"
 )
 
 // UnreachableError reports that no connection to the backend server could be established, so nothing ran. Its text and
@@ -31,7 +32,8 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
-// BrokenError reports an exchange that failed after the request may have reached the backend server.
+// BrokenError reports an exchange that failed, or got a response with a status that HTTP does not have, after the request
+// may have reached the backend server.
 type BrokenError struct{ Cause error }
 
 func (e *BrokenError) Error() string {
@@ -216,11 +218,25 @@
 	req.ContentLength = int64(len(body))
 	req.Header = header
 	resp, err := c.http.Do(req)
-	if err == nil {
-		return resp, nil
-	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, merry.Wrap(&UnreachableError{Cause: err})
 	}
-	return nil, merry.Wrap(&BrokenError{Cause: err})
+	if err == nil {
+		err = c.checkStatus(resp)
+	}
+	if err != nil {
+		return nil, merry.Wrap(&BrokenError{Cause: err})
+	}
+	return resp, nil
+}
+
+// checkStatus returns an *httpstatus.InvalidError for a response with a status that HTTP does not have. The response is then
+// closed and its connection is not used again: what else arrives on it belongs to no request.
+func (c *Client) checkStatus(resp *http.Response) error {
+	err := httpstatus.CheckFinal(resp.StatusCode)
+	if err != nil {
+		resp.Body.Close()
+		c.http.CloseIdleConnections()
+	}
+	return err
 }
--- a/clients/engine/engine_test.go
+++ b/clients/engine/engine_test.go
@@ -104,3 +104,38 @@
 	_, err := c.Call(t.Context(), &peerapi.CallRequest{Method: http.MethodGet, Path: "/"})
 	require.ErrorContains(t, err, "exceeded 65536 bytes")
 }
+
+// Guards against a response with a status that HTTP does not have, such as 000, as the result of a call or as a refusal of
+// a generation, and against the reuse of its connection.
+func TestInvalidStatusIsABrokenExchange(t *testing.T) {
+	call := func(c *Client) error {
+		_, err := c.Call(t.Context(), &peerapi.CallRequest{Method: http.MethodPost, Path: "/"})
+		return err
+	}
+	generate := func(c *Client) error {
+		r := &peerapi.GenerateRequest{Path: "/v1/completions", Body: json.RawMessage(`{}`)}
+		return c.Generate(t.Context(), r, func(string, json.RawMessage) error { return nil })
+	}
+	for _, status := range []string{"000 Zero", "099 Low", "+20 Sign", "101 Switching Protocols", "600 High", "999 Highest"} {
+		for _, end := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 3\r\n\r\nbad"} {
+			for name, send := range map[string]func(*Client) error{"call": call, "generation": generate} {
+				t.Run(name+" "+status+" "+end[16:17], func(t *testing.T) {
+					ended := make(chan error, 1)
+					c := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+						conn, _, err := http.NewResponseController(w).Hijack()
+						if err != nil {
+							return
+						}
+						defer conn.Close()
+						_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\n"+end)
+						_, err = conn.Read(make([]byte, 1))
+						ended <- err
+					})
+					var broken *BrokenError
+					require.ErrorAs(t, send(c), &broken, "the request may have run")
+					require.Error(t, <-ended, "the connection is closed")
+				})
+			}
+		}
+	}
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -9,6 +9,7 @@
 
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
+	"lavendermoor.example/clients/httpstatus"
 	"lavendermoor.example/config/cluster"
 )
 
@@ -74,6 +75,9 @@
 	ctx, cancel := x.withDeadline(&work)
 	defer cancel()
 	result, e := s.opts.Upstream.Call(ctx, x.state, req)
+	if e == nil {
+		e = checkResult(result)
+	}
 	if e != nil {
 		return e
 	}
@@ -81,6 +85,15 @@
 	return nil
 }
 
+// checkResult returns an error for a result with a status that HTTP does not have. A sidecar with an earlier version of this
+// program may have recorded one.
+func checkResult(r *peerapi.CallResult) *callerapi.Error {
+	if err := httpstatus.CheckFinal(r.Status); err != nil {
+		return callerapi.MaybeExecuted(callerapi.BackendFailed, "%v", err)
+	}
+	return nil
+}
+
 // writeCallResult writes the response of a plain service to the caller.
 func (x *exchange) writeCallResult(r *peerapi.CallResult) {
 	h := x.w.Header()
--- a/entry/keyed_calls_test.go
+++ b/entry/keyed_calls_test.go
@@ -21,9 +21,11 @@
 )
 
 // startSidecars starts fake sidecars for three servers, which handle every request with serve, and returns their
-// configuration.
-func startSidecars(t *testing.T, serve func(name string, w http.ResponseWriter, r *http.Request)) *cluster.State {
-	objects := []*operatorv1.Object{{Kind: &operatorv1.Object_Service{Service: &operatorv1.Service{Name: "shed"}}}}
+// configuration with further objects.
+func startSidecars(
+	t *testing.T, serve func(name string, w http.ResponseWriter, r *http.Request), objects ...*operatorv1.Object,
+) *cluster.State {
+	objects = append(objects, &operatorv1.Object{Kind: &operatorv1.Object_Service{Service: &operatorv1.Service{Name: "shed"}}})
 	for _, name := range []string{"a", "b", "c"} {
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(name, w, r) }))
 		t.Cleanup(srv.Close)
