Promise that a generation has not run only after a client error of the engine

What callers saw: an engine that answered a generation with a status other than 200 and below 400, such as 204 or 302, made the product's entry answer 400, executed: no. Nothing in such an answer says that the request has not run.

Cause: translateError took every StatusError below 500 but 429 for a rejected request.

Change: only 400 to 499 counts as one; any other status is a failure of the server, executed: unknown, 502.

TestBackendErrorsAsCallerErrors failed before with the two new rows (invalid_request for 204) and passes now.

--- a/side/requests.go
+++ b/side/requests.go
@@ -124,7 +124,7 @@
 		return callerapi.NotExecuted(callerapi.InvalidRequest, "%v", err)
 	case errors.As(err, &status) && status.Status == http.StatusTooManyRequests:
 		return callerapi.NotExecuted(callerapi.Overloaded, "%v", err).WithRetryAfter(defaultRetryAfter)
-	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
+	case errors.As(err, &status) && isClientError(status.Status):
 		return callerapi.NotExecuted(callerapi.InvalidRequest, "%v", err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return callerapi.MaybeExecuted(callerapi.BackendFailed, "the entry has given the request up")
@@ -133,3 +133,8 @@
 	}
 	return asCallerError(err, callerapi.MaybeExecuted(callerapi.BackendFailed, "%v", err))
 }
+
+// isClientError reports whether a status means that the engine has rejected a request.
+func isClientError(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
--- a/side/requests_test.go
+++ b/side/requests_test.go
@@ -14,7 +14,8 @@
 )
 
 // Guards against reporting a refusal by a full engine as an invalid request, which would prevent a retry at another
-// replica, and against reporting an exceeded deadline for a request that the entry canceled.
+// replica, against the promise that a request has not run after a success or a redirect, and against reporting an exceeded
+// deadline for a request that the entry canceled.
 func TestBackendErrorsAsCallerErrors(t *testing.T) {
 	s := New(Options{Log: zap.NewNop()})
 	canceled, cancel := context.WithCancel(t.Context())
@@ -28,6 +29,8 @@
 		{t.Context(), &engine.StatusError{Status: http.StatusTooManyRequests}, callerapi.Overloaded, callerapi.ExecutedNo},
 		{t.Context(), &engine.StatusError{Status: http.StatusBadRequest}, callerapi.InvalidRequest, callerapi.ExecutedNo},
 		{t.Context(), &engine.StatusError{Status: http.StatusBadGateway}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
+		{t.Context(), &engine.StatusError{Status: http.StatusNoContent}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
+		{t.Context(), &engine.StatusError{Status: http.StatusFound}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
 		{canceled, &engine.BrokenError{Cause: context.Canceled}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
 	} {
 		e := s.translateError(c.ctx, &peerapi.Work{}, c.err)
