Treat a write as of unknown outcome after a status that says nothing of it

What operators would see: a write that the key-value service answered with a status below 400 other than 200 (000, 204, 304) counted as one without effect, though it may have taken effect: an operator's change was reported as failed, and a lease was not read back.

Change: only 400 to 499 (httpstatus.IsClientError, now also used by the sidecar) is such a word; 429 and 503 mean no effect as before; after any other status the outcome is unknown, which the writers already resolve by reading back.

--- a/clients/httpstatus/httpstatus.go
+++ b/clients/httpstatus/httpstatus.go
@@ -32,3 +32,9 @@
 	}
 	return nil
 }
+
+// IsClientError reports whether a code states that the request itself was rejected, and so has not been executed. Of the other
+// codes, only those that a protocol defines so state that.
+func IsClientError(code int) bool {
+	return code >= http.StatusBadRequest && code < http.StatusInternalServerError
+}
--- a/clients/kv/client.go
+++ b/clients/kv/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"lavendermoor.example/clients/httpstatus"
 )
 
 // Client is a Store that calls the JSON gateway of etcd v3 over HTTP. It is safe for concurrent use.
@@ -202,8 +204,8 @@
 		return merry.Wrap(&UnknownOutcomeError{Cause: detail})
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return merry.Wrap(&UnavailableError{Cause: detail})
-	case status >= http.StatusInternalServerError:
-		// The service, or a load balancer in front of it, failed during the call.
+	case !httpstatus.IsClientError(status):
+		// The service, or a load balancer in front of it, failed during the call, or the status says nothing about it.
 		return merry.Wrap(&UnknownOutcomeError{Cause: detail})
 	}
 	return merry.Wrap(detail)
--- a/clients/kv/client_test.go
+++ b/clients/kv/client_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against a write that is reported as failed although it may have taken effect: the service, or a load balancer
-// in front of it, returned a server error during the call.
+// in front of it, returned a server error during the call, or a status that states nothing about the write.
 func TestServerErrorOnWriteIsAnUnknownOutcome(t *testing.T) {
 	status := 0
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
@@ -79,7 +79,10 @@
 	base, err := url.Parse(s.URL)
 	require.NoError(t, err)
 	c := NewClient(base, time.Minute, nil)
-	for _, status = range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
+	for _, status = range []int{
+		http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusAccepted,
+		http.StatusNotModified, 600, 999,
+	} {
 		_, err = c.Put(t.Context(), "key", nil, Absent, 0)
 		var unknown *UnknownOutcomeError
 		require.ErrorAs(t, err, &unknown, "status %d", status)
--- a/side/requests.go
+++ b/side/requests.go
@@ -12,6 +12,7 @@
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/peerapi"
 	"lavendermoor.example/clients/engine"
+	"lavendermoor.example/clients/httpstatus"
 )
 
 // maxPeerBody limits the body of a request from another process, in bytes. Such a body contains the caller's body in
@@ -124,7 +125,7 @@
 		return callerapi.NotExecuted(callerapi.InvalidRequest, "%v", err)
 	case errors.As(err, &status) && status.Status == http.StatusTooManyRequests:
 		return callerapi.NotExecuted(callerapi.Overloaded, "%v", err).WithRetryAfter(defaultRetryAfter)
-	case errors.As(err, &status) && isClientError(status.Status):
+	case errors.As(err, &status) && httpstatus.IsClientError(status.Status):
 		return callerapi.NotExecuted(callerapi.InvalidRequest, "%v", err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return callerapi.MaybeExecuted(callerapi.BackendFailed, "the entry has given the request up")
@@ -133,8 +134,3 @@
 	}
 	return asCallerError(err, callerapi.MaybeExecuted(callerapi.BackendFailed, "%v", err))
 }
-
-// isClientError reports whether a status means that the engine has rejected a request.
-func isClientError(status int) bool {
-	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
-}
