Take only a client error for the refusal of an order

What operators would see: an engine that carries out an order and answers with a status below 400 other than 200 (000, 204, 302) has the order reported as refused, without effect, and not repeated; after 500 or more, a refusal is reported if no other answer comes.

Cause: Issuer.roundTrip made every status other than 200 a RefusedError, which says that the order had no effect.

Change: a RefusedError needs 400 to 499. Any other status is a StatusError: the order is repeated under its ID, and its outcome is unknown if none of the answers says more.

TestStatusThatIsNoRefusalLeavesOutcomeUnknown failed before ("engine refused the order with status 0") and passes now.

--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cenkalti/backoff/v5"
 
+	"lavendermoor.example/clients/httpstatus"
 	"lavendermoor.example/clients/kv"
 )
 
@@ -28,6 +29,11 @@
 	return fmt.Sprintf("engine refused the order with status %d: %s", e.Status, e.Message)
 }
 
+// StatusError reports a response with a status that says nothing of the order, which may have taken effect.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("engine answered status %d", e.Status) }
+
 // FailedError reports that the engine accepted the order but could not execute it.
 type FailedError struct{ Result }
 
@@ -158,7 +164,7 @@
 		*unresolved = true
 	}
 	var expired *LeaseExpiredError
-	if isRefused && refused.Status < http.StatusInternalServerError || errors.As(err, &expired) {
+	if isRefused || errors.As(err, &expired) {
 		return Result{}, backoff.Permanent(err)
 	}
 	return result, err
@@ -289,10 +295,13 @@
 	}
 	defer resp.Body.Close()
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxResultBytes))
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case httpstatus.IsClientError(resp.StatusCode):
 		refused := &RefusedError{Status: resp.StatusCode}
 		_ = dec.Decode(&refused.Refusal)
 		return Result{}, merry.Wrap(refused)
+	case resp.StatusCode != http.StatusOK:
+		return Result{}, merry.Wrap(&StatusError{Status: resp.StatusCode})
 	}
 	var r Result
 	if err := dec.Decode(&r); err != nil {
--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -197,6 +197,36 @@
 	})
 }
 
+// Guards against an order that is reported as rejected, or not repeated, although the engine has executed it and only its
+// response had a status that says nothing of the order.
+func TestStatusThatIsNoRefusalLeavesOutcomeUnknown(t *testing.T) {
+	for _, status := range []int{0, 99, http.StatusNoContent, http.StatusFound, http.StatusBadGateway, 600} {
+		for _, once := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(true)
+				requests := 0
+				i := issuerWithTransport(f, roundTripper(func(q *http.Request) (*http.Response, error) {
+					resp, err := f.transport.RoundTrip(q)
+					if requests++; err == nil && (requests == 1 || !once) {
+						resp.StatusCode = status
+					}
+					return resp, err
+				}))
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				_, err := i.Issue(ctx, orders.Order{ID: "1", Kind: orders.SetRole, Role: "decode"})
+				require.Len(t, f.engine.Dump().Effects, 1)
+				if once {
+					require.NoError(t, err, "status %d", status)
+					return
+				}
+				var unknown *orders.UnknownOutcomeError
+				require.ErrorAs(t, err, &unknown, "status %d", status)
+			})
+		}
+	}
+}
+
 // Guards against an order that is sent after it was reported as not sent: a transport may read the body after RoundTrip
 // has returned.
 func TestBodyIsNotReadAfterAttempt(t *testing.T) {
