Let replicas send statuses that HTTP does not have in the fault soak

The stand-in of the replicas is built on net/http, which sends no such status, so no run with processes could find the fault. The soak checks the status of every answer, and that a request which must not be repeated does not wait after such an answer.

--- a/proctest/fleet_check_test.go
+++ b/proctest/fleet_check_test.go
@@ -123,6 +123,7 @@
 		s.checkDraining(a, r)
 		s.checkLeaving(a, r)
 	}
+	s.checkStatus(a, runs)
 	s.checkGracefulStop(a, runs)
 }
 
--- a/proctest/fleet_soak_test.go
+++ b/proctest/fleet_soak_test.go
@@ -51,7 +51,7 @@
 // Guards against violations of the service guarantees to callers and operators under mixed traffic, faults and
 // configuration changes. Processes are killed, paused, stopped and restarted. Links are reset, delayed or blocked. The
 // store fails, compacts its history or is restored. Replicas crash, drain, leave, refuse requests, become slow, name a limit,
-// or lose responses and orders.
+// send statuses that HTTP does not have, or lose responses and orders.
 func TestFleetSoak(t *testing.T) {
 	seed := uint64(envFloat("LAVENDERMOOR_SEED", soakSeed))
 	length := time.Duration(envFloat("LAVENDERMOOR_MINUTES", soakSeconds/60.0) * float64(time.Minute))
@@ -74,6 +74,7 @@
 	}
 	wg.Go(func() { s.changeConfigurations(rand.New(rand.NewPCG(seed, 900))) })
 	wg.Go(func() { s.nameLimits(rand.New(rand.NewPCG(seed, 1100))) })
+	wg.Go(func() { s.sendInvalidStatuses(rand.New(rand.NewPCG(seed, 1200))) })
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1000)), time.Now().Add(length))
 	stop()
 	wg.Wait()
--- a/standin/replicaserver/group.go
+++ b/standin/replicaserver/group.go
@@ -59,6 +59,9 @@
 	DeadlyBody string `json:"deadly_body"`
 	// RetryAfterMs above 0 makes the replica refuse requests with this Retry-After time.
 	RetryAfterMs int64 `json:"retry_after_ms"`
+	// StatusLine, if it is not empty, is what follows the protocol in the response to each request that the replica has
+	// executed, such as "000 Zero". The connection stays open after it.
+	StatusLine string `json:"status_line"`
 	// PaddingBytes is the number of bytes that follow the text of each plain response.
 	PaddingBytes int64 `json:"padding_bytes"`
 	// Cold makes the replica cold for a while. The replica's entry and its health check say so.
--- a/standin/replicaserver/replica.go
+++ b/standin/replicaserver/replica.go
@@ -278,6 +278,10 @@
 	defer r.release()
 	r.recordRun(req, attempt, f)
 	w.Header().Set("X-Replica-Seal", r.id)
+	if f.StatusLine != "" {
+		writeStatusLine(w, f.StatusLine)
+		return
+	}
 	if r.group != nil {
 		r.stream(w, req, string(body), f)
 		return
@@ -291,6 +295,27 @@
 	_, _ = io.CopyN(w, zeros{}, f.PaddingBytes)
 }
 
+// openAfterStatusLine is how long a connection stays open after the fault StatusLine if its client does not close it.
+const openAfterStatusLine = 10 * time.Second
+
+// writeStatusLine sends a short response with a status that net/http may not be able to send, and waits until the client
+// closes the connection.
+func writeStatusLine(w http.ResponseWriter, line string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	header := w.Header()
+	header.Set("Content-Length", "3")
+	_ = conn.SetDeadline(time.Now().Add(openAfterStatusLine))
+	// Writes and the read fail only if the client has disconnected, or at the deadline.
+	_, _ = io.WriteString(conn, "HTTP/1.1 "+line+"\r\n")
+	_ = header.Write(conn)
+	_, _ = io.WriteString(conn, "\r\nbad")
+	_, _ = conn.Read(make([]byte, 1))
+}
+
 // zeros is an endless reader of zero bytes.
 type zeros struct{}
 
