--- a/gateway/ingress/connections_test.go
+++ b/gateway/ingress/connections_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -124,7 +123,7 @@
 					return respond(repeated)(c, r) && respondOK("mine")(c, r)
 				}
 				g := newGateway(t, newTestBackend(t, "a", serve), newTestBackend(t, "b", serve))
-				g.fleet.Backends("s")[1].Begin(5000, time.Now()) // The first server is the better choice.
+				g.preferServer("a")
 				_, body, err := g.send(t, http.MethodPost, "/once/x", "")
 				require.NoError(t, err)
 				require.Equal(t, "first", body)
--- a/gateway/ingress/groups_test.go
+++ b/gateway/ingress/groups_test.go
@@ -83,11 +83,7 @@
 	a, b := newTestBackend(t, "a", sendComments), newTestBackend(t, "b", respond(eventStream(1, 4)+lastChunk))
 	g := newGateway(t, a, b)
 	g.setGroups(map[*testBackend]string{a: "g", b: "g"})
-	for _, backend := range g.fleet.Backends("s") {
-		if backend.Server().ID == "b" {
-			backend.Begin(5000, time.Now())
-		}
-	}
+	g.preferServer("a")
 	go g.RunHousekeeping(t.Context())
 	resp, body, err := g.get(t, "/stream/x")
 	require.NoError(t, err)
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -332,6 +332,15 @@
 	g.RefreshGroups()
 }
 
+// preferServer makes a gateway choose the server with the given ID first.
+func (g *testGateway) preferServer(id string) {
+	for _, b := range g.fleet.Backends("s") {
+		if b.Server().ID != id {
+			b.Begin(5000, time.Now())
+		}
+	}
+}
+
 // get sends a request to a path and returns the response, its body and the error from reading the body.
 func (g *testGateway) get(t *testing.T, path string, headers ...string) (*http.Response, string, error) {
 	t.Helper()
--- a/gateway/ingress/quarantine_test.go
+++ b/gateway/ingress/quarantine_test.go
@@ -136,7 +136,7 @@
 		return false
 	})
 	g := newGateway(t, s, newTestBackend(t, "b", respondOK("")))
-	g.fleet.Backends("s")[1].Begin(5000, time.Now()) // The other server is the better choice.
+	g.preferServer("a")
 	done := make(chan int, 1)
 	go func() {
 		resp, _, _ := g.get(t, "/stream/x", testPrompt, "common,deadly")
--- a/gateway/ingress/resume_test.go
+++ b/gateway/ingress/resume_test.go
@@ -23,12 +23,7 @@
 			second := respond(eventStream(3, 6) + lastChunk)
 			a, b := newTestBackend(t, "a", first), newTestBackend(t, "b", second)
 			g := newGateway(t, a, b)
-			// Load on b makes the gateway choose a first.
-			for _, backend := range g.fleet.Backends("s") {
-				if backend.Server().ID == "b" {
-					backend.Begin(5000, time.Now())
-				}
-			}
+			g.preferServer("a")
 			resp, body, err := g.get(t, "/stream/x")
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -94,7 +89,7 @@
 		t.Run(name, func(t *testing.T) {
 			begin, next := respondAndClose(eventStream(1, 2)), respondAndClose(failure)
 			g := newGateway(t, newTestBackend(t, "a", begin, next), newTestBackend(t, "b", next, next))
-			g.fleet.Backends("s")[1].Begin(5000, time.Now()) // The first server is the better choice.
+			g.preferServer("a")
 			resp, body, err := g.get(t, "/stream/x")
 			require.Equal(t, http.StatusOK, resp.StatusCode)
 			require.Error(t, err, "the stream must not look complete")
--- a/gateway/ingress/status_test.go
+++ b/gateway/ingress/status_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -64,7 +63,7 @@
 		} {
 			a, b := newTestBackend(t, "a", respond(response)), newTestBackend(t, "b", sound)
 			g := newGateway(t, a, b)
-			g.preferOver(b)
+			g.preferServer("a")
 			resp, body, err := g.get(t, path)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -79,7 +78,7 @@
 	forEachInvalidResponse(t, func(t *testing.T, response string) {
 		a, b := newTestBackend(t, "a", respondAndClose(eventStream(1, 3))), newTestBackend(t, "b", respond(response))
 		g := newGateway(t, a, b)
-		g.preferOver(b)
+		g.preferServer("a")
 		resp, body, err := g.get(t, "/stream/x")
 		require.Error(t, err, "the caller must see that the stream is incomplete")
 		require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -140,12 +139,3 @@
 	require.Equal(t, "x", body)
 	require.EqualValues(t, 1, runs.Load())
 }
-
-// preferOver puts load on a server, so that the gateway chooses another one first.
-func (g *testGateway) preferOver(b *testBackend) {
-	for _, backend := range g.fleet.Backends("s") {
-		if backend.Server().ID == b.id {
-			backend.Begin(5000, time.Now())
-		}
-	}
-}
--- a/gateway/ingress/stream_test.go
+++ b/gateway/ingress/stream_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -27,15 +26,6 @@
 	return eventStream(1, 0) + chunk(eventsWithIDs(ids...))
 }
 
-// preferServer makes a gateway choose the server with the given ID first.
-func (g *testGateway) preferServer(id string) {
-	for _, b := range g.fleet.Backends("s") {
-		if b.Server().ID != id {
-			b.Begin(5000, time.Now())
-		}
-	}
-}
-
 // Guards against cutting a sound stream whose IDs increase by more than one, as when they count tokens (review/2).
 func TestStreamsWithIncreasingIDsAreRelayedWhole(t *testing.T) {
 	for name, ids := range map[string][]string{
