--- a/clients/httpstatus/httpstatus.go
+++ b/clients/httpstatus/httpstatus.go
@@ -1,5 +1,5 @@
-// Package httpstatus classifies the status codes of HTTP responses (RFC 9110, section 15). The client of net/http accepts
-// any number of three characters.
+// Package httpstatus classifies the status codes of HTTP responses (RFC 9110, section 15). The client of net/http returns a
+// response with any three characters as its code that are a number of 0 or more.
 package httpstatus
 
 import (
