Restart a gateway that gets an empty list of customers from its peer

It now also restarts one whose link to the store is reset, so that the configuration comes from the other gateway. A first try restarted the gateway that has no peer in this harness, which rightly stayed unready.

--- a/proctest/fleet_platform_test.go
+++ b/proctest/fleet_platform_test.go
@@ -71,11 +71,17 @@
 	time.Sleep(configBound)
 	before := len(f.Runs())
 	requireStatus(http.StatusUnauthorized, CallerKey, "key-unknown", "")
-	f.Gateways[0].Kill()
-	f.RestartGateway(f.Gateways[0])
-	waitStatusOK(t, f.Gateways[0].readyURL+"/readyz")
-	requireStatus(http.StatusUnauthorized, CallerKey, "key-unknown", "")
+	restarted := f.Gateways[1]
+	for _, link := range []LinkFaults{{}, {Reset: true}} { // With a reset link, the configuration comes from its peer.
+		restarted.Kill()
+		restarted.StoreLink.SetFaults(link)
+		f.RestartGateway(restarted)
+		waitStatusOK(t, restarted.readyURL+"/readyz")
+		requireStatus(http.StatusUnauthorized, CallerKey, "key-unknown", "")
+	}
 	require.Len(t, f.Runs(), before, "no replica runs a request")
+	restarted.StoreLink.SetFaults(LinkFaults{})
+	time.Sleep(recoveryGrace)
 	f.Configure("key-after")
 	time.Sleep(configBound)
 	requireStatus(http.StatusOK, CallerKey, "key-after")
