Tell which code a program was built from

One hypothesis is that the programs that ran were built from other code (an earlier landing, a target/ that was carried over). The commit that the Go tool records is not enough: where GOFLAGS holds -buildvcs=false, as on this machine, there is none.

A field that the file lacks is "unknown", and so is a process that tells nothing.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -187,4 +187,16 @@
 	// applied.
 	Refused  string `json:"refused,omitempty"`
 	Draining bool   `json:"draining,omitempty"`
+	// Build is nil in the status of a program that does not report it.
+	Build *Build `json:"build,omitempty"`
+}
+
+// Build describes the code from which a program was built. A field that the program does not know is "unknown".
+type Build struct {
+	// Version is the release.
+	Version string `json:"version"`
+	// Revision is the commit, followed by "-modified" if files had been changed since.
+	Revision string `json:"revision"`
+	// ID is the content hash of the program file.
+	ID string `json:"id"`
 }
--- a/cmd/internal/daemon/control_plane.go
+++ b/cmd/internal/daemon/control_plane.go
@@ -27,6 +27,7 @@
 	"lavendermoor.example/configsync/feed"
 	"lavendermoor.example/configsync/store"
 	"lavendermoor.example/telemetry"
+	"lavendermoor.example/telemetry/buildinfo"
 	"lavendermoor.example/telemetry/invariant"
 )
 
@@ -197,7 +198,11 @@
 }
 
 func (c *controlPlane) status(draining bool) peerapi.Status {
-	s := peerapi.Status{Name: c.id.name, Program: c.id.program, Refused: c.node.Refused(), Draining: draining}
+	build := buildinfo.Current()
+	s := peerapi.Status{
+		Name: c.id.name, Program: c.id.program, Refused: c.node.Refused(), Draining: draining,
+		Build: &peerapi.Build{Version: build.Version, Revision: build.Revision, ID: build.BuildID},
+	}
 	if st := c.node.State(); st != nil {
 		s.Revision = st.Revision
 	}
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -25,6 +25,7 @@
 	"lavendermoor.example/gateway/quarantine"
 	"lavendermoor.example/platform"
 	"lavendermoor.example/telemetry"
+	"lavendermoor.example/telemetry/buildinfo"
 )
 
 // Durations and limits of a gateway.
@@ -127,7 +128,9 @@
 		Store: store, Quarantine: suspected, Client: process.PeerClient(0), Peers: g.peerAddresses, Log: g.log,
 	})
 	g.createMirrors(store)
-	self := presence.Member{Name: s.Name, Address: s.ControlListen, Domain: s.FailureDomain}
+	self := presence.Member{
+		Name: s.Name, Address: s.ControlListen, Domain: s.FailureDomain, Build: buildinfo.Current().Short(),
+	}
 	g.presence = presence.New(store, presencePrefix, self, g.log)
 	g.srv = ingress.New(ingress.Options{
 		Dialect: dialect, Fleet: g.fleet, Log: g.log, Metrics: metrics, Random: rand.Float64,
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavendermoor.example/telemetry"
+	"lavendermoor.example/telemetry/buildinfo"
 )
 
 // Observability holds the logger and the metrics of a process.
@@ -25,15 +26,22 @@
 	Registry *prometheus.Registry
 }
 
-// NewObservability returns the logger and the metrics of a process. The logger writes to logs.
+// NewObservability returns the logger and the metrics of a process. The logger writes to logs. The first line and a
+// metric tell the build of the program.
 func NewObservability(logs io.Writer, program, name, level string) (*Observability, error) {
 	var o Observability
 	var err error
 	if o.Log, o.Level, err = telemetry.NewLogger(logs, program, name, level); err != nil {
 		return nil, err
 	}
-	o.Meter, o.Registry, err = telemetry.NewMeter(program)
-	return &o, err
+	if o.Meter, o.Registry, err = telemetry.NewMeter(program); err != nil {
+		return nil, err
+	}
+	if err := buildinfo.Register(o.Registry); err != nil {
+		return nil, err
+	}
+	o.Log.Info("starting", buildinfo.Current().Fields()...)
+	return &o, nil
 }
 
 // SetLogLevel changes the log level. It logs and ignores an invalid level.
--- a/cmd/internal/start/start.go
+++ b/cmd/internal/start/start.go
@@ -12,18 +12,16 @@
 	"syscall"
 
 	"lavendermoor.example/config/settings"
+	"lavendermoor.example/telemetry/buildinfo"
 )
 
-// Version is set by the linker in releases.
-var Version = "development"
-
-// VersionFlag declares the flag -version. After parsing, the returned function prints the version of the program and
+// VersionFlag declares the flag -version. After parsing, the returned function prints the build of the program and
 // returns true if the flag is set.
 func VersionFlag(fs *flag.FlagSet) func() bool {
 	requested := fs.Bool("version", false, "print the version, then exit")
 	return func() bool {
 		if *requested {
-			fmt.Println(fs.Name(), Version)
+			fmt.Println(fs.Name(), buildinfo.Current())
 		}
 		return *requested
 	}
--- a/cmd/lavendermoorctl/main.go
+++ b/cmd/lavendermoorctl/main.go
@@ -17,7 +17,7 @@
 	"connectrpc.com/connect"
 
 	"lavendermoor.example/api/operatorv1/operatorv1connect"
-	"lavendermoor.example/cmd/internal/start"
+	"lavendermoor.example/telemetry/buildinfo"
 )
 
 // Exit codes; exitHelp describes them.
@@ -91,7 +91,7 @@
 		return c.help(args)
 	}
 	if args[0] == "version" || args[0] == "-version" || args[0] == "--version" {
-		printf(stdout, "lavendermoorctl %s\n", start.Version)
+		printf(stdout, "lavendermoorctl %s\n", buildinfo.Current())
 		return exitOK
 	}
 	cmd, ok := commands()[args[0]]
--- a/cmd/lavendermoorctl/output.go
+++ b/cmd/lavendermoorctl/output.go
@@ -16,6 +16,7 @@
 	"lavendermoor.example/config/cluster"
 	"lavendermoor.example/config/cluster/configfile"
 	"lavendermoor.example/config/settings"
+	"lavendermoor.example/telemetry/buildinfo"
 )
 
 // fileError is an error that the server reports about the content of a file.
@@ -239,14 +240,22 @@
 func (c *cli) showStatus(m *operatorv1.StatusResponse) error {
 	return c.table(m, func(w io.Writer) {
 		printf(w, "latest revision known: %d\n", m.GetRevision())
-		printf(w, "NAME\tPROGRAM\tADDRESS\tREVISION\tDRAINING\tPROBLEM\n")
+		printf(w, "NAME\tPROGRAM\tADDRESS\tREVISION\tDRAINING\tBUILD\tPROBLEM\n")
 		for _, p := range m.GetProcesses() {
 			problem := p.GetError()
 			if problem == "" {
 				problem = p.GetRefused()
 			}
-			printf(w, "%s\t%s\t%s\t%d\t%t\t%s\n", p.GetName(), p.GetProgram(), p.GetAddress(),
-				p.GetRevisionInForce(), p.GetDraining(), problem)
+			printf(w, "%s\t%s\t%s\t%d\t%t\t%s\t%s\n", p.GetName(), p.GetProgram(), p.GetAddress(),
+				p.GetRevisionInForce(), p.GetDraining(), buildText(p.GetBuild()), problem)
 		}
 	})
 }
+
+// buildText returns the build of a process for a table. A process that could not be asked, or does not tell, has none.
+func buildText(b *operatorv1.Build) string {
+	if b == nil {
+		return buildinfo.Unknown
+	}
+	return buildinfo.Info{Revision: b.GetRevision(), BuildID: b.GetId()}.Short()
+}
--- a/configsync/presence/presence.go
+++ b/configsync/presence/presence.go
@@ -44,6 +44,8 @@
 	Address string `json:"address"`
 	// Domain is the failure domain of the process.
 	Domain string `json:"domain"`
+	// Build names the code of the process's program, empty if the process does not tell.
+	Build string `json:"build,omitempty"`
 	// Demand is the demand of the process in requests a second, by service, nil if it publishes none.
 	Demand map[string]float64 `json:"demand,omitempty"`
 }
@@ -62,6 +64,8 @@
 	// revision is that of the entry of this process as last written, published the demand in it.
 	revision  int64
 	published map[string]float64
+	// builds is the summary of the members' builds that was logged last.
+	builds string
 
 	// demand is the demand to be published, nil for none. demandBegins wakes Run.
 	demand       atomic.Pointer[map[string]float64]
@@ -243,6 +247,10 @@
 	if before := p.Members(); len(before) != len(members) {
 		p.log.Info("number of processes changed", zap.Int("before", len(before)), zap.Int("now", len(members)))
 	}
+	if builds := buildSummary(members); builds != p.builds {
+		p.log.Info("builds of the processes", zap.String("processes", builds))
+		p.builds = builds
+	}
 	p.members.Store(&members)
 	return true
 }
--- a/configsync/presence/presence_test.go
+++ b/configsync/presence/presence_test.go
@@ -283,3 +283,11 @@
 		require.Contains(t, store.leases, p.lease)
 	})
 }
+
+// Guards against members on an old build that nobody sees: a member that tells no build counts as unknown.
+func TestBuildsOfMembersAreCounted(t *testing.T) {
+	require.Equal(t, "b35350812345: 2, unknown: 1", buildSummary([]Member{
+		{Name: "a", Build: "b35350812345"}, {Name: "b"}, {Name: "c", Build: "b35350812345"},
+	}))
+	require.Empty(t, buildSummary(nil))
+}
--- a/entry/operator/read.go
+++ b/entry/operator/read.go
@@ -174,6 +174,9 @@
 	}
 	out.Program, out.RevisionInForce = report.Program, report.Revision
 	out.Refused, out.Draining = report.Refused, report.Draining
+	if b := report.Build; b != nil {
+		out.Build = &operatorv1.Build{Version: b.Version, Revision: b.Revision, Id: b.ID}
+	}
 	return out
 }
 
