Refuse a request with several Authorization headers

What callers saw: a request with two Authorization headers was served if the first one held a valid key, whatever the second one held: at the gateways, at the entry and at the operator interface.

Cause: the three read the header with http.Header.Get, which returns the first value. The header has a single value (RFC 9110, 11.6.2).

Change: api/bearer reads the key in one place, and finds none in several headers.

Evidence: TestFleetRefusesSeveralAuthorizationHeaders (real gateway, 200 where 401 is due), TestInvalidInputReturnsTypedErrors (real entry, 200) and TestKeysAndRoles failed on the code before, and pass now.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
+	"lavendermoor.example/api/bearer"
 	"lavendermoor.example/api/callerapi"
 	"lavendermoor.example/api/operatorv1"
 	"lavendermoor.example/api/peerapi"
@@ -73,7 +73,7 @@
 }
 
 func (x *exchange) authenticate() *callerapi.Error {
-	key, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	key, ok := bearer.Key(x.r.Header)
 	if !ok {
 		return callerapi.NotExecuted(callerapi.Unauthorized, "a bearer key is required")
 	}
--- a/entry/operator/auth.go
+++ b/entry/operator/auth.go
@@ -6,10 +6,10 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
-	"strings"
 
 	"connectrpc.com/connect"
 
+	"lavendermoor.example/api/bearer"
 	"lavendermoor.example/api/operatorv1"
 	"lavendermoor.example/api/operatorv1/operatorv1connect"
 )
@@ -68,8 +68,8 @@
 }
 
 func (a *authenticator) authenticate(ctx context.Context, h http.Header, procedure string) (context.Context, error) {
-	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
+	key, ok := bearer.Key(h)
+	if !ok {
 		return ctx, rpcError(&UnknownKeyError{})
 	}
 	identity, ok, err := a.service.identify(ctx, key)
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -65,12 +65,15 @@
 	env.client = env.clientWithKey(bootstrapKey)
 }
 
-// clientWithKey returns a client that sends the key as bearer token.
-func (env *testEnv) clientWithKey(key string) operatorv1connect.OperatorServiceClient {
+// clientWithKey returns a client that sends the key as bearer token. Further keys are sent in headers of their own.
+func (env *testEnv) clientWithKey(key string, others ...string) operatorv1connect.OperatorServiceClient {
 	return operatorv1connect.NewOperatorServiceClient(http.DefaultClient, env.url, connect.WithInterceptors(
 		connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 			return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 				req.Header().Set("Authorization", "Bearer "+key)
+				for _, other := range others {
+					req.Header().Add("Authorization", "Bearer "+other)
+				}
 				return next(ctx, req)
 			}
 		})))
@@ -92,7 +95,7 @@
 const adminKey = "example-forest-operations"
 
 // Guards against accepting the bootstrap key after the first operator has been configured, changes by readers, and
-// calls with unknown keys.
+// calls with unknown keys or with several keys.
 func TestKeysAndRoles(t *testing.T) {
 	env := newTestEnv(t)
 	env.applyExample(t)
@@ -104,6 +107,10 @@
 		_, err := env.clientWithKey(key).Drain(t.Context(), drain)
 		require.Equal(t, code, connect.CodeOf(err), "key %q", key)
 	}
+	for _, keys := range [][2]string{{adminKey, "wrong"}, {"wrong", adminKey}, {adminKey, adminKey}} {
+		_, err := env.clientWithKey(keys[0], keys[1]).Drain(t.Context(), drain)
+		require.Equal(t, connect.CodeUnauthenticated, connect.CodeOf(err), "keys %q", keys)
+	}
 	_, err := env.clientWithKey("example-dashboard-forest-operations").List(t.Context(), connect.NewRequest(&operatorv1.ListRequest{}))
 	require.NoError(t, err)
 	fresh := &testEnv{kv: env.kv}
--- a/proctest/end_to_end_test.go
+++ b/proctest/end_to_end_test.go
@@ -82,6 +82,9 @@
 		"unknown adapter": {"POST", chatURL, nil, map[string]any{"model": ModelName + ":nope"}, callerapi.UnknownModel},
 		"missing key":     {"POST", chatURL, http.Header{"Authorization": {""}}, validBody, callerapi.Unauthorized},
 		"wrong key":       {"POST", chatURL, http.Header{"Authorization": {"Bearer nope"}}, validBody, callerapi.Unauthorized},
+		"two keys": {
+			"POST", chatURL, http.Header{"Authorization": {"Bearer " + CallerKey, "Bearer nope"}}, validBody, callerapi.Unauthorized,
+		},
 		"negative tokens": {"POST", chatURL, nil, map[string]any{"model": ModelName, "max_tokens": -1}, callerapi.InvalidRequest},
 		"past deadline":   {"POST", bookingsURL, http.Header{callerapi.HeaderDeadline: {"0"}}, validBody, callerapi.DeadlineExceeded},
 		"bad deadline":    {"POST", bookingsURL, http.Header{callerapi.HeaderDeadline: {"soon"}}, validBody, callerapi.InvalidRequest},
--- a/proctest/fleet_platform_test.go
+++ b/proctest/fleet_platform_test.go
@@ -87,6 +87,25 @@
 	requireStatus(http.StatusOK, CallerKey, "key-after")
 }
 
+// Guards against a request that is let in by one of several Authorization headers. Another process on the path may have
+// checked another one.
+func TestFleetRefusesSeveralAuthorizationHeaders(t *testing.T) {
+	t.Parallel()
+	f := DeployFleet(t, FleetSize{Gateways: 1, ModelReplicas: 1, PlainReplicas: 1})
+	c := &fleetClient{fleet: f, ctx: context.Background()}
+	valid, unknown := "Bearer "+CallerKey, "Bearer key-unknown"
+	for _, headers := range [][]string{{valid, unknown}, {unknown, valid}, {valid, ""}, {valid, valid}} {
+		req, err := http.NewRequest(http.MethodGet, f.Gateways[0].URL+"/read/x", nil)
+		require.NoError(t, err)
+		req.Host, req.Header = RouteHost, http.Header{"Authorization": headers, "X-Attempt-Id": {"several"}}
+		a := &attempt{}
+		c.receive(newCallerHTTPClient(), req, a)
+		require.Equal(t, http.StatusUnauthorized, a.status, "%q", headers)
+	}
+	require.Empty(t, f.Runs(), "no replica runs a request")
+	require.Equal(t, http.StatusOK, c.send(newCallerHTTPClient(), f.Gateways[0], "/read/x", CallerKey, 0).status)
+}
+
 // postStore runs an action, such as "backup" or "restore", of the store's stand-in.
 func (f *Fleet) postStore(action string) {
 	status, _, body := Do(f.t, http.MethodPost, f.StoreURL+"/standin/"+action, nil, nil)
