Refuse to delete the last operator

What operators saw: after a change that deleted all operators, or a rollback to a revision before the first one, the bootstrap key was accepted again with the role of an admin, though the operations page says that it is not accepted any more from the first operator on.

Cause: checkAdmin let a configuration without operators pass; an empty list meant the same as none so far, and that was the permissive one.

Change: a change, dry run or rollback that would leave no operator is refused if there was one. A first configuration without operators is allowed as before.

--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkAdmin(preview); err != nil {
+	if err := checkAdmin(base, preview); err != nil {
 		return nil, err
 	}
 	resp := &operatorv1.ApplyResponse{Revision: preview.Revision, Differences: differences(base, preview)}
@@ -248,23 +248,36 @@
 	return &operatorv1.ApplyResponse{Revision: committed.GetRevision(), RepeatedOperation: true}
 }
 
-// checkAdmin rejects a configuration with operators but without an admin, because nobody could change it any more.
-func checkAdmin(s *cluster.State) error {
-	if !s.HasOperators() {
+// checkAdmin rejects a change after which no operator is an admin, because nobody could change anything any more. Without
+// any operator the bootstrap key would be accepted again, so the last one cannot be deleted.
+func checkAdmin(before, after *cluster.State) error {
+	operators := operatorsOf(after)
+	if len(operators) == 0 {
+		if !before.HasOperators() {
+			return nil
+		}
+		return operatorError(operatorsOf(before)[0], "name", "the last operator cannot be deleted, as the bootstrap key would be valid again")
+	}
+	isAdmin := func(o *operatorv1.Object) bool { return o.GetOperator().GetRole() == operatorv1.Role_ROLE_ADMIN }
+	if slices.ContainsFunc(operators, isAdmin) {
 		return nil
 	}
-	var first cluster.Ref
+	return operatorError(operators[0], "role", "at least one operator must be an admin, as nobody could change anything")
+}
+
+// operatorsOf returns the objects of a configuration that are operators.
+func operatorsOf(s *cluster.State) []*operatorv1.Object {
+	var out []*operatorv1.Object
 	for _, o := range s.Objects() {
-		if op := o.GetOperator(); op != nil {
-			if op.GetRole() == operatorv1.Role_ROLE_ADMIN {
-				return nil
-			}
-			first = cluster.RefOf(o)
+		if o.GetOperator() != nil {
+			out = append(out, o)
 		}
 	}
-	return &cluster.ValidationError{Fields: []cluster.FieldError{{
-		Ref: first, Field: "role", Problem: "at least one operator must be an admin, as nobody could change anything",
-	}}}
+	return out
+}
+
+func operatorError(o *operatorv1.Object, field, problem string) error {
+	return &cluster.ValidationError{Fields: []cluster.FieldError{{Ref: cluster.RefOf(o), Field: field, Problem: problem}}}
 }
 
 func differences(before, after *cluster.State) []*operatorv1.Difference {
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -123,6 +123,36 @@
 	require.True(t, env.node.State().Server("draft-01").GetDraining())
 }
 
+// Guards against a bootstrap key that is accepted again because the last operator has been deleted.
+func TestLastOperatorCannotBeDeleted(t *testing.T) {
+	env := newTestEnv(t)
+	_, err := env.client.Apply(t.Context(), connect.NewRequest(&operatorv1.ApplyRequest{
+		Upserts: []*operatorv1.Object{{Kind: &operatorv1.Object_Model{Model: &operatorv1.Model{Name: "m"}}}},
+	}))
+	require.NoError(t, err, "a configuration may begin without operators")
+	f, err := configfile.Read("../../examples/association.jsonc")
+	require.NoError(t, err)
+	_, err = env.client.Apply(t.Context(), connect.NewRequest(&operatorv1.ApplyRequest{Upserts: f.Upserts}))
+	require.NoError(t, err)
+	var all []*operatorv1.ObjectRef
+	for _, o := range env.node.State().Objects() {
+		if o.GetOperator() != nil {
+			all = append(all, cluster.RefOf(o).Proto())
+		}
+	}
+	admin := env.clientWithKey(adminKey)
+	for _, dryRun := range []bool{true, false} {
+		_, err = admin.Apply(t.Context(), connect.NewRequest(&operatorv1.ApplyRequest{Deletes: all, DryRun: dryRun}))
+		require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err))
+	}
+	_, err = admin.Rollback(t.Context(), connect.NewRequest(&operatorv1.RollbackRequest{ToRevision: 1}))
+	require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err), "a rollback to the time before the operators")
+	_, err = env.client.List(t.Context(), connect.NewRequest(&operatorv1.ListRequest{}))
+	require.Equal(t, connect.CodeUnauthenticated, connect.CodeOf(err))
+	_, err = admin.List(t.Context(), connect.NewRequest(&operatorv1.ListRequest{}))
+	require.NoError(t, err)
+}
+
 // Guards against untyped errors, from which a client cannot decide how to react.
 func TestErrorsCarryTypedDetails(t *testing.T) {
 	env := newTestEnv(t)
