Leave the outcome open after status 408

Cause: httpstatus.IsClientError took every status from 400 to 499 for a rejection by the receiver. 408 says so only if the receiver sent it.

Only tests have shown this.

--- a/clients/httpstatus/httpstatus.go
+++ b/clients/httpstatus/httpstatus.go
@@ -33,8 +33,9 @@
 	return nil
 }
 
-// IsClientError reports whether a code states that the request itself was rejected, and so has not been executed. Of the other
-// codes, only those that a protocol defines so state that.
-func IsClientError(code int) bool {
-	return code >= http.StatusBadRequest && code < http.StatusInternalServerError
+// IsRejection reports whether a code states that the request was rejected, and so has not been executed. Of the codes that are
+// not client errors, only those that a protocol defines so state that. http.StatusRequestTimeout does not: a proxy that
+// waits too long for the response sends it too, after it has forwarded the request.
+func IsRejection(code int) bool {
+	return code >= http.StatusBadRequest && code < http.StatusInternalServerError && code != http.StatusRequestTimeout
 }
--- a/clients/kv/client.go
+++ b/clients/kv/client.go
@@ -204,7 +204,7 @@
 		return merry.Wrap(&UnknownOutcomeError{Cause: detail})
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return merry.Wrap(&UnavailableError{Cause: detail})
-	case !httpstatus.IsClientError(status):
+	case !httpstatus.IsRejection(status):
 		// The service, or a load balancer in front of it, failed during the call, or the status says nothing about it.
 		return merry.Wrap(&UnknownOutcomeError{Cause: detail})
 	}
--- a/clients/kv/client_test.go
+++ b/clients/kv/client_test.go
@@ -81,7 +81,7 @@
 	c := NewClient(base, time.Minute, nil)
 	for _, status = range []int{
 		http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusAccepted,
-		http.StatusNotModified, 600, 999,
+		http.StatusNotModified, http.StatusRequestTimeout, 600, 999,
 	} {
 		_, err = c.Put(t.Context(), "key", nil, Absent, 0)
 		var unknown *UnknownOutcomeError
--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -296,7 +296,7 @@
 	defer resp.Body.Close()
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxResultBytes))
 	switch {
-	case httpstatus.IsClientError(resp.StatusCode):
+	case httpstatus.IsRejection(resp.StatusCode):
 		refused := &RefusedError{Status: resp.StatusCode}
 		_ = dec.Decode(&refused.Refusal)
 		return Result{}, merry.Wrap(refused)
--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -200,7 +200,7 @@
 // Guards against an order that is reported as rejected, or not repeated, although the engine has executed it and only its
 // response had a status that says nothing of the order.
 func TestStatusThatIsNoRefusalLeavesOutcomeUnknown(t *testing.T) {
-	for _, status := range []int{0, 99, http.StatusNoContent, http.StatusFound, http.StatusBadGateway, 600} {
+	for _, status := range []int{0, 99, http.StatusNoContent, http.StatusFound, http.StatusRequestTimeout, http.StatusBadGateway, 600} {
 		for _, once := range []bool{true, false} {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(true)
--- a/side/requests.go
+++ b/side/requests.go
@@ -125,7 +125,7 @@
 		return callerapi.NotExecuted(callerapi.InvalidRequest, "%v", err)
 	case errors.As(err, &status) && status.Status == http.StatusTooManyRequests:
 		return callerapi.NotExecuted(callerapi.Overloaded, "%v", err).WithRetryAfter(defaultRetryAfter)
-	case errors.As(err, &status) && httpstatus.IsClientError(status.Status):
+	case errors.As(err, &status) && httpstatus.IsRejection(status.Status):
 		return callerapi.NotExecuted(callerapi.InvalidRequest, "%v", err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return callerapi.MaybeExecuted(callerapi.BackendFailed, "the entry has given the request up")
--- a/side/requests_test.go
+++ b/side/requests_test.go
@@ -28,6 +28,7 @@
 	}{
 		{t.Context(), &engine.StatusError{Status: http.StatusTooManyRequests}, callerapi.Overloaded, callerapi.ExecutedNo},
 		{t.Context(), &engine.StatusError{Status: http.StatusBadRequest}, callerapi.InvalidRequest, callerapi.ExecutedNo},
+		{t.Context(), &engine.StatusError{Status: http.StatusRequestTimeout}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
 		{t.Context(), &engine.StatusError{Status: http.StatusBadGateway}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
 		{t.Context(), &engine.StatusError{Status: http.StatusNoContent}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
 		{t.Context(), &engine.StatusError{Status: http.StatusFound}, callerapi.BackendFailed, callerapi.ExecutedUnknown},
