Take only complete entries of the server list for servers

Cause: a missing field was taken for its zero value. Without a start an entry counted as newer than the replica's own; with a later start at a replica's address the replica counted as gone.

A server stays as it is while the entry below its ID is invalid or of a service that is not named. Such entries are counted, and logged once for each key.

--- a/cmd/internal/gatewayd/drain_test.go
+++ b/cmd/internal/gatewayd/drain_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -115,8 +114,7 @@
 			Targets: []catalog.Target{{Service: "s", Weight: 1}},
 		}},
 	}))
-	entry := fmt.Sprintf(`{"Service":"s","Address":%q,"Slots":8,"State":"ready"}`, backend.Listener.Addr())
-	d.gateway.onServersChange(map[string]kv.Entry{"servers/a": {Value: []byte(entry)}}, time.Time{})
+	d.gateway.onServersChange(map[string]kv.Entry{"servers/a": serverEntry(t, backend.Listener.Addr().String(), 0)}, time.Time{})
 	return d
 }
 
--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -75,6 +75,8 @@
 	conns        *callers.Tracker
 	admin        *telemetry.Admin
 	pauses       pauseDetector
+	// invalidEntries counts the entries of the server list that are not of a server.
+	invalidEntries invalidEntries
 	// serversKnown is set once the server list has been read.
 	serversKnown atomic.Bool
 }
@@ -163,6 +165,10 @@
 			Name: "lavendermoor.gateway.cold_servers", Description: "Backend servers that count as cold.",
 			Value: func() int64 { return g.fleet.CountCold(time.Now()) },
 		},
+		{
+			Name: "lavendermoor.gateway.invalid_entries", Counter: true, Value: g.invalidEntries.count.Load,
+			Description: "Entries of the server list that are not of a server, one for each change of such an entry.",
+		},
 		{
 			Name: "lavendermoor.gateway.limited_servers", Description: "Backend servers that name a rate limit.",
 			Value: g.fleet.CountLimited,
--- /dev/null
+++ b/cmd/internal/gatewayd/invalid_entries.go
@@ -0,0 +1,44 @@
+package gatewayd
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+)
+
+// maxLoggedEntries bounds the IDs whose invalid entry is logged.
+const maxLoggedEntries = 1000
+
+// invalidEntries counts the entries of the server list that are not of a server, and logs the first one of each ID. Such
+// entries come from another writer, which may repeat them.
+type invalidEntries struct {
+	// current holds the reasons of the last list by ID. It and logged are used by the goroutine of the mirror only.
+	current map[string]string
+	logged  map[string]bool
+	count   atomic.Int64
+}
+
+// observe takes the reasons of the invalid entries of a list, by ID.
+func (e *invalidEntries) observe(reasons map[string]error, log *zap.Logger) {
+	current := make(map[string]string, len(reasons))
+	for id, err := range reasons {
+		current[id] = err.Error()
+		if e.current[id] == current[id] {
+			continue
+		}
+		e.count.Add(1)
+		e.logFirst(id, err, log)
+	}
+	e.current = current
+}
+
+func (e *invalidEntries) logFirst(id string, err error, log *zap.Logger) {
+	if e.logged[id] || len(e.logged) >= maxLoggedEntries {
+		return
+	}
+	if e.logged == nil {
+		e.logged = map[string]bool{}
+	}
+	e.logged[id] = true
+	log.Warn("entry of the server list ignored: it is not of a server", zap.String("server", id), zap.Error(err))
+}
--- a/cmd/internal/gatewayd/mirrors.go
+++ b/cmd/internal/gatewayd/mirrors.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,10 +56,9 @@
 
 func (g *gateway) onServersChange(entries map[string]kv.Entry, keepUntil time.Time) {
 	servers, failed := platform.DecodeServers(entries)
-	for _, err := range failed {
-		g.log.Debug("invalid entry of the server list skipped", zap.Error(err))
-	}
-	g.logServerChanges(g.fleet.Update(servers, keepUntil, time.Now()))
+	g.invalidEntries.observe(failed, g.log)
+	list := balance.ServerList{Servers: servers, Invalid: slices.Collect(maps.Keys(failed))}
+	g.logServerChanges(g.fleet.UpdateList(list, keepUntil, time.Now()))
 	g.serversKnown.Store(true)
 }
 
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -28,8 +28,8 @@
 	former map[catalog.Incarnation]formerIncarnation
 	// services are the services that the configuration names, nil while it is unknown.
 	services map[string]bool
-	// listed and keepUntil are the arguments of the last Update.
-	listed    []catalog.Server
+	// listed and keepUntil are the arguments of the last UpdateList.
+	listed    ServerList
 	keepUntil time.Time
 	// hasList is set after the first Update.
 	hasList bool
@@ -74,20 +74,33 @@
 	Kind string
 }
 
-// Update replaces the list of servers and returns the changes. Entries older than the current entry of the same
+// ServerList is the list of servers.
+type ServerList struct {
+	Servers []catalog.Server
+	// Invalid holds the IDs below which an entry is listed that is not one of a server. Another writer has replaced the
+	// entry of the server with that ID, if there is one, until the server's next heartbeat.
+	Invalid []string
+}
+
+// Update is UpdateList for a list without invalid entries.
+func (f *Fleet) Update(servers []catalog.Server, keepUntil, now time.Time) []Change {
+	return f.UpdateList(ServerList{Servers: servers}, keepUntil, now)
+}
+
+// UpdateList replaces the list of servers and returns the changes. Entries older than the current entry of the same
 // incarnation are ignored. A server that is newly missing is kept until keepUntil, because its entry may have expired
 // during an outage although it is alive. Until then it gets requests only if its service has no other server. With a
-// zero keepUntil it is removed immediately.
-func (f *Fleet) Update(servers []catalog.Server, keepUntil, now time.Time) []Change {
+// zero keepUntil it is removed immediately. An invalid entry changes nothing.
+func (f *Fleet) UpdateList(list ServerList, keepUntil, now time.Time) []Change {
 	f.updates.Lock()
 	defer f.updates.Unlock()
-	f.listed, f.keepUntil = servers, keepUntil
+	f.listed, f.keepUntil = list, keepUntil
 	defer func() { f.hasList = true }()
 	return f.applyList(now)
 }
 
 // SetServices sets the names of the services that the configuration names, and returns the changes. An entry of another
-// service has no effect on the servers of these. Before the first call, all services count as named.
+// service has no effect on the servers of these, and counts as invalid below the ID of one of them. Before the first call, all services count as named.
 func (f *Fleet) SetServices(names []string, now time.Time) []Change {
 	f.updates.Lock()
 	defer f.updates.Unlock()
@@ -103,12 +116,12 @@
 
 // applyList makes the servers listed last the current ones. The caller holds updates.
 func (f *Fleet) applyList(now time.Time) []Change {
-	servers, keepUntil := f.listed, f.keepUntil
 	old, next := f.current.Load(), newSnapshot()
 	var changes []Change
-	latest := f.latestStarts(servers)
-	for _, s := range servers {
-		if f.isStale(s, now) || superseded(s, latest) {
+	latest := f.latestStarts(f.listed.Servers)
+	held := f.heldServers(old)
+	for _, s := range f.listed.Servers {
+		if held[s.ID] || f.isStale(s, now) || superseded(s, latest) {
 			continue
 		}
 		b, known := old.byID[s.ID]
@@ -130,8 +143,12 @@
 			continue
 		}
 		until, missing := old.missing[id]
+		if held[id] && !missing && !superseded(b.Server(), latest) {
+			next.add(id, b)
+			continue
+		}
 		if !missing {
-			until = keepUntil
+			until = f.keepUntil
 		}
 		if superseded(b.Server(), latest) {
 			until = now
@@ -142,6 +159,24 @@
 	return changes
 }
 
+// heldServers returns the IDs of the current servers whose entry has been replaced by an invalid one, or by one of a service
+// that the configuration does not name. They stay as they are.
+func (f *Fleet) heldServers(current *snapshot) map[string]bool {
+	held := map[string]bool{}
+	for _, id := range f.listed.Invalid {
+		held[id] = true
+	}
+	for _, s := range f.listed.Servers {
+		if f.isNamed(s.Service) {
+			continue
+		}
+		if b, known := current.byID[s.ID]; known && f.isNamed(b.Server().Service) {
+			held[s.ID] = true
+		}
+	}
+	return held
+}
+
 // keepMissing adds a missing server to the next snapshot, or removes the server if the given time has passed. It
 // returns the changes, with the removal appended.
 func (f *Fleet) keepMissing(next *snapshot, b *Backend, until, now time.Time, changes []Change) []Change {
--- a/proctest/fleet_platform_test.go
+++ b/proctest/fleet_platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -158,16 +159,16 @@
 	f := DeployFleet(t, FleetSize{Gateways: 2, ModelReplicas: 3, PlainReplicas: 2})
 	c := &fleetClient{fleet: f, ctx: context.Background()}
 	deep := strings.Repeat("[", 200_000)
+	const others = `"Zone":"a","Version":"v1","State":"ready","WarmupLeftMs":0,"Seq":1,"born":1760000000000`
 	for name, value := range map[string]string{
 		"nested": deep,
-		"field":  `{"Service":"model","Address":"127.0.0.1:9","Slots":8,"State":"ready","Other":` + deep + strings.Repeat("]", len(deep)) + "}",
-		"number": `{"Service":"model","Address":"127.0.0.1:9","Slots":1e400,"State":"ready"}`,
-		"slots":  `{"Service":"model","Address":"127.0.0.1:9","Slots":9000000000000000000,"State":"ready"}`,
-		"port":   `{"Service":"model","Address":"` + instanceIP(0) + `:70000","Slots":8,"State":"ready"}`,
-		"plain":  `{"Service":"booking","Address":"127.0.0.1:70000","Slots":8000,"State":"ready"}`,
+		"field":  `{"Service":"model","Address":"127.0.0.1:9","Slots":8,` + others + `,"Other":` + deep + strings.Repeat("]", len(deep)) + "}",
+		"number": `{"Service":"model","Address":"127.0.0.1:9","Slots":1e400,` + others + "}",
+		"slots":  `{"Service":"model","Address":"127.0.0.1:9","Slots":9000000000000000000,` + others + "}",
+		"port":   `{"Service":"model","Address":"` + instanceIP(0) + `:70000","Slots":8,` + others + "}",
+		"plain":  `{"Service":"booking","Address":"127.0.0.1:70000","Slots":8000,` + others + "}",
 	} {
-		status, _, body := Do(t, http.MethodPut, f.StoreURL+"/standin/key?Key=servers/odd-"+name, nil, []byte(value))
-		require.Equal(t, http.StatusOK, status, "%s", body)
+		f.writeServerEntry("odd-"+name, value)
 	}
 	time.Sleep(configBound)
 	f.RestartRankSidecar(killed(f.RankSidecars[1]))
@@ -196,6 +197,50 @@
 	}
 }
 
+// writeServerEntry writes an entry of the server list, as another writer.
+func (f *Fleet) writeServerEntry(id, value string) {
+	status, _, body := Do(f.t, http.MethodPut, f.StoreURL+"/standin/key?Key=servers/"+id, nil, []byte(value))
+	require.Equal(f.t, http.StatusOK, status, "%s", body)
+}
+
+// Guards against entries of another writer with fields missing. Below the key of a plain replica they sent it the streams
+// of the model service (review/7), and with the addresses of the replicas they took all of these out of use (review/9).
+func TestFleetIgnoresEntriesOfAnotherWriter(t *testing.T) {
+	t.Parallel()
+	f := DeployFleet(t, FleetSize{Gateways: 2, ModelReplicas: 2, PlainReplicas: 2})
+	c := &fleetClient{fleet: f, ctx: context.Background()}
+	const plain = 2 // The plain replicas follow the model replicas.
+	for round := range 4 {
+		f.writeServerEntry(replicaName(plain), fmt.Sprintf(`{"Service":"model","Address":%q,"Slots":8,"State":"ready"}`,
+			f.ReplicaLinks[plain].Address))
+		for i, link := range f.ReplicaLinks {
+			service := "model"
+			if i >= plain {
+				service = "booking"
+			}
+			f.writeServerEntry(fmt.Sprint("other-", i), fmt.Sprintf(
+				`{"Service":%q,"Address":%q,"Slots":1,"State":"ready","born":%d}`, service, link.Address, time.Now().UnixMilli()))
+		}
+		time.Sleep(drainBound / 4)
+		for _, g := range f.Gateways {
+			for range 5 {
+				require.Equal(t, http.StatusOK, c.send(newCallerHTTPClient(), g, "/once/x", CallerKey, 0).status, "round %d", round)
+				a := c.send(newCallerHTTPClient(), g, "/stream/x", CallerKey, 3)
+				require.Equal(t, http.StatusOK, a.status, "round %d", round)
+				require.True(t, a.complete, "round %d", round)
+			}
+		}
+	}
+	paths := map[string]string{}
+	for _, a := range c.attempts {
+		paths[a.id] = a.path
+	}
+	for _, run := range f.Runs() {
+		isPlain := run.Replica == replicaName(plain) || run.Replica == replicaName(plain+1)
+		require.Equal(t, isPlain, paths[run.Attempt] == "/once/x", "%s ran at %s", paths[run.Attempt], run.Replica)
+	}
+}
+
 // killed kills a rank sidecar and returns it.
 func killed(r *RankSidecar) *RankSidecar {
 	r.Kill()
