Remember removed servers however old a restored list is

Cause: an entry that appears again was compared with the last one of the removed incarnation for 15 s only.

Change: gateway/balance keeps removed incarnations in a table of 16,384 without a time limit; an entry of one counts only with a sequence number above the last one known, and in the first list of an era it counts as known and not as a sign of life. The application of the list moves from fleet.go to list.go. An entry with sequence number 0 is ordered like any other.

--- a/cmd/internal/gatewayd/drain_test.go
+++ b/cmd/internal/gatewayd/drain_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
-	"lavendermoor.example/clients/kv"
 	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/telemetry"
@@ -114,7 +113,7 @@
 			Targets: []catalog.Target{{Service: "s", Weight: 1}},
 		}},
 	}))
-	d.gateway.onServersChange(map[string]kv.Entry{"servers/a": serverEntry(t, backend.Listener.Addr().String(), 0)}, time.Time{})
+	d.gateway.onServersChange(serversSnapshot("a", serverEntry(t, backend.Listener.Addr().String(), 0)), time.Time{})
 	return d
 }
 
--- a/cmd/internal/gatewayd/entries_test.go
+++ b/cmd/internal/gatewayd/entries_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"lavendermoor.example/clients/kv"
+	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/platform"
 )
 
@@ -42,6 +43,11 @@
 	return f.entry(t)
 }
 
+// serversSnapshot returns a snapshot of a list with one entry.
+func serversSnapshot(id string, entry kv.Entry) *mirror.Snapshot {
+	return &mirror.Snapshot{Entries: map[string]kv.Entry{platform.ServersPrefix + id: entry}}
+}
+
 // outOfRange holds a value that is out of range for each field of a server entry.
 var outOfRange = entryFields{
 	"Service": "", "Address": "1.2.3.4:0", "Zone": "", "Version": "", "Slots": 0, "State": "resting", "WarmupLeftMs": -1,
@@ -127,12 +133,12 @@
 
 // apply passes the list to the gateways.
 func (m *serversModel) apply() {
-	m.disturbed.onServersChange(m.listed, time.Time{})
+	m.disturbed.onServersChange(&mirror.Snapshot{Entries: m.listed}, time.Time{})
 	without := map[string]kv.Entry{}
 	for id, f := range m.own {
 		without["servers/"+id] = f.entry(m.t)
 	}
-	m.fit.onServersChange(without, time.Time{})
+	m.fit.onServersChange(&mirror.Snapshot{Entries: without}, time.Time{})
 }
 
 // describe returns what a gateway knows of the servers of the named service.
--- a/cmd/internal/gatewayd/evacuation_test.go
+++ b/cmd/internal/gatewayd/evacuation_test.go
@@ -59,7 +59,7 @@
 // Guards against a configuration or a server list whose warm-up does not reach the choice of servers.
 func TestWarmupsAreApplied(t *testing.T) {
 	g := newTestGateway(t, "127.0.0.1:1")
-	g.onServersChange(map[string]kv.Entry{"servers/a": serverEntry(t, "127.0.0.1:9", time.Minute)}, time.Time{})
+	g.onServersChange(serversSnapshot("a", serverEntry(t, "127.0.0.1:9", time.Minute)), time.Time{})
 	cold := func() int64 { return g.srv.Dump().Backends[0].ColdMs }
 	require.Zero(t, cold())
 	g.onConfigChange(configSnapshot(0, `{"Version":1,"Services":[{"Name":"s","WarmupS":3,"WarmupPerS":26}]}`))
--- a/cmd/internal/gatewayd/mirrors.go
+++ b/cmd/internal/gatewayd/mirrors.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"lavendermoor.example/clients/kv"
 	"lavendermoor.example/cmd/internal/process"
 	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/gateway/balance"
@@ -29,7 +28,7 @@
 	g.servers = mirror.New(mirror.Options{
 		Source: store, Prefix: platform.ServersPrefix, PollWait: serversPollWait, PollDelay: serversPollDelay,
 		FetchFromPeer: g.peers.FetchSnapshot, FollowReader: g.followReader,
-		OnChange: func(s *mirror.Snapshot, keepUntil time.Time) { g.onServersChange(s.Entries, keepUntil) }, Log: g.log,
+		OnChange: func(s *mirror.Snapshot, keepUntil time.Time) { g.onServersChange(s, keepUntil) }, Log: g.log,
 	})
 	g.suspects = mirror.New(mirror.Options{
 		Source: store, Prefix: quarantine.RecordPrefix, PollWait: configPollWait, PollDelay: configPollDelay,
@@ -54,10 +53,10 @@
 	}
 }
 
-func (g *gateway) onServersChange(entries map[string]kv.Entry, keepUntil time.Time) {
-	servers, failed := platform.DecodeServers(entries)
+func (g *gateway) onServersChange(s *mirror.Snapshot, keepUntil time.Time) {
+	servers, failed := platform.DecodeServers(s.Entries)
 	g.invalidEntries.observe(failed, g.log)
-	list := balance.ServerList{Servers: servers, Invalid: slices.Collect(maps.Keys(failed))}
+	list := balance.ServerList{Servers: servers, Era: s.At.Era, Invalid: slices.Collect(maps.Keys(failed))}
 	g.logServerChanges(g.fleet.UpdateList(list, keepUntil, time.Now()))
 	g.serversKnown.Store(true)
 }
--- a/cmd/internal/gatewayd/ready_test.go
+++ b/cmd/internal/gatewayd/ready_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lavendermoor.example/configsync/mirror"
 	"lavendermoor.example/gateway/catalog"
 	"lavendermoor.example/telemetry"
 )
@@ -27,6 +28,6 @@
 	}
 	g.srv.SetCatalog(catalog.New(catalog.Document{Version: 1}))
 	require.Equal(t, http.StatusServiceUnavailable, status())
-	g.onServersChange(nil, time.Time{})
+	g.onServersChange(&mirror.Snapshot{}, time.Time{})
 	require.Equal(t, http.StatusOK, status())
 }
--- a/gateway/balance/fleet.go
+++ b/gateway/balance/fleet.go
@@ -24,8 +24,9 @@
 	updates sync.Mutex
 	current atomic.Pointer[snapshot]
 
-	// The fields below are guarded by updates. former holds the incarnations that are no longer listed.
-	former map[catalog.Incarnation]formerIncarnation
+	// The fields below are guarded by updates. former holds the state of incarnations that were listed until recently.
+	former  map[catalog.Incarnation]formerIncarnation
+	removed *removedTable
 	// services are the services that the configuration names, nil while it is unknown.
 	services map[string]bool
 	// listed and keepUntil are the arguments of the last UpdateList.
@@ -60,197 +61,13 @@
 	f := &Fleet{
 		dialect: dialect, domain: domain,
 		evacuations: newEvacuations(), warmups: newWarmups(), gateways: newGatewayTable(), regions: newRegionTable(),
-		former: map[catalog.Incarnation]formerIncarnation{}, groups: map[groupKey]*Group{},
+		former: map[catalog.Incarnation]formerIncarnation{}, removed: newRemovedTable(), groups: map[groupKey]*Group{},
 	}
 	f.current.Store(newSnapshot())
 	f.SetOrderStart(math.NaN())
 	return f
 }
 
-// Change is one difference between two lists of servers.
-type Change struct {
-	Server catalog.Server
-	// Kind is "added", "removed" or "draining".
-	Kind string
-}
-
-// ServerList is the list of servers.
-type ServerList struct {
-	Servers []catalog.Server
-	// Invalid holds the IDs below which an entry is listed that is not one of a server. Another writer has replaced the
-	// entry of the server with that ID, if there is one, until the server's next heartbeat.
-	Invalid []string
-}
-
-// Update is UpdateList for a list without invalid entries.
-func (f *Fleet) Update(servers []catalog.Server, keepUntil, now time.Time) []Change {
-	return f.UpdateList(ServerList{Servers: servers}, keepUntil, now)
-}
-
-// UpdateList replaces the list of servers and returns the changes. Entries older than the current entry of the same
-// incarnation are ignored. A server that is newly missing is kept until keepUntil, because its entry may have expired
-// during an outage although it is alive. Until then it gets requests only if its service has no other server. With a
-// zero keepUntil it is removed immediately. An invalid entry changes nothing.
-func (f *Fleet) UpdateList(list ServerList, keepUntil, now time.Time) []Change {
-	f.updates.Lock()
-	defer f.updates.Unlock()
-	f.listed, f.keepUntil = list, keepUntil
-	defer func() { f.hasList = true }()
-	return f.applyList(now)
-}
-
-// SetServices sets the names of the services that the configuration names, and returns the changes. An entry of another
-// service has no effect on the servers of these, and counts as invalid below the ID of one of them. Before the first call, all services count as named.
-func (f *Fleet) SetServices(names []string, now time.Time) []Change {
-	f.updates.Lock()
-	defer f.updates.Unlock()
-	f.services = map[string]bool{}
-	for _, name := range names {
-		f.services[name] = true
-	}
-	return f.applyList(now)
-}
-
-// isNamed reports whether the configuration names a service.
-func (f *Fleet) isNamed(service string) bool { return f.services == nil || f.services[service] }
-
-// applyList makes the servers listed last the current ones. The caller holds updates.
-func (f *Fleet) applyList(now time.Time) []Change {
-	old, next := f.current.Load(), newSnapshot()
-	var changes []Change
-	latest := f.latestStarts(f.listed.Servers)
-	held := f.heldServers(old)
-	for _, s := range f.listed.Servers {
-		if held[s.ID] || f.isStale(s, now) || superseded(s, latest) {
-			continue
-		}
-		b, known := old.byID[s.ID]
-		if known && (b.Pool.Address() != s.Address || b.restarted(s)) {
-			// No state of the former incarnation applies to the new one.
-			f.retire(b, now)
-			known = false
-		}
-		if !known {
-			b = f.addBackend(s, now)
-			changes = append(changes, Change{Server: s, Kind: "added"})
-		} else if b.updateEntry(s, now) {
-			changes = append(changes, Change{Server: s, Kind: "draining"})
-		}
-		next.add(s.ID, b)
-	}
-	for id, b := range old.byID {
-		if _, listed := next.byID[id]; listed {
-			continue
-		}
-		until, missing := old.missing[id]
-		if held[id] && !missing && !superseded(b.Server(), latest) {
-			next.add(id, b)
-			continue
-		}
-		if !missing {
-			until = f.keepUntil
-		}
-		if superseded(b.Server(), latest) {
-			until = now
-		}
-		changes = f.keepMissing(next, b, until, now, changes)
-	}
-	f.publish(next)
-	return changes
-}
-
-// heldServers returns the IDs of the current servers whose entry has been replaced by an invalid one, or by one of a service
-// that the configuration does not name. They stay as they are.
-func (f *Fleet) heldServers(current *snapshot) map[string]bool {
-	held := map[string]bool{}
-	for _, id := range f.listed.Invalid {
-		held[id] = true
-	}
-	for _, s := range f.listed.Servers {
-		if f.isNamed(s.Service) {
-			continue
-		}
-		if b, known := current.byID[s.ID]; known && f.isNamed(b.Server().Service) {
-			held[s.ID] = true
-		}
-	}
-	return held
-}
-
-// keepMissing adds a missing server to the next snapshot, or removes the server if the given time has passed. It
-// returns the changes, with the removal appended.
-func (f *Fleet) keepMissing(next *snapshot, b *Backend, until, now time.Time, changes []Change) []Change {
-	s := b.Server()
-	if !now.Before(until) {
-		f.retire(b, now)
-		return append(changes, Change{Server: s, Kind: "removed"})
-	}
-	b.setMissing(true)
-	next.missing[s.ID] = until
-	next.add(s.ID, b)
-	return changes
-}
-
-// RemoveExpired removes the missing servers that need not be kept any longer. It returns the changes.
-func (f *Fleet) RemoveExpired(now time.Time) []Change {
-	f.updates.Lock()
-	defer f.updates.Unlock()
-	old, next := f.current.Load(), newSnapshot()
-	if len(old.missing) == 0 {
-		return nil
-	}
-	var changes []Change
-	for id, b := range old.byID {
-		if until, missing := old.missing[id]; missing {
-			changes = f.keepMissing(next, b, until, now, changes)
-			continue
-		}
-		next.add(id, b)
-	}
-	if len(changes) > 0 {
-		f.publish(next)
-	}
-	return changes
-}
-
-func (s *snapshot) add(id string, b *Backend) {
-	service := b.Server().Service
-	s.byID[id] = b
-	s.byService[service] = append(s.byService[service], b)
-}
-
-func (b *Backend) setMissing(missing bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.missing = missing
-}
-
-// restarted reports whether the entry is of another incarnation of the server.
-func (b *Backend) restarted(s catalog.Server) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !s.Started.IsZero() && !b.server.Started.IsZero() && !s.Started.Equal(b.server.Started)
-}
-
-// updateEntry replaces the server's entry and reports whether the server started to drain. An entry with a lower
-// sequence number is from an older copy of the list and is ignored. A draining server stays draining until it restarts.
-func (b *Backend) updateEntry(s catalog.Server, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.missing = false
-	if hasSequence(s) && s.Started.Equal(b.server.Started) && s.Seq < b.server.Seq {
-		return false
-	}
-	// The same entry is applied again at each change of the list.
-	if s.Seq != b.server.Seq || s.WarmupLeft != b.server.WarmupLeft {
-		b.warm.applyEntry(s, now)
-	}
-	began := s.Draining && !b.server.Draining
-	s.Draining = s.Draining || (b.server.Draining && !s.Started.IsZero())
-	b.server = s
-	return began
-}
-
 // SetPaces sets the paces of a service's slow servers by address; every other server is at its expected speed. It
 // returns the servers whose pace changed.
 func (f *Fleet) SetPaces(service string, paces map[string]float64) []catalog.Server {
--- a/gateway/balance/incarnation.go
+++ b/gateway/balance/incarnation.go
@@ -6,10 +6,9 @@
 	"lavendermoor.example/gateway/catalog"
 )
 
-// formerIncarnation is the remembered state of an incarnation that is no longer listed. A list restored from an older
-// copy may contain it again.
+// formerIncarnation is the remembered state of an incarnation that is no longer listed. It applies again if an entry shows
+// that the incarnation still runs.
 type formerIncarnation struct {
-	seq        int64
 	leaving    bool
 	suspension suspension
 	warm       warmState
@@ -24,13 +23,15 @@
 func (f *Fleet) retire(b *Backend, now time.Time) {
 	b.mu.Lock()
 	key := b.server.Incarnation()
+	seq := b.server.Seq
 	former := formerIncarnation{
-		seq: b.server.Seq, leaving: b.leaving || b.server.Draining, suspension: b.suspension,
+		leaving: b.leaving || b.server.Draining, suspension: b.suspension,
 		warm: b.warm, rate: b.rate.clone(), retiredAt: now,
 	}
 	b.removed = true
 	b.mu.Unlock()
 	b.Pool.Close()
+	f.removed.add(key, seq)
 	f.former[key] = former
 	for other, state := range f.former {
 		if now.Sub(state.retiredAt) > formerIncarnationTTL {
@@ -39,20 +40,9 @@
 	}
 }
 
-// staleEntryWindow is how long after a server was removed from the list its entry may reappear from an older copy of
-// the list.
-const staleEntryWindow = 15 * time.Second
-
-// isStale reports whether an entry is not newer than the last one of the same incarnation before it was removed from
-// the list. A live server keeps increasing its sequence number.
-func (f *Fleet) isStale(s catalog.Server, now time.Time) bool {
-	former, ok := f.former[s.Incarnation()]
-	return ok && hasSequence(s) && s.Seq <= former.seq && now.Sub(former.retiredAt) < staleEntryWindow
-}
-
 // hasSequence reports whether an entry can be ordered by its sequence number among entries of the same incarnation. A
 // server that does not report its start time may have restarted, and then counts from the beginning.
-func hasSequence(s catalog.Server) bool { return !s.Started.IsZero() && s.Seq > 0 }
+func hasSequence(s catalog.Server) bool { return !s.Started.IsZero() }
 
 // addBackend returns the backend of a newly listed server. What the server reported about itself in the same
 // incarnation still applies.
@@ -62,6 +52,7 @@
 		b.warm.startedAt = now
 	}
 	key := s.Incarnation()
+	f.removed.confirm(key)
 	if former, ok := f.former[key]; ok && key.StartedMs != 0 {
 		b.leaving, b.suspension, b.warm, b.rate = former.leaving, former.suspension, former.warm, former.rate
 		delete(f.former, key)
