--- a/gateway/ingress/quarantine_test.go
+++ b/gateway/ingress/quarantine_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -232,3 +234,10 @@
 	_, _, err = g.get(t, "/fixed/x")
 	require.Error(t, err, "a stream that ends inside an event must not look complete")
 }
+
+// Guards against log lines that grow with the number of parts of a prompt.
+func TestLoggedPromptIsBounded(t *testing.T) {
+	require.Equal(t, "a,b", promptText([]string{"a", "b"}))
+	require.Empty(t, promptText(nil))
+	require.Equal(t, strings.Repeat("x,", maxLoggedParts)+"and 3 more", promptText(slices.Repeat([]string{"x"}, maxLoggedParts+3)))
+}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -92,7 +93,7 @@
 			fields = append(fields,
 				zap.Duration("queued", c.queueTime), zap.Duration("first", c.firstEventLatency),
 				zap.Duration("pause", c.longestGap),
-				zap.Int("events", c.eventCount), zap.String("prompt", strings.Join(c.meta.SharedParts, ",")),
+				zap.Int("events", c.eventCount), zap.String("prompt", promptText(c.meta.SharedParts)),
 				zap.String("group", c.group()), zap.Int("limit", limit),
 				zap.Int("in_flight", inFlight), zap.Int("waiting", waiting))
 			fields = append(fields, c.work.logFields(c.eventCount, c.completed)...)
@@ -179,3 +180,15 @@
 		m.longestGap.Record(ctx, c.longestGap.Seconds())
 	}
 }
+
+// maxLoggedParts bounds the parts of a prompt in a log line, as the volume of the log is limited.
+const maxLoggedParts = 128
+
+// promptText returns the IDs of the parts of a prompt for a log line. It ends with the number of those that are left out.
+func promptText(parts []string) string {
+	text := strings.Join(parts[:min(len(parts), maxLoggedParts)], ",")
+	if more := len(parts) - maxLoggedParts; more > 0 {
+		text += fmt.Sprintf(",and %d more", more)
+	}
+	return text
+}
--- a/gateway/quarantine/others.go
+++ b/gateway/quarantine/others.go
@@ -11,10 +11,6 @@
 func (q *Quarantine) ApplyPeer(first Record, now time.Time) (answered, blocked bool) {
 	q.mu.Lock()
 	s := q.suspect(first.Part, now)
-	if s == nil {
-		q.mu.Unlock()
-		return false, false
-	}
 	wasBlocking := s.blocking()
 	if s.record.LastServer == first.LastServer || s.sameCrash(first.LastServer, q.justStarted(first.Part.Service), now) {
 		s.strengthen(first)
@@ -24,7 +20,7 @@
 	answered, blocked = s.record.Answered, s.blocking() && !wasBlocking
 	var withdraw []func()
 	if blocked {
-		withdraw = q.watchersOf(s)
+		withdraw = q.withdrawals([]Part{first.Part})
 	}
 	q.mu.Unlock()
 	callAll(withdraw)
@@ -70,11 +66,10 @@
 func (q *Quarantine) ApplyShared(records []Shared, complete bool, now time.Time) (out Applied) {
 	q.mu.Lock()
 	listed := make(map[Part]bool, len(records))
-	var withdraw []func()
 	for _, r := range records {
 		listed[r.Part] = true
 		s := q.suspect(r.Part, now)
-		if s == nil || !s.at.Before(r.At) {
+		if !s.at.Before(r.At) {
 			continue
 		}
 		wasBlocking := s.blocking()
@@ -84,7 +79,6 @@
 		}
 		if s.blocking() && !wasBlocking {
 			out.Blocked = append(out.Blocked, r.Part)
-			withdraw = append(withdraw, q.watchersOf(s)...)
 		}
 	}
 	for part, s := range q.suspects {
@@ -93,6 +87,7 @@
 		}
 	}
 	q.count.Store(int64(len(q.suspects)))
+	withdraw := q.withdrawals(out.Blocked)
 	q.mu.Unlock()
 	callAll(withdraw)
 	return out
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -32,8 +32,6 @@
 	// RecordTTL is how long a record is kept after the last crash or probe. It exceeds maxBlock, so that a part whose
 	// block has ended is probed and not forgotten.
 	RecordTTL = 10 * time.Minute
-	// maxSuspects bounds the suspected parts that a process remembers.
-	maxSuspects = 1024
 	// sameCrashWindow is the time within which the requests that fail at one server count as one crash. Crashes of
 	// several servers in this time count once for a part that many requests may share, because no answer can come in
 	// between.
@@ -58,13 +56,13 @@
 	answered memory
 	// answeredRequests holds the whole requests. They are many, and would displace the parts in the same memory.
 	answeredRequests memory
-	// watchers holds the functions that withdraw requests in flight.
-	watchers map[Part]map[*func(Part)]struct{}
+	// watches holds the requests in flight.
+	watches map[*watch]struct{}
 }
 
 // New returns an empty quarantine.
 func New() *Quarantine {
-	return &Quarantine{suspects: map[Part]*suspect{}, watchers: map[Part]map[*func(Part)]struct{}{}}
+	return &Quarantine{suspects: map[Part]*suspect{}, watches: map[*watch]struct{}{}}
 }
 
 // Verdict is the decision on a request. The zero value lets it pass.
@@ -98,14 +96,27 @@
 	if len(blocked) == 0 {
 		return Verdict{}
 	}
-	last := slices.MaxFunc(blocked, func(a, b *suspect) int { return a.probeFrom(parts).Compare(b.probeFrom(parts)) })
-	from := last.probeFrom(parts)
+	last, from := lastProbe(blocked, parts)
 	if len(blocked) > 1 && !from.Before(last.blockedUntil) {
 		from = from.Add(jointProbeDelay)
 	}
 	return Verdict{Part: last.record.Part, Wait: max(from.Sub(now), 0), CanProbe: !now.Before(from)}
 }
 
+// lastProbe returns the suspect that a request with the given parts may probe last, and when.
+func lastProbe(blocked []*suspect, parts []string) (last *suspect, from time.Time) {
+	inPrompt := make(map[string]bool, len(parts))
+	for _, id := range parts {
+		inPrompt[id] = true
+	}
+	for _, s := range blocked {
+		if at := s.probeFrom(inPrompt); last == nil || at.After(from) {
+			last, from = s, at
+		}
+	}
+	return last, from
+}
+
 // Shared returns the shared record of a part as far as this process knows it.
 func (q *Quarantine) Shared(part Part) (Shared, bool) {
 	q.mu.Lock()
@@ -141,139 +152,6 @@
 	return &q.answered
 }
 
-// Suspects returns the parts of a prompt that a crash would make suspects: those that were never in an answered prompt. If
-// there is none, a part may have turned deadly, and those are suspects that were in none since the request was sent, or
-// for some time if the server had not begun to answer. The whole request is one too, unless it was answered since then.
-func (q *Quarantine) Suspects(service string, parts []string, crash Crash, now time.Time) []Part {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.suspectParts(service, parts, crash, now)
-}
-
-func (q *Quarantine) suspectParts(service string, parts []string, crash Crash, now time.Time) []Part {
-	answeredUntil := crash.Sent
-	if !crash.AnswerBegun {
-		answeredUntil = now.Add(-recentAnswer)
-	}
-	var unanswered, earlier, requests []Part
-	for _, id := range parts {
-		part := Part{service, id}
-		at, ok := q.memoryOf(part).at(part)
-		switch {
-		case ok && !at.Before(answeredUntil):
-		case part.IsRequest():
-			requests = append(requests, part)
-		case !ok:
-			unanswered = append(unanswered, part)
-		default:
-			earlier = append(earlier, part)
-		}
-	}
-	switch {
-	case slices.ContainsFunc(requests, q.isRepeated):
-		return requests
-	case len(unanswered) > 0:
-		return append(unanswered, requests...)
-	}
-	return append(earlier, requests...)
-}
-
-// RecordCrash makes parts of the prompt of a request suspects after its server crashed. It returns the records of a
-// first crash of these parts, to be shared. Suspects for which the crash is not counted are left out. Right after a
-// start, when no part is known to be sound, AnswerBegun does not count for a single part, which all sound requests may
-// hold too.
-func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Record {
-	q.mu.Lock()
-	accused := q.suspectParts(service, parts, crash, now)
-	started := q.justStarted(service)
-	ofPrompt := slices.DeleteFunc(slices.Clone(accused), Part.IsRequest)
-	doubtful := started && len(ofPrompt) == 1
-	var records []Record
-	var withdraw []func()
-	for _, part := range accused {
-		s := q.suspect(part, now)
-		if s == nil {
-			continue
-		}
-		if part.IsRequest() && !crash.Deadline.IsZero() && s.firstDeadline.IsZero() {
-			s.firstDeadline = crash.Deadline
-		}
-		first := Record{
-			Part: part, Crashes: 1, AnswerBegun: crash.AnswerBegun && (part.IsRequest() || !doubtful),
-			Answered: s.record.Answered, LastServer: crash.Server, With: otherIDs(ofPrompt, part),
-		}
-		if !s.sameCrash(crash.Server, started, now) {
-			s.addCrash(first, now)
-		} else if !s.strengthen(first) {
-			continue
-		}
-		withdraw = append(withdraw, q.watchersOf(s)...)
-		records = append(records, first)
-	}
-	q.mu.Unlock()
-	callAll(withdraw)
-	return records
-}
-
-// justStarted reports whether this process has seen too few answers of a service to know which parts are sound.
-func (q *Quarantine) justStarted(service string) bool { return q.answered.count(service) < minAnswers }
-
-// otherIDs returns the IDs of the parts other than the given one.
-func otherIDs(parts []Part, part Part) []string {
-	var out []string
-	for _, p := range parts {
-		if p != part {
-			out = append(out, p.ID)
-		}
-	}
-	return out
-}
-
-// suspect returns the suspect of a part and creates it if needed, nil if there is no room.
-func (q *Quarantine) suspect(part Part, now time.Time) *suspect {
-	if s := q.suspects[part]; s != nil {
-		return s
-	}
-	if len(q.suspects) >= maxSuspects {
-		q.removeExpired(now)
-	}
-	if len(q.suspects) >= maxSuspects && !q.removeHarmless() {
-		return nil
-	}
-	_, answered := q.memoryOf(part).at(part)
-	s := &suspect{record: Record{Part: part, Answered: answered}}
-	q.suspects[part] = s
-	q.count.Store(int64(len(q.suspects)))
-	return s
-}
-
-func (q *Quarantine) removeExpired(now time.Time) {
-	for part, s := range q.suspects {
-		if now.Sub(s.changedAt) > RecordTTL {
-			delete(q.suspects, part)
-		}
-	}
-	q.count.Store(int64(len(q.suspects)))
-}
-
-// removeHarmless forgets one suspect that is not blocked, and reports whether there was one.
-func (q *Quarantine) removeHarmless() bool {
-	for part, s := range q.suspects {
-		if !s.blocking() {
-			delete(q.suspects, part)
-			return true
-		}
-	}
-	return false
-}
-
-// RemoveExpired forgets the suspects without a crash or a probe for RecordTTL.
-func (q *Quarantine) RemoveExpired(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.removeExpired(now)
-}
-
 // Dump is the state of one suspect in the state dump.
 type Dump struct {
 	Service   string `json:"service"`
--- a/gateway/quarantine/repeat.go
+++ b/gateway/quarantine/repeat.go
@@ -18,11 +18,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range parts {
-		s := q.suspects[Part{service, id}]
-		if s == nil || !s.record.Part.IsRequest() || !s.blocking() {
+		part := Part{service, id}
+		if !part.IsRequest() {
 			continue
 		}
-		if s.observeDeadline(deadline) {
+		if s := q.suspects[part]; s != nil && s.blocking() && s.observeDeadline(deadline) {
 			q.allowProbes(s)
 		}
 	}
--- a/gateway/quarantine/suspect.go
+++ b/gateway/quarantine/suspect.go
@@ -43,8 +43,8 @@
 
 // probeFrom returns when a request whose prompt holds the given parts may be a probe of the part. After the first probe
 // all requests wait for the end of the block: the deadly part may have had company that differs with each crash.
-func (s *suspect) probeFrom(parts []string) time.Time {
-	lacksOther := slices.ContainsFunc(s.record.With, func(id string) bool { return !slices.Contains(parts, id) })
+func (s *suspect) probeFrom(inPrompt map[string]bool) time.Time {
+	lacksOther := slices.ContainsFunc(s.record.With, func(id string) bool { return !inPrompt[id] })
 	early := s.lastCrashAt.Add(partialProbeDelay)
 	if s.likelySound && s.record.Probes == 0 {
 		return s.lastCrashAt
