End requests that still run when the grace of a listener is over

What operators saw: a planned stop during which a peer polled, or a stream ran longer than the grace, ended with exit status 1.

Cause: the timeout of the HTTP server's shutdown counted as a failure of the process, and left the connections open.

Change: telemetry.Serve closes what still runs then and returns no error.

Evidence: TestServeEndsRequestsThatStillRun got "context deadline exceeded" before and passes now.

--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -74,7 +74,8 @@
 )
 
 // Serve serves a handler for operators, probes and control messages on a listener until the context ends. It then closes
-// the listener and waits up to grace for running requests. It returns the first error other than http.ErrServerClosed.
+// the listener, waits up to grace for running requests, and closes the connections of those that still run. It returns the
+// first error other than http.ErrServerClosed.
 func Serve(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
 	return serveLimited(ctx, LimitConnections(l, max(DescriptorLimit()/controlFraction, 1)), h, grace)
 }
@@ -105,7 +106,11 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
-	if err := srv.Shutdown(shutdownCtx); err != nil {
+	err := srv.Shutdown(shutdownCtx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = srv.Close() // Long polls and profiles do not end by themselves.
+	}
+	if err != nil {
 		return err
 	}
 	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
