Handle signals from the start, and check the status of planned stops

What operators saw: SIGHUP ended entries and sidecars, and gateways in their first moments; a failed start had no line at error level; nothing checked the exit status of a stop.

Cause: signals were handled after the settings had been read, SIGHUP only where a settings file is watched; the soaks threw the exit status away.

Change: daemons and the stand-in handle SIGTERM and SIGINT first of all, and SIGHUP ends none. What ends a process against its will is one line "process failed" at error level, status 1; an unknown role of the stand-in has status 2.

--- a/cmd/internal/start/start.go
+++ b/cmd/internal/start/start.go
@@ -11,7 +11,10 @@
 	"os/signal"
 	"syscall"
 
+	"go.uber.org/zap"
+
 	"lavendermoor.example/config/settings"
+	"lavendermoor.example/telemetry"
 	"lavendermoor.example/telemetry/buildinfo"
 )
 
@@ -45,6 +48,8 @@
 
 // MainWithSettingsFile is Main for a daemon that watches its settings file. It passes the file's path to run.
 func MainWithSettingsFile(name string, args []string, s any, run func(ctx context.Context, file string) error) int {
+	ctx, stop := HandleSignals()
+	defer stop()
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	file := flags.String("config", os.Getenv(settingsEnv),
 		"settings `FILE`, JSON with comments; the default comes from "+settingsEnv)
@@ -69,15 +74,30 @@
 	case *check:
 		return exitOK
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := run(ctx, *file); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return exitFailed
+		return Fail(name, err)
 	}
 	return exitOK
 }
 
+// HandleSignals returns a context that ends at SIGTERM or SIGINT; stop releases it. A process that has called it is not
+// ended by SIGHUP, which daemons without a settings file to watch ignore.
+func HandleSignals() (ctx context.Context, stop func()) {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// Fail logs the error that ends a program against its will, and returns the exit code.
+func Fail(program string, cause error) int {
+	log, _, err := telemetry.NewLogger(os.Stderr, program, "", zap.ErrorLevel.String())
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, cause)
+		return exitFailed
+	}
+	log.Error("process failed", zap.Error(cause))
+	return exitFailed
+}
+
 func loadSettings(w io.Writer, file string, optional bool, s any) int {
 	if file == "" {
 		if optional {
--- a/cmd/lavendermoor-standin/main.go
+++ b/cmd/lavendermoor-standin/main.go
@@ -9,9 +9,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -103,11 +101,16 @@
 	if version() {
 		return 0
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := start.HandleSignals()
 	defer stop()
-	if err := serve(ctx, o); err != nil {
+	err := serve(ctx, o)
+	var role *roleError
+	if errors.As(err, &role) {
 		fmt.Fprintln(os.Stderr, "lavendermoor-standin:", err)
-		return 1
+		return 2
+	}
+	if err != nil {
+		return start.Fail("lavendermoor-standin", err)
 	}
 	return 0
 }
@@ -131,11 +134,7 @@
 		}
 		group.Go(func() error { return telemetry.Serve(ctx, l, h, shutdownGrace) })
 	}
-	err = group.Wait()
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil // Open watches and streams do not end by themselves.
-	}
-	return err
+	return group.Wait()
 }
 
 // refuser is a handler of a server that accepts no connections at times.
--- a/proctest/fleet_soak_test.go
+++ b/proctest/fleet_soak_test.go
@@ -259,7 +259,7 @@
 	defer endFault()
 	from := time.Now()
 	g.Terminate()
-	_ = g.WaitExit(waitTimeout) // checkGracefulStop detects aborted requests.
+	s.checkStop(g.Proc) // checkGracefulStop detects aborted requests.
 	s.findings.mu.Lock()
 	s.gracefulStops = append(s.gracefulStops, fault{target: g.Name, from: from, to: time.Now()})
 	s.findings.mu.Unlock()
@@ -283,12 +283,13 @@
 		return
 	case 1:
 		r.Terminate()
-		_ = r.WaitExit(waitTimeout)
+		s.checkStop(r.Proc)
 	default:
 		r.Kill()
 	}
 	sleepUpTo(rng, 300*time.Millisecond)
 	s.fleet.RestartRankSidecar(r)
+	Eventually(s.t, r.Name+" listens", func() bool { return statusCode("http://"+r.PeerAddress()+"/readyz") != 0 })
 }
 
 // replicaFails makes a replica break off streams, lose responses or run slowly.
--- a/proctest/harness.go
+++ b/proctest/harness.go
@@ -196,8 +196,11 @@
 	<-p.done
 }
 
+// Signal sends a signal.
+func (p *Proc) Signal(s syscall.Signal) { require.NoError(p.t, p.cmd.Process.Signal(s)) }
+
 // Terminate sends SIGTERM, as the platform does before it removes an instance.
-func (p *Proc) Terminate() { require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM)) }
+func (p *Proc) Terminate() { p.Signal(syscall.SIGTERM) }
 
 // Pause suspends the process with SIGSTOP.
 func (p *Proc) Pause() { require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGSTOP)) }
--- a/proctest/soak_test.go
+++ b/proctest/soak_test.go
@@ -56,6 +56,13 @@
 	f.problems = append(f.problems, fmt.Sprintf(format, args...))
 }
 
+// checkStop waits for the end of a planned stop, whose exit status must be 0.
+func (f *findings) checkStop(p *Proc) {
+	if err := p.WaitExit(waitTimeout); err != nil {
+		f.problem("%s: planned stop: %v", p.Name, err)
+	}
+}
+
 func (f *findings) count(event string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -300,7 +307,7 @@
 	defer unlock()
 	s.count("fault terminate")
 	sidecar.Terminate()
-	_ = sidecar.WaitExit(waitTimeout)
+	s.checkStop(sidecar.Proc)
 	s.restart(rng, sidecar)
 }
 
