--- a/proctest/fleet_soak_limit_test.go
+++ b/proctest/fleet_soak_limit_test.go
@@ -11,13 +11,17 @@
 // kindReplicaNamesLimit is the kind of fault in which a replica names a limit in its responses. It excuses nothing.
 const kindReplicaNamesLimit = "replica names a limit"
 
-// nameLimits makes random replicas name limits, one after the other, until the end of the run. Half of the seeds name none.
-func (s *fleetSoak) nameLimits(rng *rand.Rand) {
+// nameLimits makes random replicas name limits.
+func (s *fleetSoak) nameLimits(rng *rand.Rand) { s.repeatInHalfOfTheSeeds(rng, s.replicaNamesLimit) }
+
+// repeatInHalfOfTheSeeds injects faults of one kind, one after the other, until the end of the run. Half of the seeds have
+// none.
+func (s *fleetSoak) repeatInHalfOfTheSeeds(rng *rand.Rand, inject func(rng *rand.Rand)) {
 	if rng.IntN(2) == 1 {
 		return
 	}
 	for s.ctx.Err() == nil {
-		s.replicaNamesLimit(rng)
+		inject(rng)
 		sleepUpTo(rng, 2*time.Second)
 	}
 }
--- a/proctest/fleet_soak_status_test.go
+++ b/proctest/fleet_soak_status_test.go
@@ -13,18 +13,13 @@
 // have.
 const kindInvalidStatus = "replica sends an invalid status"
 
-// sendInvalidStatuses makes random replicas send invalid statuses, one after the other, until the end of the run. Half of
-// the seeds send none.
+// sendInvalidStatuses makes random replicas send invalid statuses.
 func (s *fleetSoak) sendInvalidStatuses(rng *rand.Rand) {
-	if rng.IntN(2) == 1 {
-		return
-	}
 	lines := []string{"000 Zero", "099 Low", "101 Switching Protocols", "600 High", "999 Highest"}
-	for s.ctx.Err() == nil {
+	s.repeatInHalfOfTheSeeds(rng, func(rng *rand.Rand) {
 		faults := replicaserver.Faults{StatusLine: lines[rng.IntN(len(lines))]}
 		s.failReplica(rng, kindInvalidStatus, len(s.fleet.ReplicaLinks), faults, time.Second)
-		sleepUpTo(rng, 2*time.Second)
-	}
+	})
 }
 
 // checkStatus checks that a caller gets no status that HTTP does not have, and that a request which must not be repeated
