Take only a rejection by a rank for a refusal of an offer

Cause: the client of expertmap/rankapi called each status but 200 a refusal, which states that the offer had no effect; a proxy's 502 or 408 doesn't. Change: other statuses are a StatusError.

Evidence: TestOnlyARejectionIsARefusal; with the old client each status but 200 is a RefusedError by its code. expertmap/controller passes, linter clean.

--- a/expertmap/rankapi/rankapi.go
+++ b/expertmap/rankapi/rankapi.go
@@ -13,6 +13,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lavendermoor.example/clients/httpstatus"
+
 	"lavendermoor.example/expertmap"
 )
 
@@ -72,6 +74,11 @@
 	return fmt.Sprintf("rank refused with status %d: %s", e.Status, e.Message)
 }
 
+// StatusError reports a response with a status that says nothing about the request. The rank may have carried it out.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("rank answered with status %d", e.Status) }
+
 // Client calls one rank. It is safe for concurrent use.
 type Client struct {
 	base *url.URL
@@ -84,8 +91,8 @@
 // maxResponseBytes limits a response; a status of 60 layers x 5 slots takes a few kilobytes.
 const maxResponseBytes = 4 << 20
 
-// Offer offers a map. It fails with a *RefusedError (no effect), or with a transport error, after which the rank may
-// have accepted the map. Offer can be retried.
+// Offer offers a map. It fails with a *RefusedError (no effect), or with a *StatusError or a transport error, after which
+// the rank may have accepted the map. Offer can be retried.
 func (c *Client) Offer(ctx context.Context, o Offer) (Status, error) {
 	body, err := json.Marshal(o)
 	if err != nil {
@@ -95,7 +102,7 @@
 }
 
 // Status returns the rank's status, with the token counts of each expert if experts is set. It fails with a
-// *RefusedError or a transport error.
+// *RefusedError, a *StatusError or a transport error.
 func (c *Client) Status(ctx context.Context, experts bool) (Status, error) {
 	u := c.base.JoinPath(PathStatus)
 	if experts {
@@ -115,10 +122,13 @@
 	}
 	defer resp.Body.Close()
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes))
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case httpstatus.IsRejection(resp.StatusCode):
 		refused := &RefusedError{Status: resp.StatusCode}
 		_ = dec.Decode(&refused.Refusal)
 		return Status{}, merry.Wrap(refused)
+	case resp.StatusCode != http.StatusOK:
+		return Status{}, merry.Wrap(&StatusError{Status: resp.StatusCode})
 	}
 	var out Status
 	if err := dec.Decode(&out); err != nil {
