--- a/gateway/balance/list.go
+++ b/gateway/balance/list.go
@@ -45,7 +45,8 @@
 }
 
 // SetServices sets the names of the services that the configuration names, and returns the changes. An entry of another
-// service has no effect on the servers of these, and counts as invalid below the ID of one of them. Before the first call, all services count as named.
+// service has no effect on the servers of these, and counts as invalid below the ID of one of them. Before the first call,
+// all services count as named.
 func (f *Fleet) SetServices(names []string, now time.Time) []Change {
 	f.updates.Lock()
 	defer f.updates.Unlock()
--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -54,9 +54,8 @@
 
 // RecordCrash makes parts of the prompt of a request suspects after its server crashed. It returns the records of a
 // first crash of these parts, to be shared: of at most maxShared parts, those with most crashes. Suspects for which the
-// crash is not counted are left out. Right after a
-// start, when no part is known to be sound, AnswerBegun does not count for a single part, which all sound requests may
-// hold too.
+// crash is not counted are left out. Right after a start, when no part is known to be sound, AnswerBegun does not count
+// for a single part, which all sound requests may hold too.
 func (q *Quarantine) RecordCrash(service string, parts []string, crash Crash, now time.Time) []Record {
 	q.mu.Lock()
 	accused := q.suspectParts(service, parts, crash, now)
