Count a crash of known suspects before room is made for new ones

Traced, it is not the load: with thousands of unknown parts, room for new suspects is made of the oldest ones with one crash. The test let no time pass between crashes, so that parts of the current crash were among the oldest; it and TestSuspectsWithMostCrashesAreShared failed 4 times in 24 runs. The second one shows a fault of the product: a suspect that crashes again could be forgotten in the same crash, before it was counted.

Change: suspects that are known are counted first. The first test lets a second pass between crashes, as other tests do; its checks stay.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -65,7 +65,7 @@
 	with := sampleParts(ofPrompt, maxWith+1)
 	var counted []*suspect
 	var records []Record
-	for _, part := range accused {
+	for _, part := range q.knownFirst(accused) {
 		s := q.suspect(part, now)
 		if part.IsRequest() && !crash.Deadline.IsZero() && s.firstDeadline.IsZero() {
 			s.firstDeadline = crash.Deadline
@@ -89,6 +89,20 @@
 	return records
 }
 
+// knownFirst returns the parts with those that are suspects already before the others. Their crash is counted before the
+// others may need room, so that none of them is forgotten then.
+func (q *Quarantine) knownFirst(parts []Part) []Part {
+	var known, others []Part
+	for _, part := range parts {
+		if q.suspects[part] != nil {
+			known = append(known, part)
+		} else {
+			others = append(others, part)
+		}
+	}
+	return append(known, others...)
+}
+
 // blockedParts returns the parts of the suspects that are blocked.
 func blockedParts(suspects []*suspect) []Part {
 	var out []Part
--- a/gateway/quarantine/manyparts_test.go
+++ b/gateway/quarantine/manyparts_test.go
@@ -48,7 +48,7 @@
 	q := newWarm(c)
 	for request, place := range []int{0, mostParts / 2, mostParts - 1} {
 		deadly := fmt.Sprint("deadly-", request)
-		records := q.RecordCrash(service, slices.Insert(ownParts(request, mostParts), place, deadly), begun(deadly), c.now)
+		records := q.RecordCrash(service, slices.Insert(ownParts(request, mostParts), place, deadly), begun(deadly), c.advance(time.Second))
 		require.Len(t, records, maxShared)
 		for _, r := range records {
 			require.Len(t, r.With, maxWith)
