Log how many servers a process knows, and servers that move

A move was logged as an addition, without the address before.

Change: a line at the first read of the list with its entries, the invalid ones and the known servers; the metric lavendermoor_gateway_servers; a kind of its own for a move, and the former address.

Measured: go test ./gateway/balance ./cmd/internal/gatewayd pass; TestChangesTellHowAServerIsAdded fails without the change.

--- a/cmd/internal/gatewayd/gatewayd.go
+++ b/cmd/internal/gatewayd/gatewayd.go
@@ -169,6 +169,10 @@
 			Name: "lavendermoor.gateway.invalid_entries", Counter: true, Value: g.invalidEntries.count.Load,
 			Description: "Entries of the server list that are not of a server, one for each change of such an entry.",
 		},
+		{
+			Name: "lavendermoor.gateway.servers", Description: "Backend servers that this gateway knows.",
+			Value: func() int64 { return int64(len(g.fleet.All())) },
+		},
 		{
 			Name: "lavendermoor.gateway.limited_servers", Description: "Backend servers that name a rate limit.",
 			Value: g.fleet.CountLimited,
--- a/cmd/internal/gatewayd/mirrors.go
+++ b/cmd/internal/gatewayd/mirrors.go
@@ -58,14 +58,17 @@
 	g.invalidEntries.observe(failed, g.log)
 	list := balance.ServerList{Servers: servers, Era: s.At.Era, Invalid: slices.Collect(maps.Keys(failed))}
 	g.logServerChanges(g.fleet.UpdateList(list, keepUntil, time.Now()))
-	g.serversKnown.Store(true)
+	if !g.serversKnown.Swap(true) {
+		g.log.Info("server list read for the first time", zap.Int64("revision", s.At.Revision),
+			zap.Int("entries", len(s.Entries)), zap.Int("invalid", len(failed)), zap.Int("servers", len(g.fleet.All())))
+	}
 }
 
 func (g *gateway) logServerChanges(changes []balance.Change) {
 	for _, c := range changes {
 		g.log.Info("backend server "+c.Kind, zap.String("server", c.Server.ID),
 			zap.String("service", c.Server.Service), zap.String("address", c.Server.Address),
-			zap.Duration("list_age", g.servers.Age()))
+			zap.String("former_address", c.Former), zap.Duration("list_age", g.servers.Age()))
 	}
 }
 
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -134,3 +134,25 @@
 	f.SetPaces("s", map[string]float64{"a:80": 5})
 	require.Equal(t, 1, moved)
 }
+
+// Guards against a log that doesn't tell whether a server is new, has restarted, or is said to be at another address.
+func TestChangesTellHowAServerIsAdded(t *testing.T) {
+	now := time.Now()
+	f := NewFleet(noDialect{}, "d")
+	update := func(address string, started time.Time) Change {
+		t.Helper()
+		s := startedServer("a", started, 1)
+		s.Address = address
+		changes := f.Update([]catalog.Server{s}, time.Time{}, now)
+		require.Len(t, changes, 1)
+		return changes[0]
+	}
+	first, second := "127.0.0.1:1001", "127.0.0.1:1002"
+	require.Equal(t, "added", update(first, startTime).Kind)
+	moved := update(second, startTime)
+	require.Equal(t, "moved", moved.Kind)
+	require.Equal(t, first, moved.Former)
+	restarted := update(second, startTime.Add(time.Second))
+	require.Equal(t, "added", restarted.Kind)
+	require.Equal(t, second, restarted.Former)
+}
--- a/gateway/balance/list.go
+++ b/gateway/balance/list.go
@@ -9,8 +9,11 @@
 // Change is one difference between two lists of servers.
 type Change struct {
 	Server catalog.Server
-	// Kind is "added", "removed" or "draining".
+	// Kind is "added", "removed", "draining", or "moved" to another address in the same incarnation.
 	Kind string
+	// Former is the address of the former incarnation of an added server, or of a server before it moved, empty if there is
+	// none.
+	Former string
 }
 
 // ServerList is the list of servers.
@@ -71,14 +74,16 @@
 			continue
 		}
 		b, known := old.byID[s.ID]
-		if known && (b.Pool.Address() != s.Address || b.restarted(s)) {
+		replaced := known && (b.Pool.Address() != s.Address || b.restarted(s))
+		if !known || replaced {
+			changes = append(changes, additionOf(s, b))
+		}
+		if replaced {
 			// No state of the former incarnation applies to the new one.
 			f.retire(b, now)
-			known = false
 		}
-		if !known {
+		if !known || replaced {
 			b = f.addBackend(s, now)
-			changes = append(changes, Change{Server: s, Kind: "added"})
 		} else if b.updateEntry(s, now) {
 			changes = append(changes, Change{Server: s, Kind: "draining"})
 		}
@@ -104,6 +109,18 @@
 	return changes
 }
 
+// additionOf returns the change by which a server is added. former is the backend that it replaces, nil if there is none.
+func additionOf(s catalog.Server, former *Backend) Change {
+	if former == nil {
+		return Change{Server: s, Kind: "added"}
+	}
+	c := Change{Server: s, Kind: "moved", Former: former.Pool.Address()}
+	if former.restarted(s) {
+		c.Kind = "added"
+	}
+	return c
+}
+
 // heldServers returns the IDs of the current servers whose entry has been replaced by an invalid one, or by one of a service
 // that the configuration does not name. They stay as they are.
 func (f *Fleet) heldServers(current *snapshot) map[string]bool {
