--- a/gateway/balance/list.go
+++ b/gateway/balance/list.go
@@ -73,19 +73,9 @@
 		if held[s.ID] || f.removed.includes(s) || superseded(s, latest) {
 			continue
 		}
-		b, known := old.byID[s.ID]
-		replaced := known && (b.Pool.Address() != s.Address || b.restarted(s))
-		if !known || replaced {
-			changes = append(changes, additionOf(s, b))
-		}
-		if replaced {
-			// No state of the former incarnation applies to the new one.
-			f.retire(b, now)
-		}
-		if !known || replaced {
-			b = f.addBackend(s, now)
-		} else if b.updateEntry(s, now) {
-			changes = append(changes, Change{Server: s, Kind: "draining"})
+		b, change := f.applyEntry(s, old.byID[s.ID], now)
+		if change != nil {
+			changes = append(changes, *change)
 		}
 		next.add(s.ID, b)
 	}
@@ -109,6 +99,23 @@
 	return changes
 }
 
+// applyEntry returns the backend of a listed server, and the change if there is one. known is the current backend below the
+// ID of the server, nil if there is none.
+func (f *Fleet) applyEntry(s catalog.Server, known *Backend, now time.Time) (*Backend, *Change) {
+	if known != nil && known.Pool.Address() == s.Address && !known.restarted(s) {
+		if known.updateEntry(s, now) {
+			return known, &Change{Server: s, Kind: "draining"}
+		}
+		return known, nil
+	}
+	change := additionOf(s, known)
+	if known != nil {
+		// No state of the former incarnation applies to the new one.
+		f.retire(known, now)
+	}
+	return f.addBackend(s, now), &change
+}
+
 // additionOf returns the change by which a server is added. former is the backend that it replaces, nil if there is none.
 func additionOf(s catalog.Server, former *Backend) Change {
 	if former == nil {
